--- /dev/null
+++ b/brookhinge/decide.py
@@ -0,0 +1,534 @@
+"""All decisions of brookhinge.
+
+A Router is called once a round, `router.round(now, inbox, writer)`: `inbox` holds the decoded calls (method,
+values) in order of arrival, decisions go straight into `writer`. Writer and the records read at start are in
+brookhinge/interface.py. Times are seconds; servers stand under a dense index, `Fleet.ids` keeps their ids.
+
+The ordinary path (`Router.place`) is the Cache Clouds design: beacon rings, load-following sub-ranges,
+remembered holders, sibling fills of objects in demand, a parent home for all other fills. Beside it stand:
+1. Cold budget: work sent to a server that started lately stays under what it can do (rule 4).
+2. Rest: a server failing far more often than its fellows is left out for a while, then tried singly.
+3. In-flight limit: follows the shortest answer time of an object over its present one (crowding).
+4. Further pushes: timed so that another fits, paid from a budget that queries earn (retry storms).
+5. Shedding: what nothing can serve is nacked at once, the least utility for its sending time first.
+"""
+import random
+from hashlib import md5
+
+INTRA_GEN = 1000       # IrH values of a beacon ring
+CYCLE = 10.0           # seconds between two settings of the sub-ranges
+MEMORY = 20.0          # seconds that a holder is remembered
+MOST_DOCS = 30000      # object counts kept
+
+
+def digest(text):
+    return int.from_bytes(md5(text.encode()).digest(), "big")
+
+
+class Fleet:
+    """The servers as last told, and figures of each in parallel arrays."""
+
+    def __init__(self, kinds, here, drain_known=("ready",)):
+        self.parent_kind, self.origin_kind = kinds
+        self.here, self.index = here, {}
+        self.ids, self.role, self.state, self.weight, self.born = [], [], [], [], []
+        self.zone, self.cell, self.inflight, self.forgot_at = [], [], [], []
+        self.own, self.parents, self.origins = [], [], []
+
+    def enter(self, server):
+        c = self.index.get(server)
+        if c is None:
+            c = self.index[server] = len(self.ids)
+            self.ids.append(server)
+            for array, first in ((self.role, ""), (self.state, "gone"), (self.weight, 0.0), (self.born, None),
+                                 (self.zone, -1), (self.cell, 0), (self.inflight, 0), (self.forgot_at, -1e9)):
+                array.append(first)
+        return c
+
+    def told(self, now, kind, rows):
+        """Takes a list; a server that a complete list leaves out is gone."""
+        seen = set()
+        for server, health, weight, born, cell, family, zone in rows:
+            c = self.enter(server)
+            seen.add(c)
+            if health != "ready" or self.born[c] != born:   # left, drained or restarted: what it held is gone
+                self.forgot_at[c] = now
+            self.state[c], self.weight[c], self.born[c] = health, weight, born
+            self.cell[c], self.zone[c] = cell, zone
+            self.role[c] = {self.origin_kind: "origin", self.parent_kind: "parent"}.get(family, "cache")
+        if kind in ("full", "saved"):
+            for c in range(len(self.ids)):
+                if c not in seen:
+                    self.state[c], self.forgot_at[c] = "gone", now
+        listed = sorted((c for c in range(len(self.ids)) if self.state[c] != "gone"), key=self.ids.__getitem__)
+        self.own = [c for c in listed if self.role[c] == "cache" and self.zone[c] == self.here
+                    and self.state[c] == "ready"]
+        self.parents = [c for c in listed if self.role[c] == "parent"]
+        self.origins = [c for c in listed if self.role[c] == "origin"]
+
+
+class Rings:
+    """Beacon rings over the location's sorted caches, and the sub-range of IrH values of each beacon point."""
+
+    def __init__(self):
+        self.rings = []     # (points, their sub-ranges' ends, load of each IrH value)
+
+    def seat(self, caches):
+        """Pairs the caches into rings, an odd one joins the last; a ring with the same points keeps its ranges."""
+        old = {tuple(points): (points, ends, loads) for points, ends, loads in self.rings}
+        count = max(1, len(caches) // 2)
+        self.rings = []
+        for k in range(count if caches else 0):
+            points = caches[2 * k:] if k == count - 1 else caches[2 * k:2 * k + 2]
+            n = len(points)
+            self.rings.append(old.get(tuple(points)) or
+                              (points, [INTRA_GEN * (i + 1) // n for i in range(n)], [0.0] * INTRA_GEN))
+
+    def home(self, code):
+        """The beacon point of an object, and the others in the order in which they stand in for it."""
+        k, irh = code % len(self.rings), code % INTRA_GEN
+        points, ends, _ = self.rings[k]
+        i = next(i for i, end in enumerate(ends) if irh < end)
+        rest = [c for j in range(1, len(self.rings)) for c in self.rings[(k + j) % len(self.rings)][0]]
+        return points[i:] + points[:i] + rest
+
+    def count(self, code):
+        self.rings[code % len(self.rings)][2][code % INTRA_GEN] += 1.0
+
+    def cycle(self, capability):
+        """PAPER 2.3: each point's end moves until its load is near AptLd = Cp / TotCp x BRingLd."""
+        for points, ends, loads in self.rings:
+            total, power, start = sum(loads), sum(capability(c) for c in points), 0
+            for i, c in enumerate(points[:-1]):
+                surplus = sum(loads[start:ends[i]]) - capability(c) / power * total
+                moved = 0.0
+                while surplus > 0 and ends[i] > start + 1 and moved + loads[ends[i] - 1] <= surplus:
+                    ends[i] -= 1
+                    moved += loads[ends[i]]
+                while surplus < 0 and ends[i] < ends[i + 1] - 1 and moved + loads[ends[i]] <= -surplus:
+                    moved += loads[ends[i]]
+                    ends[i] += 1
+                start = ends[i]
+            loads[:] = [0.0] * INTRA_GEN
+
+
+class Doc:
+    """What is remembered of an object (one part of it, where it has parts)."""
+    __slots__ = ("code", "home_code", "group", "key", "count", "asked", "purges", "purged_at", "holders",
+                 "best", "order", "order_of")
+
+    def __init__(self, key, part, group):
+        self.key, self.group = key, group
+        self.code, self.home_code = digest(f"{key}/{part}"), digest(key)
+        self.count = self.asked = self.purges = 0.0
+        self.purged_at, self.holders, self.best = -1e9, {}, 0.0
+        self.order, self.order_of = [], None
+
+
+class ColdBudget:
+    """Work (seconds of sending) sent to servers that started lately, as a leaking level each.
+
+    Guards rule 4 and answers in time: a cold server gets this router's share of what it can do by the least
+    it may have warmed up, and no burst. It could harm by leaving a server idle that warmed up faster.
+    """
+    FILL = 0.9          # of the present capacity; well under any multiple that pushes a server over
+
+    def __init__(self, start, routers):
+        self.start, self.routers = start, routers
+        self.level, self.at = {}, {}
+
+    def cold(self, now, born):
+        return born is not None and now - born < self.start.warm_s
+
+    def take(self, c, now, born, power, work, spend=True):
+        """Whether work may go to c now; spends it if so. power: transfers at once that c does when warm."""
+        s = self.start
+        if s.multiple <= 0 or not self.cold(now, born):
+            return True
+        age = max(0.0, now - born - s.window_s)
+        part = s.share + (1.0 - s.share) * min(1.0, age / s.warm_s)
+        rate = min(self.FILL, 0.45 * s.multiple) * part * power / self.routers
+        level = max(0.0, self.level.get(c, 0.0) - rate * (now - self.at.get(c, now)))
+        room = level <= 0.0 or level + work <= rate * s.window_s * 0.5
+        if spend:
+            self.level[c], self.at[c] = level + (work if room else 0.0), now
+        return room
+
+
+class Health:
+    """Mechanism 2. Share of failures of each server, lately, against its fellows of the same role."""
+    BAD, REST, MOST = 0.4, 2.0, 0.4
+
+    def __init__(self):
+        self.fault, self.rest_until, self.trial_at = {}, {}, {}
+
+    def judge(self, c, now, failed, weight, fellows):
+        """Counts an answer. A server far worse than the median of its fellows rests, unless too many do."""
+        fault = self.fault.get(c, 0.0)
+        self.fault[c] = fault = fault + 0.15 * weight * ((1.0 if failed else 0.0) - fault)
+        if not failed:
+            if fault < self.BAD / 2:
+                self.rest_until.pop(c, None)
+            return False
+        if fault < self.BAD or self.rest_until.get(c, -1.0) > now:
+            return False
+        others = sorted(self.fault.get(f, 0.0) for f in fellows if f != c)
+        resting = sum(f in self.rest_until for f in fellows if f != c)
+        if others and (others[len(others) // 2] > fault / 2 or resting + 1 > max(1, self.MOST * len(fellows))):
+            return False       # the tier or the common link fails, or too many rest already
+        first = c not in self.rest_until
+        self.rest_until[c] = now + self.REST
+        return first
+
+    def fit(self, c, now):
+        """Not resting; after a rest one query in a quarter of a second until it has done well again."""
+        until = self.rest_until.get(c)
+        if until is None:
+            return True
+        return now >= until and now - self.trial_at.get(c, -1e9) >= 0.25
+
+    def sent(self, c, now):
+        if c in self.rest_until:
+            self.trial_at[c] = now
+
+
+class Crowding:
+    """Mechanism 3. A limit on what is in flight to a server follows shortest over present answer time.
+
+    Like with like: times of one object are compared with its own shortest. Guards against a full or slowing
+    server whatever the cause; it could harm where one object's times vary for reasons of their own.
+    """
+    LEAST, MOST, SLACK = 4.0, 200.0, 2.2
+
+    def __init__(self):
+        self.limit, self.pace, self.set_at = {}, {}, {}
+
+    def answered(self, c, now, ratio, inflight):
+        pace = self.pace[c] = 0.95 * self.pace.get(c, 1.0) + 0.05 * ratio
+        if now - self.set_at.get(c, -1.0) >= 0.25:
+            self.set_at[c] = now
+            limit = self.limit.get(c, 32.0)
+            aim = limit * max(0.5, min(1.0, self.SLACK * pace)) + limit ** 0.5
+            if aim < limit or inflight > limit / 2:
+                self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
+
+    def room(self, c, inflight, part):
+        return inflight < part * self.limit.get(c, 32.0)
+
+
+class Query:
+    __slots__ = ("track", "doc", "until", "came", "shots", "server", "source", "sent_at", "rank", "expect",
+                 "bad", "bad_sources", "ran", "ended", "sibling", "held", "through")
+
+    def __init__(self, track, doc, now, left, through):
+        self.track, self.doc, self.came, self.until, self.through = track, doc, now, now + left, through
+        self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
+        self.bad, self.bad_sources, self.ran = set(), set(), None
+        self.ended = self.sibling = self.held = False
+
+
+class Router:
+    """One router: everything it knows came in by its own rounds."""
+
+    def __init__(self, seed, tracks, place, allowed, supply, cold_cache, cold_parent, purge_gone_s, kinds,
+                 reports):
+        self.chance = random.Random(seed)
+        self.tracks, self.allowed, self.supply, self.purge_gone_s = tracks, allowed, supply, purge_gone_s
+        self.fleet, self.rings = Fleet(kinds, place.zone), Rings()
+        self.cold = {"cache": ColdBudget(cold_cache, place.routers_here),
+                     "parent": ColdBudget(cold_parent, place.routers)}
+        self.health, self.sources, self.crowding = Health(), Health(), Crowding()
+        self.docs, self.queries, self.groups = {}, {}, {}
+        self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
+        self.density = [0.0] * len(tracks)
+        self.busiest, self.taken, self.taken_at = 0.0, {}, 0.0
+        self.retries, self.next_cycle = 10.0, CYCLE
+
+    def round(self, now, inbox, writer):
+        self.now, self.writer = now, writer
+        for method, values in inbox:
+            getattr(self, method)(*values)
+        if now >= self.next_cycle:
+            self.cycle()
+
+    # what comes in
+
+    def roster(self, kind, rows):
+        if kind == "failed":
+            return
+        own = self.fleet.own
+        self.fleet.told(self.now, kind, rows)
+        if self.fleet.own != own or not self.rings.rings:
+            self.rings.seat(self.fleet.own)
+
+    def query(self, query, track, key, part, group, size_kb, retry, write, left):
+        doc = self.docs.get((key, part))
+        if doc is None:
+            doc = self.docs[key, part] = Doc(key, part, group)
+        doc.count += 1
+        doc.asked += 1
+        if self.rings.rings:
+            self.rings.count(doc.code)
+        q = self.queries[query] = Query(track, doc, self.now, left, write or self.tracks[track].through)
+        q.expect = size_kb / self.supply.flow_kb_s if size_kb and self.supply.flow_kb_s else 0.0
+        if q.expect:
+            self.sending[track] += 0.02 * (q.expect - self.sending[track])
+        self.retries = min(20.0, self.retries + 0.15)
+        self.place(query, q)
+
+    def ended(self, query, push, server, result, took, over, note, waited, load):
+        q = self.queries.get(query)
+        c = self.fleet.index.get(server)
+        if c is not None:
+            self.fleet.inflight[c] = max(0, self.fleet.inflight[c] - 1)
+        if q is None or c is None:
+            return
+        self.learn(q, c, result, took, note)
+        if over or q.ended:
+            del self.queries[query]
+            return
+        if result not in ("full", "unreachable", "moot", "miss") and q.ran is None:
+            q.ran = (self.fleet.zone[c], self.fleet.cell[c], q.sent_at)
+        self.again(query, q, result)
+
+    def left(self, query):
+        q = self.queries.get(query)
+        if q is not None:
+            q.ended = True
+
+    def started(self, query):
+        pass
+
+    def rang(self, token):
+        pass
+
+    def probed(self, server, result, took, load):
+        pass
+
+    def purged(self, group, age, key):
+        """Keeps the moment of the purge and forgets what held the objects."""
+        moment = self.now - age
+        if not key:
+            self.groups[group] = max(moment, self.groups.get(group, -1e9))
+        for doc in self.docs.values():
+            if doc.key == key or not key and doc.group == group:
+                doc.purged_at = max(doc.purged_at, moment)
+                doc.purges += 1
+                doc.holders.clear()
+        if key:
+            self.groups[key] = max(moment, self.groups.get(key, -1e9))
+
+    # the ordinary path of a query
+
+    def place(self, query, q):
+        """One push for a query, or its final answer."""
+        now, fleet, doc, track = self.now, self.fleet, q.doc, self.tracks[q.track]
+        left = q.until - now
+        if left <= 0.002 or q.shots >= self.allowed.pushes:
+            return self.refuse(query, q)
+        work = q.expect or self.sending[q.track]
+        part = self.fair_part(q.track)
+
+        # the holders remembered, else the home, then those that stand in for it
+        stand_ins = self.rings.home(doc.code) if self.rings.rings else []
+        holders = [c for c in self.holders(doc) if c in stand_ins and c not in q.bad]
+        order = sorted(holders, key=lambda c: (fleet.inflight[c] / (fleet.weight[c] or 1.0), self.chance.random()))
+        order += [c for c in stand_ins if c not in order]
+        target = next((c for c in order if self.open_to(c, q, part) and self.cold["cache"].take(
+            c, now, fleet.born[c], self.power(c), self.sending[q.track])), None)
+        if target is None:
+            return self.pass_by(query, q, track, work)
+        source, q.sibling, q.held = None, False, target in holders
+
+        # an object in demand gets one cache more, filled from a holder
+        most = (len(fleet.own) + 1) // 2
+        if q.held and q.shots == 0 and len(holders) < most and self.utility(doc, len(holders)) > 1.0:
+            extra = self.next_after(holders[-1], holders)
+            if extra is not None and self.supply.siblings != "none" and self.may_supply(target) \
+                    and self.open_to(extra, q, part) and self.cold["cache"].take(
+                        extra, now, fleet.born[extra], self.power(extra), self.sending[q.track]):
+                target, source, q.sibling, q.held = extra, target, True, False
+
+        # all other fills go to the parent hashed from the object, next on failure, at last the origin
+        if source is None:
+            source = self.parent(q, self.sending[q.track] * (0.25 if q.held else 1.0))
+            if source is None:
+                source = target
+                if not q.held:
+                    return self.refuse(query, q)
+        rank = 0 if q.through else 2 if doc.count >= 2 else 1
+        age = self.oldest(doc, track, False)
+        self.send(query, q, target, source, rank, age, track.fresh_s > 0, left)
+
+    def send(self, query, q, target, source, rank, age, renew, left):
+        """Times the push out so that another still fits, and writes it."""
+        q.shots += 1
+        q.server, q.source, q.sent_at, q.rank = target, source, self.now, rank
+        more = q.shots < self.allowed.pushes and q.shots < 3 and left > 0.5
+        until = self.now + (left * 0.6 if more else left - 0.001)
+        self.fleet.inflight[target] += 1
+        self.health.sent(target, self.now)
+        self.sources.sent(source, self.now)
+        ids = self.fleet.ids
+        self.writer.push(query, ids[target], until, ids[source], rank, age, self.supply.joins, q.sibling, renew)
+
+    def again(self, query, q, result):
+        """After a push that did not answer: another, or the final answer. No effect twice."""
+        if q.sibling and result in ("full", "miss"):       # a failed sibling fill retries home
+            q.doc.holders.pop(q.source, None)
+            return self.place(query, q)
+        if q.server is not None and result in ("errored", "unreachable", "broken", "timeout"):
+            q.bad.add(q.server)
+        if result in ("full", "miss"):
+            q.bad_sources.add(q.source)
+            if q.bad_sources >= {q.source} and (q.source == q.server or q.held):
+                q.bad.add(q.server)
+        if self.retries < 1.0 or not self.may_repeat(q):
+            return self.refuse(query, q)
+        self.retries -= 1.0
+        self.place(query, q)
+
+    def refuse(self, query, q):
+        """The final answer, at once; a nack only where a repeat can do no harm."""
+        q.ended = True
+        track = self.tracks[q.track]
+        harmless = track.effect == "replayable" or q.ran is None or \
+            track.effect == "referenced" and track.group == "all"
+        if harmless:
+            self.writer.nack(query, min(self.allowed.max_retry_after_s, 0.3 + 0.4 * self.chance.random()))
+        else:
+            self.writer.error(query)
+        del self.queries[query]
+
+    def pass_by(self, query, q, track, work):
+        """No cache here can take it: straight to a parent or the origin where allowed, else a nack."""
+        if not self.supply.direct or self.fleet.own and self.retries < 5.0:
+            return self.refuse(query, q)
+        source = self.parent(q, self.sending[q.track])
+        if source is None or self.fleet.inflight[source] > 16:
+            return self.refuse(query, q)
+        self.retries -= 0.5 if self.fleet.own else 0.0
+        q.sibling = q.held = False
+        self.send(query, q, source, source, 0, self.oldest(q.doc, track, False), False, q.until - self.now)
+
+    # what the path asks
+
+    def holders(self, doc):
+        """Caches remembered serving a kept copy; forgotten on a restart, a drain, a miss or a purge."""
+        fleet, now = self.fleet, self.now
+        for c, at in list(doc.holders.items()):
+            if now - at > MEMORY or at <= fleet.forgot_at[c] or fleet.state[c] != "ready":
+                del doc.holders[c]
+        return list(doc.holders)
+
+    def utility(self, doc, holders):
+        """Count over mean count, over twice the holders, times requests over requests plus purges."""
+        mean = self.mean_count()
+        return doc.count / mean / (2.0 * holders) * doc.asked / (doc.asked + doc.purges)
+
+    def mean_count(self):
+        if self.now - self.taken_at > 1.0 or not self.busiest:
+            self.taken_at = self.now
+            self.busiest = max(1.0, sum(d.count for d in self.docs.values()) / max(1, len(self.docs)))
+        return self.busiest
+
+    def next_after(self, last, holders):
+        own = self.fleet.own
+        at = own.index(last) if last in own else 0
+        return next((c for c in own[at + 1:] + own[:at] if c not in holders), None)
+
+    def may_supply(self, c):
+        fleet = self.fleet
+        return fleet.state[c] == "ready" and not self.cold["cache"].cold(self.now, fleet.born[c])
+
+    def open_to(self, c, q, part):
+        return (c not in q.bad and self.fleet.state[c] == "ready" and self.health.fit(c, self.now)
+                and self.crowding.room(c, self.fleet.inflight[c], part) and self.allowed_twice(q, c))
+
+    def allowed_twice(self, q, c):
+        """A referenced query that may have run goes only where its repeat is dropped, while remembered."""
+        track = self.tracks[q.track]
+        if q.ran is None or track.effect == "replayable":
+            return True
+        zone, cell, at = q.ran
+        same = track.group == "all" or track.group == "zone" and zone == self.fleet.zone[c] or \
+            track.group == "cell" and (zone, cell) == (self.fleet.zone[c], self.fleet.cell[c])
+        return track.effect == "referenced" and same and self.now - at < track.window_s - 0.05
+
+    def may_repeat(self, q):
+        return q.ran is None or self.tracks[q.track].effect != "single-use"
+
+    def parent(self, q, work):
+        """First usable of the parents in the object's own order over all listed ones; then the origin."""
+        fleet, doc, now = self.fleet, q.doc, self.now
+        if doc.order_of is not fleet.parents:
+            doc.order_of = fleet.parents
+            doc.order = sorted(fleet.parents, key=lambda c: digest(f"{doc.home_code} {fleet.ids[c]}"))
+        for c in doc.order:
+            if fleet.state[c] == "ready" and c not in q.bad_sources and self.sources.fit(c, now) \
+                    and self.cold["parent"].take(c, now, fleet.born[c], self.power(c), work):
+                return c
+        return next((c for c in fleet.origins if fleet.state[c] == "ready" and c not in q.bad_sources), None)
+
+    def power(self, c):
+        """Transfers at once that a warm server does: its told weight, else a low guess."""
+        return self.fleet.weight[c] if self.fleet.weight[c] > 0 else 1.0
+
+    def fair_part(self, track):
+        """The part of a limit open to a track: the less utility for its sending time, the smaller."""
+        best = max(t.utility / s for t, s in zip(self.tracks, self.sending))
+        return 1.0 if self.tracks[track].utility / self.sending[track] >= 0.5 * best else 0.85
+
+    def oldest(self, doc, track, ageing):
+        """Oldest copy that will do; shuts out copies from before a known purge until they are gone everywhere."""
+        age = track.fresh_s + (track.stale_s if ageing else 0.0) if track.fresh_s > 0 else 0.0
+        purged = max(doc.purged_at, self.groups.get(doc.group, -1e9), self.groups.get(doc.key, -1e9))
+        if self.now - purged < self.purge_gone_s + 1.0:
+            since = max(1e-6, self.now - purged - 0.001)
+            age = min(age, since) if age > 0 else since
+        return age
+
+    # what is learned
+
+    def learn(self, q, c, result, took, note):
+        fleet, doc, now = self.fleet, q.doc, self.now
+        if result in ("cancelled", "moot"):
+            return
+        if result == "satisfied":
+            if q.rank and fleet.forgot_at[c] < q.sent_at and q.sent_at >= max(
+                    doc.purged_at, self.groups.get(doc.group, -1e9)):
+                doc.holders.pop(c, None)
+                doc.holders[c] = now
+            if not q.expect:
+                self.sending[q.track] += 0.02 * (min(took, 3.0) - self.sending[q.track])
+            if note == 1 or self.supply.tells == "none" or doc.best == 0.0:
+                doc.best = min(doc.best or took, took)
+                if doc.count >= 2:
+                    self.crowding.answered(c, now, doc.best / max(took, 1e-6), fleet.inflight[c])
+        elif result == "miss":
+            doc.holders.pop(c, None)
+        if fleet.role[c] == "cache":
+            own_fault = result in ("errored", "unreachable", "broken") or result == "timeout" and note != 7
+            if result == "satisfied" or own_fault:
+                if self.health.judge(c, now, own_fault, 1.0, fleet.own):
+                    self.writer.say(f"resting cache {fleet.ids[c]}: {result}")
+        source = q.source if q.source != c else c
+        if fleet.role[source] == "parent":
+            blame = note in (6, 7) or result == "full" and self.supply.tells != "all"
+            if result == "satisfied" and note in (0, 2, 3) or blame:
+                if self.sources.judge(source, now, blame, 1.0, fleet.parents):
+                    self.writer.say(f"resting parent {fleet.ids[source]}: {result}")
+
+    def cycle(self):
+        """The sub-ranges follow the load; object counts are bounded and halved."""
+        self.next_cycle = self.now + CYCLE
+        told = self.fleet.weight
+        self.rings.cycle(lambda c: told[c] if told[c] > 0 else 1.0)
+        for doc in self.docs.values():
+            doc.count /= 2.0
+        if len(self.docs) > MOST_DOCS:
+            keep = sorted(self.docs.items(), key=lambda item: -item[1].count)[:MOST_DOCS // 2]
+            self.docs = dict(keep)
+        for name, at in list(self.groups.items()):
+            if self.now - at > self.purge_gone_s + 2.0:
+                del self.groups[name]
--- /dev/null
+++ b/brookhinge/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire: lines in, decoded calls out, and back."""
--- /dev/null
+++ b/brookhinge/wire/codec.py
@@ -0,0 +1,225 @@
+"""Codec of the simulator's wire: decodes lines into calls on a router, encodes what it writes.
+
+Clock times become seconds since the instance's start, query ids small serials; both are turned back here.
+"""
+import json
+
+from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
+
+NS = 1e-9
+EFFECTS = {"retryable": "replayable", "dedup": "referenced", "fragile": "single-use"}
+RESULTS = {"OK": "satisfied", "INTERNAL": "errored", "RESOURCE_EXHAUSTED": "full",
+           "DEADLINE_EXCEEDED": "timeout", "UNAVAILABLE": "unreachable", "ABORTED": "broken",
+           "CANCELLED": "cancelled", "TOO_LATE": "moot", "NOT_FOUND": "miss"}
+HEALTH = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
+LISTS = {"INCREMENTAL": "changes", "FULL": "full", "SAVED": "saved", "FAILED": "failed"}
+FIELDS = {"cpu": "util", "active": "inflight", "waiting": "queue"}
+SIBLINGS = {"silent": "none", "none": "none", "": "none"}
+TELLS = {"silent": "none", "": "none"}
+
+
+class WireError(Exception):
+    """A line that can't be read; the message names it and what was expected."""
+
+
+def number(text, line, what, kind=int):
+    try:
+        return kind(text)
+    except ValueError:
+        raise WireError(f"line {line!r}: expected {what}, got {text!r}") from None
+
+
+def optional(text, line, what, kind=int):
+    return kind(0) if text in ("-", "") else number(text, line, what, kind)
+
+
+def flag(text, line):
+    if text not in ("0", "1", "-"):
+        raise WireError(f"line {line!r}: expected 1 or 0, got {text!r}")
+    return text == "1"
+
+
+def parts(line, least, what):
+    """The values of a line; optional ones left off its end read as absent."""
+    values = line.split(" ")[1:]
+    if len(values) < least:
+        raise WireError(f"line {line!r}: expected {what}")
+    return values + ["-"] * (12 - len(values))
+
+
+def read_start(options):
+    """The settings of BEGIN as the small records of the interface, by the names of Router's arguments."""
+    rules, limits = options.get("Rules", {}), options.get("Limits", {})
+    fam, report = options.get("Specifics", {}), options.get("Report", {})
+    zones, kinds = options.get("Zones", []), options.get("MachineTypes", [])
+    zone = zones.index(options["Az"]) if options.get("Az") in zones else 0
+
+    def each(key, place, default):
+        row = fam.get(key) or []
+        return row[place] if place < len(row) else default
+
+    def kind(key):
+        place = fam.get(key, -1)
+        return kinds[place] if 0 <= place < len(kinds) else ""
+
+    tracks = [Track(
+        name=c["Name"], effect=EFFECTS.get(c.get("Effect"), "single-use"), group=c.get("Group", "all"),
+        window_s=c.get("WindowNs", 0) * NS, contract_s=c["AimNs"] * NS, stretch=c.get("AimStretch", 0.0),
+        patience_s=c["DeadlineNs"] * NS, utility=c.get("Value", 1.0), late_share=c.get("LateWorth", 0.0),
+        fresh_s=each("GoodForNs", i, 0) * NS, stale_s=each("OlderByNs", i, 0) * NS,
+        stale_share=each("WorthWhenOld", i, 0.0), through=bool(each("GoesThrough", i, False)))
+        for i, c in enumerate(options.get("Classes", []))]
+    routers = max(1, options.get("Instances", 1))
+    advice = limits.get("MaxRetryAfterNs", 0) * NS if limits.get("RetryAfter") else 0.0
+    siblings, tells = fam.get("PeersFill", "none"), fam.get("Says", "none")
+    return {
+        "tracks": tracks,
+        "place": Place(zone, max(1, each("ZoneBalancers", zone, routers)), routers, options.get("MyNumber", 0)),
+        "allowed": Allowed(max(1, limits.get("MaxAttempts", 1)), bool(limits.get("Probes")),
+                           bool(limits.get("Cancel")), advice),
+        "supply": Supply(SIBLINGS.get(siblings, siblings), bool(fam.get("Straight")),
+                         bool(fam.get("SharesFills")), TELLS.get(tells, tells),
+                         fam.get("OneFlowKbPerS", 0.0), each("InletKbPerS", zone, 0.0)),
+        "cold_cache": ColdStart(rules.get("ColdFrom", 1.0), rules.get("WarmUpNs", 0) * NS,
+                                rules.get("FallMultiple", 0.0), rules.get("FallNs", 0) * NS),
+        "cold_parent": ColdStart(fam.get("ParentColdFrom", 1.0), fam.get("UpperColdNs", 0) * NS,
+                                 fam.get("ParentBreaksAt", 0.0), rules.get("FallNs", 0) * NS),
+        "purge_gone_s": fam.get("GoneEverywhereNs", 0) * NS,
+        "kinds": (kind("UpperKind"), kind("MasterKind")),
+        "reports": [FIELDS.get(c, c) for c in report.get("Columns", [])],
+    }
+
+
+class Instance:
+    """One router on the wire: its clock, its query serials, and the writer its decisions go to."""
+
+    def __init__(self, number_, base_ns):
+        self.number, self.base, self.router = number_, base_ns, None
+        self.tracks, self.zones = {}, {}
+        self.tid, self.serial, self.out, self.next = {}, {}, {}, 0
+        self.inbox, self.lines = [], []
+
+    def seconds(self, ns):
+        return (ns - self.base) * NS
+
+    def clock(self, seconds):
+        return self.base + int(seconds / NS + 0.5)
+
+    def known(self, tid, line):
+        serial = self.serial.get(tid)
+        if serial is None and not tid:
+            raise WireError(f"line {line!r}: expected a request id")
+        return serial
+
+    def settle(self, serial, pending):
+        """Forget a query's id once it is answered and no push of it is out."""
+        if serial in self.tid and pending <= 0:
+            del self.serial[self.tid.pop(serial)]
+            self.out.pop(serial, None)
+        elif serial in self.tid:
+            self.out[serial] = (pending, True)
+
+    # the writer
+    def push(self, query, cache, until, source, rank, age_s, join, held_only, renew):
+        pending, over = self.out[query]
+        self.out[query] = (pending + 1, over)
+        bits = join + 2 * held_only + 8 * renew
+        age = max(1, int(age_s / NS)) if age_s > 0 else 0
+        self.lines.append(f"FETCH_THROUGH {self.tid[query]} {cache} {self.clock(until)} {source} {rank} {age} {bits}")
+
+    def nack(self, query, retry_after_s):
+        self.lines.append(f"DENY {self.tid[query]} {int(retry_after_s / NS)}")
+        self.settle(query, self.out[query][0])
+
+    def error(self, query):
+        self.lines.append(f"GIVE_UP {self.tid[query]}")
+        self.settle(query, self.out[query][0])
+
+    def cancel(self, query, push):
+        self.lines.append(f"UNDO_SEND {self.tid[query]} {push}")
+
+    def probe(self, cache):
+        self.lines.append(f"TOUCH {cache}")
+
+    def wake(self, token, at):
+        self.lines.append(f"SCHEDULE {token} {self.clock(at)}")
+
+    def say(self, text):
+        self.lines.append("DEBUG " + text.replace("\n", " "))
+
+    # decoding
+    def load(self, text, line):
+        if text in ("-", ""):
+            return None
+        return [number(v, line, "load figures", float) for v in text.split(",")]
+
+    def decode(self, word, line, lists):
+        add = self.inbox.append
+        if word == "QUERY":
+            v = parts(line, 10, "QUERY with ten values")
+            if v[1 + 1] not in self.tracks:
+                raise WireError(f"line {line!r}: expected a known class, got {v[2]!r}")
+            serial, self.next = self.next, self.next + 1
+            self.tid[serial], self.serial[v[0]], self.out[serial] = v[0], serial, (0, False)
+            add(("query", (serial, self.tracks[v[2]], v[7], optional(v[1], line, "a part"),
+                           optional(v[6], line, "a group"), optional(v[8], line, "a size", float),
+                           v[4] == "1", v[5] == "1", optional(v[9], line, "a time budget") * NS)))
+        elif word == "OUTCOME":
+            v = parts(line, 6, "OUTCOME with at least six values")
+            serial = self.known(v[0], line)
+            if v[3] not in RESULTS:
+                raise WireError(f"line {line!r}: expected an outcome, got {v[3]!r}")
+            if serial is None:
+                return
+            ended = flag(v[5], line)
+            add(("ended", (serial, number(v[1], line, "a push"), number(v[2], line, "a cache server"),
+                           RESULTS[v[3]], number(v[4], line, "a duration") * NS, ended,
+                           optional(v[6], line, "a note"), optional(v[7], line, "a duration") * NS,
+                           self.load(v[8], line))))
+            pending, over = self.out[serial]
+            self.out[serial] = (pending - 1, over or ended)
+        elif word == "CLIENT_LEFT":
+            serial = self.known(parts(line, 1, "CLIENT_LEFT with a request id")[0], line)
+            if serial is not None:
+                add(("left", (serial,)))
+                self.out[serial] = (self.out[serial][0], True)
+        elif word == "TARGETS":
+            v = parts(line, 3, "TARGETS with three values")
+            if v[0] not in LISTS:
+                raise WireError(f"line {line!r}: expected a kind of list, got {v[0]!r}")
+            rows = []
+            if v[0] != "FAILED":
+                rows = lists.get(v[2])
+                if rows is None:
+                    raise WireError(f"line {line!r}: expected a list given by REGISTER, got {v[2]!r}")
+            add(("roster", (LISTS[v[0]], [self.member(r) for r in rows])))
+        elif word == "PURGED":
+            v = parts(line, 2, "PURGED with two values")
+            add(("purged", (optional(v[0], line, "a group"), optional(v[1], line, "an age") * NS,
+                            "" if v[2] == "-" else v[2])))
+        elif word == "RING":
+            add(("rang", (line[5:],)))
+        elif word == "HEALTH_RESULT":
+            v = parts(line, 3, "HEALTH_RESULT with three values")
+            add(("probed", (number(v[2], line, "a cache server"), RESULTS.get(v[0], "errored"),
+                            number(v[1], line, "a duration") * NS, self.load(v[3], line))))
+        elif word == "FIRST":
+            v = parts(line, 4, "FIRST with four values")
+            serial = self.known(v[0], line)
+            if serial is not None:
+                add(("started", (serial,)))
+        elif word != "PEER":
+            raise WireError(f"line {line!r}: expected an event, got {word!r}")
+
+    def member(self, row):
+        """(id, health, weight, started or None, cell, kind, zone or -1)"""
+        weight, born, cell, health, server, kind, zone = row
+        return (server, health, weight, self.seconds(born) if born else None, cell, kind, self.zones.get(zone, -1))
+
+
+def read_row(line):
+    v = parts(line, 7, "ROW with seven values")
+    if not line.startswith("ROW ") or v[3] not in HEALTH:
+        raise WireError(f"line {line!r}: expected ROW with a state")
+    return (optional(v[0], line, "a weight", float), optional(v[1], line, "a time"),
+            optional(v[2], line, "a cell"), HEALTH[v[3]], number(v[4], line, "a cache server"), v[5], v[6])
