--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -364,7 +364,7 @@
         """Times the push out so that another still fits, and writes it."""
         q.shots += 1
         q.server, q.source, q.sent_at, q.rank = target, source, self.now, rank
-        need = 3.0 * max(q.doc.best, q.expect)       # what the object takes, with room; 0: not known
+        need = 6.0 * max(q.doc.best, q.expect)       # what the object takes, with room; 0: not known
         more = q.shots < self.allowed.pushes and q.shots < 3 and 0.0 < need + 0.3 < 0.6 * left
         until = self.now + (left * 0.6 if more and need else left - 0.001)
         self.fleet.inflight[target] += 1
