A time-out counts against a cache only while it answers nothing else

Cause: crowded caches rested for time-outs, their objects moved and were filled anew. Also covers large objects on slow links. Could harm where a server answers small queries and hangs on large ones: that goes unseen.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -242,6 +242,7 @@
         self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
         self.density = [0.0] * len(tracks)
         self.busiest, self.taken, self.taken_at = 0.0, {}, 0.0
+        self.heard_at = {}
         self.retries, self.next_cycle = 10.0, CYCLE
 
     def round(self, now, inbox, writer):
@@ -509,7 +510,11 @@
         elif result == "miss":
             doc.holders.pop(c, None)
         if fleet.role[c] == "cache":
-            own_fault = result in ("errored", "unreachable", "broken") or result == "timeout" and note != 7
+            # a time-out speaks against a server only while it answers nothing else: crowding is not silence
+            silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
+            own_fault = result in ("errored", "unreachable", "broken") or silent
+            if result == "satisfied":
+                self.heard_at[c] = now
             if result == "satisfied" or own_fault:
                 if self.health.judge(c, now, own_fault, 1.0, fleet.own):
                     self.writer.say(f"resting cache {fleet.ids[c]}: {result}")
