Judge a server's power by what warm fellows took where no weight is told

Cause: with no weight told a cold cache was held to one transfer at once; during a deploy nearly all work went to the one warm cache (7 times the mean). Could harm: after a start among cold fellows only, the guess stays at one transfer.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -12,6 +12,7 @@
 4. Further pushes: timed so that another fits, paid from a budget that queries earn (retry storms).
 5. Shedding: what nothing can serve is nacked at once, the least utility for its sending time first.
 """
+import math
 import random
 from hashlib import md5
 
@@ -242,7 +243,7 @@
         self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
         self.density = [0.0] * len(tracks)
         self.busiest, self.taken, self.taken_at = 0.0, {}, 0.0
-        self.heard_at = {}
+        self.heard_at, self.load, self.most, self.told = {}, {}, {}, place.weights_told
         self.retries, self.next_cycle = 10.0, CYCLE
 
     def round(self, now, inbox, writer):
@@ -369,6 +370,9 @@
         more = q.shots < self.allowed.pushes and q.shots < 3 and 0.0 < need + 0.3 < 0.6 * left
         until = self.now + (left * 0.6 if more and need else left - 0.001)
         self.fleet.inflight[target] += 1
+        self.carried(target, self.sending[q.track])
+        if source != target:
+            self.carried(source, self.sending[q.track] * (0.25 if q.held else 1.0))
         self.health.sent(target, self.now)
         self.sources.sent(source, self.now)
         ids = self.fleet.ids
@@ -472,9 +476,22 @@
                 return c
         return next((c for c in fleet.origins if fleet.state[c] == "ready" and c not in q.bad_sources), None)
 
+    def carried(self, c, work):
+        """Notes work sent to a server; what warm ones took at most tells what their like can do at least."""
+        last, rate = self.load.get(c, (self.now, 0.0))
+        rate = rate * math.exp((last - self.now) / 2.0) + work / 2.0
+        self.load[c] = self.now, rate
+        role, born = self.fleet.role[c], self.fleet.born[c]
+        budget = self.cold.get(role)
+        if budget and not budget.cold(self.now, born):
+            self.most[role] = max(self.most.get(role, 0.0), rate)
+
     def power(self, c):
-        """Transfers at once that a warm server does: its told weight, else a low guess."""
-        return self.fleet.weight[c] if self.fleet.weight[c] > 0 else 1.0
+        """Transfers at once that a warm server does: its told weight, else what its fellows took, a low guess."""
+        role = self.fleet.role[c]
+        if self.told and self.fleet.weight[c] > 0:
+            return self.fleet.weight[c]
+        return max(1.0, self.most.get(role, 0.0) * (self.cold[role].routers if role in self.cold else 1))
 
     def fair_part(self, track):
         """The part of a limit open to a track: the less utility for its sending time, the smaller."""
--- a/brookhinge/interface.py
+++ b/brookhinge/interface.py
@@ -25,6 +25,7 @@
     routers_here: int
     routers: int
     number: int
+    weights_told: bool           # False: a weight in the list says nothing
 
 
 class Allowed(NamedTuple):
--- a/brookhinge/wire/codec.py
+++ b/brookhinge/wire/codec.py
@@ -74,7 +74,8 @@
     siblings, tells = fam.get("PeersFill", "none"), fam.get("Says", "none")
     return {
         "tracks": tracks,
-        "place": Place(zone, max(1, each("ZoneBalancers", zone, routers)), routers, options.get("MyNumber", 0)),
+        "place": Place(zone, max(1, each("ZoneBalancers", zone, routers)), routers, options.get("MyNumber", 0),
+                       options.get("WeightSource", "silent") in ("nominal", "rough", "live")),
         "allowed": Allowed(max(1, limits.get("MaxAttempts", 1)), bool(limits.get("Probes")),
                            bool(limits.get("Cancel")), advice),
         "supply": Supply(SIBLINGS.get(siblings, siblings), bool(fam.get("Straight")),
