In-flight limit holds answer times at 1.5 times the shortest

Cause tried: at 2.2 times the shortest, answers were late before the limit acted. What a crowded cache can't take spills to others, misses there and is filled anew.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -199,7 +199,7 @@
     Like with like: times of one object are compared with its own shortest. Guards against a full or slowing
     server whatever the cause; it could harm where one object's times vary for reasons of their own.
     """
-    LEAST, MOST, SLACK = 4.0, 200.0, 2.2
+    LEAST, MOST, SLACK = 4.0, 200.0, 1.5
 
     def __init__(self):
         self.limit, self.pace, self.set_at = {}, {}, {}
