Nack what a crowded home or holder can't take instead of spilling it

Cause: queries spilled from a crowded cache missed on the next one and were filled anew, so one crowded cache filled the inlet and crowded the rest. It also covers a cache that slows for its own reasons; could harm where one cache is crowded and its fellows are idle and hold the object unknown to the router.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -336,10 +336,13 @@
         holders = [c for c in self.holders(doc) if c in stand_ins and c not in q.bad]
         order = sorted(holders, key=lambda c: (fleet.inflight[c] / (fleet.weight[c] or 1.0), self.chance.random()))
         order += [c for c in stand_ins if c not in order]
-        target = next((c for c in order if self.open_to(c, q, part) and self.cold["cache"].take(
+        order = [c for c in order if self.open_to(c, q)]
+        target = next((c for c in order if self.cold["cache"].take(
             c, now, fleet.born[c], self.power(c), self.sending[q.track])), None)
         if target is None:
             return self.pass_by(query, q, track, work)
+        if not self.crowding.room(target, fleet.inflight[target], part):
+            return self.refuse(query, q)     # a crowded cache's queries would miss and be filled anew elsewhere
         source, q.sibling, q.held = None, False, target in holders
 
         # an object in demand gets one cache more, filled from a holder
@@ -347,7 +350,7 @@
         if q.held and q.shots == 0 and len(holders) < most and self.utility(doc, len(holders)) > 1.0:
             extra = self.next_after(holders[-1], holders)
             if extra is not None and self.supply.siblings != "none" and self.may_supply(target) \
-                    and self.open_to(extra, q, part) and self.cold["cache"].take(
+                    and self.open_to(extra, q) and self.crowding.room(extra, fleet.inflight[extra], part) and self.cold["cache"].take(
                         extra, now, fleet.born[extra], self.power(extra), self.sending[q.track]):
                 target, source, q.sibling, q.held = extra, target, True, False
 
@@ -447,9 +450,9 @@
         fleet = self.fleet
         return fleet.state[c] == "ready" and not self.cold["cache"].cold(self.now, fleet.born[c])
 
-    def open_to(self, c, q, part):
+    def open_to(self, c, q):
         return (c not in q.bad and self.fleet.state[c] == "ready" and self.health.fit(c, self.now)
-                and self.crowding.room(c, self.fleet.inflight[c], part) and self.allowed_twice(q, c))
+                and self.allowed_twice(q, c))
 
     def allowed_twice(self, q, c):
         """A referenced query that may have run goes only where its repeat is dropped, while remembered."""
