The in-flight limit also covers the location's link in

Cause: after a purge or a cold start most queries miss at once and their fills crowd the one link in, so that all are late. Fills beyond the limit are nacked. It also covers a slow parent tier or origin; could harm where one slow parent of several holds the limit down for all.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -19,6 +19,7 @@
 INTRA_GEN = 1000       # IrH values of a beacon ring
 CYCLE = 10.0           # seconds between two settings of the sub-ranges
 MEMORY = 20.0          # seconds that a holder is remembered
+INLET = -1             # stands for the location's link in among the in-flight limits
 MOST_DOCS = 30000      # object counts kept
 
 
@@ -219,13 +220,13 @@
 
 class Query:
     __slots__ = ("track", "doc", "until", "came", "shots", "server", "source", "sent_at", "rank", "expect",
-                 "bad", "bad_sources", "ran", "ended", "sibling", "held", "through")
+                 "bad", "bad_sources", "ran", "ended", "sibling", "held", "through", "filling")
 
     def __init__(self, track, doc, now, left, through):
         self.track, self.doc, self.came, self.until, self.through = track, doc, now, now + left, through
         self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
         self.bad, self.bad_sources, self.ran = set(), set(), None
-        self.ended = self.sibling = self.held = False
+        self.ended = self.sibling = self.held = self.filling = False
 
 
 class Router:
@@ -243,6 +244,7 @@
         self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
         self.density = [0.0] * len(tracks)
         self.busiest, self.taken, self.taken_at = 0.0, {}, 0.0
+        self.fills = 0
         self.heard_at, self.load, self.most, self.told = {}, {}, {}, place.weights_told
         self.retries, self.next_cycle = 10.0, CYCLE
 
@@ -285,6 +287,7 @@
             self.fleet.inflight[c] = max(0, self.fleet.inflight[c] - 1)
         if q is None or c is None:
             return
+        self.fills -= q.filling
         self.learn(q, c, result, took, note)
         if over or q.ended:
             del self.queries[query]
@@ -357,7 +360,7 @@
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
             source = self.parent(q, self.sending[q.track] * (0.25 if q.held else 1.0))
-            if source is None:
+            if source is None or not q.held and not self.crowding.room(INLET, self.fills, part):
                 source = target
                 if not q.held:
                     return self.refuse(query, q)
@@ -376,6 +379,8 @@
         self.carried(target, self.sending[q.track])
         if source != target:
             self.carried(source, self.sending[q.track] * (0.25 if q.held else 1.0))
+        q.filling = source != target and not q.sibling and not q.held
+        self.fills += q.filling
         self.health.sent(target, self.now)
         self.sources.sent(source, self.now)
         ids = self.fleet.ids
@@ -525,8 +530,12 @@
                 self.sending[q.track] += 0.02 * (min(took, 3.0) - self.sending[q.track])
             if note == 1 or self.supply.tells == "none" or doc.best == 0.0:
                 doc.best = min(doc.best or took, took)
-                if doc.count >= 2:
-                    self.crowding.answered(c, now, doc.best / max(took, 1e-6), fleet.inflight[c])
+            if doc.count >= 2 or q.expect:
+                ratio = min(1.0, max(doc.best, q.expect) / max(took, 1e-6))
+                if q.filling:
+                    self.crowding.answered(INLET, now, ratio, self.fills)
+                elif q.held and note < 2:
+                    self.crowding.answered(c, now, ratio, fleet.inflight[c])
         elif result == "miss":
             doc.holders.pop(c, None)
         if fleet.role[c] == "cache":
