Blame a failed fill on cache and parent alike; retry an errored fill from the next parent

It also covers a parent that is silent or refuses; could harm where two parents of three fail at once: none rests.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -159,7 +159,7 @@
 
 class Health:
     """Mechanism 2. Share of failures of each server, lately, against its fellows of the same role."""
-    BAD, REST, MOST = 0.4, 2.0, 0.4
+    BAD, REST, MOST = 0.3, 2.0, 0.4
 
     def __init__(self):
         self.fault, self.rest_until, self.trial_at = {}, {}, {}
@@ -391,11 +391,12 @@
         if q.sibling and result in ("full", "miss"):       # a failed sibling fill retries home
             q.doc.holders.pop(q.source, None)
             return self.place(query, q)
-        if q.server is not None and result in ("errored", "unreachable", "broken", "timeout"):
+        at_source = result in ("full", "miss") or result == "errored" and q.filling and not q.bad_sources
+        if not at_source:
             q.bad.add(q.server)
-        if result in ("full", "miss"):
+        else:
             q.bad_sources.add(q.source)
-            if q.bad_sources >= {q.source} and (q.source == q.server or q.held):
+            if q.source == q.server or q.held:
                 q.bad.add(q.server)
         if self.retries < 1.0 or not self.may_repeat(q):
             return self.refuse(query, q)
@@ -538,21 +539,24 @@
                     self.crowding.answered(c, now, ratio, fleet.inflight[c])
         elif result == "miss":
             doc.holders.pop(c, None)
-        if fleet.role[c] == "cache":
-            # a time-out speaks against a server only while it answers nothing else: crowding is not silence
-            silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
-            own_fault = result in ("errored", "unreachable", "broken") or silent
-            if result == "satisfied":
-                self.heard_at[c] = now
-            if result == "satisfied" or own_fault:
-                if self.health.judge(c, now, own_fault, 1.0, fleet.own):
-                    self.writer.say(f"resting cache {fleet.ids[c]}: {result}")
-        source = q.source if q.source != c else c
-        if fleet.role[source] == "parent":
-            blame = note in (6, 7) or result == "full" and self.supply.tells != "all"
-            if result == "satisfied" and note in (0, 2, 3) or blame:
-                if self.sources.judge(source, now, blame, 1.0, fleet.parents):
-                    self.writer.say(f"resting parent {fleet.ids[source]}: {result}")
+        # A failed fill speaks against cache and source alike unless notes tell which: of the two, the one at fault
+        # soon stands out among its fellows, the other does not. A time-out counts only while nothing is answered.
+        good = result == "satisfied"
+        if good:
+            self.heard_at[c] = now
+        source = c if fleet.role[c] == "parent" else q.source
+        failed = result in ("errored", "unreachable", "broken") or result == "full" and q.filling or \
+            result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
+        if not good and not failed:
+            return
+        told, shared = self.supply.tells == "all", q.filling and result in ("errored", "full", "timeout")
+        own = fleet.role[c] == "cache" and not (failed and (result == "full" or told and note in (6, 7, 10)))
+        far = fleet.role[source] == "parent" and note not in (1, 9, 10) and (
+            good or source == c or (note in (6, 7) if told else shared))
+        if own and self.health.judge(c, now, failed, 0.5 if shared and not told else 1.0, fleet.own):
+            self.writer.say(f"resting cache {fleet.ids[c]}: {result}")
+        if far and self.sources.judge(source, now, failed, 0.5 if shared and not told else 1.0, fleet.parents):
+            self.writer.say(f"resting parent {fleet.ids[source]}: {result}")
 
     def cycle(self):
         """The sub-ranges follow the load; object counts are bounded and halved."""
