A time-out counts as an answer time for the in-flight limit

Cause: a cache whose transfers all ran out of time lowered no limit, as only answers did. Also covers silence; could harm after one very large object.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -531,8 +531,10 @@
                 self.sending[q.track] += 0.02 * (min(took, 3.0) - self.sending[q.track])
             if note == 1 or self.supply.tells == "none" or doc.best == 0.0:
                 doc.best = min(doc.best or took, took)
-            if doc.count >= 2 or q.expect:
-                ratio = min(1.0, max(doc.best, q.expect) / max(took, 1e-6))
+        if result in ("satisfied", "timeout"):
+            shortest = max(doc.best, q.expect) or (self.sending[q.track] if result == "timeout" else 0.0)
+            if shortest and (doc.count >= 2 or q.expect or result == "timeout"):
+                ratio = min(1.0, shortest / max(took, 1e-6))
                 if q.filling:
                     self.crowding.answered(INLET, now, ratio, self.fills)
                 elif q.held and note < 2:
