--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -202,7 +202,8 @@
     """
     LEAST, MOST, SLACK = 4.0, 200.0, 1.5
 
-    def __init__(self):
+    def __init__(self, routers):
+        self.routers = routers
         self.limit, self.pace, self.set_at = {}, {}, {}
 
     def answered(self, c, now, ratio, inflight):
@@ -214,8 +215,9 @@
             if aim < limit or inflight > limit / 2:
                 self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
 
-    def room(self, c, inflight, part):
-        return inflight < part * self.limit.get(c, 32.0)
+    def room(self, c, inflight, part, weight=0.0):
+        """weight: transfers at full pace, where told: a crowd that was always there shows in no shortest time."""
+        return inflight < part * min(self.limit.get(c, 32.0), weight * (0.5 + 1.5 / self.routers) or self.MOST)
 
 
 class Query:
@@ -239,7 +241,7 @@
         self.fleet, self.rings = Fleet(kinds, place.zone), Rings()
         self.cold = {"cache": ColdBudget(cold_cache, place.routers_here),
                      "parent": ColdBudget(cold_parent, place.routers)}
-        self.health, self.sources, self.crowding = Health(), Health(), Crowding()
+        self.health, self.sources, self.crowding = Health(), Health(), Crowding(place.routers_here)
         self.docs, self.queries, self.groups = {}, {}, {}
         self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
         self.density = [0.0] * len(tracks)
@@ -344,7 +346,7 @@
             c, now, fleet.born[c], self.power(c), self.sending[q.track])), None)
         if target is None:
             return self.pass_by(query, q, track, work)
-        if not self.crowding.room(target, fleet.inflight[target], part):
+        if not self.crowding.room(target, fleet.inflight[target], part, self.told * fleet.weight[target]):
             return self.refuse(query, q)     # a crowded cache's queries would miss and be filled anew elsewhere
         source, q.sibling, q.held = None, False, target in holders
 
