In-flight limits start at 8 only for caches whose weight is not told

Covers a deployment that tells nothing of its caches; could harm for some seconds where untold caches are far larger than 8 transfers at once.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -200,7 +200,7 @@
     Like with like: times of one object are compared with its own shortest. Guards against a full or slowing
     server whatever the cause; it could harm where one object's times vary for reasons of their own.
     """
-    FIRST, LEAST, MOST, SLACK = 8.0, 4.0, 200.0, 1.5
+    FIRST, LEAST, MOST, SLACK = 32.0, 4.0, 200.0, 1.5
 
     def __init__(self, routers):
         self.routers = routers
@@ -210,14 +210,16 @@
         pace = self.pace[c] = 0.95 * self.pace.get(c, 1.0) + 0.05 * ratio
         if now - self.set_at.get(c, -1.0) >= 0.25:
             self.set_at[c] = now
-            limit = self.limit.get(c, self.FIRST)
+            limit = self.limit.get(c, self.FIRST / 4)
             aim = limit * max(0.5, min(1.0, self.SLACK * pace)) + limit ** 0.5
             if aim < limit or inflight > limit / 2:
                 self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
 
     def room(self, c, inflight, part, weight=0.0):
         """weight: transfers at full pace, where told: a crowd that was always there shows in no shortest time."""
-        return inflight < part * min(self.limit.get(c, self.FIRST), weight * (0.5 + 1.5 / self.routers) or self.MOST)
+        if c not in self.limit:      # nothing told of a cache: start low, measure times before a crowd
+            self.limit[c] = self.FIRST if weight or c == INLET else self.FIRST / 4
+        return inflight < part * min(self.limit[c], weight * (0.5 + 1.5 / self.routers) or self.MOST)
 
 
 class Query:
