Serve ageing copies while fills earn less than an old copy does

Covers any trouble on the way to the origin; could harm where late fills have a cause of their own (one slow link) and fresh copies were near.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -246,7 +246,7 @@
         self.health, self.sources, self.crowding = Health(), Health(), Crowding(place.routers_here)
         self.docs, self.queries, self.groups = {}, {}, {}
         self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
-        self.density = [0.0] * len(tracks)
+        self.fill_worth = [1.0] * len(tracks)              # utility that fills earned lately, of each track
         self.busiest, self.taken, self.taken_at = 0.0, {}, 0.0
         self.fills = 0
         self.heard_at, self.load, self.most, self.told = {}, {}, {}, place.weights_told
@@ -369,7 +369,8 @@
                 if not q.held:
                     return self.refuse(query, q)
         rank = 0 if q.through else 2 if doc.count >= 2 else 1
-        age = self.oldest(doc, track, False)
+        ageing = self.fill_worth[q.track] < track.stale_share      # an old copy earns more than a fill now
+        age = self.oldest(doc, track, ageing)
         self.send(query, q, target, source, rank, age, track.fresh_s > 0, left)
 
     def send(self, query, q, target, source, rank, age, renew, left):
@@ -545,6 +546,11 @@
                     self.crowding.answered(c, now, ratio, fleet.inflight[c])
         elif result == "miss":
             doc.holders.pop(c, None)
+        if q.filling and note != 1 and result in ("satisfied", "timeout", "full", "errored"):
+            track = self.tracks[q.track]
+            in_time = took <= track.contract_s + track.stretch * (q.expect or doc.best or self.sending[q.track])
+            worth = 0.0 if result != "satisfied" else 1.0 if in_time else track.late_share
+            self.fill_worth[q.track] += 0.05 * (worth - self.fill_worth[q.track])
         # A failed fill speaks against cache and source alike unless notes tell which: of the two, the one at fault
         # soon stands out among its fellows, the other does not. A time-out counts only while nothing is answered.
         good = result == "satisfied"
