--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -403,8 +403,7 @@
             q.bad_sources.add(q.source)
             if q.source == q.server or q.held:
                 q.bad.add(q.server)
-        futile = at_source and q.filling and self.fill_worth[q.track] < 0.5     # the way in fails, not one parent
-        if self.retries < 1.0 or futile or not self.may_repeat(q):
+        if self.retries < 1.0 or not self.may_repeat(q):
             return self.refuse(query, q)
         self.retries -= 1.0
         self.place(query, q)
