--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -546,6 +546,8 @@
                     self.crowding.answered(c, now, ratio, fleet.inflight[c])
         elif result == "miss":
             doc.holders.pop(c, None)
+        if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
+            self.crowding.answered(INLET, now, 0.0, self.fills)
         if q.filling and note != 1 and result in ("satisfied", "timeout", "full", "errored"):
             track = self.tracks[q.track]
             in_time = took <= track.contract_s + track.stretch * (q.expect or doc.best or self.sending[q.track])
