A parent rests when fills named to it time out while none of them is answered

Covers severed links to a hub; could harm when an object that takes long is all that a parent was asked for in a second.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -555,18 +555,22 @@
             self.fill_worth[q.track] += 0.05 * (worth - self.fill_worth[q.track])
         # A failed fill speaks against cache and source alike unless notes tell which: of the two, the one at fault
         # soon stands out among its fellows, the other does not. A time-out counts only while nothing is answered.
-        good = result == "satisfied"
+        good, source = result == "satisfied", c if fleet.role[c] == "parent" else q.source
+        filled = q.filling and note != 1
         if good:
             self.heard_at[c] = now
-        source = c if fleet.role[c] == "parent" else q.source
-        failed = result in ("errored", "unreachable", "broken") or result == "full" and q.filling or \
-            result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
+            if filled:
+                self.heard_at[source] = now
+        silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
+        dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
+        failed = silent or dumb or result in ("errored", "unreachable", "broken") or result == "full" and filled
         if not good and not failed:
             return
-        told, shared = self.supply.tells == "all", q.filling and result in ("errored", "full", "timeout")
-        own = fleet.role[c] == "cache" and not (failed and (result == "full" or told and note in (6, 7, 10)))
+        told, shared = self.supply.tells == "all", filled and result in ("errored", "full")
+        own = fleet.role[c] == "cache" and not (failed and not silent and (
+            dumb or result == "full" or told and note in (6, 7, 10)))
         far = fleet.role[source] == "parent" and note not in (1, 9, 10) and (
-            good or source == c or (note in (6, 7) if told else shared))
+            good and filled or source == c or dumb or (note in (6, 7) if told else shared))
         if own and self.health.judge(c, now, failed, 0.5 if shared and not told else 1.0, fleet.own):
             self.writer.say(f"resting cache {fleet.ids[c]}: {result}")
         if far and self.sources.judge(source, now, failed, 0.5 if shared and not told else 1.0, fleet.parents):
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,69 @@
+"""Guards: each failure found, as the decisions that answer it."""
+from helpers import Bench, track
+
+
+def ask_failing(b, count, result, key="k", **end):
+    """Distinct objects, each push of them ended the same way until the final answer; what was printed."""
+    lines = []
+    for i in range(count):
+        b.ask(key, part=i)
+        while b.next in b.router.queries:
+            b.end(b.next, result, **end)
+    return lines
+
+
+def says(b):
+    return [line for line in b.trace.lines if line.startswith("say")]
+
+
+def test_silent_parent_rests():
+    """Incident i620fa4: fills by one parent hang, all else is answered; the parent rests, no cache does."""
+    b = Bench(tells="all")
+    for i in range(24):
+        b.ask("abcdefgh"[i % 8], part=i)
+        silent = b.router.queries[b.next].source == b.router.fleet.index[11]
+        b.end(b.next, "timeout" if silent else "satisfied", note=0 if silent else 2, over=True)
+        b.now += 0.5
+    assert says(b) == ["say resting parent 11: timeout"]
+
+
+def test_crowded_caches_do_not_rest():
+    """Time-outs beside answers are a crowd, not silence."""
+    b = Bench()
+    for i in range(30):
+        b.ask("k", part=i)
+        b.end(b.next, "satisfied" if i % 3 else "timeout", over=True)
+    assert says(b) == []
+
+
+def test_erring_parent_is_told_from_erring_caches():
+    """andino-slots big-2: fills by one parent end in errors at every cache; the parent rests, the caches serve."""
+    b = Bench()
+    for i in range(40):
+        b.ask("abcdefgh"[i % 8], part=i)
+        for _ in range(2):
+            q = b.router.queries.get(b.next)
+            if q:
+                b.end(b.next, "errored" if q.source == b.router.fleet.index[11] else "satisfied", note=0)
+    assert says(b) == ["say resting parent 11: errored"]
+
+
+def test_all_failing_rests_none():
+    b = Bench()
+    ask_failing(b, 30, "errored")
+    assert len([line for line in says(b) if "cache" in line]) <= 1
+
+
+def test_crowded_home_nacks_and_does_not_spill():
+    """Spilled queries miss elsewhere and are filled anew."""
+    b = Bench(caches=(21, 22))
+    b.serve("a")
+    lines = [line for _ in range(12) for line in b.ask("a")]
+    assert [line.split()[1] for line in lines] == ["push"] * 8 + ["nack"] * 4
+
+
+def test_ageing_copies_serve_while_fills_fail():
+    """tender-portal big-2: the origin ran slow while old copies stood by."""
+    b = Bench(tracks=[track(fresh_s=5.0, stale_s=10.0, stale_share=0.7)])
+    ask_failing(b, 12, "timeout")
+    assert b.ask("a") == [f"q{b.next} push 21 from 12 rank 1 age<15.000 renew"]
