--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -117,14 +117,14 @@
 class Doc:
     """What is remembered of an object (one part of it, where it has parts)."""
     __slots__ = ("code", "home_code", "group", "key", "count", "asked", "purges", "purged_at", "holders",
-                 "best", "order", "order_of", "spread_at")
+                 "best", "order", "order_of")
 
     def __init__(self, key, part, group):
         self.key, self.group = key, group
         self.code, self.home_code = digest(f"{key}/{part}"), digest(key)
         self.count = self.asked = self.purges = 0.0
         self.purged_at, self.holders, self.best = -1e9, {}, 0.0
-        self.order, self.order_of, self.spread_at = [], None, -1e9
+        self.order, self.order_of = [], None
 
 
 class ColdBudget:
@@ -354,14 +354,12 @@
 
         # an object in demand gets one cache more, filled from a holder
         most = (len(fleet.own) + 1) // 2
-        if q.held and q.shots == 0 and len(holders) < most and now - doc.spread_at > 1.0 \
-                and self.utility(doc, len(holders)) > 1.0:     # one at a time: a crowd must not wait for one fill
+        if q.held and q.shots == 0 and len(holders) < most and self.utility(doc, len(holders)) > 1.0:
             extra = self.next_after(holders[-1], holders)
             if extra is not None and self.supply.siblings != "none" and self.may_supply(target) \
                     and self.open_to(extra, q) and self.crowding.room(extra, fleet.inflight[extra], part) and self.cold["cache"].take(
                         extra, now, fleet.born[extra], self.power(extra), self.sending[q.track]):
                 target, source, q.sibling, q.held = extra, target, True, False
-                doc.spread_at = now
 
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
