Shed by utility over each object's own sending time instead of by track

Cause: over capacity the largest objects were let in like the rest; one of them takes what thirty small ones need. Covers every crowd; could harm a track of large objects only, in a crowd that lasts.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -336,7 +336,7 @@
         if left <= 0.002 or q.shots >= self.allowed.pushes:
             return self.refuse(query, q)
         work = q.expect or self.sending[q.track]
-        part = self.fair_part(q.track)
+        part = self.fair_part(q)
 
         # the holders remembered, else the home, then those that stand in for it
         stand_ins = self.rings.home(doc.code) if self.rings.rings else []
@@ -507,10 +507,11 @@
             return self.fleet.weight[c]
         return max(1.0, self.most.get(role, 0.0) * (self.cold[role].routers if role in self.cold else 1))
 
-    def fair_part(self, track):
-        """The part of a limit open to a track: the less utility for its sending time, the smaller."""
-        best = max(t.utility / s for t, s in zip(self.tracks, self.sending))
-        return 1.0 if self.tracks[track].utility / self.sending[track] >= 0.5 * best else 0.85
+    def fair_part(self, q):
+        """The part of a limit open to a query: the less utility for its sending time, the smaller."""
+        usual = sum(t.utility for t in self.tracks) / sum(self.sending)
+        density = self.tracks[q.track].utility / (q.expect or q.doc.best or self.sending[q.track])
+        return max(0.4, min(1.0, 0.85 * (density / usual) ** 0.3))
 
     def oldest(self, doc, track, ageing):
         """Oldest copy that will do; shuts out copies from before a known purge until they are gone everywhere."""
