--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -511,7 +511,7 @@
         """The part of a limit open to a query: the less utility for its sending time, the smaller."""
         usual = sum(t.utility for t in self.tracks) / sum(self.sending)
         density = self.tracks[q.track].utility / (q.expect or q.doc.best or self.sending[q.track])
-        return max(0.4, min(1.0, 0.85 * (density / usual) ** 0.3))
+        return max(0.2, min(1.0, 0.85 * (density / usual) ** 0.5))
 
     def oldest(self, doc, track, ageing):
         """Oldest copy that will do; shuts out copies from before a known purge until they are gone everywhere."""
