--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -364,7 +364,7 @@
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
             source = self.parent(q, self.sending[q.track] * (0.25 if q.held else 1.0))
-            if source is None or not q.held and not self.crowding.room(INLET, self.fills, part):
+            if source is None or not q.held and not self.crowding.room(INLET, self.fills, part ** 0.5):
                 source = target
                 if not q.held:
                     return self.refuse(query, q)
