The fill throttle counts a first query that hits as answered

Kept: it bounds fills whatever refuses them. Could harm for some seconds after a failure of half of all parents.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -571,7 +571,7 @@
             self.heard_at[c] = now
             if filled:
                 self.heard_at[source] = now
-                self.fills_got += 1.0
+            self.fills_got += q.filling
         silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
         dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
         failed = silent or dumb or result in ("errored", "unreachable", "broken") or result == "full" and filled
