--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -219,7 +219,7 @@
         """weight: transfers at full pace, where told: a crowd that was always there shows in no shortest time."""
         if c not in self.limit:      # nothing told of a cache: start low, measure times before a crowd
             self.limit[c] = self.FIRST if weight or c == INLET else self.FIRST / 4
-        return inflight < part * min(self.limit[c], weight * (0.4 + 1.2 / self.routers) or self.MOST)
+        return inflight < part * min(self.limit[c], weight * (0.5 + 1.5 / self.routers) or self.MOST)
 
 
 class Query:
@@ -248,7 +248,7 @@
         self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
         self.fill_worth = [1.0] * len(tracks)              # utility that fills earned lately, of each track
         self.busiest, self.taken, self.taken_at = 0.0, {}, 0.0
-        self.fills, self.fills_sent, self.fills_got, self.faded_at = 0, 0.0, 0.0, 0.0
+        self.fills, self.fills_ended, self.fills_got, self.faded_at = 0, 0.0, 0.0, 0.0
         self.heard_at, self.load, self.most, self.told = {}, {}, {}, place.weights_told
         self.retries, self.next_cycle = 10.0, CYCLE
 
@@ -387,7 +387,6 @@
             self.carried(source, self.sending[q.track] * (0.25 if q.held else 1.0))
         q.filling = source != target and not q.sibling and not q.held
         self.fills += q.filling
-        self.fills_sent += q.filling
         self.health.sent(target, self.now)
         self.sources.sent(source, self.now)
         ids = self.fleet.ids
@@ -455,11 +454,11 @@
         return self.busiest
 
     def worth_filling(self):
-        """Fills go out up to twice those answered lately, and a few more: what fails at once fills no limit."""
+        """Few fills while most fail: what is refused at once stays under any limit on what is in flight."""
         fade = math.exp((self.faded_at - self.now) / 3.0)
-        self.fills_sent, self.fills_got, self.faded_at = self.fills_sent * fade, self.fills_got * fade, self.now
-        excess = self.fills_sent - 2.0 * self.fills_got - 5.0
-        return self.chance.random() * (self.fills_sent + 1.0) >= excess
+        self.fills_ended, self.fills_got, self.faded_at = self.fills_ended * fade, self.fills_got * fade, self.now
+        excess = self.fills_ended - 2.0 * self.fills_got - 5.0
+        return self.chance.random() * (self.fills_ended + 1.0) >= excess
 
     def next_after(self, last, holders):
         own = self.fleet.own
@@ -571,7 +570,8 @@
             self.heard_at[c] = now
             if filled:
                 self.heard_at[source] = now
-            self.fills_got += q.filling
+        self.fills_ended += q.filling
+        self.fills_got += q.filling and good
         silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
         dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
         failed = silent or dumb or result in ("errored", "unreachable", "broken") or result == "full" and filled
