--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -248,7 +248,7 @@
         self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
         self.fill_worth = [1.0] * len(tracks)              # utility that fills earned lately, of each track
         self.busiest, self.taken, self.taken_at = 0.0, {}, 0.0
-        self.fills, self.fills_ended, self.fills_got, self.faded_at = 0, 0.0, 0.0, 0.0
+        self.fills = 0
         self.heard_at, self.load, self.most, self.told = {}, {}, {}, place.weights_told
         self.retries, self.next_cycle = 10.0, CYCLE
 
@@ -364,8 +364,7 @@
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
             source = self.parent(q, self.sending[q.track] * (0.25 if q.held else 1.0))
-            if source is None or not q.held and not (
-                    self.crowding.room(INLET, self.fills, part ** 0.5) and self.worth_filling()):
+            if source is None or not q.held and not self.crowding.room(INLET, self.fills, part ** 0.5):
                 source = target
                 if not q.held:
                     return self.refuse(query, q)
@@ -453,13 +452,6 @@
             self.busiest = max(1.0, sum(d.count for d in self.docs.values()) / max(1, len(self.docs)))
         return self.busiest
 
-    def worth_filling(self):
-        """Few fills while most fail: what is refused at once stays under any limit on what is in flight."""
-        fade = math.exp((self.faded_at - self.now) / 3.0)
-        self.fills_ended, self.fills_got, self.faded_at = self.fills_ended * fade, self.fills_got * fade, self.now
-        excess = self.fills_ended - 2.0 * self.fills_got - 5.0
-        return self.chance.random() * (self.fills_ended + 1.0) >= excess
-
     def next_after(self, last, holders):
         own = self.fleet.own
         at = own.index(last) if last in own else 0
@@ -570,8 +562,6 @@
             self.heard_at[c] = now
             if filled:
                 self.heard_at[source] = now
-        self.fills_ended += q.filling
-        self.fills_got += q.filling and good
         silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
         dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
         failed = silent or dumb or result in ("errored", "unreachable", "broken") or result == "full" and filled
