--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -219,7 +219,7 @@
         """weight: transfers at full pace, where told: a crowd that was always there shows in no shortest time."""
         if c not in self.limit:      # nothing told of a cache: start low, measure times before a crowd
             self.limit[c] = self.FIRST if weight or c == INLET else self.FIRST / 4
-        return inflight < part * min(self.limit[c], weight * (0.5 + 1.5 / self.routers) or self.MOST)
+        return inflight < part * min(self.limit[c], weight * (0.6 + 1.9 / self.routers) or self.MOST)
 
 
 class Query:
