--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -200,7 +200,7 @@
     Like with like: times of one object are compared with its own shortest. Guards against a full or slowing
     server whatever the cause; it could harm where one object's times vary for reasons of their own.
     """
-    FIRST, LEAST, MOST, SLACK = 32.0, 4.0, 200.0, 1.25
+    FIRST, LEAST, MOST, SLACK = 32.0, 4.0, 200.0, 1.0
 
     def __init__(self, routers):
         self.routers = routers
