--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -8,9 +8,10 @@
 remembered holders, sibling fills of objects in demand, a parent home for all other fills. Beside it stand:
 1. Cold budget: work sent to a server that started lately stays under what it can do (rule 4).
 2. Rest: a server failing far more often than its fellows is left out for a while, then tried singly.
-3. In-flight limit: follows the shortest answer time of an object over its present one (crowding).
+3. In-flight limit of a cache and of the link in: follows shortest over present answer time (crowding).
 4. Further pushes: timed so that another fits, paid from a budget that queries earn (retry storms).
 5. Shedding: what nothing can serve is nacked at once, the least utility for its sending time first.
+6. Ageing copies: served while fills earn less than they do (a slow or failing way to the origin).
 """
 import math
 import random
@@ -30,7 +31,7 @@
 class Fleet:
     """The servers as last told, and figures of each in parallel arrays."""
 
-    def __init__(self, kinds, here, drain_known=("ready",)):
+    def __init__(self, kinds, here):
         self.parent_kind, self.origin_kind = kinds
         self.here, self.index = here, {}
         self.ids, self.role, self.state, self.weight, self.born = [], [], [], [], []
@@ -62,7 +63,8 @@
             for c in range(len(self.ids)):
                 if c not in seen:
                     self.state[c], self.forgot_at[c] = "gone", now
-        listed = sorted((c for c in range(len(self.ids)) if self.state[c] != "gone"), key=self.ids.__getitem__)
+        listed = [c for c in range(len(self.ids)) if self.state[c] != "gone"]
+        listed.sort(key=self.ids.__getitem__)
         self.own = [c for c in listed if self.role[c] == "cache" and self.zone[c] == self.here
                     and self.state[c] == "ready"]
         self.parents = [c for c in listed if self.role[c] == "parent"]
@@ -70,13 +72,13 @@
 
 
 class Rings:
-    """Beacon rings over the location's sorted caches, and the sub-range of IrH values of each beacon point."""
+    """Beacon rings over the location's sorted caches, and the sub-range of IrH values of each point."""
 
     def __init__(self):
         self.rings = []     # (points, their sub-ranges' ends, load of each IrH value)
 
     def seat(self, caches):
-        """Pairs the caches into rings, an odd one joins the last; a ring with the same points keeps its ranges."""
+        """Pairs the caches, an odd one joins the last ring; a ring with the same points keeps its ranges."""
         old = {tuple(points): (points, ends, loads) for points, ends, loads in self.rings}
         count = max(1, len(caches) // 2)
         self.rings = []
@@ -175,8 +177,8 @@
         if fault < self.BAD or self.rest_until.get(c, -1.0) > now:
             return False
         others = sorted(self.fault.get(f, 0.0) for f in fellows if f != c)
-        resting = sum(f in self.rest_until for f in fellows if f != c)
-        if others and (others[len(others) // 2] > fault / 2 or resting + 1 > max(1, self.MOST * len(fellows))):
+        crowd = 1 + sum(f in self.rest_until for f in fellows if f != c) > max(1, self.MOST * len(fellows))
+        if others and (others[len(others) // 2] > fault / 2 or crowd):
             return False       # the tier or the common link fails, or too many rest already
         first = c not in self.rest_until
         self.rest_until[c] = now + self.REST
@@ -216,18 +218,18 @@
                 self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
 
     def room(self, c, inflight, part, weight=0.0):
-        """weight: transfers at full pace, where told: a crowd that was always there shows in no shortest time."""
+        """weight: transfers at full pace, where told: a crowd there from the first shows in no time."""
         if c not in self.limit:      # nothing told of a cache: start low, measure times before a crowd
             self.limit[c] = self.FIRST if weight or c == INLET else self.FIRST / 4
         return inflight < part * min(self.limit[c], weight * (0.6 + 1.9 / self.routers) or self.MOST)
 
 
 class Query:
-    __slots__ = ("track", "doc", "until", "came", "shots", "server", "source", "sent_at", "rank", "expect",
+    __slots__ = ("track", "doc", "until", "shots", "server", "source", "sent_at", "rank", "expect",
                  "bad", "bad_sources", "ran", "ended", "sibling", "held", "through", "filling")
 
     def __init__(self, track, doc, now, left, through):
-        self.track, self.doc, self.came, self.until, self.through = track, doc, now, now + left, through
+        self.track, self.doc, self.until, self.through = track, doc, now + left, through
         self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
         self.bad, self.bad_sources, self.ran = set(), set(), None
         self.ended = self.sibling = self.held = self.filling = False
@@ -245,9 +247,9 @@
                      "parent": ColdBudget(cold_parent, place.routers)}
         self.health, self.sources, self.crowding = Health(), Health(), Crowding(place.routers_here)
         self.docs, self.queries, self.groups = {}, {}, {}
-        self.sending = [t.contract_s for t in tracks]     # mean sending time of each track, as far as learned
-        self.fill_worth = [1.0] * len(tracks)              # utility that fills earned lately, of each track
-        self.busiest, self.taken, self.taken_at = 0.0, {}, 0.0
+        self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
+        self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
+        self.mean, self.mean_at = 0.0, 0.0
         self.fills = 0
         self.heard_at, self.load, self.most, self.told = {}, {}, {}, place.weights_told
         self.retries, self.next_cycle = 10.0, CYCLE
@@ -305,14 +307,10 @@
         if q is not None:
             q.ended = True
 
-    def started(self, query):
-        pass
+    def unasked(self, *values):
+        """Streams, timers and probes are never asked for; what comes of them all the same changes nothing."""
 
-    def rang(self, token):
-        pass
-
-    def probed(self, server, result, took, load):
-        pass
+    started = rang = probed = unasked
 
     def purged(self, group, age, key):
         """Keeps the moment of the purge and forgets what held the objects."""
@@ -335,21 +333,21 @@
         left = q.until - now
         if left <= 0.002 or q.shots >= self.allowed.pushes:
             return self.refuse(query, q)
-        work = q.expect or self.sending[q.track]
-        part = self.fair_part(q)
+        work, part = self.sending[q.track], self.fair_part(q)
 
         # the holders remembered, else the home, then those that stand in for it
         stand_ins = self.rings.home(doc.code) if self.rings.rings else []
         holders = [c for c in self.holders(doc) if c in stand_ins and c not in q.bad]
-        order = sorted(holders, key=lambda c: (fleet.inflight[c] / (fleet.weight[c] or 1.0), self.chance.random()))
+        order = sorted(holders, key=lambda c: (
+            fleet.inflight[c] / (fleet.weight[c] or 1.0), self.chance.random()))
         order += [c for c in stand_ins if c not in order]
         order = [c for c in order if self.open_to(c, q)]
         target = next((c for c in order if self.cold["cache"].take(
-            c, now, fleet.born[c], self.power(c), self.sending[q.track])), None)
+            c, now, fleet.born[c], self.power(c), work)), None)
         if target is None:
-            return self.pass_by(query, q, track, work)
+            return self.pass_by(query, q, track)
         if not self.crowding.room(target, fleet.inflight[target], part, self.told * fleet.weight[target]):
-            return self.refuse(query, q)     # a crowded cache's queries would miss and be filled anew elsewhere
+            return self.refuse(query, q)     # elsewhere they would miss and be filled anew
         source, q.sibling, q.held = None, False, target in holders
 
         # an object in demand gets one cache more, filled from a holder
@@ -357,13 +355,13 @@
         if q.held and q.shots == 0 and len(holders) < most and self.utility(doc, len(holders)) > 1.0:
             extra = self.next_after(holders[-1], holders)
             if extra is not None and self.supply.siblings != "none" and self.may_supply(target) \
-                    and self.open_to(extra, q) and self.crowding.room(extra, fleet.inflight[extra], part) and self.cold["cache"].take(
-                        extra, now, fleet.born[extra], self.power(extra), self.sending[q.track]):
+                    and self.open_to(extra, q) and self.crowding.room(extra, fleet.inflight[extra], part) \
+                    and self.cold["cache"].take(extra, now, fleet.born[extra], self.power(extra), work):
                 target, source, q.sibling, q.held = extra, target, True, False
 
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
-            source = self.parent(q, self.sending[q.track] * (0.25 if q.held else 1.0))
+            source = self.parent(q, work * (0.25 if q.held else 1.0))     # a holder may miss, too
             if source is None or not q.held and not self.crowding.room(INLET, self.fills, part ** 0.5):
                 source = target
                 if not q.held:
@@ -388,8 +386,8 @@
         self.fills += q.filling
         self.health.sent(target, self.now)
         self.sources.sent(source, self.now)
-        ids = self.fleet.ids
-        self.writer.push(query, ids[target], until, ids[source], rank, age, self.supply.joins, q.sibling, renew)
+        ids, joins = self.fleet.ids, self.supply.joins
+        self.writer.push(query, ids[target], until, ids[source], rank, age, joins, q.sibling, renew)
 
     def again(self, query, q, result):
         """After a push that did not answer: another, or the final answer. No effect twice."""
@@ -420,12 +418,12 @@
             self.writer.error(query)
         del self.queries[query]
 
-    def pass_by(self, query, q, track, work):
+    def pass_by(self, query, q, track):
         """No cache here can take it: straight to a parent or the origin where allowed, else a nack."""
         if not self.supply.direct or self.fleet.own and self.retries < 5.0:
             return self.refuse(query, q)
         source = self.parent(q, self.sending[q.track])
-        if source is None or self.fleet.inflight[source] > 16:
+        if source is None or self.fleet.inflight[source] > 16 or not self.allowed_twice(q, source):
             return self.refuse(query, q)
         self.retries -= 0.5 if self.fleet.own else 0.0
         q.sibling = q.held = False
@@ -443,14 +441,10 @@
 
     def utility(self, doc, holders):
         """Count over mean count, over twice the holders, times requests over requests plus purges."""
-        mean = self.mean_count()
-        return doc.count / mean / (2.0 * holders) * doc.asked / (doc.asked + doc.purges)
-
-    def mean_count(self):
-        if self.now - self.taken_at > 1.0 or not self.busiest:
-            self.taken_at = self.now
-            self.busiest = max(1.0, sum(d.count for d in self.docs.values()) / max(1, len(self.docs)))
-        return self.busiest
+        if self.now - self.mean_at > 1.0 or not self.mean:
+            self.mean_at = self.now
+            self.mean = max(1.0, sum(d.count for d in self.docs.values()) / max(1, len(self.docs)))
+        return doc.count / self.mean / (2.0 * holders) * doc.asked / (doc.asked + doc.purges)
 
     def next_after(self, last, holders):
         own = self.fleet.own
@@ -480,15 +474,15 @@
 
     def parent(self, q, work):
         """First usable of the parents in the object's own order over all listed ones; then the origin."""
-        fleet, doc, now = self.fleet, q.doc, self.now
+        fleet, doc, now, bad = self.fleet, q.doc, self.now, q.bad | q.bad_sources
         if doc.order_of is not fleet.parents:
             doc.order_of = fleet.parents
             doc.order = sorted(fleet.parents, key=lambda c: digest(f"{doc.home_code} {fleet.ids[c]}"))
         for c in doc.order:
-            if fleet.state[c] == "ready" and c not in q.bad_sources and self.sources.fit(c, now) \
+            if fleet.state[c] == "ready" and c not in bad and self.sources.fit(c, now) \
                     and self.cold["parent"].take(c, now, fleet.born[c], self.power(c), work):
                 return c
-        return next((c for c in fleet.origins if fleet.state[c] == "ready" and c not in q.bad_sources), None)
+        return next((c for c in fleet.origins if fleet.state[c] == "ready" and c not in bad), None)
 
     def carried(self, c, work):
         """Notes work sent to a server; what warm ones took at most tells what their like can do at least."""
@@ -501,7 +495,7 @@
             self.most[role] = max(self.most.get(role, 0.0), rate)
 
     def power(self, c):
-        """Transfers at once that a warm server does: its told weight, else what its fellows took, a low guess."""
+        """Transfers at once that a warm server does: told, else what its fellows took, a low guess."""
         role = self.fleet.role[c]
         if self.told and self.fleet.weight[c] > 0:
             return self.fleet.weight[c]
@@ -514,7 +508,7 @@
         return max(0.2, min(1.0, 0.85 * (density / usual) ** 0.5))
 
     def oldest(self, doc, track, ageing):
-        """Oldest copy that will do; shuts out copies from before a known purge until they are gone everywhere."""
+        """Oldest copy that will do; shuts out those from before a known purge until they are gone."""
         age = track.fresh_s + (track.stale_s if ageing else 0.0) if track.fresh_s > 0 else 0.0
         purged = max(doc.purged_at, self.groups.get(doc.group, -1e9), self.groups.get(doc.key, -1e9))
         if self.now - purged < self.purge_gone_s + 1.0:
@@ -551,11 +545,12 @@
             self.crowding.answered(INLET, now, 0.0, self.fills)
         if q.filling and note != 1 and result in ("satisfied", "timeout", "full", "errored"):
             track = self.tracks[q.track]
-            in_time = took <= track.contract_s + track.stretch * (q.expect or doc.best or self.sending[q.track])
+            size = q.expect or doc.best or self.sending[q.track]
+            in_time = took <= track.contract_s + track.stretch * size
             worth = 0.0 if result != "satisfied" else 1.0 if in_time else track.late_share
             self.fill_worth[q.track] += 0.05 * (worth - self.fill_worth[q.track])
-        # A failed fill speaks against cache and source alike unless notes tell which: of the two, the one at fault
-        # soon stands out among its fellows, the other does not. A time-out counts only while nothing is answered.
+        # A failed fill speaks against cache and source alike unless notes tell which: the one at fault soon
+        # stands out among its fellows. A time-out counts only while nothing is answered: a crowd is not silence.
         good, source = result == "satisfied", c if fleet.role[c] == "parent" else q.source
         filled = q.filling and note != 1
         if good:
@@ -564,7 +559,7 @@
                 self.heard_at[source] = now
         silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
         dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
-        failed = silent or dumb or result in ("errored", "unreachable", "broken") or result == "full" and filled
+        failed = silent or dumb or result == "full" and filled or result in ("errored", "unreachable", "broken")
         if not good and not failed:
             return
         told, shared = self.supply.tells == "all", filled and result in ("errored", "full")
@@ -572,9 +567,10 @@
             dumb or result == "full" or told and note in (6, 7, 10)))
         far = fleet.role[source] == "parent" and note not in (1, 9, 10) and (
             good and filled or source == c or dumb or (note in (6, 7) if told else shared))
-        if own and self.health.judge(c, now, failed, 0.5 if shared and not told else 1.0, fleet.own):
+        share = 0.5 if shared and not told else 1.0
+        if own and self.health.judge(c, now, failed, share, fleet.own):
             self.writer.say(f"resting cache {fleet.ids[c]}: {result}")
-        if far and self.sources.judge(source, now, failed, 0.5 if shared and not told else 1.0, fleet.parents):
+        if far and self.sources.judge(source, now, failed, share, fleet.parents):
             self.writer.say(f"resting parent {fleet.ids[source]}: {result}")
 
     def cycle(self):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -87,3 +87,9 @@
         "q5 push 21 from 12 rank 2",
     ]
     assert b.ask("c", group=5, at=1.0 + 1e-9) == ["q6 push 23 from 12 rank 1 age<0.000"]
+
+
+def test_referenced_that_may_have_run_does_not_pass_by_its_group():
+    """No cache is left; a parent is no member of the group that drops repeats."""
+    b = Bench(tracks=[track(effect="referenced", group="zone")], caches=(21,), direct=True)
+    assert b.ask("a") + b.end(1, "broken") == ["q1 push 21 from 12 rank 1", "q1 error"]
