A cache is judged by a high quantile of its answer times against its fellows

Each answer time is held against the object's own shortest; nine in ten of them, followed by steps, over three times the fellows' median counts as failing. Could harm where one cache is crowded by a hot object; at most two in five rest, and a rest clears the figure.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -161,10 +161,17 @@
 
 class Health:
     """Mechanism 2. Share of failures of each server, lately, against its fellows of the same role."""
-    BAD, REST, MOST = 0.3, 2.0, 0.4
+    BAD, REST, MOST, SLOW = 0.3, 2.0, 0.4, 3.0
 
     def __init__(self):
-        self.fault, self.rest_until, self.trial_at = {}, {}, {}
+        self.fault, self.rest_until, self.trial_at, self.high = {}, {}, {}, {}
+
+    def slow(self, c, ratio, fellows):
+        """Follows the nine in ten quantile of present over shortest answer time; far over its fellows is slow."""
+        high = self.high.get(c, 1.0)
+        self.high[c] = high = high * 1.09 if ratio > high else max(1.0, high * 0.99)
+        others = sorted(self.high.get(f, 1.0) for f in fellows if f != c)
+        return bool(others) and high > self.SLOW * others[len(others) // 2]
 
     def judge(self, c, now, failed, weight, fellows):
         """Counts an answer. A server far worse than the median of its fellows rests, unless too many do."""
@@ -182,6 +189,7 @@
             return False       # the tier or the common link fails, or too many rest already
         first = c not in self.rest_until
         self.rest_until[c] = now + self.REST
+        self.high.pop(c, None)
         return first
 
     def fit(self, c, now):
@@ -519,7 +527,7 @@
     # what is learned
 
     def learn(self, q, c, result, took, note):
-        fleet, doc, now = self.fleet, q.doc, self.now
+        fleet, doc, now, lags = self.fleet, q.doc, self.now, False
         if result in ("cancelled", "moot"):
             return
         if result == "satisfied":
@@ -539,6 +547,7 @@
                     self.crowding.answered(INLET, now, ratio, self.fills)
                 elif q.held and note < 2:
                     self.crowding.answered(c, now, ratio, fleet.inflight[c])
+                    lags = self.health.slow(c, 1.0 / max(ratio, 1e-3), fleet.own)
         elif result == "miss":
             doc.holders.pop(c, None)
         if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
@@ -550,16 +559,17 @@
             worth = 0.0 if result != "satisfied" else 1.0 if in_time else track.late_share
             self.fill_worth[q.track] += 0.05 * (worth - self.fill_worth[q.track])
         # A failed fill speaks against cache and source alike unless notes tell which: the one at fault soon
-        # stands out among its fellows. A time-out counts only while nothing is answered: a crowd is not silence.
-        good, source = result == "satisfied", c if fleet.role[c] == "parent" else q.source
+        # stands out among its fellows. A time-out counts only while nothing is answered: no crowd.
+        good, source = result == "satisfied" and not lags, c if fleet.role[c] == "parent" else q.source
         filled = q.filling and note != 1
-        if good:
+        if result == "satisfied":
             self.heard_at[c] = now
             if filled:
                 self.heard_at[source] = now
         silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
         dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
-        failed = silent or dumb or result == "full" and filled or result in ("errored", "unreachable", "broken")
+        failed = lags or silent or dumb or result == "full" and filled \
+            or result in ("errored", "unreachable", "broken")
         if not good and not failed:
             return
         told, shared = self.supply.tells == "all", filled and result in ("errored", "full")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -67,3 +67,14 @@
     b = Bench(tracks=[track(fresh_s=5.0, stale_s=10.0, stale_share=0.7)])
     ask_failing(b, 12, "timeout")
     assert b.ask("a") == [f"q{b.next} push 21 from 12 rank 1 age<15.000 renew"]
+
+
+def test_slow_cache_rests():
+    """A cache whose answer times lie far over its fellows' is left out though it answers all."""
+    b = Bench()
+    for i in range(160):
+        slow = (b.serve(f"k{i % 16}", note=2 if i < 16 else 1) if i < 32 else b.ask(f"k{i % 16}"))[0]
+        if i >= 32:
+            b.end(b.next, "satisfied", took=1.2 if "push 21 " in slow else 0.1, note=1)
+    assert says(b)[:1] == ["say resting cache 21: satisfied"] and not any("cache 2%d" % n in s for n in (2, 3, 4)
+                                                                        for s in says(b))
