A query that failed as all caches fail is sent once more to the same cache

Covers errors common to all caches; could harm where one cache has only just begun to fail: a second push is lost there.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -192,6 +192,10 @@
         self.high.pop(c, None)
         return first
 
+    def worse(self, c, fellows):
+        others = sorted(self.fault.get(f, 0.0) for f in fellows if f != c)
+        return not others or self.fault.get(c, 0.0) > 0.1 + 2.0 * others[len(others) // 2]
+
     def fit(self, c, now):
         """Not resting; after a rest one query in a quarter of a second until it has done well again."""
         until = self.rest_until.get(c)
@@ -403,8 +407,9 @@
             q.doc.holders.pop(q.source, None)
             return self.place(query, q)
         at_source = result in ("full", "miss") or result == "errored" and q.filling and not q.bad_sources
-        if not at_source:
-            q.bad.add(q.server)
+        if not at_source:       # what fails at all caches alike is asked of the one that holds it once more
+            if result == "timeout" or q.shots > 1 or self.health.worse(q.server, self.fleet.own):
+                q.bad.add(q.server)
         else:
             q.bad_sources.add(q.source)
             if q.source == q.server or q.held:
