--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -135,7 +135,7 @@
     Guards rule 4 and answers in time: a cold server gets this router's share of what it can do by the least
     it may have warmed up, and no burst. It could harm by leaving a server idle that warmed up faster.
     """
-    FILL = 0.9          # of the present capacity; well under any multiple that pushes a server over
+    FILL = 1.5          # of the present capacity, and never over about half of what pushes a server over
 
     def __init__(self, start, routers):
         self.start, self.routers = start, routers
@@ -151,7 +151,7 @@
             return True
         age = max(0.0, now - born - s.window_s)
         part = s.share + (1.0 - s.share) * min(1.0, age / s.warm_s)
-        rate = min(self.FILL, 0.45 * s.multiple) * part * power / self.routers
+        rate = min(self.FILL, 0.55 * s.multiple) * part * power / self.routers
         level = max(0.0, self.level.get(c, 0.0) - rate * (now - self.at.get(c, now)))
         room = level <= 0.0 or level + work <= rate * s.window_s * 0.5
         if spend:
