--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -295,7 +295,7 @@
         q.expect = size_kb / self.supply.flow_kb_s if size_kb and self.supply.flow_kb_s else 0.0
         if q.expect:
             self.sending[track] += 0.02 * (q.expect - self.sending[track])
-        self.retries = min(20.0, self.retries + 0.15)
+        self.retries = min(20.0, self.retries + 0.05)
         self.place(query, q)
 
     def ended(self, query, push, server, result, took, over, note, waited, load):
