--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -374,7 +374,8 @@
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
             source = self.parent(q, work * (0.25 if q.held else 1.0))     # a holder may miss, too
-            if source is None or not q.held and not self.crowding.room(INLET, self.fills, part ** 0.5):
+            new = 0.6 if doc.asked < 2 else 1.0      # asked for once: the parent hardly has it, the origin pays
+            if source is None or not q.held and not self.crowding.room(INLET, self.fills, new * part ** 0.5):
                 source = target
                 if not q.held:
                     return self.refuse(query, q)
