--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -167,7 +167,7 @@
         self.fault, self.rest_until, self.trial_at, self.high = {}, {}, {}, {}
 
     def slow(self, c, ratio, fellows):
-        """Follows the nine in ten quantile of present over shortest answer time; far over its fellows is slow."""
+        """Follows the high quantile of present over shortest answer time; far over its fellows is slow."""
         high = self.high.get(c, 1.0)
         self.high[c] = high = high * 1.09 if ratio > high else max(1.0, high * 0.99)
         others = sorted(self.high.get(f, 1.0) for f in fellows if f != c)
@@ -214,7 +214,7 @@
     Like with like: times of one object are compared with its own shortest. Guards against a full or slowing
     server whatever the cause; it could harm where one object's times vary for reasons of their own.
     """
-    FIRST, LEAST, MOST, SLACK = 32.0, 4.0, 200.0, 1.0
+    FIRST, LEAST, MOST, SLACK = 32.0, 4.0, 200.0, 1.5
 
     def __init__(self, routers):
         self.routers = routers
@@ -225,7 +225,8 @@
         if now - self.set_at.get(c, -1.0) >= 0.25:
             self.set_at[c] = now
             limit = self.limit.get(c, self.FIRST / 4)
-            aim = limit * max(0.5, min(1.0, self.SLACK * pace)) + limit ** 0.5
+            slack = self.SLACK if c == INLET else 1.0     # a fill waits for the way in, too
+            aim = limit * max(0.5, min(1.0, slack * pace)) + limit ** 0.5
             if aim < limit or inflight > limit / 2:
                 self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
 
@@ -374,8 +375,7 @@
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
             source = self.parent(q, work * (0.25 if q.held else 1.0))     # a holder may miss, too
-            new = 0.6 if doc.asked < 2 else 1.0      # asked for once: the parent hardly has it, the origin pays
-            if source is None or not q.held and not self.crowding.room(INLET, self.fills, new * part ** 0.5):
+            if source is None or not q.held and not self.crowding.room(INLET, self.fills, part ** 0.5):
                 source = target
                 if not q.held:
                     return self.refuse(query, q)
