Nacks ask clients back after 0.1 to 0.25 s, was 0.3 to 0.7

Cause: a crowd at one cache passes in a tenth of a second; a client sent away for longer can't be in time. Could harm where clients may try without end.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -214,7 +214,7 @@
     Like with like: times of one object are compared with its own shortest. Guards against a full or slowing
     server whatever the cause; it could harm where one object's times vary for reasons of their own.
     """
-    FIRST, LEAST, MOST, SLACK = 32.0, 4.0, 200.0, 1.5
+    FIRST, LEAST, MOST = 32.0, 4.0, 200.0
 
     def __init__(self, routers):
         self.routers = routers
@@ -225,8 +225,7 @@
         if now - self.set_at.get(c, -1.0) >= 0.25:
             self.set_at[c] = now
             limit = self.limit.get(c, self.FIRST / 4)
-            slack = self.SLACK if c == INLET else 1.0     # a fill waits for the way in, too
-            aim = limit * max(0.5, min(1.0, slack * pace)) + limit ** 0.5
+            aim = limit * max(0.5, pace) + limit ** 0.5
             if aim < limit or inflight > limit / 2:
                 self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
 
@@ -427,7 +426,7 @@
         harmless = track.effect == "replayable" or q.ran is None or \
             track.effect == "referenced" and track.group == "all"
         if harmless:
-            self.writer.nack(query, min(self.allowed.max_retry_after_s, 0.3 + 0.4 * self.chance.random()))
+            self.writer.nack(query, min(self.allowed.max_retry_after_s, 0.1 + 0.15 * self.chance.random()))
         else:
             self.writer.error(query)
         del self.queries[query]
