--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -119,14 +119,14 @@
 class Doc:
     """What is remembered of an object (one part of it, where it has parts)."""
     __slots__ = ("code", "home_code", "group", "key", "count", "asked", "purges", "purged_at", "holders",
-                 "best", "order", "order_of")
+                 "best", "order", "order_of", "fresh_at")
 
     def __init__(self, key, part, group):
         self.key, self.group = key, group
         self.code, self.home_code = digest(f"{key}/{part}"), digest(key)
         self.count = self.asked = self.purges = 0.0
         self.purged_at, self.holders, self.best = -1e9, {}, 0.0
-        self.order, self.order_of = [], None
+        self.order, self.order_of, self.fresh_at = [], None, -1e9
 
 
 class ColdBudget:
@@ -360,7 +360,8 @@
             return self.pass_by(query, q, track)
         if not self.crowding.room(target, fleet.inflight[target], part, self.told * fleet.weight[target]):
             return self.refuse(query, q)     # elsewhere they would miss and be filled anew
-        source, q.sibling, q.held = None, False, target in holders
+        aged = 0.0 < track.fresh_s < now - doc.fresh_at       # a holder's copy past its fresh time is a fill
+        source, q.sibling, q.held = None, False, target in holders and not aged
 
         # an object in demand gets one cache more, filled from a holder
         most = (len(fleet.own) + 1) // 2
@@ -540,6 +541,8 @@
                     doc.purged_at, self.groups.get(doc.group, -1e9)):
                 doc.holders.pop(c, None)
                 doc.holders[c] = now
+            if q.filling:
+                doc.fresh_at = now
             if not q.expect:
                 self.sending[q.track] += 0.02 * (min(took, 3.0) - self.sending[q.track])
             if note == 1 or self.supply.tells == "none" or doc.best == 0.0:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -78,3 +78,12 @@
             b.end(b.next, "satisfied", took=1.2 if "push 21 " in slow else 0.1, note=1)
     assert says(b)[:1] == ["say resting cache 21: satisfied"] and not any("cache 2%d" % n in s for n in (2, 3, 4)
                                                                         for s in says(b))
+
+
+def test_holder_whose_copy_has_aged_counts_as_a_fill():
+    """andino-slots overload: aged copies are fetched anew, and those fetches met neither budget nor limit."""
+    b = Bench(tracks=[track(fresh_s=5.0)])
+    b.serve("a")
+    b.ask("a", at=2.0)
+    b.ask("a", at=6.0)
+    assert [b.router.queries[n].filling for n in (2, 3)] == [False, True]
