Cold budget by chance: shares under one query add up to the budget over all routers

Cause: with 732 routers a cold server's share is far under one query, and each router let its first one through for free; capacity where no weight is told was guessed from the peak of one router's own traffic times the routers. Now a query goes with the chance that the saved credit covers it; the mean stays 2.5 deviations of chance under what pushes over; capacity comes from the mean taken by warm fellows. Also covers any fleet whose share is small. Could harm by keeping a quick starter idle.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -22,6 +22,7 @@
 MEMORY = 20.0          # seconds that a holder is remembered
 INLET = -1             # stands for the location's link in among the in-flight limits
 MOST_DOCS = 30000      # object counts kept
+LOOK = 10.0            # seconds over which work sent to warm servers is averaged
 
 
 def digest(text):
@@ -130,33 +131,36 @@
 
 
 class ColdBudget:
-    """Work (seconds of sending) sent to servers that started lately, as a leaking level each.
+    """Work (seconds of sending) sent to servers that started lately: this router's share of what each can do.
 
-    Guards rule 4 and answers in time: a cold server gets this router's share of what it can do by the least
-    it may have warmed up, and no burst. It could harm by leaving a server idle that warmed up faster.
+    Guards rule 4 and answers in time. Among many routers a share is less than one query: a query goes with the
+    chance that the credit saved up since the last one covers it, so that all routers together keep to the
+    budget by themselves, from the first moment. It could harm by leaving a server idle that warmed up faster.
     """
-    FILL = 1.5          # of the present capacity, and never over about half of what pushes a server over
+    FILL, SPREAD = 1.5, 2.5     # of the present capacity; deviations of chance kept clear of what pushes over
 
     def __init__(self, start, routers):
         self.start, self.routers = start, routers
-        self.level, self.at = {}, {}
+        self.credit, self.at = {}, {}
 
     def cold(self, now, born):
         return born is not None and now - born < self.start.warm_s
 
-    def take(self, c, now, born, power, work, spend=True):
+    def take(self, c, now, born, power, work, lump, chance):
         """Whether work may go to c now; spends it if so. power: transfers at once that c does when warm."""
         s = self.start
         if s.multiple <= 0 or not self.cold(now, born):
             return True
         age = max(0.0, now - born - s.window_s)
-        part = s.share + (1.0 - s.share) * min(1.0, age / s.warm_s)
-        rate = min(self.FILL, 0.55 * s.multiple) * part * power / self.routers
-        level = max(0.0, self.level.get(c, 0.0) - rate * (now - self.at.get(c, now)))
-        room = level <= 0.0 or level + work <= rate * s.window_s * 0.5
-        if spend:
-            self.level[c], self.at[c] = level + (work if room else 0.0), now
-        return room
+        can = (s.share + (1.0 - s.share) * min(1.0, age / s.warm_s)) * power
+        room = s.multiple * can * s.window_s            # over all routers; queries come by chance, in lumps
+        mean = ((self.SPREAD ** 2 * lump + 4.0 * room) ** 0.5 - self.SPREAD * lump ** 0.5) ** 2 / 4.0
+        rate = min(self.FILL * can, mean / s.window_s) / self.routers
+        credit = min(rate * s.window_s, self.credit.get(c, 0.0) + rate * (now - self.at.get(c, now)))
+        self.at[c] = now
+        go = chance.random() * work < credit
+        self.credit[c] = max(0.0, credit - work)
+        return go
 
 
 class Health:
@@ -263,7 +267,7 @@
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
         self.mean, self.mean_at = 0.0, 0.0
         self.fills = 0
-        self.heard_at, self.load, self.most, self.told = {}, {}, {}, place.weights_told
+        self.heard_at, self.load, self.told = {}, {}, place.weights_told
         self.retries, self.next_cycle = 10.0, CYCLE
 
     def round(self, now, inbox, writer):
@@ -355,7 +359,7 @@
         order += [c for c in stand_ins if c not in order]
         order = [c for c in order if self.open_to(c, q)]
         target = next((c for c in order if self.cold["cache"].take(
-            c, now, fleet.born[c], self.power(c), work)), None)
+            c, now, fleet.born[c], self.power(c), work, max(self.sending), self.chance)), None)
         if target is None:
             return self.pass_by(query, q, track)
         if not self.crowding.room(target, fleet.inflight[target], part, self.told * fleet.weight[target]):
@@ -369,7 +373,8 @@
             extra = self.next_after(holders[-1], holders)
             if extra is not None and self.supply.siblings != "none" and self.may_supply(target) \
                     and self.open_to(extra, q) and self.crowding.room(extra, fleet.inflight[extra], part) \
-                    and self.cold["cache"].take(extra, now, fleet.born[extra], self.power(extra), work):
+                    and self.cold["cache"].take(extra, now, fleet.born[extra], self.power(extra), work,
+                                                max(self.sending), self.chance):
                 target, source, q.sibling, q.held = extra, target, True, False
 
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
@@ -494,26 +499,28 @@
             doc.order = sorted(fleet.parents, key=lambda c: digest(f"{doc.home_code} {fleet.ids[c]}"))
         for c in doc.order:
             if fleet.state[c] == "ready" and c not in bad and self.sources.fit(c, now) \
-                    and self.cold["parent"].take(c, now, fleet.born[c], self.power(c), work):
+                    and self.cold["parent"].take(c, now, fleet.born[c], self.power(c), work,
+                                                  max(self.sending), self.chance):
                 return c
         return next((c for c in fleet.origins if fleet.state[c] == "ready" and c not in bad), None)
 
     def carried(self, c, work):
-        """Notes work sent to a server; what warm ones took at most tells what their like can do at least."""
-        last, rate = self.load.get(c, (self.now, 0.0))
-        rate = rate * math.exp((last - self.now) / 2.0) + work / 2.0
-        self.load[c] = self.now, rate
-        role, born = self.fleet.role[c], self.fleet.born[c]
-        budget = self.cold.get(role)
-        if budget and not budget.cold(self.now, born):
-            self.most[role] = max(self.most.get(role, 0.0), rate)
+        """Notes work sent to a warm server; what such take on the mean tells what their like can do at least."""
+        role = self.fleet.role[c]
+        if role in self.cold and not self.cold[role].cold(self.now, self.fleet.born[c]):
+            last, total = self.load.get(role, (self.now, 0.0))
+            self.load[role] = self.now, total * math.exp((last - self.now) / LOOK) + work
 
     def power(self, c):
-        """Transfers at once that a warm server does: told, else what its fellows took, a low guess."""
-        role = self.fleet.role[c]
-        if self.told and self.fleet.weight[c] > 0:
-            return self.fleet.weight[c]
-        return max(1.0, self.most.get(role, 0.0) * (self.cold[role].routers if role in self.cold else 1))
+        """Transfers at once that a warm server does: told, else what its fellows take, a low guess."""
+        fleet, role = self.fleet, self.fleet.role[c]
+        if self.told and fleet.weight[c] > 0:
+            return fleet.weight[c]
+        last, total = self.load.get(role, (self.now, 0.0))
+        fellows = fleet.own if role == "cache" else fleet.parents
+        warm = sum(not self.cold[role].cold(self.now, fleet.born[f]) for f in fellows)
+        rate = total * math.exp((last - self.now) / LOOK) / LOOK
+        return max(1.0, rate * self.cold[role].routers / max(1, warm))
 
     def fair_part(self, q):
         """The part of a limit open to a query: the less utility for its sending time, the smaller."""
