Further pushes: saved budget fades over 10 s, starts at one, parts of one go by chance

Cause: ten saved pushes at each of 700 routers are seven seconds of the fleet's traffic, spent in the first storm. Saved budget now fades over 10 s of the router's own queries; passing by is paid the same way. Could harm where a router's first failure comes before it has earned anything.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -271,7 +271,7 @@
         self.mean, self.mean_at = 0.0, 0.0
         self.fills = 0
         self.heard_at, self.load, self.told = {}, {}, place.weights_told
-        self.retries, self.next_cycle = 10.0, CYCLE
+        self.retries, self.asked_at, self.next_cycle = 1.0, 0.0, CYCLE
 
     def round(self, now, inbox, writer):
         self.now, self.writer = now, writer
@@ -302,7 +302,8 @@
         q.expect = size_kb / self.supply.flow_kb_s if size_kb and self.supply.flow_kb_s else 0.0
         if q.expect:
             self.sending[track] += 0.02 * (q.expect - self.sending[track])
-        self.retries = min(20.0, self.retries + 0.05)
+        self.retries = min(20.0, 0.05 + self.retries * math.exp((self.asked_at - self.now) / LOOK))
+        self.asked_at = self.now
         self.place(query, q)
 
     def ended(self, query, push, server, result, took, over, note, waited, load):
@@ -423,11 +424,15 @@
             q.bad_sources.add(q.source)
             if q.source == q.server or q.held:
                 q.bad.add(q.server)
-        if self.retries < 1.0 or not self.may_repeat(q):
+        if not self.may_repeat(q) or not self.pays():
             return self.refuse(query, q)
-        self.retries -= 1.0
         self.place(query, q)
 
+    def pays(self):
+        """Takes a further push off what queries have earned lately; a part of one goes by chance."""
+        saved, self.retries = self.retries, max(0.0, self.retries - 1.0)
+        return self.chance.random() < saved
+
     def refuse(self, query, q):
         """The final answer, at once; a nack only where a repeat can do no harm."""
         q.ended = True
@@ -442,12 +447,11 @@
 
     def pass_by(self, query, q, track):
         """No cache here can take it: straight to a parent or the origin where allowed, else a nack."""
-        if not self.supply.direct or self.fleet.own and self.retries < 5.0:
+        if not self.supply.direct or self.fleet.own and not self.pays():
             return self.refuse(query, q)
         source = self.parent(q, self.sending[q.track])
         if source is None or self.fleet.inflight[source] > 16 or not self.allowed_twice(q, source):
             return self.refuse(query, q)
-        self.retries -= 0.5 if self.fleet.own else 0.0
         q.sibling = q.held = False
         self.send(query, q, source, source, 0, self.oldest(q.doc, track, False), False, q.until - self.now)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -49,6 +49,7 @@
             allowed=Allowed(6, False, True, 1.0), supply=Supply(siblings, direct, True, tells, 1000.0, 0.0),
             cold_cache=ColdStart(0.2, 10.0, 2.0, 1.0), cold_parent=ColdStart(0.1, 10.0, 2.0, 1.0),
             purge_gone_s=6.0, kinds=("parent", "origin"), reports=[], **other)
+        self.router.retries = 10.0
         rows = [self.row(ORIGIN, kind="origin", zone=0)] + [self.row(p, kind="parent", zone=0) for p in parents]
         self.call("roster", "full", rows + [self.row(c, weight=weight) for c in caches])
 
