Crowds of other routers' queries are told by answer times, and thin queries by chance

Cause: with 10 to 40 routers a location each has less than one query in flight; no limit on its own was ever met and caches stood at several times what they can send. A cache's present over shortest answer times, faded over 3 s, are what is in flight over what fits; past that, queries go by chance, large ones fewer. It weighs with the part of the location's routers that is out of sight: none with one router. Also covers slow or thrashing caches. Could harm where answer times vary by themselves.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -222,10 +222,25 @@
     server whatever the cause; it could harm where one object's times vary for reasons of their own.
     """
     FIRST, LEAST, MOST = 32.0, 4.0, 200.0
+    CROWD, PRIOR, FADE = 1.5, 0.5, 3.0
 
     def __init__(self, routers):
         self.routers = routers
-        self.limit, self.pace, self.set_at = {}, {}, {}
+        self.limit, self.pace, self.set_at, self.sums = {}, {}, {}, {}
+
+    def timed(self, c, now, shortest, took):
+        """Sums of shortest and present times, faded: a crowd of transfers over what fits shows in their ratio."""
+        at, best, total = self.sums.get(c, (now, 0.0, 0.0))
+        fade = math.exp((at - now) / self.FADE)
+        self.sums[c] = now, best * fade + shortest, total * fade + max(took, shortest)
+
+    def open(self, c, now, part, chance):
+        """What other routers have in flight is out of sight: the longer answers take, the fewer queries go."""
+        at, best, total = self.sums.get(c, (now, 0.0, 0.0))
+        fade = math.exp((at - now) / self.FADE)
+        crowd = (self.PRIOR + total * fade) / (self.PRIOR + best * fade) - 1.0
+        shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
+        return shut <= 0.0 or chance.random() >= shut
 
     def answered(self, c, now, ratio, inflight):
         pace = self.pace[c] = 0.95 * self.pace.get(c, 1.0) + 0.05 * ratio
@@ -366,7 +381,8 @@
             c, now, fleet.born[c], self.power(c), work, max(self.sending), self.chance)), None)
         if target is None:
             return self.pass_by(query, q, track)
-        if not self.crowding.room(target, fleet.inflight[target], part, self.told * fleet.weight[target]):
+        if not self.crowding.room(target, fleet.inflight[target], part, self.told * fleet.weight[target]) \
+                or not self.crowding.open(target, now, part, self.chance):
             return self.refuse(query, q)     # elsewhere they would miss and be filled anew
         aged = 0.0 < track.fresh_s < now - doc.fresh_at       # a holder's copy past its fresh time is a fill
         source, q.sibling, q.held = None, False, target in holders and not aged
@@ -565,6 +581,8 @@
             shortest = max(doc.best, q.expect) or (self.sending[q.track] if result == "timeout" else 0.0)
             if shortest and (doc.count >= 2 or q.expect or result == "timeout"):
                 ratio = min(1.0, shortest / max(took, 1e-6))
+                if note < 2 and (self.supply.tells == "none" or not q.filling or note == 1):
+                    self.crowding.timed(c, now, shortest, took)
                 if q.filling:
                     self.crowding.answered(INLET, now, ratio, self.fills)
                 elif q.held and note < 2:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -62,6 +62,17 @@
     assert [line.split()[1] for line in lines] == ["push"] * 10 + ["nack"] * 2
 
 
+def test_crowd_of_other_routers_is_seen_in_answer_times():
+    """Incident ib19254: with 40 routers here each has less than one query in flight, and no limit was met."""
+    b = Bench(routers=40)
+    b.serve("a", note=1)
+    for i in range(2):
+        if "push" in b.ask("a")[0]:
+            b.end(b.next, "satisfied", note=1, took=1.0)
+    assert "".join(b.ask("a")[0].split()[1][0] for _ in range(10)) == "nnnnpnpnnn"     # push or nack
+    assert "".join(b.ask("a", at=60.0 + i)[0].split()[1][0] for i in range(3)) == "ppp"
+
+
 def test_ageing_copies_serve_while_fills_fail():
     """tender-portal big-2: the origin ran slow while old copies stood by."""
     b = Bench(tracks=[track(fresh_s=5.0, stale_s=10.0, stale_share=0.7)])
