Where the size is told the shortest time is the size's, also for an object answered first

Cause: an object's first answer was held against itself, so that among many routers nearly all ratios were 1.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -583,7 +583,7 @@
             if note == 1 or self.supply.tells == "none" or doc.best == 0.0:
                 doc.best = min(doc.best or took, took)
         if result in ("satisfied", "timeout"):
-            shortest = max(doc.best, q.expect) or (self.sending[q.track] if result == "timeout" else 0.0)
+            shortest = q.expect or doc.best or (self.sending[q.track] if result == "timeout" else 0.0)
             if shortest and (doc.count >= 2 or q.expect or result == "timeout"):
                 ratio = min(1.0, shortest / max(took, 1e-6))
                 blind = self.supply.tells == "none"
