Link in: opened by the contract time that fills use up; waits for a source don't count

Cause: a slow origin makes fills late without any crowd on the link; shedding them is pure loss. In-flight limits keep the object's own shortest time.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -228,17 +228,17 @@
         self.routers = routers
         self.limit, self.pace, self.set_at, self.sums = {}, {}, {}, {}
 
-    def timed(self, c, now, shortest, took):
-        """Sums of shortest and present times, faded: a crowd of transfers over what fits shows in their ratio."""
-        at, best, total = self.sums.get(c, (now, 0.0, 0.0))
+    def timed(self, c, now, base, over):
+        """Sums, faded, of what answers took over their shortest times, and of what that is held against."""
+        at, total, bases = self.sums.get(c, (now, 0.0, 0.0))
         fade = math.exp((at - now) / self.FADE)
-        self.sums[c] = now, best * fade + shortest, total * fade + max(took, shortest)
+        self.sums[c] = now, total * fade + max(0.0, over), bases * fade + base
 
     def open(self, c, now, part, chance):
         """What other routers have in flight is out of sight: the longer answers take, the fewer queries go."""
-        at, best, total = self.sums.get(c, (now, 0.0, 0.0))
+        at, total, bases = self.sums.get(c, (now, 0.0, 0.0))
         fade = math.exp((at - now) / self.FADE)
-        crowd = (self.PRIOR + total * fade) / (self.PRIOR + best * fade) - 1.0
+        crowd = total * fade / (self.PRIOR + bases * fade)
         shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
@@ -329,7 +329,7 @@
         if q is None or c is None:
             return
         self.fills -= q.filling
-        self.learn(q, c, result, took, note)
+        self.learn(q, c, result, took, note, waited)
         if over or q.ended:
             del self.queries[query]
             return
@@ -567,7 +567,7 @@
 
     # what is learned
 
-    def learn(self, q, c, result, took, note):
+    def learn(self, q, c, result, took, note, waited):
         fleet, doc, now, lags = self.fleet, q.doc, self.now, False
         if result in ("cancelled", "moot"):
             return
@@ -585,12 +585,13 @@
         if result in ("satisfied", "timeout"):
             shortest = q.expect or doc.best or (self.sending[q.track] if result == "timeout" else 0.0)
             if shortest and (doc.count >= 2 or q.expect or result == "timeout"):
-                ratio = min(1.0, shortest / max(took, 1e-6))
-                blind = self.supply.tells == "none"
+                ratio = min(1.0, max(shortest, doc.best) / max(took, 1e-6))
+                t, blind = self.tracks[q.track], self.supply.tells == "none"
                 if note < 2 and (blind or not q.filling or note == 1):
-                    self.crowding.timed(c, now, shortest, took)
+                    self.crowding.timed(c, now, shortest, took - shortest)
                 if q.filling and (note > 1 or result == "timeout" or blind):
-                    self.crowding.timed(INLET, now, shortest, took)
+                    self.crowding.timed(INLET, now, t.contract_s + (t.stretch - 1.0) * shortest,
+                                        took - waited - shortest)
                 if q.filling:
                     self.crowding.answered(INLET, now, ratio, self.fills)
                 elif q.held and note < 2:
