What may not be filled is looked for, ageing copies too, before it is nacked

Cause: while the origin is slow fills fail or the link in is shut, and copies that would do, or ageing ones, stand by at the home unknown to this router. A look costs the cache next to nothing. Time-outs count against the link only where notes don't tell of fills. Covers any failing way in. Could harm by a push more for what is not there: one a query.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -136,9 +136,9 @@
 class ColdBudget:
     """Work (seconds of sending) sent to servers that started lately: this router's share of what each can do.
 
-    Guards rule 4 and answers in time. Among many routers a share is less than one query: a query goes with the
-    chance that the credit saved up since the last one covers it, so that all routers together keep to the
-    budget by themselves, from the first moment. It could harm by leaving a server idle that warmed up faster.
+    Guards rule 4 and answers in time. Among many routers a share is less than one query: a query goes with
+    the chance that the credit saved up since the last one covers it, so that all routers together keep to
+    the budget by themselves, from the first moment. It could harm by leaving a quick starter idle.
     """
     FILL, SPREAD = 1.5, 2.5     # of the present capacity; deviations of chance kept clear of what pushes over
 
@@ -166,6 +166,12 @@
         return go
 
 
+def median(figures, c, fellows, first):
+    """Of c's fellows without itself; None if it has none."""
+    others = sorted(figures.get(f, first) for f in fellows if f != c)
+    return others[len(others) // 2] if others else None
+
+
 class Health:
     """Mechanism 2. Share of failures of each server, lately, against its fellows of the same role."""
     BAD, REST, MOST, SLOW = 0.3, 2.0, 0.4, 3.0
@@ -177,8 +183,8 @@
         """Follows the high quantile of present over shortest answer time; far over its fellows is slow."""
         high = self.high.get(c, 1.0)
         self.high[c] = high = high * 1.09 if ratio > high else max(1.0, high * 0.99)
-        others = sorted(self.high.get(f, 1.0) for f in fellows if f != c)
-        return bool(others) and high > self.SLOW * others[len(others) // 2]
+        usual = median(self.high, c, fellows, 1.0)
+        return usual is not None and high > self.SLOW * usual
 
     def judge(self, c, now, failed, weight, fellows):
         """Counts an answer. A server far worse than the median of its fellows rests, unless too many do."""
@@ -190,25 +196,22 @@
             return False
         if fault < self.BAD or self.rest_until.get(c, -1.0) > now:
             return False
-        others = sorted(self.fault.get(f, 0.0) for f in fellows if f != c)
+        usual = median(self.fault, c, fellows, 0.0)
         crowd = 1 + sum(f in self.rest_until for f in fellows if f != c) > max(1, self.MOST * len(fellows))
-        if others and (others[len(others) // 2] > fault / 2 or crowd):
+        if usual is not None and (usual > fault / 2 or crowd):
             return False       # the tier or the common link fails, or too many rest already
         first = c not in self.rest_until
-        self.rest_until[c] = now + self.REST
-        self.high.pop(c, None)
+        self.rest_until[c], self.high[c] = now + self.REST, 1.0
         return first
 
     def worse(self, c, fellows):
-        others = sorted(self.fault.get(f, 0.0) for f in fellows if f != c)
-        return not others or self.fault.get(c, 0.0) > 0.1 + 2.0 * others[len(others) // 2]
+        usual = median(self.fault, c, fellows, 0.0)
+        return usual is None or self.fault.get(c, 0.0) > 0.1 + 2.0 * usual
 
     def fit(self, c, now):
         """Not resting; after a rest one query in a quarter of a second until it has done well again."""
         until = self.rest_until.get(c)
-        if until is None:
-            return True
-        return now >= until and now - self.trial_at.get(c, -1e9) >= 0.25
+        return until is None or now >= until and now - self.trial_at.get(c, -1e9) >= 0.25
 
     def sent(self, c, now):
         if c in self.rest_until:
@@ -235,10 +238,9 @@
         self.sums[c] = now, total * fade + max(0.0, over), bases * fade + base
 
     def open(self, c, now, part, chance):
-        """What other routers have in flight is out of sight: the longer answers take, the fewer queries go."""
+        """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
         at, total, bases = self.sums.get(c, (now, 0.0, 0.0))
-        fade = math.exp((at - now) / self.FADE)
-        crowd = total * fade / (self.PRIOR + bases * fade)
+        crowd = total / (self.PRIOR * math.exp((now - at) / self.FADE) + bases)
         shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
@@ -253,20 +255,20 @@
 
     def room(self, c, inflight, part, weight=0.0):
         """weight: transfers at full pace, where told: a crowd there from the first shows in no time."""
-        if c not in self.limit:      # nothing told of a cache: start low, measure times before a crowd
-            self.limit[c] = self.FIRST if weight or c == INLET else self.FIRST / 4
-        return inflight < part * min(self.limit[c], weight * (0.6 + 1.9 / self.routers) or self.MOST)
+        # nothing told of a cache: start low, measure times before a crowd
+        limit = self.limit.setdefault(c, self.FIRST if weight or c == INLET else self.FIRST / 4)
+        return inflight < part * min(limit, weight * (0.6 + 1.9 / self.routers) or self.MOST)
 
 
 class Query:
     __slots__ = ("track", "doc", "until", "shots", "server", "source", "sent_at", "rank", "expect",
-                 "bad", "bad_sources", "ran", "ended", "sibling", "held", "through", "filling")
+                 "bad", "bad_sources", "ran", "ended", "sibling", "held", "through", "filling", "look")
 
     def __init__(self, track, doc, now, left, through):
         self.track, self.doc, self.until, self.through = track, doc, now + left, through
         self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
         self.bad, self.bad_sources, self.ran = set(), set(), None
-        self.ended = self.sibling = self.held = self.filling = False
+        self.ended = self.sibling = self.held = self.filling = self.look = False
 
 
 class Router:
@@ -392,24 +394,23 @@
         most = (len(fleet.own) + 1) // 2
         if q.held and q.shots == 0 and len(holders) < most and self.utility(doc, len(holders)) > 1.0:
             extra = self.next_after(holders[-1], holders)
-            if extra is not None and self.supply.siblings != "none" and self.may_supply(target) \
-                    and self.open_to(extra, q) and self.crowding.room(extra, fleet.inflight[extra], part) \
+            if extra is not None and self.supply.siblings != "none" and self.open_to(extra, q) \
+                    and not self.cold["cache"].cold(now, fleet.born[target]) \
+                    and self.crowding.room(extra, fleet.inflight[extra], part) \
                     and self.cold["cache"].take(extra, now, fleet.born[extra], self.power(extra), work,
                                                 max(self.sending), self.chance):
                 target, source, q.sibling, q.held = extra, target, True, False
 
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
-            source = self.parent(q, work * (0.25 if q.held else 1.0))     # a holder may miss, too
-            if source is None or not q.held and not self.crowding.room(INLET, self.fills, part ** 0.5):
-                source = target
-                if not q.held:
-                    return self.refuse(query, q)
-            elif not q.held and not self.crowding.open(INLET, now, wide ** 2, self.chance):
-                source = target         # a look: with many routers what this one does not know of may be there
+            source = None if q.look else self.parent(q, work * (0.25 if q.held else 1.0))
+            if source is None or not q.held and not (
+                    self.crowding.room(INLET, self.fills, part ** 0.5)
+                    and self.crowding.open(INLET, now, wide ** 2, self.chance)):
+                source = target         # only a look: what this router does not know of may be there
         rank = 0 if q.through else 2 if doc.count >= 2 else 1
         ageing = self.fill_worth[q.track] < track.stale_share      # an old copy earns more than a fill now
-        age = self.oldest(doc, track, ageing)
+        age = self.oldest(doc, track, ageing or source == target)
         self.send(query, q, target, source, rank, age, track.fresh_s > 0, left)
 
     def send(self, query, q, target, source, rank, age, renew, left):
@@ -436,7 +437,7 @@
             q.doc.holders.pop(q.source, None)
             return self.place(query, q)
         if result == "miss" and q.source == q.server and not q.held:
-            return self.refuse(query, q)                   # looked for, and the link in has no room to fill it
+            return self.refuse(query, q)        # looked for, and the link in has no room to fill it
         at_source = result in ("full", "miss") or result == "errored" and q.filling and not q.bad_sources
         if not at_source:       # what fails at all caches alike is asked of the one that holds it once more
             if result == "timeout" or q.shots > 1 or self.health.worse(q.server, self.fleet.own):
@@ -445,8 +446,12 @@
             q.bad_sources.add(q.source)
             if q.source == q.server or q.held:
                 q.bad.add(q.server)
-        if not self.may_repeat(q) or not self.pays():
+        if not self.may_repeat(q):
             return self.refuse(query, q)
+        if not self.pays():     # no budget to fill it from elsewhere: an ageing copy is looked for, once
+            if q.look or q.source == q.server or self.tracks[q.track].stale_s <= 0:
+                return self.refuse(query, q)
+            q.look = True
         self.place(query, q)
 
     def pays(self):
@@ -458,9 +463,8 @@
         """The final answer, at once; a nack only where a repeat can do no harm."""
         q.ended = True
         track = self.tracks[q.track]
-        harmless = track.effect == "replayable" or q.ran is None or \
-            track.effect == "referenced" and track.group == "all"
-        if harmless:
+        kind = track.effect
+        if q.ran is None or kind == "replayable" or kind == "referenced" and track.group == "all":
             self.writer.nack(query, min(self.allowed.max_retry_after_s, 0.1 + 0.15 * self.chance.random()))
         else:
             self.writer.error(query)
@@ -490,18 +494,13 @@
         """Count over mean count, over twice the holders, times requests over requests plus purges."""
         if self.now - self.mean_at > 1.0 or not self.mean:
             self.mean_at = self.now
-            self.mean = max(1.0, sum(d.count for d in self.docs.values()) / max(1, len(self.docs)))
+            self.mean = max(1.0, sum(d.count for d in self.docs.values()) / len(self.docs))
         return doc.count / self.mean / (2.0 * holders) * doc.asked / (doc.asked + doc.purges)
 
     def next_after(self, last, holders):
-        own = self.fleet.own
-        at = own.index(last) if last in own else 0
+        own, at = self.fleet.own, self.fleet.own.index(last)
         return next((c for c in own[at + 1:] + own[:at] if c not in holders), None)
 
-    def may_supply(self, c):
-        fleet = self.fleet
-        return fleet.state[c] == "ready" and not self.cold["cache"].cold(self.now, fleet.born[c])
-
     def open_to(self, c, q):
         return (c not in q.bad and self.fleet.state[c] == "ready" and self.health.fit(c, self.now)
                 and self.allowed_twice(q, c))
@@ -512,9 +511,9 @@
         if q.ran is None or track.effect == "replayable":
             return True
         zone, cell, at = q.ran
-        same = track.group == "all" or track.group == "zone" and zone == self.fleet.zone[c] or \
-            track.group == "cell" and (zone, cell) == (self.fleet.zone[c], self.fleet.cell[c])
-        return track.effect == "referenced" and same and self.now - at < track.window_s - 0.05
+        same = zone == self.fleet.zone[c] and (track.group == "zone" or cell == self.fleet.cell[c])
+        return track.effect == "referenced" and (same or track.group == "all") \
+            and self.now - at < track.window_s - 0.05
 
     def may_repeat(self, q):
         return q.ran is None or self.tracks[q.track].effect != "single-use"
@@ -533,7 +532,7 @@
         return next((c for c in fleet.origins if fleet.state[c] == "ready" and c not in bad), None)
 
     def carried(self, c, work):
-        """Notes work sent to a warm server; what such take on the mean tells what their like can do at least."""
+        """Notes work sent to a warm server: what such take on the mean is what their like can do at least."""
         role = self.fleet.role[c]
         if role in self.cold and not self.cold[role].cold(self.now, self.fleet.born[c]):
             last, total = self.load.get(role, (self.now, 0.0))
@@ -569,8 +568,6 @@
 
     def learn(self, q, c, result, took, note, waited):
         fleet, doc, now, lags = self.fleet, q.doc, self.now, False
-        if result in ("cancelled", "moot"):
-            return
         if result == "satisfied":
             if q.rank and fleet.forgot_at[c] < q.sent_at and q.sent_at >= max(
                     doc.purged_at, self.groups.get(doc.group, -1e9)):
@@ -589,7 +586,7 @@
                 t, blind = self.tracks[q.track], self.supply.tells == "none"
                 if note < 2 and (blind or not q.filling or note == 1):
                     self.crowding.timed(c, now, shortest, took - shortest)
-                if q.filling and (note > 1 or result == "timeout" or blind):
+                if q.filling and (note > 1 or blind or result == "timeout" and self.supply.tells != "all"):
                     self.crowding.timed(INLET, now, t.contract_s + (t.stretch - 1.0) * shortest,
                                         took - waited - shortest)
                 if q.filling:
@@ -602,8 +599,7 @@
         if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
             self.crowding.answered(INLET, now, 0.0, self.fills)
         if q.filling and note != 1 and result in ("satisfied", "timeout", "full", "errored"):
-            track = self.tracks[q.track]
-            size = q.expect or doc.best or self.sending[q.track]
+            track, size = self.tracks[q.track], q.expect or doc.best or self.sending[q.track]
             in_time = took <= track.contract_s + track.stretch * size
             worth = 0.0 if result != "satisfied" else 1.0 if in_time else track.late_share
             self.fill_worth[q.track] += 0.05 * (worth - self.fill_worth[q.track])
@@ -640,8 +636,5 @@
         for doc in self.docs.values():
             doc.count /= 2.0
         if len(self.docs) > MOST_DOCS:
-            keep = sorted(self.docs.items(), key=lambda item: -item[1].count)[:MOST_DOCS // 2]
-            self.docs = dict(keep)
-        for name, at in list(self.groups.items()):
-            if self.now - at > self.purge_gone_s + 2.0:
-                del self.groups[name]
+            self.docs = dict(sorted(self.docs.items(), key=lambda item: -item[1].count)[:MOST_DOCS // 2])
+        self.groups = {g: at for g, at in self.groups.items() if self.now - at <= self.purge_gone_s + 2.0}
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -90,6 +90,17 @@
     assert b.ask("a") == [f"q{b.next} push 21 from 12 rank 1 age<15.000 renew"]
 
 
+def test_failed_fill_without_budget_looks_for_an_ageing_copy():
+    """tender-portal-later rough-2: fills failed behind the parents while old copies stood by."""
+    b = Bench(tracks=[track(fresh_s=5.0, stale_s=10.0, stale_share=0.7)])
+    b.router.retries = 0.0
+    assert b.ask("a") + b.end(1, "full", note=10) + b.end(1, "miss") == [
+        "q1 push 21 from 12 rank 1 age<5.000 renew",
+        "q1 push 21 from 21 rank 1 age<15.000 renew",
+        "q1 nack",
+    ]
+
+
 def test_slow_cache_rests():
     """A cache whose answer times lie far over its fellows' is left out though it answers all."""
     b = Bench()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -53,7 +53,7 @@
         "q1 push 21 from 12 rank 1",
         "q1 push 21 from 11 rank 1",
         "q1 push 21 from 1 rank 1",
-        "q1 nack",
+        "q1 push 21 from 21 rank 1",        # another router may have had it filled meanwhile
     ]
 
 
