A crowded holder's query goes to another holder with room, or the object's next cache

Cause: a hot object's holder was crowded, and its queries nacked, while another holder had room. Covers any uneven load over holders. Could harm by filling one cache more in a crowd.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -285,8 +285,7 @@
         self.docs, self.queries, self.groups = {}, {}, {}
         self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
-        self.mean, self.mean_at = 0.0, 0.0
-        self.fills = 0
+        self.mean, self.mean_at, self.fills = 0.0, 0.0, 0
         self.heard_at, self.load, self.told = {}, {}, place.weights_told
         self.retries, self.asked_at, self.next_cycle = 1.0, 0.0, CYCLE
 
@@ -376,17 +375,17 @@
         # the holders remembered, else the home, then those that stand in for it
         stand_ins = self.rings.home(doc.code) if self.rings.rings else []
         holders = [c for c in self.holders(doc) if c in stand_ins and c not in q.bad]
-        order = sorted(holders, key=lambda c: (
-            fleet.inflight[c] / (fleet.weight[c] or 1.0), self.chance.random()))
-        order += [c for c in stand_ins if c not in order]
-        order = [c for c in order if self.open_to(c, q)]
-        target = next((c for c in order if self.cold["cache"].take(
-            c, now, fleet.born[c], self.power(c), work, max(self.sending), self.chance)), None)
+        busy = {c: (fleet.inflight[c] / (fleet.weight[c] or 1.0), self.chance.random()) for c in holders}
+        order = sorted(holders, key=busy.get)
+        order = [c for c in order + [c for c in stand_ins if c not in busy] if self.open_to(c, q)]
+        target = next((c for c in order if self.warm_for(c, work)), None)
         if target is None:
             return self.pass_by(query, q, track)
-        if not self.crowding.room(target, fleet.inflight[target], part, self.told * fleet.weight[target]) \
-                or not self.crowding.open(target, now, part, self.chance):
-            return self.refuse(query, q)     # elsewhere they would miss and be filled anew
+        room = self.room_at(target, part)       # elsewhere than at a holder it would miss and be filled anew
+        if not room and target in holders:
+            others = [c for c in order if c in holders and c != target and self.room_at(c, part)]
+            target = next((c for c in others if self.warm_for(c, work)), target)
+            room = target in others
         aged = 0.0 < track.fresh_s < now - doc.fresh_at       # a holder's copy past its fresh time is a fill
         source, q.sibling, q.held = None, False, target in holders and not aged
 
@@ -396,10 +395,10 @@
             extra = self.next_after(holders[-1], holders)
             if extra is not None and self.supply.siblings != "none" and self.open_to(extra, q) \
                     and not self.cold["cache"].cold(now, fleet.born[target]) \
-                    and self.crowding.room(extra, fleet.inflight[extra], part) \
-                    and self.cold["cache"].take(extra, now, fleet.born[extra], self.power(extra), work,
-                                                max(self.sending), self.chance):
-                target, source, q.sibling, q.held = extra, target, True, False
+                    and self.room_at(extra, part) and self.warm_for(extra, work):
+                target, source, q.sibling, q.held, room = extra, target, True, False, True
+        if not room:
+            return self.refuse(query, q)
 
         # all other fills go to the parent hashed from the object, next on failure, at last the origin
         if source is None:
@@ -501,6 +500,16 @@
         own, at = self.fleet.own, self.fleet.own.index(last)
         return next((c for c in own[at + 1:] + own[:at] if c not in holders), None)
 
+    def warm_for(self, c, work):
+        """Whether a cache or parent is warm, or its cold budget has this work; spends it if so."""
+        return self.cold[self.fleet.role[c]].take(c, self.now, self.fleet.born[c], self.power(c), work,
+                                                  max(self.sending), self.chance)
+
+    def room_at(self, c, part):
+        fleet, crowding = self.fleet, self.crowding
+        return crowding.room(c, fleet.inflight[c], part, self.told * fleet.weight[c]) \
+            and crowding.open(c, self.now, part, self.chance)
+
     def open_to(self, c, q):
         return (c not in q.bad and self.fleet.state[c] == "ready" and self.health.fit(c, self.now)
                 and self.allowed_twice(q, c))
@@ -526,8 +535,7 @@
             doc.order = sorted(fleet.parents, key=lambda c: digest(f"{doc.home_code} {fleet.ids[c]}"))
         for c in doc.order:
             if fleet.state[c] == "ready" and c not in bad and self.sources.fit(c, now) \
-                    and self.cold["parent"].take(c, now, fleet.born[c], self.power(c), work,
-                                                  max(self.sending), self.chance):
+                    and self.warm_for(c, work):
                 return c
         return next((c for c in fleet.origins if fleet.state[c] == "ready" and c not in bad), None)
 
@@ -608,9 +616,7 @@
         good, source = result == "satisfied" and not lags, c if fleet.role[c] == "parent" else q.source
         filled = q.filling and note != 1
         if result == "satisfied":
-            self.heard_at[c] = now
-            if filled:
-                self.heard_at[source] = now
+            self.heard_at[c] = self.heard_at[source if filled else c] = now
         silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
         dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
         failed = lags or silent or dumb or result == "full" and filled \
