Power of cold parents that is not told is guessed low: a quarter of fills, all parents

Cause: most fills named find a copy at the cache, but all were counted as taken by the warm parents; with caches just restarted each was a real fill, and with few parents left these took more than parents can do. Cold ones were asked for 3.3 times what they could give. Could harm by leaving cold parents to the next ones and the origin.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -200,8 +200,7 @@
         crowd = 1 + sum(f in self.rest_until for f in fellows if f != c) > max(1, self.MOST * len(fellows))
         if usual is not None and (usual > fault / 2 or crowd):
             return False       # the tier or the common link fails, or too many rest already
-        first = c not in self.rest_until
-        self.rest_until[c], self.high[c] = now + self.REST, 1.0
+        first, self.rest_until[c], self.high[c] = c not in self.rest_until, now + self.REST, 1.0
         return first
 
     def worse(self, c, fellows):
@@ -422,7 +421,7 @@
         self.fleet.inflight[target] += 1
         self.carried(target, self.sending[q.track])
         if source != target:
-            self.carried(source, self.sending[q.track] * (0.25 if q.held else 1.0))
+            self.carried(source, self.sending[q.track] * 0.25)       # most find a copy
         q.filling = source != target and not q.sibling and not q.held
         self.fills += q.filling
         self.health.sent(target, self.now)
@@ -533,11 +532,9 @@
         if doc.order_of is not fleet.parents:
             doc.order_of = fleet.parents
             doc.order = sorted(fleet.parents, key=lambda c: digest(f"{doc.home_code} {fleet.ids[c]}"))
-        for c in doc.order:
-            if fleet.state[c] == "ready" and c not in bad and self.sources.fit(c, now) \
-                    and self.warm_for(c, work):
-                return c
-        return next((c for c in fleet.origins if fleet.state[c] == "ready" and c not in bad), None)
+        usable = [c for c in doc.order + fleet.origins if fleet.state[c] == "ready" and c not in bad]
+        return next((c for c in usable if fleet.role[c] == "origin" or self.sources.fit(c, now)
+                     and self.warm_for(c, work)), None)
 
     def carried(self, c, work):
         """Notes work sent to a warm server: what such take on the mean is what their like can do at least."""
@@ -552,10 +549,11 @@
         if self.told and fleet.weight[c] > 0:
             return fleet.weight[c]
         last, total = self.load.get(role, (self.now, 0.0))
-        fellows = fleet.own if role == "cache" else fleet.parents
-        warm = sum(not self.cold[role].cold(self.now, fleet.born[f]) for f in fellows)
+        # caches are limited to what they can; the last parents left may be asked for more for a while
+        fellows = fleet.parents if role == "parent" else [
+            f for f in fleet.own if not self.cold[role].cold(self.now, fleet.born[f])]
         rate = total * math.exp((last - self.now) / LOOK) / LOOK
-        return max(1.0, rate * self.cold[role].routers / max(1, warm))
+        return max(1.0, rate * self.cold[role].routers / max(1, len(fellows)))
 
     def fair_part(self, q):
         """The part of a limit open to a query: the less utility for its sending time, the smaller."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -78,6 +78,17 @@
     assert [sent_cold(n, "from 12", 400 // n) for n in (2, 40)] == [3, 1]
 
 
+def test_power_not_told_is_guessed_low():
+    """Hunt day hfe3941: with most parents just started the last warm one was asked for more than it could do."""
+    b = Bench(weight=0.0, tells="none", routers=40, parents=(11, 12, 13, 14))
+    for i in range(40):
+        b.serve("a", part=i, at=i / 4)
+    power = [round(b.router.power(b.router.fleet.index[server]), 1) for server in (11, 21)]
+    b.call("roster", "changes", [b.row(p, kind="parent", zone=0, born=9.0) for p in (11, 12, 13)])
+    power.append(round(b.router.power(b.router.fleet.index[11]), 1))
+    assert power == [1.5, 5.8, 1.5]
+
+
 def test_purged_object_and_group():
     b = Bench()
     b.serve("a", group=5)
