After a rest one query at a time until one is answered

Cause: at a few queries a second a query in a quarter of a second is all that a router has for a server; a silent one kept ten hanging. Could harm by a slower return: two seconds a failed trial.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -191,6 +191,7 @@
         fault = self.fault.get(c, 0.0)
         self.fault[c] = fault = fault + 0.15 * weight * ((1.0 if failed else 0.0) - fault)
         if not failed:
+            self.trial_at.pop(c, None)
             if fault < self.BAD / 2:
                 self.rest_until.pop(c, None)
             return False
@@ -208,9 +209,9 @@
         return usual is None or self.fault.get(c, 0.0) > 0.1 + 2.0 * usual
 
     def fit(self, c, now):
-        """Not resting; after a rest one query in a quarter of a second until it has done well again."""
+        """Not resting; after a rest one query at a time until it has done well again."""
         until = self.rest_until.get(c)
-        return until is None or now >= until and now - self.trial_at.get(c, -1e9) >= 0.25
+        return until is None or now >= until and now - self.trial_at.get(c, -1e9) >= self.REST
 
     def sent(self, c, now):
         if c in self.rest_until:
