A parent whose fills take far longer than its fellows' rests

Cause: an ageing parent answers all, ever later; nothing but failures and silence spoke against a parent. What fills take beyond their shortest time, over the contract time left, is now held against the lower median of its fellows. Covers a crowded or far parent. Could harm by moving its objects to a parent that lacks them.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -169,7 +169,7 @@
 def median(figures, c, fellows, first):
     """Of c's fellows without itself; None if it has none."""
     others = sorted(figures.get(f, first) for f in fellows if f != c)
-    return others[len(others) // 2] if others else None
+    return others[(len(others) - 1) // 2] if others else None
 
 
 class Health:
@@ -204,10 +204,6 @@
         first, self.rest_until[c], self.high[c] = c not in self.rest_until, now + self.REST, 1.0
         return first
 
-    def worse(self, c, fellows):
-        usual = median(self.fault, c, fellows, 0.0)
-        return usual is None or self.fault.get(c, 0.0) > 0.1 + 2.0 * usual
-
     def fit(self, c, now):
         """Not resting; after a rest one query at a time until it has done well again."""
         until = self.rest_until.get(c)
@@ -237,11 +233,18 @@
         fade = math.exp((at - now) / self.FADE)
         self.sums[c] = now, total * fade + max(0.0, over), bases * fade + base
 
+    def crowd(self, c, now):
+        at, total, bases = self.sums.get(c, (now, 0.0, 0.0))
+        return total / (self.PRIOR * math.exp((now - at) / self.FADE) + bases)
+
+    def lags(self, c, now, fellows):
+        """Far slower than the quicker half of its fellows."""
+        usual = median({f: self.crowd(f, now) for f in fellows}, c, fellows, 0.0)
+        return usual is not None and self.crowd(c, now) > 0.5 + 2.0 * usual
+
     def open(self, c, now, part, chance):
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
-        at, total, bases = self.sums.get(c, (now, 0.0, 0.0))
-        crowd = total / (self.PRIOR * math.exp((now - at) / self.FADE) + bases)
-        shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
+        shut = self.crowd(c, now) / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
     def answered(self, c, now, ratio, inflight):
@@ -392,7 +395,8 @@
         # an object in demand gets one cache more, filled from a holder
         most = (len(fleet.own) + 1) // 2
         if q.held and q.shots == 0 and len(holders) < most and self.utility(doc, len(holders)) > 1.0:
-            extra = self.next_after(holders[-1], holders)
+            own, at = fleet.own, fleet.own.index(holders[-1])
+            extra = next((c for c in own[at + 1:] + own[:at] if c not in holders), None)
             if extra is not None and self.supply.siblings != "none" and self.open_to(extra, q) \
                     and not self.cold["cache"].cold(now, fleet.born[target]) \
                     and self.room_at(extra, part) and self.warm_for(extra, work):
@@ -438,9 +442,8 @@
         if result == "miss" and q.source == q.server and not q.held:
             return self.refuse(query, q)        # looked for, and the link in has no room to fill it
         at_source = result in ("full", "miss") or result == "errored" and q.filling and not q.bad_sources
-        if not at_source:       # what fails at all caches alike is asked of the one that holds it once more
-            if result == "timeout" or q.shots > 1 or self.health.worse(q.server, self.fleet.own):
-                q.bad.add(q.server)
+        if not at_source:
+            q.bad.add(q.server)
         else:
             q.bad_sources.add(q.source)
             if q.source == q.server or q.held:
@@ -460,9 +463,7 @@
 
     def refuse(self, query, q):
         """The final answer, at once; a nack only where a repeat can do no harm."""
-        q.ended = True
-        track = self.tracks[q.track]
-        kind = track.effect
+        track, kind = self.tracks[q.track], self.tracks[q.track].effect
         if q.ran is None or kind == "replayable" or kind == "referenced" and track.group == "all":
             self.writer.nack(query, min(self.allowed.max_retry_after_s, 0.1 + 0.15 * self.chance.random()))
         else:
@@ -496,10 +497,6 @@
             self.mean = max(1.0, sum(d.count for d in self.docs.values()) / len(self.docs))
         return doc.count / self.mean / (2.0 * holders) * doc.asked / (doc.asked + doc.purges)
 
-    def next_after(self, last, holders):
-        own, at = self.fleet.own, self.fleet.own.index(last)
-        return next((c for c in own[at + 1:] + own[:at] if c not in holders), None)
-
     def warm_for(self, c, work):
         """Whether a cache or parent is warm, or its cold budget has this work; spends it if so."""
         return self.cold[self.fleet.role[c]].take(c, self.now, self.fleet.born[c], self.power(c), work,
@@ -594,8 +591,9 @@
                 if note < 2 and (blind or not q.filling or note == 1):
                     self.crowding.timed(c, now, shortest, took - shortest)
                 if q.filling and (note > 1 or blind or result == "timeout" and self.supply.tells != "all"):
-                    self.crowding.timed(INLET, now, t.contract_s + (t.stretch - 1.0) * shortest,
-                                        took - waited - shortest)
+                    slack = t.contract_s + (t.stretch - 1.0) * shortest
+                    self.crowding.timed(INLET, now, slack, took - waited - shortest)
+                    self.crowding.timed(q.source, now, slack, took - shortest)
                 if q.filling:
                     self.crowding.answered(INLET, now, ratio, self.fills)
                 elif q.held and note < 2:
@@ -620,17 +618,18 @@
         dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
         failed = lags or silent or dumb or result == "full" and filled \
             or result in ("errored", "unreachable", "broken")
-        if not good and not failed:
+        slow = filled and fleet.role[source] == "parent" and self.crowding.lags(source, now, fleet.parents)
+        if not good and not failed and not slow:
             return
         told, shared = self.supply.tells == "all", filled and result in ("errored", "full")
-        own = fleet.role[c] == "cache" and not (failed and not silent and (
+        own = fleet.role[c] == "cache" and (good or failed) and not (failed and not silent and (
             dumb or result == "full" or told and note in (6, 7, 10)))
         far = fleet.role[source] == "parent" and note not in (1, 9, 10) and (
-            good and filled or source == c or dumb or (note in (6, 7) if told else shared))
+            good and filled or slow or source == c or dumb or (note in (6, 7) if told else shared))
         share = 0.5 if shared and not told else 1.0
         if own and self.health.judge(c, now, failed, share, fleet.own):
             self.writer.say(f"resting cache {fleet.ids[c]}: {result}")
-        if far and self.sources.judge(source, now, failed, share, fleet.parents):
+        if far and self.sources.judge(source, now, failed or slow, share, fleet.parents):
             self.writer.say(f"resting parent {fleet.ids[source]}: {result}")
 
     def cycle(self):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -27,6 +27,19 @@
     assert says(b) == ["say resting parent 11: timeout"]
 
 
+def test_slow_parent_rests():
+    """andino-slots-later rough-1: an ageing parent answers all, ever later; one just gone from the list may still."""
+    b = Bench(tells="all")
+    for i in range(24):
+        b.ask("abcdefgh"[i % 8], part=i)
+        slow = b.router.queries[b.next].source == b.router.fleet.index[11]
+        b.end(b.next, "satisfied", note=2, took=1.5 if slow else 0.15)
+    b.ask("a", part=99)
+    b.call("roster", "changes", [b.row(p, "gone", kind="parent", zone=0) for p in (11, 12)])
+    b.end(b.next, "satisfied", note=2, took=1.5)
+    assert says(b) == ["say resting parent 11: satisfied"]
+
+
 def test_crowded_caches_do_not_rest():
     """Time-outs beside answers are a crowd, not silence."""
     b = Bench()
