The way in is opened by fills from the same parent, few of them rounded to all fills

Cause: three of five parents aged and the pooled answer times shut the link to the two that did well. Covers any parents of unlike speed. Could harm where a parent is seen too seldom: then it counts as all do.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -233,18 +233,20 @@
         fade = math.exp((at - now) / self.FADE)
         self.sums[c] = now, total * fade + max(0.0, over), bases * fade + base
 
-    def crowd(self, c, now):
+    def crowd(self, c, now, usual=0.0):
+        """usual: the crowd that few answers are rounded to."""
         at, total, bases = self.sums.get(c, (now, 0.0, 0.0))
-        return total / (self.PRIOR * math.exp((now - at) / self.FADE) + bases)
+        prior = self.PRIOR * math.exp((now - at) / self.FADE)
+        return (total + prior * usual) / (prior + bases)
 
     def lags(self, c, now, fellows):
         """Far slower than the quicker half of its fellows."""
         usual = median({f: self.crowd(f, now) for f in fellows}, c, fellows, 0.0)
         return usual is not None and self.crowd(c, now) > 0.5 + 2.0 * usual
 
-    def open(self, c, now, part, chance):
+    def open(self, c, now, part, chance, way_in=False):
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
-        shut = self.crowd(c, now) / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
+        shut = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
     def answered(self, c, now, ratio, inflight):
@@ -409,7 +411,7 @@
             source = None if q.look else self.parent(q, work * (0.25 if q.held else 1.0))
             if source is None or not q.held and not (
                     self.crowding.room(INLET, self.fills, part ** 0.5)
-                    and self.crowding.open(INLET, now, wide ** 2, self.chance)):
+                    and self.crowding.open(source, now, wide ** 2, self.chance, True)):
                 source = target         # only a look: what this router does not know of may be there
         rank = 0 if q.through else 2 if doc.count >= 2 else 1
         ageing = self.fill_worth[q.track] < track.stale_share      # an old copy earns more than a fill now
