--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -306,13 +306,8 @@
     def roster(self, kind, rows):
         if kind == "failed":
             return
-        own, born = self.fleet.own, list(self.fleet.born)
+        own = self.fleet.own
         self.fleet.told(self.now, kind, rows)
-        for c, at in enumerate(born):
-            if self.fleet.born[c] != at:        # what was known of it went with its process
-                for known in (self.health.fault, self.health.rest_until, self.health.high, self.sources.fault,
-                              self.sources.rest_until, self.crowding.sums, self.crowding.limit):
-                    known.pop(c, None)
         if self.fleet.own != own or not self.rings.rings:
             self.rings.seat(self.fleet.own)
 
