A cycle, ranges and counts alike, lasts until the router has counted 1000 queries

Cause: counts halved every 10 s at a router of one query a second never tell what is in demand. Could harm by following a change of demand later.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -18,8 +18,8 @@
 from hashlib import md5
 
 INTRA_GEN = 1000       # IrH values of a beacon ring
-CYCLE = 10.0           # seconds between two settings of the sub-ranges, and
-TELLING = 400.0        # counts that a ring needs for one
+CYCLE = 10.0           # seconds between two settings of the sub-ranges, and the queries that one needs:
+TELLING = 1000         # a few counts move ranges by chance, at each router to another place
 MEMORY = 20.0          # seconds that a holder is remembered
 INLET = -1             # stands for the location's link in among the in-flight limits
 MOST_DOCS = 30000      # object counts kept
@@ -105,8 +105,6 @@
         """PAPER 2.3: each point's end moves until its load is near AptLd = Cp / TotCp x BRingLd."""
         for points, ends, loads in self.rings:
             total, power, start = sum(loads), sum(capability(c) for c in points), 0
-            if total < TELLING:
-                continue                # a few counts move ranges by chance, at each router to another place
             for i, c in enumerate(points[:-1]):
                 surplus = sum(loads[start:ends[i]]) - capability(c) / power * total
                 moved = 0.0
@@ -292,13 +290,13 @@
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
         self.mean, self.mean_at, self.fills = 0.0, 0.0, 0
         self.heard_at, self.load, self.told = {}, {}, place.weights_told
-        self.retries, self.asked_at, self.next_cycle = 1.0, 0.0, CYCLE
+        self.retries, self.asked_at, self.next_cycle, self.counted = 1.0, 0.0, CYCLE, 0
 
     def round(self, now, inbox, writer):
         self.now, self.writer = now, writer
         for method, values in inbox:
             getattr(self, method)(*values)
-        if now >= self.next_cycle:
+        if now >= self.next_cycle and self.counted >= TELLING:
             self.cycle()
 
     # what comes in
@@ -317,6 +315,7 @@
             doc = self.docs[key, part] = Doc(key, part, group)
         doc.count += 1
         doc.asked += 1
+        self.counted += 1
         if self.rings.rings:
             self.rings.count(doc.code)
         q = self.queries[query] = Query(track, doc, self.now, left, write or self.tracks[track].through)
@@ -636,7 +635,7 @@
 
     def cycle(self):
         """The sub-ranges follow the load; object counts are bounded and halved."""
-        self.next_cycle = self.now + CYCLE
+        self.next_cycle, self.counted = self.now + CYCLE, 0
         told = self.fleet.weight
         self.rings.cycle(lambda c: told[c] if told[c] > 0 else 1.0)
         for doc in self.docs.values():
