Among other routers what is not remembered is looked for first, and filled after a miss

Cause: with dozens of routers a location most of what one does not remember is held all the same; fills named by the way were counted four times over against cold parents, and where no notes are told hits and fills looked alike. A look costs a round trip where it misses. Not for ageing copies (a look can't renew), cold caches, or a lone router. Credit with cold servers is saved over four windows, as each router asks seldom. Could harm where a round trip to a cache is long.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -98,9 +98,6 @@
         rest = [c for j in range(1, len(self.rings)) for c in self.rings[(k + j) % len(self.rings)][0]]
         return points[i:] + points[:i] + rest
 
-    def count(self, code):
-        self.rings[code % len(self.rings)][2][code % INTRA_GEN] += 1.0
-
     def cycle(self, capability):
         """PAPER 2.3: each point's end moves until its load is near AptLd = Cp / TotCp x BRingLd."""
         for points, ends, loads in self.rings:
@@ -157,7 +154,7 @@
         room = s.multiple * can * s.window_s            # over all routers; queries come by chance, in lumps
         mean = ((self.SPREAD ** 2 * lump + 4.0 * room) ** 0.5 - self.SPREAD * lump ** 0.5) ** 2 / 4.0
         rate = min(self.FILL * can, mean / s.window_s) / self.routers
-        credit = min(rate * s.window_s, self.credit.get(c, 0.0) + rate * (now - self.at.get(c, now)))
+        credit = min(4.0 * rate * s.window_s, self.credit.get(c, 0.0) + rate * (now - self.at.get(c, now)))
         self.at[c] = now
         go = chance.random() * work < credit
         self.credit[c] = max(0.0, credit - work)
@@ -244,7 +241,8 @@
 
     def open(self, c, now, part, chance, way_in=False):
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
-        shut = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
+        crowd = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0)
+        shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
     def answered(self, c, now, ratio, inflight):
@@ -265,13 +263,14 @@
 
 class Query:
     __slots__ = ("track", "doc", "until", "shots", "server", "source", "sent_at", "rank", "expect",
-                 "bad", "bad_sources", "ran", "ended", "sibling", "held", "through", "filling", "look")
+                 "bad", "bad_sources", "ran", "ended", "sibling", "held", "through", "filling", "look",
+                 "missed")
 
     def __init__(self, track, doc, now, left, through):
         self.track, self.doc, self.until, self.through = track, doc, now + left, through
         self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
         self.bad, self.bad_sources, self.ran = set(), set(), None
-        self.ended = self.sibling = self.held = self.filling = self.look = False
+        self.ended = self.sibling = self.held = self.filling = self.look = self.missed = False
 
 
 class Router:
@@ -288,8 +287,8 @@
         self.docs, self.queries, self.groups = {}, {}, {}
         self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
-        self.mean, self.mean_at, self.fills = 0.0, 0.0, 0
-        self.heard_at, self.load, self.told = {}, {}, place.weights_told
+        self.mean, self.mean_at, self.fills, self.heard_at, self.load = 0.0, 0.0, 0, {}, {}
+        self.told, self.among = place.weights_told, place.routers_here
         self.retries, self.asked_at, self.next_cycle, self.counted = 1.0, 0.0, CYCLE, 0
 
     def round(self, now, inbox, writer):
@@ -317,7 +316,7 @@
         doc.asked += 1
         self.counted += 1
         if self.rings.rings:
-            self.rings.count(doc.code)
+            self.rings.rings[doc.code % len(self.rings.rings)][2][doc.code % INTRA_GEN] += 1.0
         q = self.queries[query] = Query(track, doc, self.now, left, write or self.tracks[track].through)
         q.expect = size_kb / self.supply.flow_kb_s if size_kb and self.supply.flow_kb_s else 0.0
         if q.expect:
@@ -405,17 +404,22 @@
         if not room:
             return self.refuse(query, q)
 
-        # all other fills go to the parent hashed from the object, next on failure, at last the origin
-        if source is None:
-            source = None if q.look else self.parent(q, work * (0.25 if q.held else 1.0))
+        # all other fills go to the parent hashed from the object, next on failure, at last the origin; among
+        # other routers what this one does not know of is mostly there: it is looked for before it is filled
+        first = self.among > 1 and not (q.held or q.missed or q.through or track.fresh_s > 0 or
+                                        self.cold["cache"].cold(now, fleet.born[target]))
+        if source is None and not first and not q.look:
+            source = self.parent(q, work * (0.25 if q.held else 1.0))
             if source is None or not q.held and not (
                     self.crowding.room(INLET, self.fills, part ** 0.5)
                     and self.crowding.open(source, now, wide ** 2, self.chance, True)):
-                source = target         # only a look: what this router does not know of may be there
+                if q.missed:
+                    return self.refuse(query, q)
+                source, q.look = None, True
         rank = 0 if q.through else 2 if doc.count >= 2 else 1
         ageing = self.fill_worth[q.track] < track.stale_share      # an old copy earns more than a fill now
-        age = self.oldest(doc, track, ageing or source == target)
-        self.send(query, q, target, source, rank, age, track.fresh_s > 0, left)
+        age = self.oldest(doc, track, ageing or q.look)
+        self.send(query, q, target, target if source is None else source, rank, age, track.fresh_s > 0, left)
 
     def send(self, query, q, target, source, rank, age, renew, left):
         """Times the push out so that another still fits, and writes it."""
@@ -427,7 +431,7 @@
         self.fleet.inflight[target] += 1
         self.carried(target, self.sending[q.track])
         if source != target:
-            self.carried(source, self.sending[q.track] * 0.25)       # most find a copy
+            self.carried(source, self.sending[q.track] * (1.0 if q.missed else 0.25))       # most are hits
         q.filling = source != target and not q.sibling and not q.held
         self.fills += q.filling
         self.health.sent(target, self.now)
@@ -440,19 +444,18 @@
         if q.sibling and result in ("full", "miss"):       # a failed sibling fill retries home
             q.doc.holders.pop(q.source, None)
             return self.place(query, q)
-        if result == "miss" and q.source == q.server and not q.held:
-            return self.refuse(query, q)        # looked for, and the link in has no room to fill it
-        at_source = result in ("full", "miss") or result == "errored" and q.filling and not q.bad_sources
-        if not at_source:
-            q.bad.add(q.server)
-        else:
+        if result == "miss" and q.source == q.server:      # looked for
+            if q.look:
+                return self.refuse(query, q)
+            q.missed = True
+            return self.place(query, q)
+        if result in ("full", "miss") or result == "errored" and q.filling and not q.bad_sources:
             q.bad_sources.add(q.source)
-            if q.source == q.server or q.held:
-                q.bad.add(q.server)
-        if not self.may_repeat(q):
-            return self.refuse(query, q)
-        if not self.pays():     # no budget to fill it from elsewhere: an ageing copy is looked for, once
-            if q.look or q.source == q.server or self.tracks[q.track].stale_s <= 0:
+        if q.source not in q.bad_sources or q.source == q.server or q.held:
+            q.bad.add(q.server)
+        once = q.ran is not None and self.tracks[q.track].effect == "single-use"
+        if once or not self.pays():     # no budget to fill it from elsewhere: an ageing copy is looked for
+            if once or q.look or q.source == q.server or self.tracks[q.track].stale_s <= 0:
                 return self.refuse(query, q)
             q.look = True
         self.place(query, q)
@@ -464,8 +467,8 @@
 
     def refuse(self, query, q):
         """The final answer, at once; a nack only where a repeat can do no harm."""
-        track, kind = self.tracks[q.track], self.tracks[q.track].effect
-        if q.ran is None or kind == "replayable" or kind == "referenced" and track.group == "all":
+        effect, group = self.tracks[q.track].effect, self.tracks[q.track].group
+        if q.ran is None or effect == "replayable" or (effect, group) == ("referenced", "all"):
             self.writer.nack(query, min(self.allowed.max_retry_after_s, 0.1 + 0.15 * self.chance.random()))
         else:
             self.writer.error(query)
@@ -522,9 +525,6 @@
         return track.effect == "referenced" and (same or track.group == "all") \
             and self.now - at < track.window_s - 0.05
 
-    def may_repeat(self, q):
-        return q.ran is None or self.tracks[q.track].effect != "single-use"
-
     def parent(self, q, work):
         """First usable of the parents in the object's own order over all listed ones; then the origin."""
         fleet, doc, now, bad = self.fleet, q.doc, self.now, q.bad | q.bad_sources
@@ -573,26 +573,25 @@
 
     def learn(self, q, c, result, took, note, waited):
         fleet, doc, now, lags = self.fleet, q.doc, self.now, False
+        track, tells = self.tracks[q.track], self.supply.tells
         if result == "satisfied":
             if q.rank and fleet.forgot_at[c] < q.sent_at and q.sent_at >= max(
                     doc.purged_at, self.groups.get(doc.group, -1e9)):
                 doc.holders.pop(c, None)
                 doc.holders[c] = now
-            if q.filling:
-                doc.fresh_at = now
+            doc.fresh_at = now if q.filling else doc.fresh_at
             if not q.expect:
                 self.sending[q.track] += 0.02 * (min(took, 3.0) - self.sending[q.track])
-            if note == 1 or self.supply.tells == "none" or doc.best == 0.0:
+            if note == 1 or tells == "none" or doc.best == 0.0:
                 doc.best = min(doc.best or took, took)
         if result in ("satisfied", "timeout"):
             shortest = q.expect or doc.best or (self.sending[q.track] if result == "timeout" else 0.0)
             if shortest and (doc.count >= 2 or q.expect or result == "timeout"):
                 ratio = min(1.0, max(shortest, doc.best) / max(took, 1e-6))
-                t, blind = self.tracks[q.track], self.supply.tells == "none"
-                if note < 2 and (blind or not q.filling or note == 1):
+                if note < 2 and (tells == "none" or not q.filling or note == 1):
                     self.crowding.timed(c, now, shortest, took - shortest)
-                if q.filling and (note > 1 or blind or result == "timeout" and self.supply.tells != "all"):
-                    slack = t.contract_s + (t.stretch - 1.0) * shortest
+                if q.filling and (note > 1 or tells == "none" or result == "timeout" and tells == "hit"):
+                    slack = track.contract_s + (track.stretch - 1.0) * shortest
                     self.crowding.timed(INLET, now, slack, took - waited - shortest)
                     self.crowding.timed(q.source, now, slack, took - shortest)
                 if q.filling:
@@ -605,9 +604,8 @@
         if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
             self.crowding.answered(INLET, now, 0.0, self.fills)
         if q.filling and note != 1 and result in ("satisfied", "timeout", "full", "errored"):
-            track, size = self.tracks[q.track], q.expect or doc.best or self.sending[q.track]
-            in_time = took <= track.contract_s + track.stretch * size
-            worth = 0.0 if result != "satisfied" else 1.0 if in_time else track.late_share
+            wanted = track.contract_s + track.stretch * (q.expect or doc.best or self.sending[q.track])
+            worth = 0.0 if result != "satisfied" else 1.0 if took <= wanted else track.late_share
             self.fill_worth[q.track] += 0.05 * (worth - self.fill_worth[q.track])
         # A failed fill speaks against cache and source alike unless notes tell which: the one at fault soon
         # stands out among its fellows. A time-out counts only while nothing is answered: no crowd.
@@ -622,7 +620,7 @@
         slow = filled and fleet.role[source] == "parent" and self.crowding.lags(source, now, fleet.parents)
         if not good and not failed and not slow:
             return
-        told, shared = self.supply.tells == "all", filled and result in ("errored", "full")
+        told, shared = tells == "all", filled and result in ("errored", "full")
         own = fleet.role[c] == "cache" and (good or failed) and not (failed and not silent and (
             dumb or result == "full" or told and note in (6, 7, 10)))
         far = fleet.role[source] == "parent" and note not in (1, 9, 10) and (
