--- /dev/null
+++ b/brookhinge/__main__.py
@@ -0,0 +1,28 @@
+"""One router on sockets: python -m brookhinge"""
+import asyncio
+import os
+import signal
+import sys
+
+from brookhinge.net.service import Service
+from brookhinge.startup import StartError, read_site
+
+
+async def serve(site):
+    service = Service(site)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, service.stop)
+    await service.run()
+
+
+def main():
+    try:
+        site = read_site(os.environ)
+    except StartError as fault:
+        print(f"brookhinge: {fault}", file=sys.stderr)
+        return 2
+    asyncio.run(serve(site))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/brookhinge/net/caches.py
@@ -0,0 +1,168 @@
+"""Connections to cache servers, parents and the origin: effects to bytes, bytes to events. Decides nothing."""
+import asyncio
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from brookhinge.net import cachewire
+
+PIECE = 256 * 1024
+BUFFER = 4 * 1024 * 1024
+CONNECTIONS = 8             # to one server at most, as far as the share of descriptors reaches
+
+
+class Line:
+    """One connection: what is out on it, and the ids that it must not carry again."""
+
+    def __init__(self, stream, now):
+        self.stream, self.up, self.closed, self.used_at = stream, False, False, now
+        self.out, self.given_up, self.waiting = {}, set(), {}
+
+    def load(self):
+        return len(self.out) + len(self.waiting)
+
+
+class Caches:
+    """post(method, values) takes the events; say(event, ...) is the log."""
+
+    def __init__(self, post, say, now, columns, connect_s, idle_s, multiplex, sockets):
+        self.post, self.say, self.now, self.columns = post, say, now, columns
+        self.connect_s, self.idle_s, self.multiplex, self.sockets = connect_s, idle_s, max(1, multiplex), sockets
+        self.lines, self.where, self.count = {}, {}, 0
+
+    # effects
+
+    def pull(self, query, push, server, name, *request):
+        """Writes a push, on a connection that has not carried its id before, or opens one for it."""
+        wire = cachewire.pull(name, *request)
+        line = self.choose(server, name)
+        if line is None:        # no descriptor left for one more: nothing was sent
+            return self.end(query, push, "unreachable")
+        self.where[query, push] = line, name
+        line.used_at = self.now()
+        if not line.up:
+            line.waiting[name] = query, push, wire
+            return
+        line.out[name] = query, push
+        self.write(line, wire)
+
+    def kill(self, query, push):
+        """Gives a push up. An id that was given up is not used again on its connection: its answer may be
+        under way and must not pass for that of a later push."""
+        line, name = self.where.pop((query, push), (None, None))
+        if line is None or line.closed:
+            return
+        if name in line.waiting:
+            del line.waiting[name]
+            return
+        del line.out[name]
+        line.given_up.add(name)
+        self.write(line, cachewire.kill(name))
+        if line.stream.closed() or line.stream.writing():   # it may not arrive: closing gives it up for sure
+            self.close(line, "can't be written")
+
+    def retire(self, server):
+        """The server is gone or another process now: its connections take nothing new."""
+        for line in self.lines.pop(server, []):
+            if not line.load():
+                self.close(line)
+
+    # connections
+
+    def choose(self, server, name):
+        lines = self.lines.setdefault(server, [])
+        usable = [n for n in lines if not n.closed and name not in n.out and name not in n.given_up
+                  and name not in n.waiting and n.load() < self.multiplex]
+        best = min(usable, key=lambda n: (not n.up, n.load()), default=None)
+        if (best is None or best.load()) and len(lines) < CONNECTIONS and self.count < self.sockets:
+            fresh = self.connect(server)
+            best = best if best is not None and best.up else fresh
+        return best
+
+    def connect(self, server):
+        made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        line = Line(IOStream(made, max_buffer_size=BUFFER, read_chunk_size=65536, max_write_buffer_size=BUFFER),
+                    self.now())
+        line.stream.set_nodelay(True)
+        self.lines[server].append(line)
+        self.count += 1
+        asyncio.ensure_future(self.run(server, line))
+        return line
+
+    async def run(self, server, line):
+        """From the connect to the end of one connection."""
+        why = None
+        try:
+            await asyncio.wait_for(line.stream.connect(server[1]), self.connect_s)
+            line.up = True
+            for name, (query, push, wire) in list(line.waiting.items()):
+                line.out[name] = query, push
+                del line.waiting[name]
+                self.write(line, wire)
+            answers = cachewire.Answers()
+            while True:
+                data = await line.stream.read_bytes(PIECE, partial=True)
+                came = self.now()
+                for answer in answers.feed(data):
+                    self.answered(line, came, *answer)
+        except (StreamClosedError, OSError):
+            pass
+        except asyncio.TimeoutError:
+            why = "no connection in time"
+        except cachewire.Unreadable as fault:
+            why = f"unreadable: {fault}"
+        except Exception as fault:
+            why = f"{type(fault).__name__}: {fault}"
+        finally:
+            if why:
+                self.say("cache connection", server=server[0], why=why)
+            self.close(line)
+            if line in self.lines.get(server, ()):
+                self.lines[server].remove(line)
+            self.count -= 1
+
+    def write(self, line, wire):
+        try:
+            line.stream.write(wire)
+        except Exception:       # closed, or its buffer is full: what is out on it is broken
+            self.close(line)
+
+    def answered(self, line, came, name, word, fields, body):
+        result, note, waited, load = cachewire.read_result(word, fields, self.columns)
+        line.used_at = came
+        line.given_up.discard(name)
+        query, push = line.out.pop(name, (None, None))
+        if query is None:       # it crossed the KILL
+            return
+        del self.where[query, push]
+        self.post("ended", (query, push, result, note, waited, load, body, word == b"unchanged", came))
+
+    def close(self, line, why=None):
+        """What was out on it is broken; what was never written proves that nothing ran."""
+        if line.closed:
+            return
+        line.closed = True
+        line.stream.close()
+        for query, push in line.out.values():
+            del self.where[query, push]
+            self.end(query, push, "broken")
+        for query, push, _ in line.waiting.values():
+            del self.where[query, push]
+            self.end(query, push, "unreachable")
+        line.out, line.waiting = {}, {}
+
+    def end(self, query, push, result):
+        self.post("ended", (query, push, result, 0, 0.0, None, b"", False, self.now()))
+
+    def sweep(self):
+        """Closes what was idle for a good part of the time after which the servers would."""
+        now = self.now()
+        for lines in self.lines.values():
+            for line in list(lines):
+                if line.up and not line.load() and now - line.used_at > 0.6 * self.idle_s:
+                    self.close(line)
+
+    def end_all(self):
+        for lines in list(self.lines.values()):
+            for line in list(lines):
+                self.close(line)
--- /dev/null
+++ b/brookhinge/net/channel.py
@@ -0,0 +1,67 @@
+"""The command channel: long polls, answers to events. Decides nothing."""
+import asyncio
+import random
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from brookhinge.net import http
+
+BLOCK_S, SLACK_S = 2.0, 1.0     # a poll waits so long; past the slack as well the connection is taken for dead
+FIRST_S, LONGEST_S = 0.05, 1.0  # pauses after failures
+
+
+class Channel:
+    def __init__(self, post, say, address, cursor, start, block_s=BLOCK_S, slack_s=SLACK_S):
+        self.post, self.say, self.address, self.cursor = post, say, address, cursor
+        self.block_s, self.slack_s = block_s, slack_s
+        self.start, self.stream = start, None
+
+    async def run(self):
+        pause = FIRST_S
+        while True:
+            try:
+                status, body, kept = await asyncio.wait_for(self.ask(), self.block_s + self.slack_s)
+                if status != 200:
+                    raise http.Unreadable(f"status {status}")
+                cursor, commands = http.read_commands(body, self.start)
+                if not kept:
+                    self.close()
+                pause = FIRST_S
+                self.take(cursor, commands)
+                continue
+            except (StreamClosedError, OSError, asyncio.TimeoutError) as fault:
+                why = type(fault).__name__
+            except http.Unreadable as fault:
+                why = str(fault)
+            except Exception as fault:
+                why = f"{type(fault).__name__}: {fault}"
+            self.close()
+            self.say("command channel", why=why, again_s=round(pause, 2))
+            await asyncio.sleep(pause * (0.5 + 0.5 * random.random()))
+            pause = min(LONGEST_S, 2 * pause)
+
+    async def ask(self):
+        if self.stream is None or self.stream.closed():
+            self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM),
+                                   max_buffer_size=2 * http.LONGEST_BODY)
+            await self.stream.connect(self.address)
+        await self.stream.write(http.request("%s:%d" % self.address, self.cursor, int(self.block_s * 1000)))
+        answer = http.Answer()
+        while True:
+            try:
+                done = answer.feed(await self.stream.read_bytes(65536, partial=True))
+            except StreamClosedError:
+                done = answer.ended()
+            if done is not None:
+                return done
+
+    def take(self, cursor, commands):
+        for method, values in commands:
+            self.post(method, values)
+        self.cursor = max(self.cursor, cursor)
+
+    def close(self):
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
--- /dev/null
+++ b/brookhinge/net/service.py
@@ -0,0 +1,134 @@
+"""The router on sockets as one object that others can embed: `await Service(...).run()`, `stop()` to end it."""
+import asyncio
+import gc
+import time
+
+from brookhinge.decide import Router
+from brookhinge.net import http
+from brookhinge.net.caches import Caches
+from brookhinge.net.channel import Channel
+from brookhinge.net.front import Front
+from brookhinge.net.log import Log
+from brookhinge.net.phases import Phases
+from brookhinge.net.reducer import Reducer
+
+LEAVE_S = 0.7       # after the word to end, new connections and queries are taken for so long
+FIGURES_S = 10.0    # between two lines of figures
+
+
+class Service:
+    """Joins sockets and reducer: what comes in during a loop pass is one round, its effects are carried out."""
+
+    def __init__(self, site, log=None):
+        self.site, self.log = site, log or Log(site.name)
+        self.start = time.time()
+        self.phases = Phases(self.log)
+        self.reducer = Reducer(Router(site.seed, **site.decisions), [t.name.encode() for t in site.decisions["tracks"]],
+                               site.zones)
+        self.events, self.due, self.timer, self.timer_at = [], False, None, None
+        bounds, lines = site.bounds, site.lines
+        third = bounds.sockets // 3
+        self.front = Front(self.post, self.log, lambda: self.phases.well, self.now, third + 32,
+                           bounds.memory_mb * 1024 * 1024 // 4)
+        self.caches = Caches(self.post, self.log, self.now, site.columns, lines.connect_s, lines.idle_s,
+                             lines.multiplex, third)
+        cursor, commands = http.read_commands(site.known, self.start)
+        self.channel = Channel(self.post, self.log, site.channel, cursor, self.start)
+        self.carry = {name: getattr(part, name) for part, names in (
+            (self.front, ("satisfy", "nack", "error", "reject")), (self.caches, ("pull", "kill", "retire")))
+            for name in names}
+        self.carry["say"] = lambda event, values: self.log(event, **values)
+        for event in commands:
+            self.post(*event)
+        self.ended, self.lag = None, 0.0
+
+    def now(self):
+        return time.time() - self.start
+
+    # rounds
+
+    def post(self, method, values):
+        self.events.append((method, values))
+        if not self.due and self.phases.now != "starting":
+            self.due = True
+            asyncio.get_running_loop().call_soon(self.round)
+
+    def round(self):
+        """One pass; an effect that fails is logged and costs its query, never the router."""
+        self.due, events, self.events = False, self.events, []
+        for method, values in self.reducer.reduce(self.now(), events):
+            try:
+                self.carry[method](*values)
+            except Exception as fault:
+                self.log("fault", where=method, why=f"{type(fault).__name__}: {fault}")
+                if method == "pull":
+                    self.post("ended", (values[0], values[1], "broken", 0, 0.0, None, b"", False, self.now()))
+        self.set_timer()
+
+    def set_timer(self):
+        at = self.reducer.next_at()
+        if at == self.timer_at:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer_at, self.timer = at, None
+        if at is not None:
+            self.timer = asyncio.get_running_loop().call_later(max(0.0, at - self.now()), self.timed)
+
+    def timed(self):
+        self.timer = self.timer_at = None
+        if not self.due:
+            self.round()
+
+    # life
+
+    async def run(self):
+        """Serves until told to stop; comes back when all is answered."""
+        loop = asyncio.get_running_loop()
+        self.ended = asyncio.Event()
+        self.round()                # what is known at the start comes before the first query
+        address = self.front.listen(*self.site.listen)
+        self.phases.step("ready")
+        gc.collect()
+        gc.freeze()
+        tasks = [loop.create_task(self.channel.run()), loop.create_task(self.figures())]
+        self.log("listening", address="%s:%d" % address)
+        await self.ended.wait()
+        for task in tasks:
+            task.cancel()
+        self.channel.close()
+        self.front.end_all()
+        self.caches.end_all()
+        self.phases.step("ended")
+
+    def stop(self):
+        """The word to end (SIGTERM): queries are taken for a while yet, then what is open is finished."""
+        if self.phases.now == "ready":
+            self.phases.step("leaving")
+            asyncio.get_running_loop().call_later(LEAVE_S, self.finish)
+
+    def finish(self):
+        self.front.stop()
+        self.phases.step("finishing")
+        self.until = self.now() + max(t.patience_s for t in self.site.decisions["tracks"]) - 0.1
+        self.look_for_end()
+
+    def look_for_end(self):
+        open_ = self.events or self.reducer.queries or self.front.unread
+        if open_ and self.now() < self.until:
+            asyncio.get_running_loop().call_later(0.005, self.look_for_end)
+        else:
+            self.ended.set()
+
+    async def figures(self):
+        """What was done since the last line, a sweep of idle connections, and by how much the loop lags."""
+        said = dict(self.reducer.counts)
+        while True:
+            due = self.now() + FIGURES_S
+            await asyncio.sleep(FIGURES_S)
+            counts = dict(self.reducer.counts)
+            self.log("figures", **{name: counts[name] - said[name] for name in counts},
+                     open=len(self.reducer.queries), clients=len(self.front.clients), caches=self.caches.count,
+                     unread=self.front.unread, late_s=round(self.now() - due, 4))
+            said = counts
+            self.caches.sweep()
--- /dev/null
+++ b/brookhinge/startup.py
@@ -0,0 +1,187 @@
+"""The one place where configuration is read, checked and given defaults, for the router on sockets and for the
+simulator's wire. A fault is told by the key's path and what was expected there."""
+import json
+from typing import NamedTuple
+
+from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
+
+NS = 1e-9
+EFFECTS = {"retryable": "replayable", "dedup": "referenced", "fragile": "single-use"}
+REPORT_FIELDS = {"cpu": "util", "active": "inflight", "waiting": "queue"}
+SIBLINGS = {"silent": "none", "none": "none", "": "none"}
+TELLS = {"silent": "none", "": "none"}
+
+TEXT, NUMBER, WHOLE, FLAG, TABLE, ROWS = (
+    ((str,), "a text"), ((int, float), "a number"), ((int,), "a whole number"), ((bool, int), "true or false"),
+    ((dict,), "an object"), ((list,), "a list"))
+
+
+class StartError(ValueError):
+    """A configuration that can't be used; the message names the key and what was expected."""
+
+
+class Table:
+    """A JSON object that knows where it stands."""
+
+    def __init__(self, values, path=""):
+        self.values, self.path = values, path
+
+    def name(self, key):
+        return f"{self.path}.{key}" if self.path else key
+
+    def take(self, key, form, *default):
+        """The checked value under key; without a default it must be there."""
+        kinds, what = form
+        value = self.values.get(key)
+        if value is None:
+            if default:
+                return default[0]
+            raise StartError(f"{self.name(key)}: missing, expected {what}")
+        return self.checked(self.name(key), value, kinds, what)
+
+    @staticmethod
+    def checked(name, value, kinds, what):
+        if not isinstance(value, kinds) or isinstance(value, bool) and bool not in kinds:
+            raise StartError(f"{name}: expected {what}, got {value!r:.60}")
+        return value
+
+    def span(self, key, *default):
+        """Nanoseconds as seconds."""
+        value = self.take(key, NUMBER, *default)
+        if value < 0:
+            raise StartError(f"{self.name(key)}: expected a time of 0 or more, got {value!r}")
+        return value * NS
+
+    def table(self, key, *default):
+        return Table(self.take(key, TABLE, *default), self.name(key))
+
+    def tables(self, key):
+        rows = self.take(key, ROWS, [])
+        return [Table(self.checked(f"{self.name(key)}[{i}]", row, *TABLE), f"{self.name(key)}[{i}]")
+                for i, row in enumerate(rows)]
+
+    def names(self, key):
+        return [self.checked(f"{self.name(key)}[{i}]", name, *TEXT)
+                for i, name in enumerate(self.take(key, ROWS, []))]
+
+    def each(self, key, place, form, default):
+        """One value of a list by place; the default past its end."""
+        row = self.take(key, ROWS, [])
+        return self.checked(f"{self.name(key)}[{place}]", row[place], *form) if place < len(row) else default
+
+
+def read_start(settings):
+    """The settings of an instance as the small records of the interface, by the names of Router's arguments."""
+    rules, limits = settings.table("Rules", {}), settings.table("Limits", {})
+    fam, report = settings.table("Specifics", {}), settings.table("Report", {})
+    zones, kinds = settings.names("Zones"), settings.names("MachineTypes")
+    here = settings.take("Az", TEXT, "")
+    zone = zones.index(here) if here in zones else 0
+
+    def kind(key):
+        place = fam.take(key, WHOLE, -1)
+        return kinds[place] if 0 <= place < len(kinds) else ""
+
+    tracks = [Track(
+        name=c.take("Name", TEXT), effect=EFFECTS.get(c.take("Effect", TEXT, ""), "single-use"),
+        group=c.take("Group", TEXT, "all"), window_s=c.span("WindowNs", 0), contract_s=c.span("AimNs"),
+        stretch=c.take("AimStretch", NUMBER, 0.0), patience_s=c.span("DeadlineNs"),
+        utility=c.take("Value", NUMBER, 1.0), late_share=c.take("LateWorth", NUMBER, 0.0),
+        fresh_s=fam.each("GoodForNs", i, NUMBER, 0) * NS, stale_s=fam.each("OlderByNs", i, NUMBER, 0) * NS,
+        stale_share=fam.each("WorthWhenOld", i, NUMBER, 0.0), through=bool(fam.each("GoesThrough", i, FLAG, False)))
+        for i, c in enumerate(settings.tables("Classes"))]
+    routers = max(1, settings.take("Instances", WHOLE, 1))
+    advice = limits.span("MaxRetryAfterNs", 0) if limits.take("RetryAfter", FLAG, False) else 0.0
+    siblings, tells = fam.take("PeersFill", TEXT, "none"), fam.take("Says", TEXT, "none")
+    return {
+        "tracks": tracks,
+        "place": Place(zone, max(1, fam.each("ZoneBalancers", zone, WHOLE, routers)), routers,
+                       settings.take("MyNumber", WHOLE, 0),
+                       settings.take("WeightSource", TEXT, "silent") in ("nominal", "rough", "live")),
+        "allowed": Allowed(max(1, limits.take("MaxAttempts", WHOLE, 1)), bool(limits.take("Probes", FLAG, False)),
+                           bool(limits.take("Cancel", FLAG, False)), advice),
+        "supply": Supply(SIBLINGS.get(siblings, siblings), bool(fam.take("Straight", FLAG, False)),
+                         bool(fam.take("SharesFills", FLAG, False)), TELLS.get(tells, tells),
+                         fam.take("OneFlowKbPerS", NUMBER, 0.0), fam.each("InletKbPerS", zone, NUMBER, 0.0)),
+        "cold_cache": ColdStart(rules.take("ColdFrom", NUMBER, 1.0), rules.span("WarmUpNs", 0),
+                                rules.take("FallMultiple", NUMBER, 0.0), rules.span("FallNs", 0)),
+        "cold_parent": ColdStart(fam.take("ParentColdFrom", NUMBER, 1.0), fam.span("UpperColdNs", 0),
+                                 fam.take("ParentBreaksAt", NUMBER, 0.0), rules.span("FallNs", 0)),
+        "purge_gone_s": fam.span("GoneEverywhereNs", 0),
+        "kinds": (kind("UpperKind"), kind("MasterKind")),
+        "reports": [REPORT_FIELDS.get(c, c) for c in report.names("Columns")],
+    }
+
+
+class Bounds(NamedTuple):
+    """What the machine gives."""
+    memory_mb: int
+    sockets: int
+
+
+class Lines(NamedTuple):
+    """Connections to cache servers."""
+    connect_s: float
+    idle_s: float
+    multiplex: int
+
+
+class Site(NamedTuple):
+    """One router's place on the network, and what its parts are handed."""
+    name: str
+    listen: tuple
+    channel: tuple
+    seed: int
+    known: dict
+    bounds: Bounds
+    lines: Lines
+    zones: list
+    columns: list           # of a load report, as cache servers name them
+    decisions: dict         # the arguments of Router
+
+
+def address(table, key):
+    text = table.take(key, TEXT)
+    host, colon, port = text.rpartition(":")
+    if not host or not colon or not port.isdigit() or not int(port) < 65536:
+        raise StartError(f"{table.name(key)}: expected HOST:PORT, got {text!r:.60}")
+    return host, int(port)
+
+
+def more_than(least, table, key, form, *default):
+    value = table.take(key, form, *default)
+    if value <= least:
+        raise StartError(f"{table.name(key)}: expected more than {least}, got {value!r}")
+    return value
+
+
+def read_site(environ):
+    """The router's configuration, from the file that BALANCER_CONFIG names."""
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise StartError("BALANCER_CONFIG: missing, expected the path of the configuration")
+    try:
+        with open(path, "rb") as file:
+            values = json.load(file)
+    except OSError as fault:
+        raise StartError(f"BALANCER_CONFIG: expected a file that can be read, got {path!r} "
+                         f"({fault.strerror})") from None
+    except ValueError as fault:
+        raise StartError(f"BALANCER_CONFIG: expected JSON, got {fault}") from None
+    top = Table(Table.checked("BALANCER_CONFIG", values, *TABLE))
+    settings, limits, known = top.table("settings"), top.table("limits", {}), top.table("known")
+    known.take("cursor", WHOLE), known.take("cmds", ROWS)
+    seed = top.take("seed", TEXT)
+    try:
+        seed = int(seed, 16)
+    except ValueError:
+        raise StartError(f"seed: expected hex digits, got {seed!r:.60}") from None
+    decisions, calls = read_start(settings), settings.table("Limits", {})
+    if not decisions["tracks"]:
+        raise StartError("settings.Classes: missing, expected one class at least")
+    return Site(
+        top.take("name", TEXT), address(top, "listen"), address(top, "channel"), seed, known.values,
+        Bounds(more_than(0, limits, "memory_mb", NUMBER, 192), more_than(31, limits, "sockets", WHOLE, 1024)),
+        Lines(calls.span("ConnectTimeoutNs", 1e9), calls.span("IdleCloseNs", 30e9),
+              more_than(0, calls, "Multiplex", WHOLE, 32)),
+        settings.names("Zones"), [c.encode() for c in decisions["reports"]], decisions)
--- a/brookhinge/wire/codec.py
+++ b/brookhinge/wire/codec.py
@@ -2,20 +2,13 @@
 
 Clock times become seconds since the instance's start, query ids small serials; both are turned back here.
 """
-import json
+from brookhinge.startup import NS
 
-from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
-
-NS = 1e-9
-EFFECTS = {"retryable": "replayable", "dedup": "referenced", "fragile": "single-use"}
 RESULTS = {"OK": "satisfied", "INTERNAL": "errored", "RESOURCE_EXHAUSTED": "full",
            "DEADLINE_EXCEEDED": "timeout", "UNAVAILABLE": "unreachable", "ABORTED": "broken",
            "CANCELLED": "cancelled", "TOO_LATE": "moot", "NOT_FOUND": "miss"}
 HEALTH = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 LISTS = {"INCREMENTAL": "changes", "FULL": "full", "SAVED": "saved", "FAILED": "failed"}
-FIELDS = {"cpu": "util", "active": "inflight", "waiting": "queue"}
-SIBLINGS = {"silent": "none", "none": "none", "": "none"}
-TELLS = {"silent": "none", "": "none"}
 
 
 class WireError(Exception):
@@ -47,50 +40,6 @@
     return values + ["-"] * (12 - len(values))
 
 
-def read_start(options):
-    """The settings of BEGIN as the small records of the interface, by the names of Router's arguments."""
-    rules, limits = options.get("Rules", {}), options.get("Limits", {})
-    fam, report = options.get("Specifics", {}), options.get("Report", {})
-    zones, kinds = options.get("Zones", []), options.get("MachineTypes", [])
-    zone = zones.index(options["Az"]) if options.get("Az") in zones else 0
-
-    def each(key, place, default):
-        row = fam.get(key) or []
-        return row[place] if place < len(row) else default
-
-    def kind(key):
-        place = fam.get(key, -1)
-        return kinds[place] if 0 <= place < len(kinds) else ""
-
-    tracks = [Track(
-        name=c["Name"], effect=EFFECTS.get(c.get("Effect"), "single-use"), group=c.get("Group", "all"),
-        window_s=c.get("WindowNs", 0) * NS, contract_s=c["AimNs"] * NS, stretch=c.get("AimStretch", 0.0),
-        patience_s=c["DeadlineNs"] * NS, utility=c.get("Value", 1.0), late_share=c.get("LateWorth", 0.0),
-        fresh_s=each("GoodForNs", i, 0) * NS, stale_s=each("OlderByNs", i, 0) * NS,
-        stale_share=each("WorthWhenOld", i, 0.0), through=bool(each("GoesThrough", i, False)))
-        for i, c in enumerate(options.get("Classes", []))]
-    routers = max(1, options.get("Instances", 1))
-    advice = limits.get("MaxRetryAfterNs", 0) * NS if limits.get("RetryAfter") else 0.0
-    siblings, tells = fam.get("PeersFill", "none"), fam.get("Says", "none")
-    return {
-        "tracks": tracks,
-        "place": Place(zone, max(1, each("ZoneBalancers", zone, routers)), routers, options.get("MyNumber", 0),
-                       options.get("WeightSource", "silent") in ("nominal", "rough", "live")),
-        "allowed": Allowed(max(1, limits.get("MaxAttempts", 1)), bool(limits.get("Probes")),
-                           bool(limits.get("Cancel")), advice),
-        "supply": Supply(SIBLINGS.get(siblings, siblings), bool(fam.get("Straight")),
-                         bool(fam.get("SharesFills")), TELLS.get(tells, tells),
-                         fam.get("OneFlowKbPerS", 0.0), each("InletKbPerS", zone, 0.0)),
-        "cold_cache": ColdStart(rules.get("ColdFrom", 1.0), rules.get("WarmUpNs", 0) * NS,
-                                rules.get("FallMultiple", 0.0), rules.get("FallNs", 0) * NS),
-        "cold_parent": ColdStart(fam.get("ParentColdFrom", 1.0), fam.get("UpperColdNs", 0) * NS,
-                                 fam.get("ParentBreaksAt", 0.0), rules.get("FallNs", 0) * NS),
-        "purge_gone_s": fam.get("GoneEverywhereNs", 0) * NS,
-        "kinds": (kind("UpperKind"), kind("MasterKind")),
-        "reports": [FIELDS.get(c, c) for c in report.get("Columns", [])],
-    }
-
-
 class Instance:
     """One router on the wire: its clock, its query serials, and the writer its decisions go to."""
 
--- a/brookhinge/wirehost.py
+++ b/brookhinge/wirehost.py
@@ -3,7 +3,8 @@
 import sys
 
 from brookhinge.decide import Router
-from brookhinge.wire.codec import Instance, WireError, number, parts, read_row, read_start
+from brookhinge.startup import TABLE, StartError, Table, read_start
+from brookhinge.wire.codec import Instance, WireError, number, parts, read_row
 
 
 class Host:
@@ -31,8 +32,10 @@
                 instance = Instance(current, now)
                 try:
                     options = json.loads(text)
-                    start = read_start(options)
-                except (ValueError, KeyError, TypeError, AttributeError) as fault:
+                    start = read_start(Table(Table.checked("Options", options, *TABLE), "Options"))
+                except StartError as fault:
+                    raise WireError(f"line {line[:60]!r}...: {fault}") from None
+                except ValueError as fault:
                     raise WireError(f"line {line[:60]!r}...: expected settings, cannot read {fault!r}") from None
                 instance.router = Router(number(seed, line[:60], "a seed"), **start)
                 instance.tracks = {t.name: i for i, t in enumerate(start["tracks"])}
