Silent connections are found by ECHO; bounds, faults and retired connections of the router

A machine that vanished leaves its connections open and its pushes waiting for their whole time. Where something is out and nothing was heard for half the connect time, an ECHO has the connect time to be answered; then the connection is closed and its pushes are broken. Also: retired connections close when they are empty, partial frames count as held bytes, no descriptor for a connect is 'unreachable', an event that can't be taken costs its query alone.

--- a/brookhinge/__main__.py
+++ b/brookhinge/__main__.py
@@ -20,7 +20,12 @@
     except StartError as fault:
         print(f"brookhinge: {fault}", file=sys.stderr)
         return 2
-    asyncio.run(serve(site))
+    try:
+        asyncio.run(serve(site))
+    except OSError as fault:
+        print(f"brookhinge: listen: expected an address that is free here, got {site.listen} ({fault.strerror})",
+              file=sys.stderr)
+        return 2
     return 0
 
 
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -9,13 +9,15 @@
 PIECE = 256 * 1024
 BUFFER = 4 * 1024 * 1024
 CONNECTIONS = 8             # to one server at most, as far as the share of descriptors reaches
+ECHO = b"echo"              # no query's id: those are hex digits
 
 
 class Line:
     """One connection: what is out on it, and the ids that it must not carry again."""
 
     def __init__(self, stream, now):
-        self.stream, self.up, self.closed, self.used_at = stream, False, False, now
+        self.stream, self.up, self.closed, self.retired = stream, False, False, False
+        self.used_at, self.heard_at, self.asked_at = now, now, None
         self.out, self.given_up, self.waiting = {}, set(), {}
 
     def load(self):
@@ -50,37 +52,43 @@
         """Gives a push up. An id that was given up is not used again on its connection: its answer may be
         under way and must not pass for that of a later push."""
         line, name = self.where.pop((query, push), (None, None))
-        if line is None or line.closed:
+        if line is None:
             return
-        if name in line.waiting:
-            del line.waiting[name]
-            return
-        del line.out[name]
-        line.given_up.add(name)
-        self.write(line, cachewire.kill(name))
-        if line.stream.closed() or line.stream.writing():   # it may not arrive: closing gives it up for sure
-            self.close(line, "can't be written")
+        if line.waiting.pop(name, None) is None:
+            del line.out[name]
+            line.given_up.add(name)
+            self.write(line, cachewire.kill(name))
+            if line.stream.writing():       # it may not arrive: closing gives it up for sure
+                self.close(line)
+        self.settle(line)
 
     def retire(self, server):
         """The server is gone or another process now: its connections take nothing new."""
         for line in self.lines.pop(server, []):
-            if not line.load():
-                self.close(line)
+            line.retired = True
+            self.settle(line)
+
+    def settle(self, line):
+        if line.retired and not line.load():
+            self.close(line)
 
     # connections
 
     def choose(self, server, name):
         lines = self.lines.setdefault(server, [])
-        usable = [n for n in lines if not n.closed and name not in n.out and name not in n.given_up
+        usable = [n for n in lines if not n.closed and not n.stream.closed() and name not in n.out and name not in n.given_up
                   and name not in n.waiting and n.load() < self.multiplex]
         best = min(usable, key=lambda n: (not n.up, n.load()), default=None)
         if (best is None or best.load()) and len(lines) < CONNECTIONS and self.count < self.sockets:
             fresh = self.connect(server)
-            best = best if best is not None and best.up else fresh
+            best = best if best is not None and best.up else fresh or best
         return best
 
     def connect(self, server):
-        made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as fault:        # no descriptor
+            return self.say("cache connection", server=server[0], why=f"{fault.strerror}")
         line = Line(IOStream(made, max_buffer_size=BUFFER, read_chunk_size=65536, max_write_buffer_size=BUFFER),
                     self.now())
         line.stream.set_nodelay(True)
@@ -94,7 +102,7 @@
         why = None
         try:
             await asyncio.wait_for(line.stream.connect(server[1]), self.connect_s)
-            line.up = True
+            line.up, line.heard_at = True, self.now()
             for name, (query, push, wire) in list(line.waiting.items()):
                 line.out[name] = query, push
                 del line.waiting[name]
@@ -102,7 +110,7 @@
             answers = cachewire.Answers()
             while True:
                 data = await line.stream.read_bytes(PIECE, partial=True)
-                came = self.now()
+                came = line.heard_at = self.now()
                 for answer in answers.feed(data):
                     self.answered(line, came, *answer)
         except (StreamClosedError, OSError):
@@ -128,6 +136,9 @@
             self.close(line)
 
     def answered(self, line, came, name, word, fields, body):
+        if name == ECHO:
+            line.asked_at = None
+            return
         result, note, waited, load = cachewire.read_result(word, fields, self.columns)
         line.used_at = came
         line.given_up.discard(name)
@@ -136,8 +147,9 @@
             return
         del self.where[query, push]
         self.post("ended", (query, push, result, note, waited, load, body, word == b"unchanged", came))
+        self.settle(line)
 
-    def close(self, line, why=None):
+    def close(self, line):
         """What was out on it is broken; what was never written proves that nothing ran."""
         if line.closed:
             return
@@ -155,11 +167,23 @@
         self.post("ended", (query, push, result, 0, 0.0, None, b"", False, self.now()))
 
     def sweep(self):
-        """Closes what was idle for a good part of the time after which the servers would."""
+        """Closes what was idle for a good part of the time after which the servers would, and what is silent.
+
+        A machine that vanished leaves its connections open: where something is out and nothing was heard for
+        half the time that a connect may take, an ECHO asks whether the connection works; it has that time."""
         now = self.now()
-        for lines in self.lines.values():
-            for line in list(lines):
-                if line.up and not line.load() and now - line.used_at > 0.6 * self.idle_s:
+        for server, lines in self.lines.items():
+            for line in [n for n in lines if n.up and not n.closed]:
+                if not line.out:
+                    line.asked_at = None
+                    if now - line.used_at > 0.6 * self.idle_s:
+                        self.close(line)
+                elif line.asked_at is None:
+                    if now - max(line.heard_at, line.used_at) > self.connect_s / 2:
+                        line.asked_at = now
+                        self.write(line, cachewire.echo(ECHO))
+                elif now - max(line.heard_at, line.asked_at) > self.connect_s:
+                    self.say("cache connection", server=server[0], why="silent")
                     self.close(line)
 
     def end_all(self):
--- a/brookhinge/net/cachewire.py
+++ b/brookhinge/net/cachewire.py
@@ -31,6 +31,10 @@
     return b"KILL %b\r\n" % name
 
 
+def echo(tag):
+    return b"ECHO %b\r\n" % tag
+
+
 class Answers:
     """Cuts a stream of bytes, in any pieces, into answers: (id, word, fields, body)."""
 
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -18,20 +18,20 @@
 
 
 class Client:
-    """One connection of a client, and how many bytes it has not read yet."""
+    """One connection of a client: how many bytes it has not read yet, and how many of a frame have come."""
 
     def __init__(self, number, stream):
-        self.number, self.stream, self.unread = number, stream, 0
+        self.number, self.stream, self.unread, self.partial = number, stream, 0, 0
         self.may_read = asyncio.Event()
 
 
 class Front:
     """post(method, values) takes the events; well() tells whether the router takes queries."""
 
-    def __init__(self, post, say, well, now, sockets, unread):
+    def __init__(self, post, say, well, now, sockets, held):
         self.post, self.say, self.well, self.now = post, say, well, now
-        self.sockets, self.most_unread = sockets, unread
-        self.clients, self.serial, self.unread, self.listener = {}, 0, 0, None
+        self.sockets, self.most_held = sockets, held
+        self.clients, self.serial, self.unread, self.partial, self.listener = {}, 0, 0, 0, None
 
     # accepting
 
@@ -89,6 +89,9 @@
                 came = self.now()
                 for frame in frames.feed(data):
                     self.call(client, frame, came)
+                self.partial += len(frames.held) - client.partial
+                client.partial = len(frames.held)
+                self.keep_bound()
                 if client.unread > thrift.LONGEST:      # reads nothing: no more is taken of it meanwhile
                     client.may_read.clear()
                     await client.may_read.wait()
@@ -160,7 +163,7 @@
             self.write(client, encode())
 
     def write(self, client, wire):
-        """Never waits. Past the bound on all unread bytes the client with most of them is given up."""
+        """Never waits. Past the bound on all bytes held for clients the one with most of them is given up."""
         try:
             flushed = client.stream.write(wire)
         except StreamClosedError:
@@ -170,10 +173,13 @@
         client.unread += len(wire)
         self.unread += len(wire)
         flushed.add_done_callback(lambda done: self.read(client, len(wire), done))
-        if self.unread > self.most_unread:
-            slowest = max(self.clients.values(), key=lambda c: c.unread)
-            self.say("client connection", why=f"{slowest.unread} bytes not read")
-            self.drop(slowest)
+        self.keep_bound()
+
+    def keep_bound(self):
+        if self.unread + self.partial > self.most_held:
+            worst = max(self.clients.values(), key=lambda c: c.unread + c.partial)
+            self.say("client connection", why=f"{worst.unread} bytes not read, {worst.partial} of a frame held")
+            self.drop(worst)
 
     def read(self, client, size, done):
         done.cancelled() or done.exception()
@@ -186,6 +192,7 @@
         client.stream.close()
         client.may_read.set()
         if self.clients.pop(client.number, None) is not None:
+            self.partial -= client.partial
             self.post("client_gone", (client.number,))
 
     def end_all(self):
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -36,8 +36,11 @@
     def reduce(self, now, events):
         """One pass: the events, then the pushes whose time is over, then one round."""
         self.now, self.effects, self.inbox = now, [], []
-        for method, values in events:
-            getattr(self, method)(*values)
+        for self.current in events:
+            try:
+                getattr(self, self.current[0])(*self.current[1])
+            except Exception as fault:
+                self.faulted(fault)
         self.expire()
         inbox = iter(self.inbox)
         while True:     # a fault of the decisions costs the query that it came up with, not the router
@@ -108,6 +111,8 @@
         if not self.is_out(query, push):
             return
         q = self.queries[query]
+        if same and not q.tag:      # it names a copy that the client does not hold
+            result = "errored"
         q.out, over = False, result == "satisfied"
         self.inbox.append(("ended", (query, push, q.server, result, came - q.sent_at, over, note, waited, load)))
         if over:
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -14,6 +14,7 @@
 
 LEAVE_S = 0.7       # after the word to end, new connections and queries are taken for so long
 FIGURES_S = 10.0    # between two lines of figures
+SWEEP_S = 0.1       # between two looks for idle and silent connections
 
 
 class Service:
@@ -54,7 +55,7 @@
             asyncio.get_running_loop().call_soon(self.round)
 
     def round(self):
-        """One pass; an effect that fails is logged and costs its query, never the router."""
+        """One pass; an effect that fails is logged and costs its query or its client, never the router."""
         self.due, events, self.events = False, self.events, []
         for method, values in self.reducer.reduce(self.now(), events):
             try:
@@ -63,6 +64,8 @@
                 self.log("fault", where=method, why=f"{type(fault).__name__}: {fault}")
                 if method == "pull":
                     self.post("ended", (values[0], values[1], "broken", 0, 0.0, None, b"", False, self.now()))
+                elif method in ("satisfy", "nack", "error", "reject") and values[0] in self.front.clients:
+                    self.front.drop(self.front.clients[values[0]])
         self.set_timer()
 
     def set_timer(self):
@@ -85,13 +88,14 @@
     async def run(self):
         """Serves until told to stop; comes back when all is answered."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self.faulted)
         self.ended = asyncio.Event()
         self.round()                # what is known at the start comes before the first query
         address = self.front.listen(*self.site.listen)
         self.phases.step("ready")
         gc.collect()
         gc.freeze()
-        tasks = [loop.create_task(self.channel.run()), loop.create_task(self.figures())]
+        tasks = [loop.create_task(part()) for part in (self.channel.run, self.figures, self.sweep)]
         self.log("listening", address="%s:%d" % address)
         await self.ended.wait()
         for task in tasks:
@@ -120,8 +124,16 @@
         else:
             self.ended.set()
 
+    def faulted(self, loop, context):
+        self.log("fault", where=context.get("message"), why=repr(context.get("exception")))
+
+    async def sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.caches.sweep()
+
     async def figures(self):
-        """What was done since the last line, a sweep of idle connections, and by how much the loop lags."""
+        """What was done since the last line, and by how much the loop lags."""
         said = dict(self.reducer.counts)
         while True:
             due = self.now() + FIGURES_S
@@ -131,4 +143,3 @@
                      open=len(self.reducer.queries), clients=len(self.front.clients), caches=self.caches.count,
                      unread=self.front.unread, late_s=round(self.now() - due, 4))
             said = counts
-            self.caches.sweep()
