Tests of reducer and service on sockets; a query that is over in its own pass is not sent

A query and its forget in one pass: the round placed a push for a query that was gone (KeyError, logged as a fault), and an in-flight count stayed up for good. The reducer now takes back what the decisions had not heard yet (leave). Connections: one is opened ahead where none is idle (choose); before, the second push went behind the first.

--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -75,13 +75,16 @@
     # connections
 
     def choose(self, server, name):
+        """The connection that carries least; one is opened ahead where none is left idle, so that answers which
+        take long don't hold up the rest and a connect is seldom waited for."""
         lines = self.lines.setdefault(server, [])
-        usable = [n for n in lines if not n.closed and not n.stream.closed() and name not in n.out and name not in n.given_up
-                  and name not in n.waiting and n.load() < self.multiplex]
+        usable = [n for n in lines if not n.closed and not n.stream.closed() and n.load() < self.multiplex
+                  and name not in n.out and name not in n.given_up and name not in n.waiting]
         best = min(usable, key=lambda n: (not n.up, n.load()), default=None)
-        if (best is None or best.load()) and len(lines) < CONNECTIONS and self.count < self.sockets:
-            fresh = self.connect(server)
-            best = best if best is not None and best.up else fresh or best
+        if not any(n is not best and not n.load() for n in usable):
+            fresh = self.connect(server) if len(lines) < CONNECTIONS and self.count < self.sockets else None
+            if best is None or not best.up and best.load():
+                best = fresh or best
         return best
 
     def connect(self, server):
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -175,14 +175,20 @@
             self.effects.append(("kill", (query, q.pushes)))
 
     def leave(self, query):
-        """No answer is owed: what is out is given up, the decisions are told."""
-        q, out = self.queries[query], self.queries[query].out
-        self.give_up(query)
+        """No answer is owed: what is out is given up, the decisions are told. What they were to hear of it in
+        this very pass is taken back or ends it, or they would send for a query that is over."""
+        q = self.queries[query]
+        at = next((i for i, (method, values) in enumerate(self.inbox)
+                   if method in ("query", "ended") and values[0] == query), None)
+        if at is not None:
+            method, values = self.inbox.pop(at)
+            if method == "ended":
+                self.inbox.append((method, (*values[:5], True, *values[6:])))
+        else:
+            self.give_up(query)
+            self.inbox += [("left", (query,)),
+                           ("ended", (query, q.pushes, q.server, "cancelled", self.now - q.sent_at, True, 0, 0.0, None))]
         self.counts["left"] += 1
-        self.inbox.append(("left", (query,)))
-        if out:
-            self.inbox.append(("ended", (query, q.pushes, q.server, "cancelled", self.now - q.sent_at, True, 0, 0.0,
-                                         None)))
         self.settle(query)
 
     def settle(self, query):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,15 @@
-"""A small site, a writer that prints each decision as one line, and short ways to call a router."""
+"""A small site, a writer that prints each decision as one line, short ways to call a router, and stand-ins of what
+the router on sockets talks to."""
+import asyncio
+import json
+
 from brookhinge.decide import Router
 from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
+from brookhinge.net import thrift
+from brookhinge.net.http import read_commands
+from brookhinge.net.reducer import Reducer
+from brookhinge.net.service import Service
+from brookhinge.startup import read_site
 
 ORIGIN, PARENTS, CACHES = 1, (11, 12), (21, 22, 23, 24)
 
@@ -81,3 +90,233 @@
             lines += self.end(self.next, "miss")
         self.end(self.next, "satisfied", note=note)
         return lines
+
+
+# the router on sockets: stand-ins of what it talks to, written from their wires
+
+SERVERS = {"s-01": "origin", "s-11": "parent", "s-12": "parent", "s-21": "box", "s-22": "box", "s-23": "box"}
+
+
+def settings(**limits):
+    return {"Az": "edge-1", "Zones": ["hub", "edge-1"], "MachineTypes": ["box", "parent", "origin"], "Instances": 1,
+            "Classes": [{"Name": "page", "AimNs": 3e8, "DeadlineNs": 3e9, "Effect": "retryable"},
+                        {"Name": "order", "AimNs": 3e8, "DeadlineNs": 1e9, "Effect": "fragile"}],
+            "Limits": {"MaxAttempts": 4, "Cancel": True, "ConnectTimeoutNs": 2e8, "Multiplex": 32, **limits},
+            "Report": {"Columns": ["cpu", "x0"]}, "WeightSource": "nominal",
+            "Specifics": {"UpperKind": 1, "MasterKind": 2, "Says": "all", "SharesFills": True}}
+
+
+def host(server, port=9, **other):
+    """A server as the command channel lists it."""
+    kind = SERVERS[server]
+    return {"host": server, "dial": f"127.0.0.1:{port}", "site": "edge-1" if kind == "box" else "hub", "class": kind,
+            "block": 0, "health": "up", "share": 4, "born_ms": 0, **other}
+
+
+def listed(cursor, hosts, whole=True):
+    return {"cursor": cursor, "nodes": {"seq": cursor, "whole": whole, "hosts": hosts}}
+
+
+def configuration(ports=None, channel=9, **other):
+    hosts = [host(server, (ports or {}).get(server, 9)) for server in SERVERS]
+    return {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "channel": f"127.0.0.1:{channel}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"cursor": 3, "cmds": [listed(3, hosts)]}, "settings": settings(), **other}
+
+
+def read(values, folder):
+    """The site of a configuration, as the program would read it."""
+    path = folder / "config.json"
+    path.write_text(values if isinstance(values, str) else json.dumps(values))
+    return read_site({"BALANCER_CONFIG": str(path)})
+
+
+class Desk:
+    """A reducer with its router, called by events; effects come back as printed lines."""
+
+    def __init__(self, folder, **other):
+        site = read(configuration(**other), folder)
+        self.router = Router(site.seed, **site.decisions)
+        self.reducer = Reducer(self.router, [t.name.encode() for t in site.decisions["tracks"]], site.zones)
+        self.now, self.asked = 0.0, 0
+        self.hear(*read_commands(site.known, 0.0)[1])
+
+    def hear(self, *events, at=None):
+        self.now = self.now + 0.01 if at is None else at
+        return [self.printed(*effect) for effect in self.reducer.reduce(self.now, events)]
+
+    def ask(self, key=b"aa", kind=b"page", name=None, client=1, number=None, at=None, allow=1.0, tag=None):
+        self.asked += 1
+        came = self.now + 0.01 if at is None else at
+        return self.hear(("query", (client, number or self.asked, name or b"r%d" % self.asked, kind, key, b"0", 0, 4,
+                                    100.0, allow, tag, b"", came)), at=at)
+
+    def end(self, query, push, result, body=b"", same=False, at=None):
+        return self.hear(("ended", (query, push, result, 2, 0.0, None, body, same, self.now)), at=at)
+
+    @staticmethod
+    def printed(method, values):
+        if method == "pull":
+            query, push, server, name, kind, key, part, left, source, rank = values[:10]
+            return f"pull q{query}.{push} {name.decode()} {server[0]} from {source} rank {rank} for {left:.3f}"
+        if method in ("kill", "retire"):
+            return f"{method} q{values[0]}.{values[1]}" if method == "kill" else f"retire {values[0][0]}"
+        return " ".join([method, *(str(v) for v in values)])
+
+
+class Machine:
+    """A cache server: answers PULLs as `act` says: a word of the wire, 'silent', 'reset', 'half' or 'garbage'."""
+
+    def __init__(self, act="data", delay=0.0, body=b"bytes of the object"):
+        self.act, self.delay, self.body, self.seen, self.made, self.writers, self.stuck = act, delay, body, [], 0, [], []
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self):
+        """The process dies: connections are reset, new ones refused."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    async def serve(self, reader, writer):
+        self.made += 1
+        self.writers.append(writer)
+        try:
+            while line := (await reader.readline()).decode().split():
+                self.seen.append(" ".join(line[:2]))
+                if line[0] == "PULL":
+                    await reader.readexactly(int(line[3]) + 2)
+                    asyncio.ensure_future(self.answer(writer, line))
+                elif line[0] == "ECHO" and self.act != "silent":
+                    writer.write(f"{line[1]} well - 0\r\n\r\n".encode())
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+
+    async def answer(self, writer, line):
+        act = self.act(line) if callable(self.act) else self.act
+        await asyncio.sleep(self.delay)
+        if writer in self.stuck:
+            return
+        if act == "reset":
+            writer.transport.abort()
+        elif act == "half":
+            self.stuck.append(writer)
+            writer.write(b"%b data - 90\r\nhalf of it" % line[1].encode())
+        elif act == "garbage":
+            writer.write(b"what is this\r\n")
+        elif act != "silent":
+            body = self.body if act == "data" else b""
+            writer.write(b"%b %b n=filled,l=util:0.5;x0:0.1 %d\r\n%b\r\n"
+                         % (line[1].encode(), act.encode(), len(body), body))
+
+
+class Commands:
+    """The command channel: each poll is answered by the next of `answers` (raw bytes), then kept waiting."""
+
+    def __init__(self, *answers):
+        self.answers, self.polls = list(answers), []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        try:
+            while line := (await reader.readuntil(b"\r\n\r\n")).decode():
+                self.polls.append(line.split()[1])
+                while not self.answers:
+                    await asyncio.sleep(0.01)
+                answer = self.answers.pop(0)
+                writer.write(answer)
+                if not answer:
+                    return writer.transport.abort()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+
+    @staticmethod
+    def reply(cursor, *commands, status="200 OK"):
+        body = json.dumps({"cursor": cursor, "cmds": commands}).encode()
+        return b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status.encode(), len(body), body)
+
+
+class Caller:
+    """A client: sends calls, prints what comes back under their sequence numbers."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer, self.number = reader, writer, 0
+
+    @classmethod
+    async def connect(cls, address):
+        return cls(*await asyncio.open_connection(*address))
+
+    def call(self, method, *args, kind=thrift.CALL):
+        self.number += 1
+        self.writer.write(thrift.message(method, kind, self.number, *args, b"\0"))
+        return self.number
+
+    def ask(self, name, **fields):
+        values = {"service": "page", "ref": f"{name:016x}", "allow": "1000", "lookup": "ab" * 8, "piece": "0", "lot": "3",
+                  "room": "100.0", **fields}
+        told = {k.encode(): v.encode() for k, v in values.items() if v is not None}
+        return self.call(b"serve", thrift.HEAD.pack(thrift.MAP, 1), thrift.words(told))
+
+    def forget(self, number):
+        self.call(b"forget", thrift.HEAD.pack(thrift.I32, 1), thrift.INT.pack(number), kind=thrift.ONEWAY)
+
+    async def hear(self):
+        """One answer as (sequence number, text), or None at the end of the connection."""
+        try:
+            size, = thrift.INT.unpack(await self.reader.readexactly(4))
+            reader = thrift.Reader(await self.reader.readexactly(size))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return None
+        _, kind, number = thrift.read_head(reader)
+        (_, place), = [next(reader.fields())]
+        if kind == thrift.EXCEPTION:
+            return number, "exception " + reader.text().decode()
+        if place:
+            return number, {1: "nack", 2: "error"}[place]
+        args = thrift.read_args(reader, {1: thrift.STRING, 2: thrift.MAP})
+        same = " unchanged" if args[2].get(b"unchanged") == b"1" else ""
+        return number, f"satisfied {len(args[1])}{same}" if args[1] or same else f"well {bool(reader.frame[-3])}"
+
+
+class Town:
+    """A service among its stand-ins, for `async with`."""
+
+    def __init__(self, folder, machines=None, commands=None, **other):
+        self.folder, self.other, self.lines = folder, other, []
+        self.machines = {server: (machines or {}).get(server) or Machine() for server in SERVERS}
+        self.commands = commands or Commands()
+
+    def log(self, event, **values):
+        self.lines.append(" ".join([event, *(str(v) for v in values.values())]))
+
+    async def __aenter__(self):
+        for machine in self.machines.values():
+            await machine.start()
+        await self.commands.start()
+        ports = {server: machine.port for server, machine in self.machines.items()}
+        self.values = configuration(ports, self.commands.port, **self.other)
+        self.service = Service(read(self.values, self.folder), self.log)
+        self.task = asyncio.ensure_future(self.service.run())
+        while self.service.phases.now == "starting":
+            await asyncio.sleep(0.001)
+        self.address = self.service.front.listener.getsockname()
+        self.caller = await Caller.connect(self.address)
+        return self
+
+    async def __aexit__(self, *_):
+        if not self.task.done():
+            self.service.ended.set()
+        await asyncio.wait_for(self.task, 5)
+
+    def pulled(self):
+        """Every PULL and KILL that came to a cache."""
+        return sorted(f"{server} {line}" for server, machine in self.machines.items() for line in machine.seen
+                      if line[:4] in ("PULL", "KILL"))
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,132 @@
+"""The reducer: events in, effects out, as printed traces."""
+from helpers import Desk, host, listed
+
+from brookhinge.net.http import read_commands
+
+
+def commands(*told, start=0.0):
+    return read_commands({"cursor": 0, "cmds": list(told)}, start)[1]
+
+
+def test_a_query_its_push_and_its_answer(tmp_path):
+    d = Desk(tmp_path)
+    assert d.ask() == ["pull q0.1 r1 s-21 from s-12 rank 1 for 0.999"]
+    assert d.end(0, 1, "full") == ["pull q0.2 r1 s-21 from s-11 rank 1 for 0.989"]
+    assert d.end(0, 2, "satisfied", b"all of it") == ["satisfy 1 1 b'all of it' False"]
+    assert (d.reducer.queries, d.reducer.names, d.reducer.clients) == ({}, {}, {})
+
+
+def test_a_push_whose_time_is_over_is_killed_before_the_next(tmp_path):
+    """Never two pushes out: KILL comes first, and an answer that crossed it counts for nothing."""
+    d = Desk(tmp_path)
+    d.ask(allow=2.0)
+    d.end(0, 1, "miss")
+    assert d.hear(at=0.5) == []
+    first = d.hear(at=2.1)
+    assert first == ["kill q0.2", "nack 1 1 0.0"]
+    assert d.end(0, 2, "satisfied", b"late") == []
+
+
+def test_an_answer_of_an_earlier_push_does_not_pass_for_a_later_one(tmp_path):
+    d = Desk(tmp_path)
+    d.router.retries = 10.0
+    d.ask()
+    assert d.end(0, 1, "errored") == ["pull q0.2 r1 s-21 from s-11 rank 1 for 0.989"]
+    assert d.end(0, 1, "satisfied", b"of the first") == []
+    assert d.end(0, 2, "satisfied", b"of the second") == ["satisfy 1 1 b'of the second' False"]
+
+
+def test_next_time_is_that_of_a_push_still_out(tmp_path):
+    d = Desk(tmp_path)
+    d.ask(allow=0.5)
+    assert abs(d.reducer.next_at() - d.now - 0.499) < 1e-6
+    d.end(0, 1, "satisfied")
+    assert d.reducer.next_at() is None
+
+
+def test_a_client_that_forgets_or_goes_is_owed_nothing(tmp_path):
+    d = Desk(tmp_path)
+    d.ask(), d.ask(), d.ask(client=2)
+    assert d.hear(("forgotten", (1, 1))) == ["kill q0.1"]
+    assert d.hear(("forgotten", (1, 1))) == []
+    assert d.hear(("client_gone", (1,))) == ["kill q1.1"]
+    assert d.end(0, 1, "satisfied") + d.end(1, 1, "satisfied") == []
+    assert list(d.reducer.queries) == [2] and list(d.router.queries) == [2]
+
+
+def test_a_client_that_goes_in_the_pass_of_its_query_or_of_a_failed_push(tmp_path):
+    """The decisions must not send for a query that is over when their round begins."""
+    d = Desk(tmp_path)
+    asked = ("query", (1, 1, b"r", b"page", b"aa", b"0", 0, 4, 100.0, 1.0, None, b"", 0.0))
+    assert d.hear(asked, ("forgotten", (1, 1))) == [] and d.router.queries == {}
+    d.ask()
+    failed = ("ended", (1, 1, "full", 6, 0.0, None, b"", False, d.now))
+    assert d.hear(failed, ("client_gone", (1,))) == [] and d.router.queries == {}
+    assert sum(d.router.fleet.inflight) == 0
+
+
+def test_calls_that_cannot_be_taken(tmp_path):
+    d = Desk(tmp_path)
+    d.ask(name=b"r")
+    assert d.ask(name=b"r", number=2) == ["reject 1 2 ref: still open"]
+    assert d.ask(number=1) == ["reject 1 1 sequence number: still open"]
+    assert d.ask(kind=b"tune", number=3) == ["reject 1 3 service: no such class"]
+    assert len(d.reducer.queries) == 1
+
+
+def test_unchanged_only_where_a_tag_was_passed_on(tmp_path):
+    d = Desk(tmp_path)
+    d.ask(tag=b"4be0")
+    assert d.end(0, 1, "satisfied", same=True) == ["satisfy 1 1 b'' True"]
+    d.router.retries = 0.0
+    d.ask(key=b"bb")
+    assert d.end(1, 1, "satisfied", same=True) == ["nack 1 2 0.0"]
+
+
+def test_single_use_that_may_have_run_ends_in_error(tmp_path):
+    d = Desk(tmp_path)
+    d.ask(kind=b"order")
+    assert d.end(0, 1, "broken") == ["error 1 1"]
+
+
+def test_repeated_commands_are_ignored_and_the_rest_are_in_force(tmp_path):
+    d = Desk(tmp_path)
+    assert d.ask(at=1.0) == ["pull q0.1 r1 s-21 from s-12 rank 1 for 0.999"]
+    change = listed(4, [host("s-21", health="draining")], whole=False)
+    assert d.hear(*commands(change)) == []
+    assert d.ask() == ["pull q1.1 r2 s-22 from s-12 rank 2 for 0.999"]
+    assert d.hear(*commands(listed(4, [host("s-22", health="draining")], whole=False))) == []
+    assert d.ask() == ["pull q2.1 r3 s-22 from s-12 rank 2 for 0.999"]
+    assert d.hear(*commands({"cursor": 5, "play": 1})) == [
+        "say command skipped {'cursor': 5, 'why': \"KeyError 'drop': {'cursor': 5, 'play': 1}\"}"]
+    assert d.reducer.cursor == 5
+
+
+def test_a_start_or_an_address_makes_another_server(tmp_path):
+    """A machine that restarted or a newcomer under its old address must not get what was meant for the first."""
+    d = Desk(tmp_path)
+    assert d.hear(*commands(listed(4, [host("s-21", born_ms=5000)], whole=False), start=3.0)) == ["retire s-21"]
+    assert d.reducer.dials["s-21"] == (("127.0.0.1", 9), 2.0)
+    assert d.hear(*commands(listed(5, [host("s-21", health="removed")], whole=False))) == ["retire s-21"]
+    assert d.hear(*commands(listed(6, [host("s-22")]))) == [
+        "retire s-01", "retire s-11", "retire s-12", "retire s-23"]
+    assert list(d.reducer.dials) == ["s-22"]
+
+
+def test_a_purge_is_told_with_its_age(tmp_path):
+    d = Desk(tmp_path)
+    d.ask(), d.end(0, 1, "satisfied")
+    d.hear(*commands({"cursor": 4, "drop": {"id": "aa", "when": 1000}}), at=1.5)
+    assert d.router.docs["aa", 0].purged_at == 1.0
+    d.hear(*commands({"cursor": 5, "drop": {"family": 4, "when": 2000}}), at=2.5)
+    assert d.router.groups == {4: 2.0, "aa": 1.0}
+
+
+def test_a_fault_of_the_decisions_costs_its_query_alone(tmp_path):
+    d = Desk(tmp_path)
+    place, d.router.place = d.router.place, lambda query, q: place(query, q) if query else 1 / 0
+    told = [("query", (1, n, b"r%d" % n, b"page", b"aa", b"0", 0, 4, 100.0, 1.0, None, b"", 0.01)) for n in (1, 2)]
+    said, *done = d.hear(*told)
+    assert said.startswith("say decisions {'text': 'ZeroDivisionError: division by zero (<lambda>, line")
+    assert done == ["error 1 1", "pull q1.1 r2 s-21 from s-12 rank 2 for 0.989"]
+    assert list(d.router.queries) == [1]
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,302 @@
+"""A service on sockets among stand-ins: what clients hear and what comes to cache servers."""
+import asyncio
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from helpers import SERVERS, Caller, Commands, Machine, Town, host, listed
+
+from brookhinge.net import thrift
+
+ROOT = Path(__file__).resolve().parent.parent
+FULL = "7f3a9c21e0b4d655"
+
+
+def played(scene, folder, **town):
+    async def play():
+        async with Town(folder, **town) as t:
+            return await asyncio.wait_for(scene(t), 20)
+    return asyncio.run(play())
+
+
+def caches(**all_as):
+    """The same behaviour for the three caches."""
+    return {s: Machine(**all_as) for s in ("s-21", "s-22", "s-23")}
+
+
+async def until(true):
+    for _ in range(1000):
+        if true():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("did not come about")
+
+
+def test_served_unchanged_and_well(tmp_path):
+    async def scene(t):
+        asked = [t.caller.ask(1), t.caller.call(b"isWell"), t.caller.ask(2, ver="4be0c1927d55a6f3")]
+        t.machines["s-21"].act = t.machines["s-22"].act = t.machines["s-23"].act = \
+            lambda line: "unchanged" if "got=4be0" in line[2] else "data"
+        return asked, sorted([await t.caller.hear() for _ in asked])
+    asked, heard = played(scene, tmp_path)
+    assert heard == [(1, "satisfied 19"), (2, "well True"), (3, "satisfied 0 unchanged")]
+
+
+def test_what_passes_goes_on_as_it_came(tmp_path):
+    async def scene(t):
+        lines = []
+        for m in t.machines.values():
+            m.act = lambda line: lines.append(" ".join(line)) or "data"
+        t.caller.ask(1, piece="007", lookup="00ab" * 4, ver="aa")
+        await t.caller.hear()
+        return lines
+    line, = played(scene, tmp_path)
+    name, fields = line.split()[1:3]
+    fields = dict(f.split("=") for f in fields.split(","))
+    assert name == f"{1:016x}" and 0 < int(fields.pop("patience")) < 1000
+    assert fields.pop("parent") in ("s-11", "s-12")
+    assert fields == {"sort": "page", "asset": "00ab" * 4, "slice": "007", "shelf": "1", "hints": "merge", "got": "aa"}
+
+
+@pytest.mark.parametrize("fields, why", [
+    ({"service": None}, "service: missing or unusable"), ({"service": "tune"}, "service: no such class"),
+    ({"ref": "xyz"}, "ref: missing or unusable"), ({"allow": "-1"}, "allow: missing or unusable"),
+    ({"lookup": "a,b"}, "lookup: missing or unusable"), ({"piece": ""}, "piece: missing or unusable"),
+    ({"room": "much"}, "room: unusable"), ({"ver": "a b"}, "ver: unusable"), ({"lot": "x"}, "lot: unusable")])
+def test_a_call_that_cannot_be_taken_is_answered_under_its_number(tmp_path, fields, why):
+    async def scene(t):
+        t.caller.ask(1, **fields)
+        bad = await t.caller.hear()
+        t.caller.ask(2)
+        return bad, await t.caller.hear()
+    assert played(scene, tmp_path) == ((1, "exception " + why), (2, "satisfied 19"))
+
+
+def test_an_unknown_method_and_a_frame_that_cannot_be_read(tmp_path):
+    async def scene(t):
+        t.caller.call(b"sing")
+        heard = [await t.caller.hear()]
+        for bad in (b"\0\0\0\x05hello", b"\x7f\0\0\0", thrift.INT.pack(20) + thrift.message(b"serve", 1, 9)[4:20] + b"\r" * 4):
+            other = await Caller.connect(t.address)
+            other.writer.write(bad)
+            heard.append(await other.hear())
+        t.caller.ask(1)
+        return heard + [await t.caller.hear()]
+    assert played(scene, tmp_path) == [(1, "exception no method sing"), None, None, None, (2, "satisfied 19")]
+
+
+def test_forgotten_and_lost_clients_leave_nothing_out(tmp_path):
+    async def scene(t):
+        other = await Caller.connect(t.address)
+        number = t.caller.ask(1)
+        other.ask(2, lookup="cd" * 8)
+        await until(lambda: len(t.pulled()) == 2)
+        t.caller.forget(number)
+        other.writer.transport.abort()
+        await until(lambda: len(t.pulled()) == 4)
+        t.caller.call(b"isWell")
+        return await t.caller.hear(), sorted(line[5:9] for line in t.pulled()), t.service.reducer.queries
+    assert played(scene, tmp_path, machines=caches(act="silent")) == (
+        (3, "well True"), ["KILL", "KILL", "PULL", "PULL"], {})
+
+
+def test_a_silent_server_is_found_by_echo_and_delays_no_other(tmp_path):
+    """Open connections of a machine that vanished stay open: its pushes must not wait for their whole time."""
+    async def scene(t):
+        begun, t.service.reducer.router.retries = time.monotonic(), 10.0
+        t.caller.ask(1, allow="10000")
+        await until(t.pulled)
+        home = t.pulled()[0][:4]
+        for s in ("s-21", "s-22", "s-23"):
+            t.machines[s].act = "silent" if s == home else "data"
+        for n in range(2, 8):
+            t.caller.ask(n, lookup=f"{n:016x}", allow="10000")
+        heard = [await t.caller.hear() for _ in range(7)]
+        return {text for _, text in heard}, time.monotonic() - begun < 8.0, \
+            f"cache connection {home} silent" in t.lines
+    assert played(scene, tmp_path, machines=caches(act="silent")) == ({"satisfied 19"}, True, True)
+
+
+def test_a_server_that_refuses_proves_that_nothing_ran(tmp_path):
+    """A single-use query goes on to another cache; after a reset it may have run and ends in error."""
+    async def scene(t):
+        t.service.reducer.router.retries = 10.0
+        for machine in list(t.machines.values())[3:5]:
+            await machine.stop()
+        heard = []
+        for n in range(1, 13):
+            t.caller.ask(n, service="order", lookup=f"{n:016x}")
+            heard.append((await t.caller.hear())[1])
+        t.machines["s-23"].act = "reset"
+        t.caller.ask(20, service="order")
+        return set(heard), await t.caller.hear()
+    assert played(scene, tmp_path) == ({"satisfied 19"}, (13, "error"))
+
+
+def test_an_unreadable_answer_closes_that_connection(tmp_path):
+    async def scene(t):
+        t.caller.ask(1, service="order")
+        first = await t.caller.hear()
+        for s in ("s-21", "s-22", "s-23"):
+            t.machines[s].act = "data"
+        t.caller.ask(2, service="order")
+        return first, await t.caller.hear(), any("unreadable: the line b'what is this'" in line for line in t.lines)
+    assert played(scene, tmp_path, machines=caches(act="garbage")) == (
+        (1, "error"), (2, "satisfied 19"), True)
+
+
+def test_a_slow_transfer_does_not_hold_up_the_rest(tmp_path):
+    """An answer of which half has come blocks its connection; later pushes to that cache go by others."""
+    async def scene(t):
+        t.caller.ask(1)
+        heard = [await t.caller.hear()]
+        for machine in t.machines.values():
+            machine.act = lambda line: "half" if line[1].endswith("2") else "data"
+        for n in range(2, 6):
+            t.caller.ask(n)
+            heard += [await t.caller.hear()] if n > 2 else []
+        return heard, {line[:4] for line in t.pulled()}
+    heard, servers = played(scene, tmp_path)
+    assert heard == [(n, "satisfied 19") for n in (1, 3, 4, 5)] and len(servers) == 1
+
+
+def test_a_pushs_time_is_over(tmp_path):
+    """The router's own clock ends a push: KILL to the cache, an answer to the client in its time."""
+    async def scene(t):
+        begun = time.monotonic()
+        t.caller.ask(1, allow="200")
+        return await t.caller.hear(), time.monotonic() - begun < 1.0, [line[5:9] for line in t.pulled()]
+    assert played(scene, tmp_path, machines=caches(act="silent")) == ((1, "nack"), True, ["PULL"]) or \
+        played(scene, tmp_path, machines=caches(act="silent")) == ((1, "nack"), True, ["KILL", "PULL"])
+
+
+def test_a_reused_address_belongs_to_the_new_server(tmp_path):
+    """s-21 goes and s-22 comes under its address: nothing for s-22 runs over a connection to s-21."""
+    async def scene(t):
+        t.caller.ask(1)
+        await t.caller.hear()
+        port = t.machines["s-21"].port
+        rest = [host(s, t.machines[s].port) for s in ("s-01", "s-11", "s-12")]
+        made = t.machines["s-21"].made
+        t.commands.answers.append(Commands.reply(4, listed(4, rest + [host("s-22", port)])))
+        await until(lambda: t.service.reducer.cursor == 4)
+        t.caller.ask(2)
+        return await t.caller.hear(), t.machines["s-21"].made - made >= 1, "s-21" in t.service.reducer.dials
+    assert played(scene, tmp_path) == ((2, "satisfied 19"), True, False)
+
+
+def test_the_command_channel_fails_in_every_way_and_goes_on(tmp_path):
+    """The known list stays in force; asked again from the last event that is known."""
+    bad = [b"", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b"nonsense\r\n\r\n",
+           b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull", Commands.reply(4, {"cursor": 4, "play": {}}),
+           b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{\"cu\r\n14\r\nrsor\":5,\"cmds\":[[]]}\r\n0\r\n\r\n"]
+
+    async def scene(t):
+        await until(lambda: len(t.commands.polls) == 7)
+        t.caller.ask(1)
+        heard = await t.caller.hear()
+        cursors = [int(poll.partition("resume=")[2].partition("&")[0]) for poll in t.commands.polls]
+        return heard, cursors, [line for line in t.lines if "command" in line][-2:]
+    heard, cursors, said = played(scene, tmp_path, commands=Commands(*bad))
+    assert (heard, cursors) == ((1, "satisfied 19"), [3, 3, 3, 3, 3, 4, 5])
+    assert said == ["command skipped 4 KeyError 'drop': {'cursor': 4, 'play': {}}", "command skipped 0 no cursor: []"]
+
+
+def test_descriptors_at_their_limit_do_not_end_the_accept_loop(tmp_path):
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    async def scene(t):
+        others = [await Caller.connect(t.address) for _ in range(20)]
+        await until(lambda: len(t.service.front.clients) == 21)
+        used = len(os.listdir("/proc/self/fd"))
+        waiting = [asyncio.ensure_future(Caller.connect(t.address)) for _ in range(4)]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (used + 4, hard))
+        try:
+            late = [await w for w in waiting]
+            await until(lambda: any("not accepting" in line for line in t.lines))
+            t.caller.ask(1)
+            first = await t.caller.hear()
+            for other in others:
+                other.writer.close()
+            late[-1].ask(2)
+            return first, await late[-1].hear()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    first, second = played(scene, tmp_path)
+    assert first[1] in ("satisfied 19", "nack") and second[1] in ("satisfied 19", "nack")
+
+
+def test_a_client_that_reads_nothing_is_given_up_and_delays_no_other(tmp_path):
+    async def scene(t):
+        t.service.front.most_held = 500_000
+        made = socket.socket()
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        made.connect(t.address)
+        slow = Caller(*await asyncio.open_connection(sock=made, limit=4096))
+        for n in range(100, 132):
+            slow.ask(n, lookup=f"{n:016x}", room="1")
+        await until(lambda: len(t.service.front.clients) == 1 and not t.service.reducer.queries)
+        t.caller.ask(1)
+        return await t.caller.hear(), t.service.front.unread, any("bytes not read" in line for line in t.lines)
+    machines = caches(body=b"x" * 240_000)
+    assert played(scene, tmp_path, machines=machines) == ((1, "satisfied 240000"), 0, True)
+
+
+def test_told_to_end_it_takes_queries_for_a_while_and_finishes_what_is_open(tmp_path):
+    async def scene(t):
+        t.caller.ask(1, allow="2500")
+        await until(t.pulled)
+        t.service.stop()
+        t.caller.call(b"isWell")
+        heard = [await t.caller.hear()]
+        other = await Caller.connect(t.address)
+        other.ask(2, allow="2500", lookup="cd" * 8)
+        heard += [await t.caller.hear(), await other.hear(), await other.hear()]
+        await t.task
+        return heard, [line for line in t.lines if "phase" in line]
+    assert played(scene, tmp_path, machines=caches(delay=1.0)) == (
+        [(2, "well False"), (1, "satisfied 19"), (1, "satisfied 19"), None],
+        ["phase ready", "phase leaving", "phase finishing", "phase ended"])
+
+
+def test_the_program_ends_with_0_after_sigterm_and_starts_again_from_nothing(tmp_path):
+    async def scene(t):
+        values = json.dumps({**t.values, "listen": "127.0.0.1:%d" % free_port()})
+        (tmp_path / "n1.json").write_text(values)
+        codes = []
+        for word in (signal.SIGKILL, signal.SIGTERM):
+            program = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "brookhinge", cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+                env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "n1.json")})
+            while b'"listening"' not in (line := await program.stdout.readline()):
+                assert line
+            caller = await Caller.connect(("127.0.0.1", int(json.loads(line)["address"].split(":")[1])))
+            caller.ask(1)
+            assert await caller.hear() == (1, "satisfied 19")
+            caller.ask(2, lookup="cd" * 8)
+            program.send_signal(word)
+            if word == signal.SIGTERM:
+                assert await caller.hear() == (2, "satisfied 19")
+            codes.append(await program.wait())
+        return codes
+    assert played(scene, tmp_path, machines=caches(delay=0.2)) == [-signal.SIGKILL, 0]
+
+
+def free_port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+def test_a_configuration_that_cannot_be_used_ends_the_start_with_one_line():
+    done = subprocess.run([sys.executable, "-m", "brookhinge"], cwd=ROOT, capture_output=True, text=True,
+                          env={k: v for k, v in os.environ.items() if k != "BALANCER_CONFIG"})
+    assert (done.returncode, done.stdout, done.stderr) == (
+        2, "", "brookhinge: BALANCER_CONFIG: missing, expected the path of the configuration\n")
