--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -6,7 +6,7 @@
 
 from brookhinge.net import cachewire
 
-PIECE = 256 * 1024
+PIECE = 64 * 1024
 BUFFER = 4 * 1024 * 1024
 CONNECTIONS = 8             # to one server at most, as far as the share of descriptors reaches
 ECHO = b"echo"              # no query's id: those are hex digits
@@ -15,8 +15,8 @@
 class Line:
     """One connection: what is out on it, and the ids that it must not carry again."""
 
-    def __init__(self, stream, now):
-        self.stream, self.up, self.closed, self.retired = stream, False, False, False
+    def __init__(self, server, stream, now):
+        self.server, self.stream, self.up, self.closed, self.retired = server, stream, False, False, False
         self.used_at, self.heard_at, self.asked_at = now, now, None
         self.out, self.given_up, self.waiting = {}, set(), {}
 
@@ -40,6 +40,9 @@
         line = self.choose(server, name)
         if line is None:        # no descriptor left for one more: nothing was sent
             return self.end(query, push, "unreachable")
+        self.put(line, query, push, name, wire)
+
+    def put(self, line, query, push, name, wire):
         self.where[query, push] = line, name
         line.used_at = self.now()
         if not line.up:
@@ -78,38 +81,38 @@
         """The connection that carries least; one is opened ahead where none is left idle, so that answers which
         take long don't hold up the rest and a connect is seldom waited for."""
         lines = self.lines.setdefault(server, [])
-        usable = [n for n in lines if not n.closed and not n.stream.closed() and n.load() < self.multiplex
-                  and name not in n.out and name not in n.given_up and name not in n.waiting]
-        best = min(usable, key=lambda n: (not n.up, n.load()), default=None)
-        if not any(n is not best and not n.load() for n in usable):
-            fresh = self.connect(server) if len(lines) < CONNECTIONS and self.count < self.sockets else None
-            if best is None or not best.up and best.load():
-                best = fresh or best
-        return best
+        usable = [n for n in lines if self.takes(n, name)]
+        if sum(not n.load() for n in usable) < 2 and len(lines) < CONNECTIONS and self.count < self.sockets:
+            fresh = self.connect(server)
+            usable += [fresh] if fresh else []
+        return min(usable, key=lambda n: (n.load(), not n.up), default=None)
+
+    def takes(self, line, name):
+        return not line.closed and not line.stream.closed() and line.load() < self.multiplex \
+            and name not in line.out and name not in line.given_up and name not in line.waiting
 
     def connect(self, server):
         try:
             made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as fault:        # no descriptor
             return self.say("cache connection", server=server[0], why=f"{fault.strerror}")
-        line = Line(IOStream(made, max_buffer_size=BUFFER, read_chunk_size=65536, max_write_buffer_size=BUFFER),
+        line = Line(server, IOStream(made, max_buffer_size=BUFFER, read_chunk_size=PIECE, max_write_buffer_size=BUFFER),
                     self.now())
         line.stream.set_nodelay(True)
         self.lines[server].append(line)
         self.count += 1
-        asyncio.ensure_future(self.run(server, line))
+        asyncio.ensure_future(self.run(line))
         return line
 
-    async def run(self, server, line):
+    async def run(self, line):
         """From the connect to the end of one connection."""
         why = None
         try:
-            await asyncio.wait_for(line.stream.connect(server[1]), self.connect_s)
+            await asyncio.wait_for(line.stream.connect(line.server[1]), self.connect_s)
             line.up, line.heard_at = True, self.now()
-            for name, (query, push, wire) in list(line.waiting.items()):
-                line.out[name] = query, push
-                del line.waiting[name]
-                self.write(line, wire)
+            waiting, line.waiting = line.waiting, {}
+            for name, (query, push, wire) in waiting.items():
+                self.put(line, query, push, name, wire)
             answers = cachewire.Answers()
             while True:
                 data = await line.stream.read_bytes(PIECE, partial=True)
@@ -126,10 +129,10 @@
             why = f"{type(fault).__name__}: {fault}"
         finally:
             if why:
-                self.say("cache connection", server=server[0], why=why)
+                self.say("cache connection", server=line.server[0], why=why)
             self.close(line)
-            if line in self.lines.get(server, ()):
-                self.lines[server].remove(line)
+            if line in self.lines.get(line.server, ()):
+                self.lines[line.server].remove(line)
             self.count -= 1
 
     def write(self, line, wire):
@@ -153,7 +156,8 @@
         self.settle(line)
 
     def close(self, line):
-        """What was out on it is broken; what was never written proves that nothing ran."""
+        """What was out on it is broken. What was never written goes to another connection that is up; without
+        one the refusal proves that nothing ran."""
         if line.closed:
             return
         line.closed = True
@@ -161,9 +165,14 @@
         for query, push in line.out.values():
             del self.where[query, push]
             self.end(query, push, "broken")
-        for query, push, _ in line.waiting.values():
+        fellows = self.lines.get(line.server, ())
+        for name, (query, push, wire) in line.waiting.items():
             del self.where[query, push]
-            self.end(query, push, "unreachable")
+            other = next((n for n in fellows if n.up and self.takes(n, name)), None)
+            if other is None:
+                self.end(query, push, "unreachable")
+            else:
+                self.put(other, query, push, name, wire)
         line.out, line.waiting = {}, {}
 
     def end(self, query, push, result):
@@ -175,7 +184,7 @@
         A machine that vanished leaves its connections open: where something is out and nothing was heard for
         half the time that a connect may take, an ECHO asks whether the connection works; it has that time."""
         now = self.now()
-        for server, lines in self.lines.items():
+        for lines in self.lines.values():
             for line in [n for n in lines if n.up and not n.closed]:
                 if not line.out:
                     line.asked_at = None
@@ -186,7 +195,7 @@
                         line.asked_at = now
                         self.write(line, cachewire.echo(ECHO))
                 elif now - max(line.heard_at, line.asked_at) > self.connect_s:
-                    self.say("cache connection", server=server[0], why="silent")
+                    self.say("cache connection", server=line.server[0], why="silent")
                     self.close(line)
 
     def end_all(self):
--- a/brookhinge/startup.py
+++ b/brookhinge/startup.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
+from brookhinge.net.http import read_commands
 
 NS = 1e-9
 EFFECTS = {"retryable": "replayable", "dedup": "referenced", "fragile": "single-use"}
@@ -171,6 +172,9 @@
     top = Table(Table.checked("BALANCER_CONFIG", values, *TABLE))
     settings, limits, known = top.table("settings"), top.table("limits", {}), top.table("known")
     known.take("cursor", WHOLE), known.take("cmds", ROWS)
+    for i, (method, told) in enumerate(read_commands(known.values, 0.0)[1]):
+        if method == "skipped":
+            raise StartError(f"known.cmds[{i}]: expected a command, cannot read {told[1]}")
     seed = top.take("seed", TEXT)
     try:
         seed = int(seed, 16)
