--- a/brookhinge/net/http.py
+++ b/brookhinge/net/http.py
@@ -33,9 +33,11 @@
             del self.held[:end + 4]
         if self.chunked:
             return self.chunks()
-        if self.left is None or len(self.held) > LONGEST_BODY:
-            return self.until_close()
-        return (self.status, bytes(self.held[:self.left]), self.kept) if len(self.held) >= self.left else None
+        if len(self.held) > LONGEST_BODY:
+            raise Unreadable("a body that is too long")
+        if self.left is None or len(self.held) < self.left:     # without a length it ends with its connection
+            return None
+        return self.status, bytes(self.held[:self.left]), self.kept
 
     def head(self, text):
         first, *lines = text.decode("latin-1").split("\r\n")
@@ -88,11 +90,6 @@
             self.body += self.held[end + 2:end + 2 + size]
             del self.held[:end + 4 + size]
 
-    def until_close(self):
-        if len(self.held) > LONGEST_BODY:
-            raise Unreadable("a body that is too long")
-        return None
-
     def ended(self):
         """What the end of the connection makes of an answer without a length."""
         if self.status is None or self.chunked or self.left is not None:
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -186,8 +186,9 @@
                 self.inbox.append((method, (*values[:5], True, *values[6:])))
         else:
             self.give_up(query)
+            took = self.now - q.sent_at
             self.inbox += [("left", (query,)),
-                           ("ended", (query, q.pushes, q.server, "cancelled", self.now - q.sent_at, True, 0, 0.0, None))]
+                           ("ended", (query, q.pushes, q.server, "cancelled", took, True, 0, 0.0, None))]
         self.counts["left"] += 1
         self.settle(query)
 
