A cache whose answers take far over its fellows' rests by its crowd as well as its quantile

A trace of answer times, crowds and nacks by second showed: crowd of the slow cache 1.5 to 2.0 after a second against 0.1 to 0.3 of its fellows, while the high quantile reached three times its fellows' only after 10 s: what the crowd sheds leaves too few answers to teach it (Health.slow, Crowding.open). Changed: such an answer counts as a failure as soon as the cache lags by Crowding.lags, as it does for parents.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -598,7 +598,7 @@
                     self.crowding.answered(INLET, now, ratio, self.fills)
                 elif q.held and note < 2:
                     self.crowding.answered(c, now, ratio, fleet.inflight[c])
-                    lags = self.health.slow(c, 1.0 / max(ratio, 1e-3), fleet.own)
+                    lags = self.health.slow(c, 1.0 / max(ratio, 1e-3), fleet.own) | self.crowding.lags(c, now, fleet.own)
         elif result == "miss":
             doc.holders.pop(c, None)
         if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
