--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -234,10 +234,10 @@
         prior = self.PRIOR * math.exp((now - at) / self.FADE)
         return (total + prior * usual) / (prior + bases)
 
-    def lags(self, c, now, fellows):
+    def lags(self, c, now, fellows, over=0.5):
         """Far slower than the quicker half of its fellows."""
         usual = median({f: self.crowd(f, now) for f in fellows}, c, fellows, 0.0)
-        return usual is not None and self.crowd(c, now) > 0.5 + 2.0 * usual
+        return usual is not None and self.crowd(c, now) > over + 2.0 * usual
 
     def open(self, c, now, part, chance, way_in=False):
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
@@ -598,7 +598,8 @@
                     self.crowding.answered(INLET, now, ratio, self.fills)
                 elif q.held and note < 2:
                     self.crowding.answered(c, now, ratio, fleet.inflight[c])
-                    lags = self.health.slow(c, 1.0 / max(ratio, 1e-3), fleet.own) | self.crowding.lags(c, now, fleet.own)
+                    lags = self.health.slow(c, 1.0 / max(ratio, 1e-3), fleet.own)   # late where much is shed
+                    lags |= self.crowding.lags(c, now, fleet.own, 1.0)
         elif result == "miss":
             doc.holders.pop(c, None)
         if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
