--- a/brookhinge/__main__.py
+++ b/brookhinge/__main__.py
@@ -10,7 +10,8 @@
 
 async def serve(site):
     service = Service(site)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, service.stop)
+    for word in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(word, service.stop)
     await service.run()
 
 
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -10,6 +10,7 @@
 BUFFER = 4 * 1024 * 1024
 CONNECTIONS = 8             # to one server at most, as far as the share of descriptors reaches
 ECHO = b"echo"              # no query's id: those are hex digits
+GIVEN_UP = 1000             # ids given up on a connection, after which it takes no more and another is opened
 
 
 class Line:
@@ -60,6 +61,7 @@
         if line.waiting.pop(name, None) is None:
             del line.out[name]
             line.given_up.add(name)
+            line.retired |= len(line.given_up) >= GIVEN_UP
             self.write(line, cachewire.kill(name))
             if line.stream.writing():       # it may not arrive: closing gives it up for sure
                 self.close(line)
@@ -88,7 +90,7 @@
         return min(usable, key=lambda n: (n.load(), not n.up), default=None)
 
     def takes(self, line, name):
-        return not line.closed and not line.stream.closed() and line.load() < self.multiplex \
+        return not (line.closed or line.retired or line.stream.closed()) and line.load() < self.multiplex \
             and name not in line.out and name not in line.given_up and name not in line.waiting
 
     def connect(self, server):
