Power of caches that is not told is judged by answers, not by what was sent

Cause: of a released location few warm caches were left and were sent all of it; what was sent was taken for their power (send, carried, power).

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -428,7 +428,6 @@
         more = q.shots < self.allowed.pushes and q.shots < 3 and 0.0 < need + 0.3 < 0.6 * left
         until = self.now + (left * 0.6 if more and need else left - 0.001)
         self.fleet.inflight[target] += 1
-        self.carried(target, self.sending[q.track])
         if source != target:
             self.carried(source, self.sending[q.track] * (1.0 if q.missed else 0.25))       # most are hits
         q.filling = source != target and not q.sibling and not q.held
@@ -579,6 +578,7 @@
                 doc.holders.pop(c, None)
                 doc.holders[c] = now
             doc.fresh_at = now if q.filling else doc.fresh_at
+            self.carried(c, self.sending[q.track])      # not what was sent: in a jam the last warm get it all
             if not q.expect:
                 self.sending[q.track] += 0.02 * (min(took, 3.0) - self.sending[q.track])
             if note == 1 or tells == "none" or doc.best == 0.0:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -192,3 +192,16 @@
             ("k", part), Doc("k", part, 0)).code)[0] == b.router.fleet.index[21])
         return b.ask("k", part=home)[0].split(" from")[0]
     assert (shed(0.0), shed(9.0)) == ("q1 push 24", "q1 nack")
+
+
+def test_what_a_cold_cache_can_do_is_judged_by_answers_of_the_warm():
+    """Hunt h99c0b0 (depot-fare-cache-later): in a jam the last warm caches were sent many times what they could do;
+    taken for their power, it let cold fellows be pushed over."""
+    def power(result):
+        b = Bench(weight=0.0, routers=40)
+        for part in range(60):
+            b.ask("k", part=part)
+            while b.next in b.router.queries:
+                b.end(b.next, result, took=0.3)
+        return b.router.power(b.router.fleet.index[21])
+    assert power("timeout") == 1.0 < power("satisfied")
