--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -30,7 +30,7 @@
 
     def __init__(self, post, say, well, now, sockets, held):
         self.post, self.say, self.well, self.now = post, say, well, now
-        self.sockets, self.most_held = sockets, held
+        self.sockets, self.most_held, self.paused = sockets, held, False
         self.clients, self.serial, self.unread, self.partial, self.listener = {}, 0, 0, 0, None
 
     # accepting
@@ -60,6 +60,7 @@
                     return self.pause(f"no descriptor: {fault.strerror}")
                 continue            # that connection ended before it was taken
             stream = IOStream(made, max_buffer_size=2 * thrift.LONGEST, read_chunk_size=PIECE)
+            self.paused = False
             self.serial += 1
             client = self.clients[self.serial] = Client(self.serial, stream)
             asyncio.ensure_future(self.run(client))
@@ -67,7 +68,9 @@
     def pause(self, why):
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.listener)
-        self.say("not accepting", why=why)
+        if not self.paused:         # once, not at each look
+            self.say("not accepting", why=why)
+        self.paused = True
         loop.call_later(0.05, lambda: self.listener and loop.add_reader(self.listener, self.accept))
 
     def stop(self):
@@ -144,23 +147,21 @@
     # effects
 
     def satisfy(self, client, number, body, same):
-        self.reply(client, number, lambda: thrift.answer(b"serve", number, body, {b"unchanged": b"1"} if same else {},
-                                                         True))
+        self.reply(client, thrift.answer(b"serve", number, body, {b"unchanged": b"1"} if same else {}, True))
 
     def nack(self, client, number, retry_after_s):
         fields = {b"cooldown": b"%d" % int(retry_after_s * 1000)} if retry_after_s > 0 else {}
-        self.reply(client, number, lambda: thrift.thrown(number, 1, fields))
+        self.reply(client, thrift.thrown(number, 1, fields))
 
     def error(self, client, number):
-        self.reply(client, number, lambda: thrift.thrown(number, 2, {}))
+        self.reply(client, thrift.thrown(number, 2, {}))
 
     def reject(self, client, number, why):
-        self.reply(client, number, lambda: thrift.exception(b"serve", number, thrift.PROTOCOL, why))
+        self.reply(client, thrift.exception(b"serve", number, thrift.PROTOCOL, why))
 
-    def reply(self, number_of_client, number, encode):
-        client = self.clients.get(number_of_client)
-        if client is not None:
-            self.write(client, encode())
+    def reply(self, client, wire):
+        if client in self.clients:
+            self.write(self.clients[client], wire)
 
     def write(self, client, wire):
         """Never waits. Past the bound on all bytes held for clients the one with most of them is given up."""
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -41,7 +41,7 @@
         self.carry["say"] = lambda event, values: self.log(event, **values)
         for event in commands:
             self.post(*event)
-        self.ended, self.lag = None, 0.0
+        self.ended = None
 
     def now(self):
         return time.time() - self.start
