--- a/brookhinge/__main__.py
+++ b/brookhinge/__main__.py
@@ -8,10 +8,19 @@
 from brookhinge.startup import StartError, read_site
 
 
+def reread(service):
+    """SIGHUP: the new file, or one that can't be used: that is logged and the old one stays in force."""
+    try:
+        service.reload(read_site(os.environ))
+    except StartError as fault:
+        service.log("configuration", why=str(fault))
+
+
 async def serve(site):
     service = Service(site)
     for word in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(word, service.stop)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, service)
     await service.run()
 
 
--- a/brookhinge/net/channel.py
+++ b/brookhinge/net/channel.py
@@ -1,5 +1,6 @@
 """The command channel: long polls, answers to events. Decides nothing."""
 import asyncio
+import contextlib
 import random
 import socket
 
@@ -7,7 +8,7 @@
 
 from brookhinge.net import http
 
-BLOCK_S, SLACK_S = 2.0, 1.0     # a poll waits so long; past the slack as well the connection is taken for dead
+BLOCK_S, SLACK_S = 1.0, 0.5     # a poll waits so long; past the slack as well the connection is taken for dead
 FIRST_S, LONGEST_S = 0.05, 1.0  # pauses after failures
 
 
@@ -15,11 +16,18 @@
     def __init__(self, post, say, address, cursor, start, block_s=BLOCK_S, slack_s=SLACK_S):
         self.post, self.say, self.address, self.cursor = post, say, address, cursor
         self.block_s, self.slack_s = block_s, slack_s
-        self.start, self.stream = start, None
+        self.start, self.stream, self.moved = start, None, asyncio.Event()
+
+    def move(self, address):
+        """From now on another address tells, from the event after the last; what waits on the old one ends."""
+        self.address = address
+        self.moved.set()
+        self.close()
 
     async def run(self):
         pause = FIRST_S
         while True:
+            self.moved.clear()
             try:
                 status, body, kept = await asyncio.wait_for(self.ask(), self.block_s + self.slack_s)
                 if status != 200:
@@ -37,20 +45,22 @@
             except Exception as fault:
                 why = f"{type(fault).__name__}: {fault}"
             self.close()
-            self.say("command channel", why=why, again_s=round(pause, 2))
-            await asyncio.sleep(pause * (0.5 + 0.5 * random.random()))
-            pause = min(LONGEST_S, 2 * pause)
+            if not self.moved.is_set():
+                self.say("command channel", why=why, again_s=round(pause, 2))
+                with contextlib.suppress(asyncio.TimeoutError):
+                    await asyncio.wait_for(self.moved.wait(), pause * (0.5 + 0.5 * random.random()))
+            pause = FIRST_S if self.moved.is_set() else min(LONGEST_S, 2 * pause)
 
     async def ask(self):
         if self.stream is None or self.stream.closed():
             self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM),
                                    max_buffer_size=2 * http.LONGEST_BODY)
             await self.stream.connect(self.address)
-        await self.stream.write(http.request("%s:%d" % self.address, self.cursor, int(self.block_s * 1000)))
-        answer = http.Answer()
+        stream, answer = self.stream, http.Answer()
+        await stream.write(http.request("%s:%d" % self.address, self.cursor, int(self.block_s * 1000)))
         while True:
             try:
-                done = answer.feed(await self.stream.read_bytes(65536, partial=True))
+                done = answer.feed(await stream.read_bytes(65536, partial=True))
             except StreamClosedError:
                 done = answer.ended()
             if done is not None:
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -1,6 +1,7 @@
 """Clients' connections: bytes to events, effects to bytes. Decides nothing."""
 import asyncio
 import errno
+import heapq
 import re
 import socket
 
@@ -13,24 +14,34 @@
 WORD = re.compile(rb"[\w.:-]{1,80}").fullmatch
 DIGITS = re.compile(rb"[0-9]{1,9}").fullmatch
 AMOUNT = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?").fullmatch
-FIELDS = ((b"service", WORD), (b"ref", HEX), (b"allow", DIGITS), (b"lookup", HEX), (b"piece", DIGITS))
-MAYBE = ((b"lot", DIGITS), (b"room", AMOUNT), (b"ver", WORD))
+FIELDS = tuple((name, form, must) for must, rows in (
+    (True, ((b"service", WORD), (b"ref", HEX), (b"allow", DIGITS), (b"lookup", HEX), (b"piece", DIGITS))),
+    (False, ((b"lot", DIGITS), (b"room", AMOUNT), (b"ver", WORD)))) for name, form in rows)
+WANTED = {b"serve": {1: thrift.MAP, 2: thrift.STRING}, b"forget": {1: thrift.I32}, b"isWell": {}}
+FRAME_S = 2.2       # from the connect to the first query, and from a frame's first byte to its last
+IDLE_S = 10.0       # a connection that has asked and has nothing open; usual clients close theirs before
+SPARE = 16          # given up at once when the share of descriptors is reached
+REJECTS = 8         # calls on a connection that can't be taken, after which it is closed; and a pause after each:
+REJECTED_S = 0.05   # who asks the same again at once is not read from meanwhile
+LONGEST_BODY = 240_000
 
 
 class Client:
     """One connection of a client: how many bytes it has not read yet, and how many of a frame have come."""
 
-    def __init__(self, number, stream):
+    def __init__(self, number, stream, now):
         self.number, self.stream, self.unread, self.partial = number, stream, 0, 0
+        self.asked, self.used_at, self.part_at, self.rejects = False, now, None, 0
         self.may_read = asyncio.Event()
 
 
 class Front:
-    """post(method, values) takes the events; well() tells whether the router takes queries."""
+    """post(method, values) takes the events; well() tells whether the router takes queries, busy(client) whether
+    one has queries open; longest: of each kind of query the patience."""
 
-    def __init__(self, post, say, well, now, sockets, held):
-        self.post, self.say, self.well, self.now = post, say, well, now
-        self.sockets, self.most_held, self.paused = sockets, held, False
+    def __init__(self, post, say, well, busy, now, longest, sockets, held):
+        self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, now
+        self.longest, self.sockets, self.most_held, self.paused = longest, sockets, held, False
         self.clients, self.serial, self.unread, self.partial, self.listener = {}, 0, 0, 0, None
 
     # accepting
@@ -49,7 +60,7 @@
         for _ in range(64):
             if self.listener is None:
                 return
-            if len(self.clients) >= self.sockets:
+            if len(self.clients) >= self.sockets and not self.make_room():
                 return self.pause("clients hold their share of descriptors")
             try:
                 made, _ = self.listener.accept()
@@ -62,9 +73,24 @@
             stream = IOStream(made, max_buffer_size=2 * thrift.LONGEST, read_chunk_size=PIECE)
             self.paused = False
             self.serial += 1
-            client = self.clients[self.serial] = Client(self.serial, stream)
+            client = self.clients[self.serial] = Client(self.serial, stream, self.now())
             asyncio.ensure_future(self.run(client))
 
+    def make_room(self):
+        """Usual clients must get in: those that never asked go first, then those idle longest; whether any went."""
+        idle = [c for c in self.clients.values() if not (c.unread or self.busy(c.number))]
+        for client in heapq.nsmallest(SPARE, idle, key=lambda c: (c.asked, c.used_at)):
+            self.drop(client)
+        return bool(idle)
+
+    def sweep(self):
+        """Closes who brings no whole frame in time, and who has nothing open long past usual clients' own close."""
+        now = self.now()
+        for client in list(self.clients.values()):
+            if now - client.used_at > (IDLE_S if client.asked else FRAME_S) and not client.unread \
+                    and not self.busy(client.number) or client.part_at is not None and now - client.part_at > FRAME_S:
+                self.drop(client)
+
     def pause(self, why):
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.listener)
@@ -87,17 +113,23 @@
         stream, frames, why = client.stream, thrift.Frames(), None
         try:
             stream.set_nodelay(True)
-            while True:
+            while client.number in self.clients:
                 data = await stream.read_bytes(PIECE, partial=True)
-                came = self.now()
+                came, rejects = self.now(), client.rejects
                 for frame in frames.feed(data):
+                    client.part_at = None
                     self.call(client, frame, came)
+                    if client.number not in self.clients:
+                        return
                 self.partial += len(frames.held) - client.partial
                 client.partial = len(frames.held)
+                client.part_at = (client.part_at or came) if client.partial else None
                 self.keep_bound()
                 if client.unread > thrift.LONGEST:      # reads nothing: no more is taken of it meanwhile
                     client.may_read.clear()
                     await client.may_read.wait()
+                # others' turn: what comes without a pause would else be read without one
+                await asyncio.sleep(REJECTED_S if client.rejects > rejects else 0)
         except (StreamClosedError, OSError):
             pass
         except thrift.Unreadable as fault:
@@ -113,36 +145,45 @@
         reader = thrift.Reader(frame)
         method, kind, number = thrift.read_head(reader)
         try:
-            if kind not in (thrift.CALL, thrift.ONEWAY):
-                raise thrift.Unusable(thrift.WRONG_KIND, "expected a call")
+            if kind != (thrift.ONEWAY if method == b"forget" else thrift.CALL):
+                raise thrift.Unusable(thrift.WRONG_KIND, "expected another kind of message")
+            wanted = WANTED.get(method)
+            if wanted is None:
+                raise thrift.Unusable(thrift.UNKNOWN_METHOD, f"no method {method[:80].decode('latin-1')}")
+            args = thrift.read_args(reader, wanted)
+            if reader.at != len(frame):
+                raise thrift.Unreadable("a frame that goes on after its message")
             if method == b"serve":
-                args = thrift.read_args(reader, {1: thrift.MAP, 2: thrift.STRING})
                 values = self.query(args.get(1) or {}, args.get(2, b""))
                 self.post("query", (client.number, number, *values, came))
             elif method == b"forget":
-                args = thrift.read_args(reader, {1: thrift.I32})
-                self.post("forgotten", (client.number, args.get(1)))
-            elif method == b"isWell":
-                thrift.read_args(reader, {})
-                self.write(client, thrift.answer(method, number, b"", {}, self.well()))
+                return self.post("forgotten", (client.number, args.get(1)))
             else:
-                raise thrift.Unusable(thrift.UNKNOWN_METHOD, f"no method {method[:80].decode('latin-1')}")
+                self.write(client, thrift.answer(method, number, b"", {}, self.well()))
+            client.asked, client.used_at = True, came
         except thrift.Unusable as fault:
-            if kind != thrift.ONEWAY:
-                self.write(client, thrift.exception(method, number, fault.code, str(fault)))
-
-    @staticmethod
-    def query(fields, body):
-        """The values of a query event; what the decisions need is taken out, the rest stays bytes."""
-        for name, form in FIELDS:
-            if not form(fields.get(name, b"")):
+            if kind == thrift.ONEWAY:       # nothing can be answered
+                raise thrift.Unreadable(str(fault)) from None
+            self.refuse(client, thrift.exception(method, number, fault.code, str(fault)))
+
+    def query(self, fields, body):
+        """The values of a query event; what the decisions need is taken out, the rest stays bytes. All is checked:
+        what a cache server can't read or use would end its connection, with everybody's pushes."""
+        for name, form, must in FIELDS:
+            value = fields.get(name)
+            if value is None and must or value is not None and not form(value):
                 raise thrift.Unusable(thrift.PROTOCOL, f"{name.decode()}: missing or unusable")
-        for name, form in MAYBE:
-            if name in fields and not form(fields[name]):
-                raise thrift.Unusable(thrift.PROTOCOL, f"{name.decode()}: unusable")
         get = fields.get
-        return (get(b"ref"), get(b"service"), get(b"lookup"), get(b"piece"), int(get(b"piece")),
-                int(get(b"lot", 0)), float(get(b"room", 0.0)), int(get(b"allow")) / 1000.0, get(b"ver"), body)
+        longest = self.longest.get(get(b"service"))
+        if longest is None:
+            raise thrift.Unusable(thrift.PROTOCOL, "service: no such class")
+        lot, allow, room = int(get(b"lot", 0)), int(get(b"allow")) / 1000.0, float(get(b"room", 1.0))
+        for name, good in (("lot", lot <= 255), ("allow", 0.0 < allow <= longest + 0.001), ("room", room > 0.0),
+                           ("body", len(body) <= LONGEST_BODY)):
+            if not good:
+                raise thrift.Unusable(thrift.PROTOCOL, f"{name}: out of range")
+        return (get(b"ref"), get(b"service"), get(b"lookup"), get(b"piece"), int(get(b"piece")), lot, room, allow,
+                get(b"ver"), body)
 
     # effects
 
@@ -157,10 +198,24 @@
         self.reply(client, thrift.thrown(number, 2, {}))
 
     def reject(self, client, number, why):
-        self.reply(client, thrift.exception(b"serve", number, thrift.PROTOCOL, why))
+        if client in self.clients:
+            self.refuse(self.clients[client], thrift.exception(b"serve", number, thrift.PROTOCOL, why))
+
+    def refuse(self, client, wire):
+        """A call that can't be taken; who goes on sending such is closed."""
+        client.rejects += 1
+        self.write(client, wire)
+        if client.rejects >= REJECTS:
+            self.shut(client.number, f"{REJECTS} calls that cannot be taken")
+
+    def shut(self, client, why):
+        if client in self.clients:
+            self.say("client connection", why=why)
+            self.drop(self.clients[client])
 
     def reply(self, client, wire):
         if client in self.clients:
+            self.clients[client].used_at = self.now()
             self.write(self.clients[client], wire)
 
     def write(self, client, wire):
@@ -178,9 +233,9 @@
 
     def keep_bound(self):
         if self.unread + self.partial > self.most_held:
-            worst = max(self.clients.values(), key=lambda c: c.unread + c.partial)
-            self.say("client connection", why=f"{worst.unread} bytes not read, {worst.partial} of a frame held")
-            self.drop(worst)
+            worst = max(self.clients.values(), key=lambda c: c.unread + c.partial, default=None)
+            if worst is not None:
+                self.shut(worst.number, f"{worst.unread} bytes not read, {worst.partial} of a frame held")
 
     def read(self, client, size, done):
         done.cancelled() or done.exception()
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -3,13 +3,17 @@
 Events and effects are (method, values). The reducer holds the Router, runs one round of it a loop pass and is
 its writer: decisions become effects. Times are seconds since the start. It knows nothing of any wire.
 
-Events in: query, forgotten, client_gone, ended, listed, purged.
-Effects out: pull, kill, satisfy, nack, error, reject, retire, say.
+Events in: query, forgotten, client_gone, ended, listed, purged, closing.
+Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say.
 """
 import heapq
 import traceback
 
 
+OPEN = 32       # queries on one connection, by the protocol
+PAST = 1024     # ids remembered of queries that are over: each query has a new one
+
+
 class Open:
     """A query that is owed its final answer; what goes on unchanged is kept as the bytes that came."""
     __slots__ = ("client", "number", "name", "kind", "key", "part", "tag", "body", "until", "pushes", "out",
@@ -27,6 +31,8 @@
         self.tracks = {name: i for i, name in enumerate(tracks)}
         self.zones = {name: i for i, name in enumerate(zones)}
         self.queries, self.names, self.clients = {}, {}, {}
+        self.numbers, self.withdrawn = {}, {}   # of each client: the last number, and queries withdrawn in a row
+        self.past, self.shut = {}, set()        # ids of the last queries that are over; clients closed in this pass
         self.dials = {}                  # of each server: its address and its start
         self.timers = []                 # (until, query, push)
         self.serial, self.cursor, self.now = 0, 0, 0.0
@@ -35,7 +41,7 @@
 
     def reduce(self, now, events):
         """One pass: the events, then the pushes whose time is over, then one round."""
-        self.now, self.effects, self.inbox = now, [], []
+        self.now, self.effects, self.inbox, self.shut = now, [], [], set()
         for self.current in events:
             try:
                 getattr(self, self.current[0])(*self.current[1])
@@ -64,9 +70,9 @@
         self.say(f"{type(fault).__name__}: {fault} ({where.name}, line {where.lineno}) in {method}")
         query = values[0] if method in ("query", "ended", "left") else None
         if query in self.queries:
-            self.give_up(query)
+            if not self.end_out(query):     # else the decisions still have to count what was out
+                self.router.queries.pop(query, None)
             self.error(query)
-        self.router.queries.pop(query, None)
 
     def next_at(self):
         """When the next push runs out of time, or None."""
@@ -84,10 +90,19 @@
         track = self.tracks.get(kind)
         if track is None:
             return self.effects.append(("reject", (client, number, "service: no such class")))
-        if number in self.clients.get(client, ()):
-            return self.effects.append(("reject", (client, number, "sequence number: still open")))
+        if client in self.shut:
+            return
+        if number <= self.numbers.get(client, 0):   # two answers under one number: neither could be told from the other
+            return self.close(client, f"the number {number} again")
+        self.numbers[client] = number
+        if len(self.clients.get(client, ())) >= OPEN:
+            return self.close(client, f"over {OPEN} queries open")
         if name in self.names:
+            if self.queries[self.names[name]].client == client:
+                return self.close(client, "an id that is open")
             return self.effects.append(("reject", (client, number, "ref: still open")))
+        if name in self.past:
+            return self.effects.append(("reject", (client, number, "ref: used before")))
         query, self.serial = self.serial, self.serial + 1
         until = came + allow
         self.queries[query] = Open(client, number, name, kind, key, part, tag, body, until)
@@ -101,10 +116,28 @@
         query = self.clients.get(client, {}).get(number)
         if query is not None:
             self.leave(query)
+            times = self.withdrawn[client] = self.withdrawn.get(client, 0) + 1
+            if times > OPEN and client not in self.clients:     # in mass, and nothing that it would cost
+                self.close(client, f"{times} queries withdrawn and none satisfied")
 
     def client_gone(self, client):
         for query in list(self.clients.get(client, {}).values()):
             self.leave(query)
+        self.numbers.pop(client, None)
+        self.withdrawn.pop(client, None)
+
+    def close(self, client, why):
+        """A connection that breaks the protocol: nothing on it is answered, nor taken in the rest of this pass."""
+        self.client_gone(client)
+        self.shut.add(client)
+        self.effects.append(("shut", (client, why)))
+
+    def closing(self):
+        """The process ends: what is open gets its error now, and nothing more is decided."""
+        self.inbox.clear()
+        for query in list(self.queries):
+            self.end_out(query)
+            self.error(query)
 
     def ended(self, query, push, result, note, waited, load, body, same, came):
         """What a cache server answered, or what became of a push; one that is out no more counts no more."""
@@ -117,6 +150,7 @@
         self.inbox.append(("ended", (query, push, q.server, result, came - q.sent_at, over, note, waited, load)))
         if over:
             self.counts["satisfied"] += 1
+            self.withdrawn.pop(q.client, None)
             self.effects.append(("satisfy", (q.client, q.number, body, same)))
             self.settle(query)
 
@@ -174,6 +208,16 @@
             q.out = False
             self.effects.append(("kill", (query, q.pushes)))
 
+    def end_out(self, query):
+        """A query is over with a push out: that is given up, and the decisions count it no more."""
+        q = self.queries[query]
+        if not q.out:
+            return False
+        self.give_up(query)
+        self.inbox += [("left", (query,)), ("ended", (query, q.pushes, q.server, "cancelled", self.now - q.sent_at,
+                                                      True, 0, 0.0, None))]
+        return True
+
     def leave(self, query):
         """No answer is owed: what is out is given up, the decisions are told. What they were to hear of it in
         this very pass is taken back or ends it, or they would send for a query that is over."""
@@ -185,16 +229,16 @@
             if method == "ended":
                 self.inbox.append((method, (*values[:5], True, *values[6:])))
         else:
-            self.give_up(query)
-            took = self.now - q.sent_at
-            self.inbox += [("left", (query,)),
-                           ("ended", (query, q.pushes, q.server, "cancelled", took, True, 0, 0.0, None))]
+            self.end_out(query)
         self.counts["left"] += 1
         self.settle(query)
 
     def settle(self, query):
         q = self.queries.pop(query)
         del self.names[q.name]
+        self.past[q.name] = None
+        if len(self.past) > PAST:
+            del self.past[next(iter(self.past))]
         numbers = self.clients[q.client]
         del numbers[q.number]
         if not numbers:
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -13,7 +13,10 @@
 from brookhinge.net.reducer import Reducer
 
 LEAVE_S = 0.7       # after the word to end, new connections and queries are taken for so long
+LONGEST_S = 3.0     # and what is open then has its patience, but no more than this, less what the end itself takes:
+END_S = 0.25        # errors for what is still open, and their way out
 FIGURES_S = 10.0    # between two lines of figures
+SPARE = 24          # descriptors that neither clients nor cache servers take
 SWEEP_S = 0.1       # between two looks for idle and silent connections
 
 
@@ -29,14 +32,15 @@
         self.events, self.due, self.timer, self.timer_at = [], False, None, None
         bounds, lines = site.bounds, site.lines
         third = bounds.sockets // 3
-        self.front = Front(self.post, self.log, lambda: self.phases.well, self.now, third + 32,
-                           bounds.memory_mb * 1024 * 1024 // 4)
+        self.front = Front(self.post, self.log, lambda: self.phases.well, self.reducer.clients.__contains__, self.now,
+                           {t.name.encode(): t.patience_s for t in site.decisions["tracks"]},
+                           max(8, bounds.sockets - third - SPARE), bounds.memory_mb * 1024 * 1024 // 4)
         self.caches = Caches(self.post, self.log, self.now, site.columns, lines.connect_s, lines.idle_s,
                              lines.multiplex, third)
         cursor, commands = http.read_commands(site.known, self.start)
         self.channel = Channel(self.post, self.log, site.channel, cursor, self.start)
         self.carry = {name: getattr(part, name) for part, names in (
-            (self.front, ("satisfy", "nack", "error", "reject")), (self.caches, ("pull", "kill", "retire")))
+            (self.front, ("satisfy", "nack", "error", "reject", "shut")), (self.caches, ("pull", "kill", "retire")))
             for name in names}
         self.carry["say"] = lambda event, values: self.log(event, **values)
         for event in commands:
@@ -105,21 +109,30 @@
         self.caches.end_all()
         self.phases.step("ended")
 
+    def reload(self, site):
+        """SIGHUP: the command channel of the new file tells from here on; all else is read at a start alone."""
+        self.log("configuration", channel="%s:%d" % site.channel)
+        self.channel.move(site.channel)
+
     def stop(self):
-        """The word to end (SIGTERM): queries are taken for a while yet, then what is open is finished."""
+        """The word to end (SIGTERM): queries are taken for a while yet, then what is open is finished. The process
+        may be killed when the longest patience and LEAVE_S are over: what is open then gets its error before."""
         if self.phases.now == "ready":
             self.phases.step("leaving")
+            longest = min(LONGEST_S, max(t.patience_s for t in self.site.decisions["tracks"]))
+            self.until = self.now() + LEAVE_S + longest - END_S
             asyncio.get_running_loop().call_later(LEAVE_S, self.finish)
 
     def finish(self):
         self.front.stop()
         self.phases.step("finishing")
-        self.until = self.now() + max(t.patience_s for t in self.site.decisions["tracks"]) - 0.1
         self.look_for_end()
 
     def look_for_end(self):
-        open_ = self.events or self.reducer.queries or self.front.unread
-        if open_ and self.now() < self.until:
+        open_ = self.events or self.reducer.queries
+        if open_ and self.now() >= self.until:
+            self.post("closing", ())
+        if (open_ or self.front.unread) and self.now() < self.until + END_S / 2:
             asyncio.get_running_loop().call_later(0.005, self.look_for_end)
         else:
             self.ended.set()
@@ -131,6 +144,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.caches.sweep()
+            self.front.sweep()
 
     async def figures(self):
         """What was done since the last line, and by how much the loop lags."""
--- a/brookhinge/net/thrift.py
+++ b/brookhinge/net/thrift.py
@@ -1,7 +1,7 @@
 """Clients' wire: Thrift, framed transport, strict binary protocol. Parses and encodes bytes, no I/O."""
 import struct
 
-LONGEST = 512 * 1024            # of a client's frame
+LONGEST = 256 * 1024            # of a client's frame
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
 UNKNOWN_METHOD, WRONG_KIND, INTERNAL, PROTOCOL = 1, 2, 6, 7
 STOP, BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 0, 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
