--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -22,7 +22,8 @@
 TELLING = 1000         # a few counts move ranges by chance, at each router to another place
 MEMORY = 20.0          # seconds that a holder is remembered
 INLET = -1             # stands for the location's link in among the in-flight limits
-MOST_DOCS = 30000      # object counts kept
+MOST_DOCS, DOCS_IN_MB = 30000, 200     # object counts kept; and in each MB of memory, where that is told
+FORGET = 30.0          # seconds after which nothing of a server that has gone is under way any more
 LOOK = 10.0            # seconds over which work sent to warm servers is averaged
 
 
@@ -36,25 +37,29 @@
     def __init__(self, kinds, here):
         self.parent_kind, self.origin_kind = kinds
         self.here, self.index = here, {}
-        self.ids, self.role, self.state, self.weight, self.born = [], [], [], [], []
-        self.zone, self.cell, self.inflight, self.forgot_at = [], [], [], []
-        self.own, self.parents, self.origins = [], [], []
+        self.arrays = [[] for _ in range(9)]
+        (self.ids, self.role, self.state, self.weight, self.born, self.zone, self.cell, self.inflight,
+         self.forgot_at) = self.arrays
+        self.own, self.parents, self.origins, self.fresh = [], [], [], []
 
-    def enter(self, server):
+    def enter(self, now, server):
+        """The place of a server; a newcomer takes that of one long gone, or the arrays would grow."""
         c = self.index.get(server)
         if c is None:
-            c = self.index[server] = len(self.ids)
-            self.ids.append(server)
-            for array, first in ((self.role, ""), (self.state, "gone"), (self.weight, 0.0), (self.born, None),
-                                 (self.zone, -1), (self.cell, 0), (self.inflight, 0), (self.forgot_at, -1e9)):
-                array.append(first)
+            c = next((c for c, at in enumerate(self.state) if at == "gone" and not self.inflight[c]
+                      and now - self.forgot_at[c] > FORGET), len(self.ids))
+            self.index.pop(self.ids[c] if c < len(self.ids) else None, None)
+            for array, first in zip(self.arrays, (server, "", "gone", 0.0, None, -1, 0, 0, -1e9)):
+                array[c:c + 1] = [first]
+            self.index[server] = c
+            self.fresh.append(c)
         return c
 
     def told(self, now, kind, rows):
         """Takes a list; a server that a complete list leaves out is gone."""
-        seen = set()
+        seen, self.fresh = set(), []
         for server, health, weight, born, cell, family, zone in rows:
-            c = self.enter(server)
+            c = self.enter(now, server)
             seen.add(c)
             if health != "ready" or self.born[c] != born:   # left, drained or restarted: what it held is gone
                 self.forgot_at[c] = now
@@ -63,7 +68,7 @@
             self.role[c] = {self.origin_kind: "origin", self.parent_kind: "parent"}.get(family, "cache")
         if kind in ("full", "saved"):
             for c in range(len(self.ids)):
-                if c not in seen:
+                if c not in seen and self.state[c] != "gone":
                     self.state[c], self.forgot_at[c] = "gone", now
         listed = sorted((c for c, at in enumerate(self.state) if at != "gone"), key=self.ids.__getitem__)
         self.own = [c for c in listed if self.role[c] == "cache" and self.zone[c] == self.here
@@ -131,10 +136,8 @@
 class ColdBudget:
     """Work (seconds of sending) sent to servers that started lately: this router's share of what each can do.
 
-    Guards rule 4 and answers in time. Among many routers a share is less than one query: a query goes with
-    the chance that the credit saved up since the last one covers it, so that all routers together keep to
-    the budget by themselves, from the first moment. It could harm by leaving a quick starter idle.
-    """
+    Guards rule 4. Among many routers a share is less than one query: it goes with the chance that the credit
+    saved up covers it, so that all together keep to the budget. It could leave a quick starter idle."""
     FILL, SPREAD = 1.5, 2.5     # of the present capacity; deviations of chance kept clear of what pushes over
 
     def __init__(self, start, routers):
@@ -211,10 +214,7 @@
 
 class Crowding:
     """Mechanism 3. A limit on what is in flight to a server follows shortest over present answer time.
-
-    Like with like: times of one object are compared with its own shortest. Guards against a full or slowing
-    server whatever the cause; it could harm where one object's times vary for reasons of their own.
-    """
+    Guards against a full or slowing server; it could harm where times of one object vary by themselves."""
     FIRST, LEAST, MOST = 32.0, 4.0, 200.0
     CROWD, PRIOR, FADE = 1.5, 0.5, 3.0
 
@@ -256,16 +256,14 @@
                 self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
 
     def room(self, c, inflight, part, weight=0.0):
-        """weight: transfers at full pace, where told: a crowd there from the first shows in no time."""
-        # nothing told of a cache: start low, measure times before a crowd
+        """weight: transfers at full pace, where told: a crowd shows at once; else it is found from low."""
         limit = self.limit.setdefault(c, self.FIRST if weight or c == INLET else self.FIRST / 4)
         return inflight < part * min(limit, weight * (0.6 + 1.9 / self.routers) or self.MOST)
 
 
 class Query:
-    __slots__ = ("track", "doc", "until", "shots", "server", "source", "sent_at", "rank", "expect",
-                 "bad", "bad_sources", "ran", "ended", "sibling", "held", "through", "filling", "look",
-                 "missed")
+    __slots__ = ("track", "doc", "until", "shots", "server", "source", "sent_at", "rank", "expect", "bad",
+                 "bad_sources", "ran", "ended", "sibling", "held", "through", "filling", "look", "missed")
 
     def __init__(self, track, doc, now, left, through):
         self.track, self.doc, self.until, self.through = track, doc, now + left, through
@@ -278,7 +276,7 @@
     """One router: everything it knows came in by its own rounds."""
 
     def __init__(self, seed, tracks, place, allowed, supply, cold_cache, cold_parent, purge_gone_s, kinds,
-                 reports):
+                 reports, memory_mb=0):
         self.chance = random.Random(seed)
         self.tracks, self.allowed, self.supply, self.purge_gone_s = tracks, allowed, supply, purge_gone_s
         self.fleet, self.rings = Fleet(kinds, place.zone), Rings()
@@ -286,9 +284,12 @@
                      "parent": ColdBudget(cold_parent, place.routers)}
         self.health, self.sources, self.crowding = Health(), Health(), Crowding(place.routers_here)
         self.docs, self.queries, self.groups = {}, {}, {}
+        self.most = min(MOST_DOCS, int(DOCS_IN_MB * memory_mb)) if memory_mb else MOST_DOCS
         self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
         self.mean, self.mean_at, self.fills, self.heard_at, self.load = 0.0, 0.0, 0, {}, {}
+        parts = (self.health, self.sources, self.crowding, *self.cold.values())
+        self.figures = [d for p in parts for d in vars(p).values() if isinstance(d, dict)] + [self.heard_at]
         self.told, self.among = place.weights_told, place.routers_here
         self.retries, self.asked_at, self.next_cycle, self.counted = 1.0, 0.0, CYCLE, 0
 
@@ -306,12 +307,17 @@
             return
         own = self.fleet.own
         self.fleet.told(self.now, kind, rows)
+        for c in self.fleet.fresh:
+            for figures in self.figures:
+                figures.pop(c, None)
         if self.fleet.own != own or not self.rings.rings:
             self.rings.seat(self.fleet.own)
 
     def query(self, query, track, key, part, group, size_kb, retry, write, left):
         doc = self.docs.get((key, part))
         if doc is None:
+            if len(self.docs) >= self.most:
+                self.docs = dict(sorted(self.docs.items(), key=lambda item: -item[1].count)[:self.most // 2])
             doc = self.docs[key, part] = Doc(key, part, group)
         doc.count += 1
         doc.asked += 1
@@ -343,18 +349,15 @@
         self.again(query, q, result)
 
     def left(self, query):
-        q = self.queries.get(query)
-        if q is not None:
-            q.ended = True
-
-    def unasked(self, *values):
-        """Streams, timers and probes are never asked for; what comes of them all the same changes nothing."""
+        if query in self.queries:
+            self.queries[query].ended = True
 
-    started = rang = probed = unasked
+    started = rang = probed = lambda self, *values: None    # never asked for: changes nothing
 
     def purged(self, group, age, key):
         """Keeps the moment of the purge and forgets what held the objects."""
         moment, name = self.now - age, key or group
+        self.groups = {g: at for g, at in self.groups.items() if self.now - at <= self.purge_gone_s + 2.0}
         self.groups[name] = max(moment, self.groups.get(name, -1e9))
         for doc in self.docs.values():
             if doc.key == key or not key and doc.group == group:
@@ -637,6 +640,3 @@
         self.rings.cycle(lambda c: self.fleet.weight[c] or 1.0)
         for doc in self.docs.values():
             doc.count /= 2.0
-        if len(self.docs) > MOST_DOCS:
-            self.docs = dict(sorted(self.docs.items(), key=lambda item: -item[1].count)[:MOST_DOCS // 2])
-        self.groups = {g: at for g, at in self.groups.items() if self.now - at <= self.purge_gone_s + 2.0}
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -10,7 +10,8 @@
 BUFFER = 4 * 1024 * 1024
 CONNECTIONS = 8             # to one server at most, as far as the share of descriptors reaches
 ECHO = b"echo"              # no query's id: those are hex digits
-GIVEN_UP = 1000             # ids given up on a connection, after which it takes no more and another is opened
+SPENT = 200                 # ids that a connection must not carry again, after which it takes no more at all
+LOOKS = 3                   # sweeps at least between an ECHO and the end of a connection: our own lag is not silence
 
 
 class Line:
@@ -19,7 +20,7 @@
     def __init__(self, server, stream, now):
         self.server, self.stream, self.up, self.closed, self.retired = server, stream, False, False, False
         self.used_at, self.heard_at, self.asked_at = now, now, None
-        self.out, self.given_up, self.waiting = {}, set(), {}
+        self.out, self.spent, self.waiting, self.answers, self.looks = {}, set(), {}, cachewire.Answers(), 0
 
     def load(self):
         return len(self.out) + len(self.waiting)
@@ -31,7 +32,7 @@
     def __init__(self, post, say, now, columns, connect_s, idle_s, multiplex, sockets):
         self.post, self.say, self.now, self.columns = post, say, now, columns
         self.connect_s, self.idle_s, self.multiplex, self.sockets = connect_s, idle_s, max(1, multiplex), sockets
-        self.lines, self.where, self.count = {}, {}, 0
+        self.lines, self.where, self.all = {}, {}, set()
 
     # effects
 
@@ -49,19 +50,18 @@
         if not line.up:
             line.waiting[name] = query, push, wire
             return
-        line.out[name] = query, push
+        line.out[name] = query, push, self.now()
         self.write(line, wire)
 
     def kill(self, query, push):
-        """Gives a push up. An id that was given up is not used again on its connection: its answer may be
-        under way and must not pass for that of a later push."""
+        """Gives a push up. Its id is not used again on its connection: an answer may be under way and must not
+        pass for that of a later push. A connection on which nothing came all the while is suspect."""
         line, name = self.where.pop((query, push), (None, None))
         if line is None:
             return
         if line.waiting.pop(name, None) is None:
-            del line.out[name]
-            line.given_up.add(name)
-            line.retired |= len(line.given_up) >= GIVEN_UP
+            line.retired |= line.heard_at < line.out.pop(name)[2]
+            self.spend(line, name)
             self.write(line, cachewire.kill(name))
             if line.stream.writing():       # it may not arrive: closing gives it up for sure
                 self.close(line)
@@ -73,6 +73,10 @@
             line.retired = True
             self.settle(line)
 
+    def spend(self, line, name):
+        line.spent.add(name)
+        line.retired |= len(line.spent) >= SPENT
+
     def settle(self, line):
         if line.retired and not line.load():
             self.close(line)
@@ -84,14 +88,14 @@
         take long don't hold up the rest and a connect is seldom waited for."""
         lines = self.lines.setdefault(server, [])
         usable = [n for n in lines if self.takes(n, name)]
-        if sum(not n.load() for n in usable) < 2 and len(lines) < CONNECTIONS and self.count < self.sockets:
+        if sum(not n.load() for n in usable) < 2 and len(lines) < CONNECTIONS and len(self.all) < self.sockets:
             fresh = self.connect(server)
             usable += [fresh] if fresh else []
         return min(usable, key=lambda n: (n.load(), not n.up), default=None)
 
     def takes(self, line, name):
         return not (line.closed or line.retired or line.stream.closed()) and line.load() < self.multiplex \
-            and name not in line.out and name not in line.given_up and name not in line.waiting
+            and name not in line.out and name not in line.spent and name not in line.waiting
 
     def connect(self, server):
         try:
@@ -102,7 +106,7 @@
                     self.now())
         line.stream.set_nodelay(True)
         self.lines[server].append(line)
-        self.count += 1
+        self.all.add(line)
         asyncio.ensure_future(self.run(line))
         return line
 
@@ -115,11 +119,10 @@
             waiting, line.waiting = line.waiting, {}
             for name, (query, push, wire) in waiting.items():
                 self.put(line, query, push, name, wire)
-            answers = cachewire.Answers()
             while True:
                 data = await line.stream.read_bytes(PIECE, partial=True)
                 came = line.heard_at = self.now()
-                for answer in answers.feed(data):
+                for answer in line.answers.feed(data):
                     self.answered(line, came, *answer)
         except (StreamClosedError, OSError):
             pass
@@ -135,7 +138,7 @@
             self.close(line)
             if line in self.lines.get(line.server, ()):
                 self.lines[line.server].remove(line)
-            self.count -= 1
+            self.all.discard(line)
 
     def write(self, line, wire):
         try:
@@ -146,13 +149,13 @@
     def answered(self, line, came, name, word, fields, body):
         if name == ECHO:
             line.asked_at = None
+        if name not in line.out:        # it crossed the KILL, is a second copy or of an id that nobody asked for
             return
         result, note, waited, load = cachewire.read_result(word, fields, self.columns)
         line.used_at = came
-        line.given_up.discard(name)
-        query, push = line.out.pop(name, (None, None))
-        if query is None:       # it crossed the KILL
-            return
+        query, push, _ = line.out.pop(name)
+        if result != "satisfied":       # a further push may follow, and a second copy of this answer
+            self.spend(line, name)
         del self.where[query, push]
         self.post("ended", (query, push, result, note, waited, load, body, word == b"unchanged", came))
         self.settle(line)
@@ -164,7 +167,7 @@
             return
         line.closed = True
         line.stream.close()
-        for query, push in line.out.values():
+        for query, push, _ in line.out.values():
             del self.where[query, push]
             self.end(query, push, "broken")
         fellows = self.lines.get(line.server, ())
@@ -183,24 +186,28 @@
     def sweep(self):
         """Closes what was idle for a good part of the time after which the servers would, and what is silent.
 
-        A machine that vanished leaves its connections open: where something is out and nothing was heard for
-        half the time that a connect may take, an ECHO asks whether the connection works; it has that time."""
-        now = self.now()
-        for lines in self.lines.values():
-            for line in [n for n in lines if n.up and not n.closed]:
-                if not line.out:
-                    line.asked_at = None
-                    if now - line.used_at > 0.6 * self.idle_s:
-                        self.close(line)
-                elif line.asked_at is None:
-                    if now - max(line.heard_at, line.used_at) > self.connect_s / 2:
-                        line.asked_at = now
-                        self.write(line, cachewire.echo(ECHO))
-                elif now - max(line.heard_at, line.asked_at) > self.connect_s:
-                    self.say("cache connection", server=line.server[0], why="silent")
+        A machine that vanished leaves its connections open, and so does noise that nothing readable follows: where
+        something is out and nothing was heard for half the time that a connect may take, an ECHO asks whether the
+        connection works; it has as long again. An answer that stops short has that time to go on."""
+        now, most = self.now(), self.connect_s / 2
+        for line in [n for n in self.all if n.up and not n.closed]:
+            since = next(iter(line.out.values()))[2] if line.out else now       # the push that waits longest
+            quiet = now - max(line.heard_at, line.asked_at or since)
+            if not line.out:
+                line.asked_at = None
+                if now - line.used_at > 0.6 * self.idle_s:
                     self.close(line)
+            elif quiet <= most:
+                line.looks = 0
+            elif line.asked_at is None and not line.answers.held:
+                line.asked_at, line.looks = now, 0
+                self.write(line, cachewire.echo(ECHO))
+            elif line.looks < LOOKS:
+                line.looks += 1
+            else:
+                self.say("cache connection", server=line.server[0], why="silent")
+                self.close(line)
 
     def end_all(self):
-        for lines in list(self.lines.values()):
-            for line in list(lines):
-                self.close(line)
+        for line in list(self.all):
+            self.close(line)
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -17,7 +17,7 @@
 END_S = 0.25        # errors for what is still open, and their way out
 FIGURES_S = 10.0    # between two lines of figures
 SPARE = 24          # descriptors that neither clients nor cache servers take
-SWEEP_S = 0.1       # between two looks for idle and silent connections
+SWEEP_S = 0.05      # between two looks for idle and silent connections
 
 
 class Service:
@@ -27,8 +27,8 @@
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
-        self.reducer = Reducer(Router(site.seed, **site.decisions), [t.name.encode() for t in site.decisions["tracks"]],
-                               site.zones)
+        self.reducer = Reducer(Router(site.seed, memory_mb=site.bounds.memory_mb, **site.decisions),
+                               [t.name.encode() for t in site.decisions["tracks"]], site.zones)
         self.events, self.due, self.timer, self.timer_at = [], False, None, None
         bounds, lines = site.bounds, site.lines
         third = bounds.sockets // 3
@@ -154,6 +154,6 @@
             await asyncio.sleep(FIGURES_S)
             counts = dict(self.reducer.counts)
             self.log("figures", **{name: counts[name] - said[name] for name in counts},
-                     open=len(self.reducer.queries), clients=len(self.front.clients), caches=self.caches.count,
+                     open=len(self.reducer.queries), clients=len(self.front.clients), caches=len(self.caches.all),
                      unread=self.front.unread, late_s=round(self.now() - due, 4))
             said = counts
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -165,7 +165,8 @@
 
 
 class Machine:
-    """A cache server: answers PULLs as `act` says: a word of the wire, 'silent', 'reset', 'half' or 'garbage'."""
+    """A cache server: answers PULLs as `act` says: a word of the wire, raw bytes, 'silent', 'reset', 'half' or
+    'garbage'."""
 
     def __init__(self, act="data", delay=0.0, body=b"bytes of the object"):
         self.act, self.delay, self.body, self.seen, self.made, self.writers, self.stuck = act, delay, body, [], 0, [], []
@@ -203,6 +204,8 @@
             return
         if act == "reset":
             writer.transport.abort()
+        elif isinstance(act, bytes):
+            writer.write(act.replace(b"ID", line[1].encode()))
         elif act == "half":
             self.stuck.append(writer)
             writer.write(b"%b data - 90\r\nhalf of it" % line[1].encode())
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,5 +1,5 @@
 """Guards: each failure found, as the decisions that answer it."""
-from helpers import Bench, track
+from helpers import CACHES, Bench, track
 
 from brookhinge.decide import Doc
 
@@ -205,3 +205,25 @@
                 b.end(b.next, result, took=0.3)
         return b.router.power(b.router.fleet.index[21])
     assert power("timeout") == 1.0 < power("satisfied")
+
+
+def test_a_newcomer_takes_the_place_of_a_server_long_gone():
+    """Where servers are replaced all day, the arrays and every figure of a server must not grow, nor pass to the next."""
+    b = Bench()
+    for n in range(100, 140):
+        rows = [b.row(c) for c in CACHES[:3]] + [b.row(n)]
+        b.call("roster", "changes", rows[3:] + [b.row(n - 1, "gone")], at=n * 20.0)
+        b.serve(f"k{n}", at=n * 20.0 + 1.0)
+        b.router.health.fault[b.router.fleet.index[n]] = 0.9
+    fleet = b.router.fleet
+    assert len(fleet.ids) <= 12 and len(fleet.index) == len(fleet.ids) == len(fleet.arrays[-1])
+    b.call("roster", "changes", [b.row(999)], at=5000.0)
+    assert fleet.ids[fleet.index[999]] == 999 and fleet.index[999] not in b.router.health.fault
+
+
+def test_objects_and_purges_are_kept_within_the_memory_that_is_told():
+    b = Bench(memory_mb=1)
+    for n in range(500):
+        b.serve(f"k{n}", at=n * 0.01)
+        b.call("purged", f"g{n}", 0.0, "", at=n * 1.0 + 0.005)
+    assert len(b.router.docs) <= 200 and "k499" in {key for key, _ in b.router.docs} and len(b.router.groups) < 10
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -151,6 +151,44 @@
         (1, "error"), (2, "satisfied 19"), True)
 
 
+DATA = b"ID data digest=ab,dated=1 3\r\nyes\r\n"
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"\x00\xff" * 3000, b"ID data - 3000000000\r\n", b"ID data - 2\r\nyes\r\n", b"ID data - -3\r\nyes\r\n",
+    b"ID data - 90\r\nyes\r\n", b"ID dat", b"ID play - 3\r\nyes\r\n"])
+def test_a_spoilt_answer_ends_its_connection_and_its_queries_go_on(tmp_path, spoilt):
+    """Whether it can't be read, can't be so, stops short or never comes: what is open there goes elsewhere in time,
+    also while new pushes go on being written."""
+    async def scene(t):
+        t.service.reducer.router.retries = 10.0
+        t.service.caches.say = lambda event, **values: said.append(event)
+        first, said = [], []
+        for machine in t.machines.values():
+            machine.act = lambda line: first.append(line) or spoilt if not first else DATA
+        t.caller.ask(1)
+        await until(lambda: first)
+        for n in range(2, 6):
+            t.caller.ask(n, lookup=f"{n:016x}")
+        return sorted([await t.caller.hear() for _ in range(5)]), said
+    heard, said = played(scene, tmp_path)
+    assert heard == [(n, "satisfied 3") for n in range(1, 6)] and said == ["cache connection"]
+
+
+def test_second_copies_and_unknown_ids_are_passed_over(tmp_path):
+    """An answer that came twice must not end a later push of its query, which is then out unseen."""
+    async def scene(t):
+        lines = []
+        for machine in t.machines.values():
+            machine.act = lambda line: lines.append(line) or (
+                b"ID absent - 0\r\n\r\nID absent - 0\r\n\r\n" if len(lines) == 1 else b"no play n=x 2\r\nab\r\n" + DATA + DATA)
+        t.caller.ask(1)
+        heard = [await t.caller.hear()]
+        t.caller.ask(2)
+        return heard + [await t.caller.hear()], len(lines), t.service.caches.where
+    assert played(scene, tmp_path) == ([(1, "satisfied 3"), (2, "satisfied 3")], 3, {})
+
+
 def test_a_slow_transfer_does_not_hold_up_the_rest(tmp_path):
     """An answer of which half has come blocks its connection; later pushes to that cache go by others."""
     async def scene(t):
@@ -371,7 +409,7 @@
         heard = [await t.caller.hear(), await t.caller.hear()]
         await t.task
         return heard
-    assert played(scene, tmp_path, machines=caches(act="silent")) == [(1, "error"), None]
+    assert played(scene, tmp_path, machines=caches(act=lambda line: "silent")) == [(1, "error"), None]
 
 
 def test_a_configuration_that_cannot_be_used_ends_the_start_with_one_line():
