--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -10,7 +10,8 @@
 2. Rest: a server failing far more often than its fellows is left out for a while, then tried singly.
 3. In-flight limit of a cache and of the link in: follows shortest over present answer time (crowding).
 4. Further pushes: timed so that another fits, paid from a budget that queries earn (retry storms).
-5. Shedding: what nothing can serve is nacked at once, the least utility for its sending time first.
+5. Shedding: what nothing can serve is answered from a copy in memory or nacked at once, the least utility for
+   its sending time first.
 6. Ageing copies: served while fills earn less than they do (a slow or failing way to the origin).
 """
 import math
@@ -23,6 +24,8 @@
 MEMORY = 20.0          # seconds that a holder is remembered
 INLET = -1             # stands for the location's link in among the in-flight limits
 MOST_DOCS, DOCS_IN_MB = 30000, 200     # object counts kept; and in each MB of memory, where that is told
+OWN = 0.12             # of the memory, for copies of its own
+HURRY = 0.2            # seconds beside its sending that the ordinary path may take
 FORGET = 30.0          # seconds after which nothing of a server that has gone is under way any more
 LOOK = 10.0            # seconds over which work sent to warm servers is averaged
 
@@ -261,6 +264,38 @@
         return inflight < part * min(limit, weight * (0.6 + 1.9 / self.routers) or self.MOST)
 
 
+class Copies:
+    """Mechanism 5. Copies in the router's memory, for queries that caches can't answer, or not in time. One at a
+    time leaves on the link; what would come late there is not promised. No cache is relieved of more."""
+
+    def __init__(self, machine):
+        self.room, self.flow, self.link = machine.memory_mb * OWN * 1e6, machine.flow_bytes_s, machine.link_bytes_s
+        self.held, self.size, self.free_at = {}, 0, 0.0
+
+    def keep(self, name, doc, made, size, query, writer):
+        """Those used last stay."""
+        self.drop([name], writer)
+        self.held[name], self.size = (doc, made, size), self.size + size
+        writer.keep(query, name)
+        while self.size > self.room:
+            self.drop([next(iter(self.held))], writer)
+
+    def drop(self, names, writer):
+        for name in names:
+            if name in self.held:
+                self.size -= self.held.pop(name)[2]
+                writer.drop(name)
+
+    def sends(self, name, now, age, left):
+        """Whether a copy not older than that will be sent in the time left; its place on the link is taken."""
+        _, made, size = self.held.get(name, (None, -1e9, 0))
+        ends = max(now, self.free_at) + size / self.link
+        if not size or age and now - made > age - 0.1 or max(ends, now + size / self.flow) > now + left:
+            return False
+        self.free_at, self.held[name] = ends, self.held.pop(name)
+        return True
+
+
 class Query:
     __slots__ = ("track", "doc", "until", "shots", "server", "source", "sent_at", "rank", "expect", "bad",
                  "bad_sources", "ran", "ended", "sibling", "held", "through", "filling", "look", "missed")
@@ -276,7 +311,7 @@
     """One router: everything it knows came in by its own rounds."""
 
     def __init__(self, seed, tracks, place, allowed, supply, cold_cache, cold_parent, purge_gone_s, kinds,
-                 reports, memory_mb=0):
+                 reports, machine=None):
         self.chance = random.Random(seed)
         self.tracks, self.allowed, self.supply, self.purge_gone_s = tracks, allowed, supply, purge_gone_s
         self.fleet, self.rings = Fleet(kinds, place.zone), Rings()
@@ -284,7 +319,8 @@
                      "parent": ColdBudget(cold_parent, place.routers)}
         self.health, self.sources, self.crowding = Health(), Health(), Crowding(place.routers_here)
         self.docs, self.queries, self.groups = {}, {}, {}
-        self.most = min(MOST_DOCS, int(DOCS_IN_MB * memory_mb)) if memory_mb else MOST_DOCS
+        self.most = min(MOST_DOCS, int(DOCS_IN_MB * machine.memory_mb)) if machine else MOST_DOCS
+        self.copies = Copies(machine) if machine and machine.flow_bytes_s and machine.link_bytes_s else None
         self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
         self.mean, self.mean_at, self.fills, self.heard_at, self.load = 0.0, 0.0, 0, {}, {}
@@ -332,7 +368,7 @@
         self.asked_at = self.now
         self.place(query, q)
 
-    def ended(self, query, push, server, result, took, over, note, waited, load):
+    def ended(self, query, push, server, result, took, over, note, waited, load, copy=None):
         q = self.queries.get(query)
         c = self.fleet.index.get(server)
         if c is not None:
@@ -341,6 +377,10 @@
             return
         self.fills -= q.filling
         self.learn(q, c, result, took, note, waited)
+        if copy and self.copies and not q.through:
+            age = self.oldest(q.doc, self.tracks[q.track], True)
+            if not age or self.now - copy[0] < age:
+                self.copies.keep((q.track, q.doc.code), q.doc, *copy, query, self.writer)
         if over or q.ended:
             del self.queries[query]
             return
@@ -364,6 +404,9 @@
                 doc.purged_at = max(doc.purged_at, moment)
                 doc.purges += 1
                 doc.holders.clear()
+        if self.copies:
+            self.copies.drop([n for n, (doc, *_) in self.copies.held.items() if doc.key == key or not key
+                              and doc.group == group], self.writer)
 
     # the ordinary path of a query
 
@@ -373,6 +416,8 @@
         left = q.until - now
         if left <= 0.002 or q.shots >= self.allowed.pushes:
             return self.refuse(query, q)
+        if left < q.expect + HURRY and self.own(query, q):
+            return
         work, wide = self.sending[q.track], self.fair_part(q)
         part = min(1.0, wide)
 
@@ -468,6 +513,8 @@
 
     def refuse(self, query, q):
         """The final answer, at once; a nack only where a repeat can do no harm."""
+        if self.own(query, q):
+            return
         effect, group = self.tracks[q.track].effect, self.tracks[q.track].group
         if q.ran is None or effect == "replayable" or (effect, group) == ("referenced", "all"):
             self.writer.nack(query, min(self.allowed.max_retry_after_s, 0.1 + 0.15 * self.chance.random()))
@@ -475,6 +522,16 @@
             self.writer.error(query)
         del self.queries[query]
 
+    def own(self, query, q):
+        """Answers from memory, if a copy there will do and comes in time."""
+        track, name = self.tracks[q.track], (q.track, q.doc.code)
+        left = min(q.until - self.now, track.contract_s + q.expect) - 0.02
+        if not self.copies or not self.copies.sends(name, self.now, self.oldest(q.doc, track, True), left):
+            return False
+        self.writer.own(query, name)
+        del self.queries[query]
+        return True
+
     def pass_by(self, query, q, track):
         """No cache here can take it: straight to a parent or the origin where allowed, else a nack."""
         if not self.supply.direct or self.fleet.own and not self.pays():
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -29,8 +29,8 @@
 class Caches:
     """post(method, values) takes the events; say(event, ...) is the log."""
 
-    def __init__(self, post, say, now, columns, connect_s, idle_s, multiplex, sockets):
-        self.post, self.say, self.now, self.columns = post, say, now, columns
+    def __init__(self, post, say, now, start, columns, connect_s, idle_s, multiplex, sockets):
+        self.post, self.say, self.now, self.start, self.columns = post, say, now, start, columns
         self.connect_s, self.idle_s, self.multiplex, self.sockets = connect_s, idle_s, max(1, multiplex), sockets
         self.lines, self.where, self.all = {}, {}, set()
 
@@ -151,13 +151,14 @@
             line.asked_at = None
         if name not in line.out:        # it crossed the KILL, is a second copy or of an id that nobody asked for
             return
-        result, note, waited, load = cachewire.read_result(word, fields, self.columns)
+        result, note, waited, load, dated, digest = cachewire.read_result(word, fields, self.columns)
         line.used_at = came
         query, push, _ = line.out.pop(name)
         if result != "satisfied":       # a further push may follow, and a second copy of this answer
             self.spend(line, name)
         del self.where[query, push]
-        self.post("ended", (query, push, result, note, waited, load, body, word == b"unchanged", came))
+        self.post("ended", (query, push, result, note, waited, load, body, word == b"unchanged", came,
+                            None if dated is None else dated - self.start, digest))
         self.settle(line)
 
     def close(self, line):
--- a/brookhinge/net/cachewire.py
+++ b/brookhinge/net/cachewire.py
@@ -79,12 +79,15 @@
 
 
 def read_result(word, fields, columns):
-    """(result, note, seconds waited for the source, load report or None) of an answer."""
+    """(result, note, seconds waited for the source, load report or None, Unix time of the copy or None, its tag) of
+    an answer."""
     try:
         load = None
         if columns and b"l" in fields:
             told = dict(pair.partition(b":")[::2] for pair in fields[b"l"].split(b";"))
             load = [float(told.get(name, 0.0)) for name in columns]
-        return RESULTS[word], NOTES.get(fields.get(b"n"), 0), float(fields.get(b"first", 0.0)) / 1000.0, load
+        dated = float(fields[b"dated"]) / 1000.0 if word == b"data" and b"dated" in fields else None
+        return (RESULTS[word], NOTES.get(fields.get(b"n"), 0), float(fields.get(b"first", 0.0)) / 1000.0, load, dated,
+                fields.get(b"digest"))
     except (KeyError, ValueError):
         raise Unreadable(f"the answer {word!r} {fields!r:.80}") from None
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -35,13 +35,15 @@
         self.past, self.shut = {}, set()        # ids of the last queries that are over; clients closed in this pass
         self.dials = {}                  # of each server: its address and its start
         self.timers = []                 # (until, query, push)
+        self.served, self.copies = {}, {}       # bodies that came in this pass, and those the decisions keep
         self.serial, self.cursor, self.now = 0, 0, 0.0
         self.effects, self.inbox, self.current = [], [], None
-        self.counts = dict.fromkeys(("queries", "satisfied", "nacked", "errored", "left", "pushes", "timeouts"), 0)
+        self.counts = dict.fromkeys(("queries", "satisfied", "nacked", "errored", "left", "pushes", "timeouts",
+                                     "own"), 0)
 
     def reduce(self, now, events):
         """One pass: the events, then the pushes whose time is over, then one round."""
-        self.now, self.effects, self.inbox, self.shut = now, [], [], set()
+        self.now, self.effects, self.inbox, self.shut, self.served = now, [], [], set(), {}
         for self.current in events:
             try:
                 getattr(self, self.current[0])(*self.current[1])
@@ -139,7 +141,7 @@
             self.end_out(query)
             self.error(query)
 
-    def ended(self, query, push, result, note, waited, load, body, same, came):
+    def ended(self, query, push, result, note, waited, load, body, same, came, dated=None, tag=None):
         """What a cache server answered, or what became of a push; one that is out no more counts no more."""
         if not self.is_out(query, push):
             return
@@ -147,8 +149,10 @@
         if same and not q.tag:      # it names a copy that the client does not hold
             result = "errored"
         q.out, over = False, result == "satisfied"
-        self.inbox.append(("ended", (query, push, q.server, result, came - q.sent_at, over, note, waited, load)))
+        copy = None if dated is None or not over else (dated, len(body))
+        self.inbox.append(("ended", (query, push, q.server, result, came - q.sent_at, over, note, waited, load, copy)))
         if over:
+            self.served[query] = body, tag
             self.counts["satisfied"] += 1
             self.withdrawn.pop(q.client, None)
             self.effects.append(("satisfy", (q.client, q.number, body, same)))
@@ -271,5 +275,21 @@
         self.effects.append(("error", (q.client, q.number)))
         self.settle(query)
 
+    def keep(self, query, name):
+        """The answer that this query has just had stays in memory under that name."""
+        self.copies[name] = self.served[query]
+
+    def drop(self, name):
+        del self.copies[name]
+
+    def own(self, query, name):
+        """The final answer is a copy kept; where the client holds the same one, it is told so."""
+        q, (body, tag) = self.queries[query], self.copies[name]
+        same = tag is not None and tag == q.tag
+        self.counts["satisfied"] += 1
+        self.counts["own"] += 1
+        self.effects.append(("satisfy", (q.client, q.number, b"" if same else body, same)))
+        self.settle(query)
+
     def say(self, text):
         self.effects.append(("say", ("decisions", {"text": text})))
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -27,7 +27,7 @@
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
-        self.reducer = Reducer(Router(site.seed, memory_mb=site.bounds.memory_mb, **site.decisions),
+        self.reducer = Reducer(Router(site.seed, machine=site.bounds, **site.decisions),
                                [t.name.encode() for t in site.decisions["tracks"]], site.zones)
         self.events, self.due, self.timer, self.timer_at = [], False, None, None
         bounds, lines = site.bounds, site.lines
@@ -35,7 +35,7 @@
         self.front = Front(self.post, self.log, lambda: self.phases.well, self.reducer.clients.__contains__, self.now,
                            {t.name.encode(): t.patience_s for t in site.decisions["tracks"]},
                            max(8, bounds.sockets - third - SPARE), bounds.memory_mb * 1024 * 1024 // 4)
-        self.caches = Caches(self.post, self.log, self.now, site.columns, lines.connect_s, lines.idle_s,
+        self.caches = Caches(self.post, self.log, self.now, self.start, site.columns, lines.connect_s, lines.idle_s,
                              lines.multiplex, third)
         cursor, commands = http.read_commands(site.known, self.start)
         self.channel = Channel(self.post, self.log, site.channel, cursor, self.start)
--- a/brookhinge/startup.py
+++ b/brookhinge/startup.py
@@ -115,9 +115,11 @@
 
 
 class Bounds(NamedTuple):
-    """What the machine gives."""
+    """What the machine gives, and the pace of what a router sends from its own memory; 0: it sends none."""
     memory_mb: int
     sockets: int
+    flow_bytes_s: float
+    link_bytes_s: float
 
 
 class Lines(NamedTuple):
@@ -185,7 +187,8 @@
         raise StartError("settings.Classes: missing, expected one class at least")
     return Site(
         top.take("name", TEXT), address(top, "listen"), address(top, "channel"), seed, known.values,
-        Bounds(more_than(0, limits, "memory_mb", NUMBER, 192), more_than(31, limits, "sockets", WHOLE, 1024)),
+        Bounds(more_than(0, limits, "memory_mb", NUMBER, 192), more_than(31, limits, "sockets", WHOLE, 1024),
+               *(top.take(key, NUMBER, 0) for key in ("flow_bytes_per_s", "link_bytes_per_s"))),
         Lines(calls.span("ConnectTimeoutNs", 1e9), calls.span("IdleCloseNs", 30e9),
               more_than(0, calls, "Multiplex", WHOLE, 32)),
         settings.names("Zones"), [c.encode() for c in decisions["reports"]], decisions)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -2,6 +2,7 @@
 from helpers import CACHES, Bench, track
 
 from brookhinge.decide import Doc
+from brookhinge.startup import Bounds
 
 
 def ask_failing(b, count, result, key="k", **end):
@@ -222,7 +223,7 @@
 
 
 def test_objects_and_purges_are_kept_within_the_memory_that_is_told():
-    b = Bench(memory_mb=1)
+    b = Bench(machine=Bounds(1, 256, 0, 0))
     for n in range(500):
         b.serve(f"k{n}", at=n * 0.01)
         b.call("purged", f"g{n}", 0.0, "", at=n * 1.0 + 0.005)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -156,7 +156,7 @@
 
 @pytest.mark.parametrize("spoilt", [
     b"\x00\xff" * 3000, b"ID data - 3000000000\r\n", b"ID data - 2\r\nyes\r\n", b"ID data - -3\r\nyes\r\n",
-    b"ID data - 90\r\nyes\r\n", b"ID dat", b"ID play - 3\r\nyes\r\n"])
+    b"ID data - 90\r\nyes\r\n", b"ID dat", b"ID play - 3\r\nyes\r\n"], ids=range(7))
 def test_a_spoilt_answer_ends_its_connection_and_its_queries_go_on(tmp_path, spoilt):
     """Whether it can't be read, can't be so, stops short or never comes: what is open there goes elsewhere in time,
     also while new pushes go on being written."""
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -8,7 +8,7 @@
 def test_a_configuration_as_read(tmp_path):
     site = read(configuration(), tmp_path)
     assert (site.name, site.listen, site.channel, site.seed) == ("n1", ("127.0.0.1", 0), ("127.0.0.1", 9), 0x8c1f)
-    assert site.bounds == (192, 1024) and site.lines == pytest.approx((0.2, 30.0, 32)) and site.columns == [b"util", b"x0"]
+    assert site.bounds == (192, 1024, 0, 0) and site.lines == pytest.approx((0.2, 30.0, 32)) and site.columns == [b"util", b"x0"]
     assert [(t.name, t.effect, t.patience_s) for t in site.decisions["tracks"]] == [
         ("page", "replayable", 3.0), ("order", "single-use", 3.0)]
 
