--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -1,8 +1,8 @@
 """All decisions of brookhinge.
 
 A Router is called once a round, `router.round(now, inbox, writer)`: `inbox` holds the decoded calls (method,
-values) in order of arrival, decisions go straight into `writer`. Writer and the records read at start are in
-brookhinge/interface.py. Times are seconds; servers stand under a dense index, `Fleet.ids` keeps their ids.
+values) in order of arrival, decisions go straight into `writer` (see brookhinge/interface.py). Times are
+seconds; servers stand under a dense index, `Fleet.ids` keeps their ids.
 
 The ordinary path (`Router.place`) is the Cache Clouds design: beacon rings, load-following sub-ranges,
 remembered holders, sibling fills of objects in demand, a parent home for all other fills. Beside it stand:
@@ -10,8 +10,7 @@
 2. Rest: a server failing far more often than its fellows is left out for a while, then tried singly.
 3. In-flight limit of a cache and of the link in: follows shortest over present answer time (crowding).
 4. Further pushes: timed so that another fits, paid from a budget that queries earn (retry storms).
-5. Shedding: what nothing can serve is answered from a copy in memory or nacked at once, the least utility for
-   its sending time first.
+5. Shedding: what nothing can serve comes from memory or is nacked at once, the least utility a second first.
 6. Ageing copies: served while fills earn less than they do (a slow or failing way to the origin).
 """
 import math
@@ -19,13 +18,11 @@
 from hashlib import md5
 
 INTRA_GEN = 1000       # IrH values of a beacon ring
-CYCLE = 10.0           # seconds between two settings of the sub-ranges, and the queries that one needs:
-TELLING = 1000         # a few counts move ranges by chance, at each router to another place
+CYCLE, TELLING = 10.0, 1000    # seconds and queries between settings of the sub-ranges: few move by chance
 MEMORY = 20.0          # seconds that a holder is remembered
 INLET = -1             # stands for the location's link in among the in-flight limits
 MOST_DOCS, DOCS_IN_MB = 30000, 200     # object counts kept; and in each MB of memory, where that is told
-OWN = 0.12             # of the memory, for copies of its own
-HURRY = 0.2            # seconds beside its sending that the ordinary path may take
+OWN, HURRY = 0.12, 0.2 # of the memory for own copies; seconds beside its sending that the path may take
 FORGET = 30.0          # seconds after which nothing of a server that has gone is under way any more
 LOOK = 10.0            # seconds over which work sent to warm servers is averaged
 
@@ -76,8 +73,7 @@
         listed = sorted((c for c, at in enumerate(self.state) if at != "gone"), key=self.ids.__getitem__)
         self.own = [c for c in listed if self.role[c] == "cache" and self.zone[c] == self.here
                     and self.state[c] == "ready"]
-        self.parents = [c for c in listed if self.role[c] == "parent"]
-        self.origins = [c for c in listed if self.role[c] == "origin"]
+        self.parents, self.origins = ([c for c in listed if self.role[c] == r] for r in ("parent", "origin"))
 
 
 class Rings:
@@ -175,17 +171,10 @@
 
 class Health:
     """Mechanism 2. Share of failures of each server, lately, against its fellows of the same role."""
-    BAD, REST, MOST, SLOW = 0.3, 2.0, 0.4, 3.0
+    BAD, REST, MOST = 0.3, 2.0, 0.4
 
     def __init__(self):
-        self.fault, self.rest_until, self.trial_at, self.high = {}, {}, {}, {}
-
-    def slow(self, c, ratio, fellows):
-        """Follows the high quantile of present over shortest answer time; far over its fellows is slow."""
-        high = self.high.get(c, 1.0)
-        self.high[c] = high = high * 1.09 if ratio > high else max(1.0, high * 0.99)
-        usual = median(self.high, c, fellows, 1.0)
-        return usual is not None and high > self.SLOW * usual
+        self.fault, self.rest_until, self.trial_at = {}, {}, {}
 
     def judge(self, c, now, failed, weight, fellows):
         """Counts an answer. A server far worse than the median of its fellows rests, unless too many do."""
@@ -202,7 +191,7 @@
         crowd = 1 + sum(f in self.rest_until for f in fellows if f != c) > max(1, self.MOST * len(fellows))
         if usual is not None and (usual > fault / 2 or crowd):
             return False       # the tier or the common link fails, or too many rest already
-        first, self.rest_until[c], self.high[c] = c not in self.rest_until, now + self.REST, 1.0
+        first, self.rest_until[c] = c not in self.rest_until, now + self.REST
         return first
 
     def fit(self, c, now):
@@ -265,12 +254,12 @@
 
 
 class Copies:
-    """Mechanism 5. Copies in the router's memory, for queries that caches can't answer, or not in time. One at a
-    time leaves on the link; what would come late there is not promised. No cache is relieved of more."""
+    """Mechanism 5. Copies in memory, for queries that no cache can answer in time. They leave one after the other
+    on the router's link: none is promised that would come late. It could harm where others need that link."""
 
     def __init__(self, machine):
-        self.room, self.flow, self.link = machine.memory_mb * OWN * 1e6, machine.flow_bytes_s, machine.link_bytes_s
-        self.held, self.size, self.free_at = {}, 0, 0.0
+        memory_mb, _, self.flow, self.link = machine or (0.0, 0, 0.0, 0.0)      # no link, no copies
+        self.room, self.held, self.size, self.free_at = memory_mb * OWN * 1e6, {}, 0, 0.0
 
     def keep(self, name, doc, made, size, query, writer):
         """Those used last stay."""
@@ -281,25 +270,21 @@
             self.drop([next(iter(self.held))], writer)
 
     def drop(self, names, writer):
-        for name in names:
-            if name in self.held:
-                self.size -= self.held.pop(name)[2]
-                writer.drop(name)
+        for name in self.held.keys() & names:
+            self.size -= self.held.pop(name)[2]
+            writer.drop(name)
 
     def sends(self, name, now, age, left):
-        """Whether a copy not older than that will be sent in the time left; its place on the link is taken."""
+        """Whether a copy not older than that is sent in the time left; its place on the link is taken."""
         _, made, size = self.held.get(name, (None, -1e9, 0))
-        ends = max(now, self.free_at) + size / self.link
-        if not size or age and now - made > age - 0.1 or max(ends, now + size / self.flow) > now + left:
+        ends = max(now, self.free_at) + size / (self.link or 1.0)
+        if not size or not self.link or age and now - made > age - 0.1 or max(size / self.flow, ends - now) > left:
             return False
         self.free_at, self.held[name] = ends, self.held.pop(name)
         return True
 
 
 class Query:
-    __slots__ = ("track", "doc", "until", "shots", "server", "source", "sent_at", "rank", "expect", "bad",
-                 "bad_sources", "ran", "ended", "sibling", "held", "through", "filling", "look", "missed")
-
     def __init__(self, track, doc, now, left, through):
         self.track, self.doc, self.until, self.through = track, doc, now + left, through
         self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
@@ -318,9 +303,8 @@
         self.cold = {"cache": ColdBudget(cold_cache, place.routers_here),
                      "parent": ColdBudget(cold_parent, place.routers)}
         self.health, self.sources, self.crowding = Health(), Health(), Crowding(place.routers_here)
-        self.docs, self.queries, self.groups = {}, {}, {}
+        self.docs, self.queries, self.groups, self.copies = {}, {}, {}, Copies(machine)
         self.most = min(MOST_DOCS, int(DOCS_IN_MB * machine.memory_mb)) if machine else MOST_DOCS
-        self.copies = Copies(machine) if machine and machine.flow_bytes_s and machine.link_bytes_s else None
         self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
         self.mean, self.mean_at, self.fills, self.heard_at, self.load = 0.0, 0.0, 0, {}, {}
@@ -355,15 +339,12 @@
             if len(self.docs) >= self.most:
                 self.docs = dict(sorted(self.docs.items(), key=lambda item: -item[1].count)[:self.most // 2])
             doc = self.docs[key, part] = Doc(key, part, group)
-        doc.count += 1
-        doc.asked += 1
-        self.counted += 1
+        doc.count, doc.asked, self.counted = doc.count + 1, doc.asked + 1, self.counted + 1
         if self.rings.rings:
             self.rings.rings[doc.code % len(self.rings.rings)][2][doc.code % INTRA_GEN] += 1.0
         q = self.queries[query] = Query(track, doc, self.now, left, write or self.tracks[track].through)
         q.expect = size_kb / self.supply.flow_kb_s if size_kb and self.supply.flow_kb_s else 0.0
-        if q.expect:
-            self.sending[track] += 0.02 * (q.expect - self.sending[track])
+        self.sending[track] += 0.02 * (q.expect - self.sending[track]) if q.expect else 0.0
         self.retries = min(20.0, 0.05 + self.retries * math.exp((self.asked_at - self.now) / LOOK))
         self.asked_at = self.now
         self.place(query, q)
@@ -377,9 +358,9 @@
             return
         self.fills -= q.filling
         self.learn(q, c, result, took, note, waited)
-        if copy and self.copies and not q.through:
-            age = self.oldest(q.doc, self.tracks[q.track], True)
-            if not age or self.now - copy[0] < age:
+        track = self.tracks[q.track]
+        if copy and track.effect == "replayable" and not q.through:
+            if self.now - copy[0] < (self.oldest(q.doc, track, True) or math.inf):
                 self.copies.keep((q.track, q.doc.code), q.doc, *copy, query, self.writer)
         if over or q.ended:
             del self.queries[query]
@@ -404,9 +385,8 @@
                 doc.purged_at = max(doc.purged_at, moment)
                 doc.purges += 1
                 doc.holders.clear()
-        if self.copies:
-            self.copies.drop([n for n, (doc, *_) in self.copies.held.items() if doc.key == key or not key
-                              and doc.group == group], self.writer)
+        self.copies.drop([n for n, (doc, _, _) in self.copies.held.items()
+                          if doc.key == key or not key and doc.group == group], self.writer)
 
     # the ordinary path of a query
 
@@ -526,7 +506,7 @@
         """Answers from memory, if a copy there will do and comes in time."""
         track, name = self.tracks[q.track], (q.track, q.doc.code)
         left = min(q.until - self.now, track.contract_s + q.expect) - 0.02
-        if not self.copies or not self.copies.sends(name, self.now, self.oldest(q.doc, track, True), left):
+        if not self.copies.sends(name, self.now, self.oldest(q.doc, track, True), left):
             return False
         self.writer.own(query, name)
         del self.queries[query]
@@ -547,9 +527,8 @@
     def holders(self, doc):
         """Caches remembered serving a kept copy; forgotten on a restart, a drain, a miss or a purge."""
         fleet, now = self.fleet, self.now
-        for c, at in list(doc.holders.items()):
-            if now - at > MEMORY or at <= fleet.forgot_at[c] or fleet.state[c] != "ready":
-                del doc.holders[c]
+        doc.holders = {c: at for c, at in doc.holders.items()
+                       if now - at <= MEMORY and at > fleet.forgot_at[c] and fleet.state[c] == "ready"}
         return list(doc.holders)
 
     def utility(self, doc, holders):
@@ -657,8 +636,7 @@
                     self.crowding.answered(INLET, now, ratio, self.fills)
                 elif q.held and note < 2:
                     self.crowding.answered(c, now, ratio, fleet.inflight[c])
-                    lags = self.health.slow(c, 1.0 / max(ratio, 1e-3), fleet.own)   # late where much is shed
-                    lags |= ratio < 0.5 and self.crowding.lags(c, now, fleet.own, 1.0)
+                    lags = ratio < 0.5 and self.crowding.lags(c, now, fleet.own, 1.0)
         elif result == "miss":
             doc.holders.pop(c, None)
         if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
