--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -19,12 +19,11 @@
 
 INTRA_GEN = 1000       # IrH values of a beacon ring
 CYCLE, TELLING = 10.0, 1000    # seconds and queries between settings of the sub-ranges: few move by chance
-MEMORY = 20.0          # seconds that a holder is remembered
+MEMORY, LOOK = 20.0, 10.0      # seconds a holder is remembered; over which work to warm servers is averaged
 INLET = -1             # stands for the location's link in among the in-flight limits
-MOST_DOCS, DOCS_IN_MB = 30000, 200     # object counts kept; and in each MB of memory, where that is told
+MOST_DOCS, DOCS_IN_MB = 30000, 150     # object counts kept; and in each MB of memory, where that is told
 OWN, HURRY = 0.12, 0.2 # of the memory for own copies; seconds beside its sending that the path may take
 FORGET = 30.0          # seconds after which nothing of a server that has gone is under way any more
-LOOK = 10.0            # seconds over which work sent to warm servers is averaged
 
 
 def digest(text):
@@ -35,8 +34,7 @@
     """The servers as last told, and figures of each in parallel arrays."""
 
     def __init__(self, kinds, here):
-        self.parent_kind, self.origin_kind = kinds
-        self.here, self.index = here, {}
+        (self.parent_kind, self.origin_kind), self.here, self.index = kinds, here, {}
         self.arrays = [[] for _ in range(9)]
         (self.ids, self.role, self.state, self.weight, self.born, self.zone, self.cell, self.inflight,
          self.forgot_at) = self.arrays
@@ -89,14 +87,12 @@
         self.rings = []
         for k in range(count if caches else 0):
             points = caches[2 * k:] if k == count - 1 else caches[2 * k:2 * k + 2]
-            n = len(points)
-            self.rings.append(old.get(tuple(points)) or
-                              (points, [INTRA_GEN * (i + 1) // n for i in range(n)], [0.0] * INTRA_GEN))
+            ends = [INTRA_GEN * (i + 1) // len(points) for i in range(len(points))]
+            self.rings.append(old.get(tuple(points)) or (points, ends, [0.0] * INTRA_GEN))
 
     def home(self, code):
         """The beacon point of an object, and the others in the order in which they stand in for it."""
-        k, irh = code % len(self.rings), code % INTRA_GEN
-        points, ends, _ = self.rings[k]
+        irh, (points, ends, _) = code % INTRA_GEN, self.rings[code % len(self.rings)]
         i = next(i for i, end in enumerate(ends) if irh < end)
         rest = [c for ring in self.rings for c in ring[0] if c != points[i]]
         at = irh % max(1, len(rest))        # what a resting home leaves spreads over all
@@ -107,8 +103,7 @@
         for points, ends, loads in self.rings:
             total, power, start = sum(loads), sum(capability(c) for c in points), 0
             for i, c in enumerate(points[:-1]):
-                surplus = sum(loads[start:ends[i]]) - capability(c) / power * total
-                moved = 0.0
+                surplus, moved = sum(loads[start:ends[i]]) - capability(c) / power * total, 0.0
                 while surplus > 0 and ends[i] > start + 1 and moved + loads[ends[i] - 1] <= surplus:
                     ends[i] -= 1
                     moved += loads[ends[i]]
@@ -121,27 +116,20 @@
 
 class Doc:
     """What is remembered of an object (one part of it, where it has parts)."""
-    __slots__ = ("code", "home_code", "group", "key", "count", "asked", "purges", "purged_at", "holders",
-                 "best", "order", "order_of", "fresh_at")
-
     def __init__(self, key, part, group):
-        self.key, self.group = key, group
+        self.key, self.group, self.holders, self.best, self.order = key, group, {}, 0.0, []
         self.code, self.home_code = digest(f"{key}/{part}"), digest(key)
         self.count = self.asked = self.purges = 0.0
-        self.purged_at, self.holders, self.best = -1e9, {}, 0.0
-        self.order, self.order_of, self.fresh_at = [], None, -1e9
+        self.purged_at, self.fresh_at, self.order_of = -1e9, -1e9, None
 
 
 class ColdBudget:
-    """Work (seconds of sending) sent to servers that started lately: this router's share of what each can do.
-
-    Guards rule 4. Among many routers a share is less than one query: it goes with the chance that the credit
-    saved up covers it, so that all together keep to the budget. It could leave a quick starter idle."""
+    """Mechanism 1. Seconds of sending to servers that started lately: a router's share of what each can do.
+    A query goes with the chance that saved credit covers it. It could leave a quick starter idle."""
     FILL, SPREAD = 1.5, 2.5     # of the present capacity; deviations of chance kept clear of what pushes over
 
     def __init__(self, start, routers):
-        self.start, self.routers = start, routers
-        self.credit, self.at = {}, {}
+        self.start, self.routers, self.credit, self.at = start, routers, {}, {}
 
     def cold(self, now, born):
         return born is not None and now - born < self.start.warm_s
@@ -185,23 +173,17 @@
             if fault < self.BAD / 2:
                 self.rest_until.pop(c, None)
             return False
-        if fault < self.BAD or self.rest_until.get(c, -1.0) > now:
-            return False
         usual = median(self.fault, c, fellows, 0.0)
         crowd = 1 + sum(f in self.rest_until for f in fellows if f != c) > max(1, self.MOST * len(fellows))
-        if usual is not None and (usual > fault / 2 or crowd):
-            return False       # the tier or the common link fails, or too many rest already
+        if fault < self.BAD or self.rest_until.get(c, -1.0) > now or usual is not None and (
+                usual > fault / 2 or crowd):
+            return False       # not bad, the tier or the common link fails, or too many rest already
         first, self.rest_until[c] = c not in self.rest_until, now + self.REST
         return first
 
     def fit(self, c, now):
         """Not resting; after a rest one query at a time until it has done well again."""
-        until = self.rest_until.get(c)
-        return until is None or now >= until and now - self.trial_at.get(c, -1e9) >= self.REST
-
-    def sent(self, c, now):
-        if c in self.rest_until:
-            self.trial_at[c] = now
+        return now >= self.rest_until.get(c, -1e9) and now - self.trial_at.get(c, -1e9) >= self.REST
 
 
 class Crowding:
@@ -211,8 +193,7 @@
     CROWD, PRIOR, FADE = 1.5, 0.5, 3.0
 
     def __init__(self, routers):
-        self.routers = routers
-        self.limit, self.pace, self.set_at, self.sums = {}, {}, {}, {}
+        self.routers, self.limit, self.pace, self.set_at, self.sums = routers, {}, {}, {}, {}
 
     def timed(self, c, now, base, over):
         """Sums, faded, of what answers took over their shortest times, and of what that is held against."""
@@ -254,8 +235,8 @@
 
 
 class Copies:
-    """Mechanism 5. Copies in memory, for queries that no cache can answer in time. They leave one after the other
-    on the router's link: none is promised that would come late. It could harm where others need that link."""
+    """Mechanism 5. Copies in memory, for queries that no cache can answer in time. They leave one by one on
+    the router's link: none is promised that would come late. It could harm where others need that link."""
 
     def __init__(self, machine):
         memory_mb, _, self.flow, self.link = machine or (0.0, 0, 0.0, 0.0)      # no link, no copies
@@ -278,7 +259,7 @@
         """Whether a copy not older than that is sent in the time left; its place on the link is taken."""
         _, made, size = self.held.get(name, (None, -1e9, 0))
         ends = max(now, self.free_at) + size / (self.link or 1.0)
-        if not size or not self.link or age and now - made > age - 0.1 or max(size / self.flow, ends - now) > left:
+        if not size * self.link or 0.0 < age < now - made + 0.1 or max(size / self.flow, ends - now) > left:
             return False
         self.free_at, self.held[name] = ends, self.held.pop(name)
         return True
@@ -293,8 +274,6 @@
 
 
 class Router:
-    """One router: everything it knows came in by its own rounds."""
-
     def __init__(self, seed, tracks, place, allowed, supply, cold_cache, cold_parent, purge_gone_s, kinds,
                  reports, machine=None):
         self.chance = random.Random(seed)
@@ -320,11 +299,7 @@
         if now >= self.next_cycle and self.counted >= TELLING:
             self.cycle()
 
-    # what comes in
-
     def roster(self, kind, rows):
-        if kind == "failed":
-            return
         own = self.fleet.own
         self.fleet.told(self.now, kind, rows)
         for c in self.fleet.fresh:
@@ -350,8 +325,7 @@
         self.place(query, q)
 
     def ended(self, query, push, server, result, took, over, note, waited, load, copy=None):
-        q = self.queries.get(query)
-        c = self.fleet.index.get(server)
+        q, c = self.queries.get(query), self.fleet.index.get(server)
         if c is not None:
             self.fleet.inflight[c] = max(0, self.fleet.inflight[c] - 1)
         if q is None or c is None:
@@ -388,8 +362,6 @@
         self.copies.drop([n for n, (doc, _, _) in self.copies.held.items()
                           if doc.key == key or not key and doc.group == group], self.writer)
 
-    # the ordinary path of a query
-
     def place(self, query, q):
         """One push for a query, or its final answer."""
         now, fleet, doc, track = self.now, self.fleet, q.doc, self.tracks[q.track]
@@ -450,8 +422,7 @@
 
     def send(self, query, q, target, source, rank, age, renew, left):
         """Times the push out so that another still fits, and writes it."""
-        q.shots += 1
-        q.server, q.source, q.sent_at, q.rank = target, source, self.now, rank
+        q.shots, q.server, q.source, q.sent_at, q.rank = q.shots + 1, target, source, self.now, rank
         need = 6.0 * max(q.doc.best, q.expect)       # what the object takes, with room; 0: not known
         more = q.shots < self.allowed.pushes and q.shots < 3 and 0.0 < need + 0.3 < 0.6 * left
         until = self.now + (left * 0.6 if more and need else left - 0.001)
@@ -460,8 +431,9 @@
             self.carried(source, self.sending[q.track] * (1.0 if q.missed else 0.25))       # most are hits
         q.filling = source != target and not q.sibling and not q.held
         self.fills += q.filling
-        self.health.sent(target, self.now)
-        self.sources.sent(source, self.now)
+        for tier, c in ((self.health, target), (self.sources, source)):
+            if c in tier.rest_until:
+                tier.trial_at[c] = self.now
         ids, joins = self.fleet.ids, self.supply.joins
         self.writer.push(query, ids[target], until, ids[source], rank, age, joins, q.sibling, renew)
 
@@ -471,10 +443,8 @@
             q.doc.holders.pop(q.source, None)
             return self.place(query, q)
         if result == "miss" and q.source == q.server:      # looked for
-            if q.look:
-                return self.refuse(query, q)
             q.missed = True
-            return self.place(query, q)
+            return self.refuse(query, q) if q.look else self.place(query, q)
         if result in ("full", "miss") or result == "errored" and q.filling and not q.bad_sources:
             q.bad_sources.add(q.source)
         if q.source not in q.bad_sources or q.source == q.server or q.held:
@@ -522,8 +492,6 @@
         q.sibling = q.held = False
         self.send(query, q, source, source, 0, self.oldest(q.doc, track, False), False, q.until - self.now)
 
-    # what the path asks
-
     def holders(self, doc):
         """Caches remembered serving a kept copy; forgotten on a restart, a drain, a miss or a purge."""
         fleet, now = self.fleet, self.now
@@ -534,8 +502,8 @@
     def utility(self, doc, holders):
         """Count over mean count, over twice the holders, times requests over requests plus purges."""
         if self.now - self.mean_at > 1.0 or not self.mean:
-            self.mean_at = self.now
-            self.mean = max(1.0, sum(d.count for d in self.docs.values()) / len(self.docs))
+            total, self.mean_at = sum(d.count for d in self.docs.values()), self.now
+            self.mean = max(1.0, total / len(self.docs))
         return doc.count / self.mean / (2.0 * holders) * doc.asked / (doc.asked + doc.purges)
 
     def warm_for(self, c, work):
@@ -585,7 +553,6 @@
         if self.told and fleet.weight[c] > 0:
             return fleet.weight[c]
         last, total = self.load.get(role, (self.now, 0.0))
-        # caches are limited to what they can; the last parents left may be asked for more for a while
         fellows = fleet.parents if role == "parent" else [
             f for f in fleet.own if not self.cold[role].cold(self.now, fleet.born[f])]
         rate = total * math.exp((last - self.now) / LOOK) / LOOK
@@ -602,18 +569,14 @@
         age = track.fresh_s + (track.stale_s if ageing else 0.0) if track.fresh_s > 0 else 0.0
         purged = max(doc.purged_at, self.groups.get(doc.group, -1e9), self.groups.get(doc.key, -1e9))
         if self.now - purged < self.purge_gone_s + 1.0:
-            since = max(1e-6, self.now - purged - 0.001)
-            age = min(age, since) if age > 0 else since
+            age = min(age or math.inf, max(1e-6, self.now - purged - 0.001))
         return age
 
-    # what is learned
-
     def learn(self, q, c, result, took, note, waited):
         fleet, doc, now, lags = self.fleet, q.doc, self.now, False
         track, tells = self.tracks[q.track], self.supply.tells
         if result == "satisfied":
-            if q.rank and fleet.forgot_at[c] < q.sent_at and q.sent_at >= max(
-                    doc.purged_at, self.groups.get(doc.group, -1e9)):
+            if q.rank and fleet.forgot_at[c] < q.sent_at >= max(doc.purged_at, self.groups.get(doc.group, 0)):
                 doc.holders.pop(c, None)
                 doc.holders[c] = now
             doc.fresh_at = now if q.filling else doc.fresh_at
@@ -656,12 +619,10 @@
         failed = lags or silent or dumb or result == "full" and filled \
             or result in ("errored", "unreachable", "broken")
         slow = filled and fleet.role[source] == "parent" and self.crowding.lags(source, now, fleet.parents)
-        if not good and not failed and not slow:
-            return
         told, shared = tells == "all", filled and result in ("errored", "full")
         own = fleet.role[c] == "cache" and (good or failed) and not (failed and not silent and (
             dumb or result == "full" or told and note in (6, 7, 10)))
-        far = fleet.role[source] == "parent" and note not in (1, 9, 10) and (
+        far = fleet.role[source] == "parent" and note not in (1, 9, 10) and (good or failed or slow) and (
             good and filled or slow or source == c or dumb or (note in (6, 7) if told else shared))
         share = 0.5 if shared and not told else 1.0
         if own and self.health.judge(c, now, failed, share, fleet.own):
--- a/brookhinge/wire/codec.py
+++ b/brookhinge/wire/codec.py
@@ -137,12 +137,11 @@
             v = parts(line, 3, "TARGETS with three values")
             if v[0] not in LISTS:
                 raise WireError(f"line {line!r}: expected a kind of list, got {v[0]!r}")
-            rows = []
-            if v[0] != "FAILED":
+            if v[0] != "FAILED":        # that tells nothing
                 rows = lists.get(v[2])
                 if rows is None:
                     raise WireError(f"line {line!r}: expected a list given by REGISTER, got {v[2]!r}")
-            add(("roster", (LISTS[v[0]], [self.member(r) for r in rows])))
+                add(("roster", (LISTS[v[0]], [self.member(r) for r in rows])))
         elif word == "PURGED":
             v = parts(line, 2, "PURGED with two values")
             add(("purged", (optional(v[0], line, "a group"), optional(v[1], line, "an age") * NS,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,7 +24,7 @@
     """The writer: keeps what was decided as printed lines."""
 
     def __init__(self):
-        self.lines = []
+        self.lines, self.kept = [], set()
 
     def push(self, query, cache, until, source, rank, age_s, join, held_only, renew):
         marks = "".join(" " + n for n, on in (("held", held_only), ("renew", renew)) if on)
@@ -40,6 +40,15 @@
     def cancel(self, query, push):
         self.lines.append(f"q{query} cancel {push}")
 
+    def own(self, query, name):
+        self.lines.append(f"q{query} own")
+
+    def keep(self, query, name):
+        self.kept.add(name)
+
+    def drop(self, name):
+        self.kept.remove(name)
+
     def probe(self, cache):
         self.lines.append(f"probe {cache}")
 
@@ -76,12 +85,12 @@
         self.next += 1
         return self.call("query", self.next, track, key, part, group, size, False, False, left, at=at)
 
-    def end(self, query, result, took=0.1, note=0, over=None, at=None):
+    def end(self, query, result, took=0.1, note=0, over=None, at=None, copy=None):
         """Ends the push that is out for a query."""
         q = self.router.queries[query]
         server = self.router.fleet.ids[q.server]
         over = result == "satisfied" if over is None else over
-        return self.call("ended", query, q.shots - 1, server, result, took, over, note, 0.0, None, at=at)
+        return self.call("ended", query, q.shots - 1, server, result, took, over, note, 0.0, None, copy, at=at)
 
     def serve(self, key, note=2, **ask):
         """A query that is satisfied at once, after a miss if it was looked for first; what it printed."""
@@ -136,7 +145,7 @@
 
     def __init__(self, folder, **other):
         site = read(configuration(**other), folder)
-        self.router = Router(site.seed, **site.decisions)
+        self.router = Router(site.seed, machine=site.bounds, **site.decisions)
         self.reducer = Reducer(self.router, [t.name.encode() for t in site.decisions["tracks"]], site.zones)
         self.now, self.asked = 0.0, 0
         self.hear(*read_commands(site.known, 0.0)[1])
@@ -151,8 +160,8 @@
         return self.hear(("query", (client, number or self.asked, name or b"r%d" % self.asked, kind, key, b"0", 0, 4,
                                     100.0, allow, tag, b"", came)), at=at)
 
-    def end(self, query, push, result, body=b"", same=False, at=None):
-        return self.hear(("ended", (query, push, result, 2, 0.0, None, body, same, self.now)), at=at)
+    def end(self, query, push, result, body=b"", same=False, at=None, **copy):
+        return self.hear(("ended", (query, push, result, 2, 0.0, None, body, same, self.now, *copy.values())), at=at)
 
     @staticmethod
     def printed(method, values):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -228,3 +228,42 @@
         b.serve(f"k{n}", at=n * 0.01)
         b.call("purged", f"g{n}", 0.0, "", at=n * 1.0 + 0.005)
     assert len(b.router.docs) <= 200 and "k499" in {key for key, _ in b.router.docs} and len(b.router.groups) < 10
+
+
+def own(b, key, count, **ask):
+    """What becomes of queries that the path would nack: every push to any cache is full."""
+    lines = []
+    for _ in range(count):
+        lines += b.ask(key, **ask)
+        while b.next in b.router.queries:
+            lines += b.end(b.next, "full")
+    return [line.split()[1] for line in lines if "push" not in line]
+
+
+def test_what_would_be_nacked_is_answered_from_memory_as_far_as_the_link_goes():
+    """Releases and restarts: caches are full, what was answered a moment ago is nacked, the own link is idle."""
+    b = Bench(machine=Bounds(64, 256, 100_000, 100_000))
+    b.ask("k")
+    b.end(1, "miss"), b.end(1, "satisfied", copy=(0.0, 10_000))
+    assert own(b, "other", 1) == ["nack"]
+    assert own(b, "k", 5, at=1.0) == ["own"] * 3 + ["nack"] * 2
+    assert own(b, "k", 1, at=9.0) == ["own"] and b.ask("k", left=0.25, at=20.0) == ["q9 own"]
+
+
+def test_no_copy_in_memory_outlives_its_age_a_purge_or_its_room():
+    b = Bench(machine=Bounds(1, 256, 100_000, 400_000), tracks=[track(fresh_s=5.0, stale_s=3.0), track(effect="referenced")])
+    def kept(key, made, size=100, **ask):
+        b.ask(key, **ask)
+        while b.next in b.router.queries:
+            b.end(b.next, "satisfied" if b.router.queries[b.next].source != b.router.queries[b.next].server else "miss",
+                  copy=(made, size))
+    kept("k", 0.0)
+    assert own(b, "k", 1, at=7.8) == ["own"] and own(b, "k", 1, at=7.95) == ["nack"]
+    kept("m", 8.0, at=8.0), b.call("purged", "", 0.0, "m", at=8.5)
+    assert own(b, "m", 1, at=8.6) == ["nack"] and len(b.trace.kept) == 1
+    kept("m", 8.4, at=9.0)          # what a cache answers from before the purge is not kept either
+    kept("n", 9.0, track=1)         # nor what has an effect
+    assert len(b.trace.kept) == 1
+    for n in range(9):
+        kept(f"b{n}", 9.0, 30_000)
+    assert len(b.trace.kept) == len(b.router.copies.held) == 4 and b.router.copies.size == 120_000
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -108,6 +108,15 @@
     assert d.end(1, 1, "satisfied", same=True) == ["nack 1 2 0.0"]
 
 
+def test_a_copy_in_memory_is_the_answer_or_tells_that_the_clients_copy_holds(tmp_path):
+    d = Desk(tmp_path, flow_bytes_per_s=1e5, link_bytes_per_s=1e6)
+    d.ask()
+    assert d.end(0, 1, "satisfied", b"all of it", came=0.0, tag=b"4be0") == ["satisfy 1 1 b'all of it' False"]
+    assert d.ask(allow=0.15) == ["satisfy 1 2 b'all of it' False"]
+    assert d.ask(allow=0.15, tag=b"4be0") == ["satisfy 1 3 b'' True"]
+    assert d.hear(("purged", (4, 4, 0.05, "aa"))) == [] and d.reducer.copies == {}
+
+
 def test_single_use_that_may_have_run_ends_in_error(tmp_path):
     d = Desk(tmp_path)
     d.ask(kind=b"order")
