--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -237,7 +237,7 @@
         lines += b.ask(key, **ask)
         while b.next in b.router.queries:
             lines += b.end(b.next, "full")
-    return [line.split()[1] for line in lines if "push" not in line]
+    return [line.split()[1] for line in lines if line[0] == "q" and "push" not in line]
 
 
 def test_what_would_be_nacked_is_answered_from_memory_as_far_as_the_link_goes():
