--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -215,7 +215,7 @@
 
     def open(self, c, now, part, chance, way_in=False):
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
-        crowd = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0)
+        crowd = max(0.0, self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) - 0.2 * way_in)
         shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
@@ -231,7 +231,8 @@
     def room(self, c, inflight, part, weight=0.0):
         """weight: transfers at full pace, where told: a crowd shows at once; else it is found from low."""
         limit = self.limit.setdefault(c, self.FIRST if weight or c == INLET else self.FIRST / 4)
-        return inflight < part * min(limit, weight * (0.6 + 1.9 / self.routers) or self.MOST)
+        most = weight * (0.6 + 1.9 / self.routers) or self.MOST
+        return inflight < part * min(max(limit, 0.7 * most if weight else 0.0), most)
 
 
 class Copies:
@@ -514,7 +515,7 @@
     def room_at(self, c, part):
         fleet, crowding = self.fleet, self.crowding
         return crowding.room(c, fleet.inflight[c], part, self.told * fleet.weight[c]) \
-            and crowding.open(c, self.now, part, self.chance)
+            and (not fleet.inflight[c] or crowding.open(c, self.now, part, self.chance))
 
     def open_to(self, c, q):
         return (c not in q.bad and self.fleet.state[c] == "ready" and self.health.fit(c, self.now)
