Counts in flight tested over all endings; a server without a connection gets one at the share

The router's counts, its pushes out and those on sockets agree through resets, spoilt, short, silent and second answers, withdrawals, lost clients and a removed server (test_counts_in_flight...). Found beside it: at the share of descriptors a new server got no connection while others held up to eight (Caches.choose); withdrawn pushes retired connections that had only not answered yet (Caches.kill): now only where an ECHO is owed.

--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -55,12 +55,13 @@
 
     def kill(self, query, push):
         """Gives a push up. Its id is not used again on its connection: an answer may be under way and must not
-        pass for that of a later push. A connection on which nothing came all the while is suspect."""
+        pass for that of a later push. A connection with an ECHO still to be answered then is suspect."""
         line, name = self.where.pop((query, push), (None, None))
         if line is None:
             return
         if line.waiting.pop(name, None) is None:
-            line.retired |= line.heard_at < line.out.pop(name)[2]
+            del line.out[name]
+            line.retired |= line.asked_at is not None
             self.spend(line, name)
             self.write(line, cachewire.kill(name))
             if line.stream.writing():       # it may not arrive: closing gives it up for sure
@@ -88,11 +89,19 @@
         take long don't hold up the rest and a connect is seldom waited for."""
         lines = self.lines.setdefault(server, [])
         usable = [n for n in lines if self.takes(n, name)]
+        if not usable and len(self.all) >= self.sockets:
+            self.make_room()
         if sum(not n.load() for n in usable) < 2 and len(lines) < CONNECTIONS and len(self.all) < self.sockets:
             fresh = self.connect(server)
             usable += [fresh] if fresh else []
         return min(usable, key=lambda n: (n.load(), not n.up), default=None)
 
+    def make_room(self):
+        """A server without any connection must get one: where most are, the longest idle is closed."""
+        idle = [n for n in self.all if n.up and not n.load()]
+        if idle:
+            self.close(max(idle, key=lambda n: (len(self.lines.get(n.server, ())), -n.used_at)))
+
     def takes(self, line, name):
         return not (line.closed or line.retired or line.stream.closed()) and line.load() < self.multiplex \
             and name not in line.out and name not in line.spent and name not in line.waiting
@@ -136,9 +145,6 @@
             if why:
                 self.say("cache connection", server=line.server[0], why=why)
             self.close(line)
-            if line in self.lines.get(line.server, ()):
-                self.lines[line.server].remove(line)
-            self.all.discard(line)
 
     def write(self, line, wire):
         try:
@@ -168,6 +174,9 @@
             return
         line.closed = True
         line.stream.close()
+        self.all.discard(line)
+        if line in self.lines.get(line.server, ()):
+            self.lines[line.server].remove(line)
         for query, push, _ in line.out.values():
             del self.where[query, push]
             self.end(query, push, "broken")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -189,6 +189,45 @@
     assert played(scene, tmp_path) == ([(1, "satisfied 3"), (2, "satisfied 3")], 3, {})
 
 
+def test_counts_in_flight_are_what_is_out_on_sockets_over_all_endings(tmp_path):
+    """A count that stays after an odd end shuts a cache for ever; one that is missing sends too much."""
+    ends = ["data", "absent", "full", "failed", "moot", "reset", "garbage", "half", "silent", b"ID data - 9\r\nyes\r\n",
+            b"ID absent - 0\r\n\r\n" * 2, DATA, "unchanged"]
+
+    async def scene(t):
+        router, seen, agreed = t.service.reducer.router, [], []
+        for machine in t.machines.values():
+            machine.act = lambda line: seen.append(line) or ends[len(seen) % len(ends)]
+        other = await Caller.connect(t.address)
+        for n in range(120):
+            router.retries = 5.0
+            (other if n % 5 == 0 else t.caller).ask(n, lookup=f"{n % 40:016x}", allow="600")
+            if n % 7 == 0:
+                t.caller.forget(t.caller.number)
+            if n % 25 == 24:
+                other.writer.transport.abort()
+                other = await Caller.connect(t.address)
+            if n == 60:
+                t.commands.answers.append(Commands.reply(4, listed(4, [host("s-21", health="removed")], whole=False)))
+            await asyncio.sleep(0.01)
+            out = [q for q in t.service.reducer.queries.values() if q.out]
+            if not t.service.events:        # what has ended and is not reduced yet
+                agreed.append(sum(router.fleet.inflight) == len(out) == len(t.service.caches.where))
+        await until(lambda: not t.service.reducer.queries)
+        return set(agreed), sum(router.fleet.inflight), router.fills, router.queries, t.service.caches.where
+    assert played(scene, tmp_path) == ({True}, 0, 0, {}, {})
+
+
+def test_a_server_without_a_connection_gets_one_at_the_share_of_descriptors(tmp_path):
+    async def scene(t):
+        t.service.caches.sockets, heard = 3, set()
+        for n in range(30):
+            t.caller.ask(n, lookup=f"{n:016x}")
+            heard.add((await t.caller.hear())[1])
+        return heard, len(t.service.caches.all) <= 3, {line[:4] for line in t.pulled()}
+    assert played(scene, tmp_path) == ({"satisfied 19"}, True, {"s-21", "s-22", "s-23"})
+
+
 def test_a_slow_transfer_does_not_hold_up_the_rest(tmp_path):
     """An answer of which half has come blocks its connection; later pushes to that cache go by others."""
     async def scene(t):
