--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -215,7 +215,7 @@
 
     def open(self, c, now, part, chance, way_in=False):
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
-        crowd = max(0.0, self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) - 0.2 * way_in)
+        crowd = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) - (0.2 if way_in else 0.4)
         shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -279,11 +279,12 @@
     assert [room(1, inflight, 1.0, 59.0) for inflight in (91, 92)] == [True, False]
 
 
-def test_a_parent_that_takes_the_time_it_always_takes_is_not_crowded():
-    """Calm days: the way to the origin counted as a crowd, and 2% of the large objects were nacked."""
+def test_a_server_that_takes_the_time_it_always_takes_is_not_crowded():
+    """Calm days: the way to the origin and a cache slow by nature counted as crowds; 2 to 3% were nacked."""
     b = Bench(routers=3)
-    parent = b.router.fleet.index[11]
-    b.router.crowding.timed(parent, b.now, 8.0, 1.5)
-    assert all(b.router.crowding.open(parent, b.now, 0.2, b.router.chance, True) for _ in range(50))
-    b.router.crowding.timed(parent, b.now, 8.0, 16.0)
-    assert not all(b.router.crowding.open(parent, b.now, 0.2, b.router.chance, True) for _ in range(50))
+    for server, usual, way_in in ((11, 1.5, True), (21, 3.0, False)):
+        c = b.router.fleet.index[server]
+        b.router.crowding.timed(c, b.now, 8.0, usual)
+        assert all(b.router.crowding.open(c, b.now, 0.2, b.router.chance, way_in) for _ in range(50))
+        b.router.crowding.timed(c, b.now, 8.0, 16.0)
+        assert not all(b.router.crowding.open(c, b.now, 0.2, b.router.chance, way_in) for _ in range(50))
