--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -215,7 +215,8 @@
 
     def open(self, c, now, part, chance, way_in=False):
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
-        crowd = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) - (0.2 if way_in else 0.4)
+        usual = (0.2 if way_in else 0.4) * min(1.0, 8.0 / self.routers)     # of many routers little is own
+        crowd = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) - usual
         shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
@@ -333,9 +334,8 @@
             return
         self.fills -= q.filling
         self.learn(q, c, result, took, note, waited)
-        track = self.tracks[q.track]
-        if copy and track.effect == "replayable" and not q.through:
-            if self.now - copy[0] < (self.oldest(q.doc, track, True) or math.inf):
+        if copy and self.tracks[q.track].effect == "replayable" and not q.through:
+            if self.now - copy[0] < (self.oldest(q.doc, self.tracks[q.track], True) or math.inf):
                 self.copies.keep((q.track, q.doc.code), q.doc, *copy, query, self.writer)
         if over or q.ended:
             del self.queries[query]
