--- /dev/null
+++ b/brookhinge/cli/__init__.py
@@ -0,0 +1,62 @@
+"""The command line: `brookhinge COMMAND`, or `python -m brookhinge COMMAND`. Exit 0 when done, 1 when something was
+found wrong, 2 with one line when an option, key or file can't be used. Commands import their subsystem when called."""
+import sys
+
+import click
+
+COMMANDS = {        # command: (module, its one line); the module is imported when the command is called
+    "check": ("brookhinge.cli.check", "Reads an operator's file and says what is wrong with it."),
+}
+
+
+class Lazy(click.Group):
+    """A group whose commands are imported when they are asked for."""
+
+    def list_commands(self, context):
+        return list(COMMANDS)
+
+    def get_command(self, context, name):
+        if name not in COMMANDS:
+            return None
+        module = __import__(COMMANDS[name][0], fromlist=["command"])
+        return module.command
+
+    def format_commands(self, context, formatter):
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, line) for name, (_, line) in COMMANDS.items()])
+
+
+@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+def group():
+    """A query router for edge caches, and what stands beside it.
+
+    Without a command it is the platform's router, configured by BALANCER_CONFIG."""
+
+
+def refuse(text, code=2):
+    """Ends the command with one line on standard error."""
+    click.echo(f"brookhinge: {text}", err=True)
+    sys.exit(code)
+
+
+def table(rows, columns, as_json):
+    """Prints rows (dicts) as JSON or as aligned columns, uncoloured."""
+    if as_json:
+        import orjson
+        click.echo(orjson.dumps(rows, option=orjson.OPT_INDENT_2).decode())
+        return
+    cells = [columns] + [[str(row.get(column, "")) for column in columns] for row in rows]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(columns))]
+    for row in cells:
+        click.echo("  ".join(cell.ljust(width) for cell, width in zip(row, widths)).rstrip())
+
+
+def main(args=None):
+    try:
+        group.main(args=args, prog_name="brookhinge", standalone_mode=False)
+    except click.ClickException as fault:
+        click.echo(f"brookhinge: {fault.format_message()}", err=True)
+        return 2
+    except click.Abort:
+        return 130
+    return 0
--- /dev/null
+++ b/brookhinge/operator/schema.py
@@ -0,0 +1,173 @@
+"""The one schema of the operator's file: which blocks there are, their keys, what each may be and its default."""
+from typing import NamedTuple
+
+from brookhinge.operator.hcl import OperatorError, parse
+
+MUST = object()     # no default
+
+
+class Tier(NamedTuple):
+    """A two-tier store: see brookhinge/store."""
+    dir: str            # "" : memory alone
+    memory_mb: float
+    disk_mb: float
+    segment_mb: float
+    sync_s: float       # between two syncs of what was appended
+    snapshot_s: float   # between two pictures of the index
+    stall_s: float      # a read that takes longer is a miss, and the disk suspect
+
+
+class Stand(NamedTuple):
+    """A cache box: see brookhinge/box."""
+    name: str
+    listen: tuple
+    channel: tuple
+    fills: int          # at once
+    fill_s: float       # a fill is given up if nothing has come after so long
+    idle_s: float       # an idle connection is closed after so long
+    connect_s: float
+    drain_s: float      # what is open at the word to end has so long
+    born_ms: int        # told by who starts it; 0: not a late start
+    store: Tier
+
+
+class Told(NamedTuple):
+    """What a file turns on."""
+    box: dict           # name -> Stand
+    log: str            # least level that is logged
+    metrics: tuple      # HOST:PORT on which figures are served, or None
+
+
+def number(least, most):
+    def check(value):
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value <= most:
+            raise ValueError(f"a number from {least:g} to {most:g}")
+        return value
+    return check
+
+
+def whole(least, most):
+    def check(value):
+        if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+            raise ValueError(f"a whole number from {least} to {most}")
+        return value
+    return check
+
+
+def text(value):
+    if not isinstance(value, str) or not value or not value.isprintable():
+        raise ValueError("a text")
+    return value
+
+
+def path(value):
+    if not isinstance(value, str) or "\0" in value:
+        raise ValueError("a path")
+    return value
+
+
+def one_of(*words):
+    def check(value):
+        if value not in words:
+            raise ValueError("one of " + ", ".join(words))
+        return value
+    return check
+
+
+def address(value):
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not colon or not (port.isascii() and port.isdigit()) or int(port) > 65535:
+        raise ValueError("HOST:PORT")
+    return host, int(port)
+
+
+STORE = {
+    "dir": (path, ""), "memory_mb": (number(1, 1 << 20), 64), "disk_mb": (number(1, 1 << 24), 1024),
+    "segment_mb": (number(0.25, 1024), 16), "sync_s": (number(0, 3600), 0.5),
+    "snapshot_s": (number(0.1, 86400), 30.0), "stall_s": (number(0.001, 60), 0.25),
+}
+BOX = {
+    "listen": (address, MUST), "channel": (address, MUST), "fills": (whole(1, 10000), 32),
+    "fill_s": (number(0.01, 600), 2.0), "idle_s": (number(0.1, 86400), 30.0), "connect_s": (number(0.01, 60), 0.4),
+    "drain_s": (number(0, 3600), 5.0), "born_ms": (whole(0, 1 << 53), 0),
+}
+BLOCKS = {      # kind: (labels, keys, blocks within)
+    "box": (1, BOX, {"store": (0, STORE, {})}),
+    "log": (0, {"level": (one_of("debug", "info", "warning", "error"), "info")}, {}),
+    "metrics": (0, {"listen": (address, MUST)}, {}),
+}
+
+
+def take(block, keys):
+    """The checked values of a block, defaults filled in."""
+    for key, line in block.lines.items():
+        if key not in keys:
+            raise OperatorError(f"line {line}: {block.title()}: {key}: no such key, expected one of "
+                                f"{', '.join(sorted(keys))}")
+    values = {}
+    for key, (check, default) in keys.items():
+        if key not in block.values:
+            if default is MUST:
+                raise OperatorError(f"line {block.line}: {block.title()}: {key}: missing")
+            values[key] = default
+            continue
+        try:
+            values[key] = check(block.values[key])
+        except ValueError as fault:
+            raise OperatorError(f"line {block.lines[key]}: {block.title()}: {key}: expected {fault}, got "
+                                f"{block.values[key]!r:.60}") from None
+    return values
+
+
+def check_blocks(block, known):
+    """Every block is known, has its labels, and stands once."""
+    seen = set()
+    for inner in block.blocks:
+        if inner.kind not in known:
+            raise OperatorError(f"line {inner.line}: {inner.kind}: no such block, expected one of "
+                                f"{', '.join(sorted(known)) or 'none'}")
+        labels, _, within = known[inner.kind]
+        if len(inner.labels) != labels:
+            raise OperatorError(f"line {inner.line}: {inner.kind}: expected {labels} label"
+                                f"{'' if labels == 1 else 's'}, got {len(inner.labels)}")
+        if inner.title() in seen:
+            raise OperatorError(f"line {inner.line}: {inner.title()} stands twice")
+        seen.add(inner.title())
+        check_blocks(inner, within)
+
+
+def read_text(source):
+    top = parse(source)
+    for key, line in top.lines.items():
+        raise OperatorError(f"line {line}: {key}: expected a block, got a key outside of any")
+    check_blocks(top, BLOCKS)
+    boxes, level, metrics = {}, "info", None
+    for block in top.blocks:
+        values = take(block, BLOCKS[block.kind][1])
+        if block.kind == "box":
+            inner = block.blocks[0] if block.blocks else None
+            store = take(inner, STORE) if inner else {key: default for key, (_, default) in STORE.items()}
+            if store["dir"] and store["disk_mb"] < 4 * store["segment_mb"]:
+                raise OperatorError(f"line {inner.line}: {block.title()}: store: disk_mb: expected 4 times segment_mb "
+                                    f"({store['segment_mb']:g}) at least, got {store['disk_mb']:g}")
+            boxes[block.labels[0]] = Stand(name=text(block.labels[0]), store=Tier(**store), **values)
+        elif block.kind == "log":
+            level = values["level"]
+        else:
+            metrics = values["listen"]
+    dirs = {}
+    for name, stand in boxes.items():
+        if stand.store.dir and dirs.setdefault(stand.store.dir, name) != name:
+            raise OperatorError(f'box "{name}": store: dir: {stand.store.dir!r} is that of box '
+                                f'"{dirs[stand.store.dir]}" too')
+    return Told(boxes, level, metrics)
+
+
+def read_file(name):
+    try:
+        with open(name, encoding="utf-8") as file:
+            return read_text(file.read())
+    except UnicodeDecodeError:
+        raise OperatorError(f"{name}: expected UTF-8 text") from None
+    except OSError as fault:
+        raise OperatorError(f"{name}: expected a file that can be read ({fault.strerror})") from None
--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,34 @@
+# What an installation of its own turns on beside the platform's router. Each block stands for one subsystem; one that
+# is left out is off. `brookhinge check deploy/operator.hcl` reads this file as the programs do.
+
+# Logs of all programs but the platform's router: debug, info, warning or error and worse.
+log {
+  level = "info"
+}
+
+# Figures for Prometheus, served by the process that reads this file.
+# metrics {
+#   listen = "127.0.0.1:9100"
+# }
+
+# A cache box: `brookhinge box --file deploy/operator.hcl --name s-1`. See docs/operators/store.md.
+box "s-1" {
+  listen    = "127.0.0.1:9001"
+  channel   = "127.0.0.1:8500"   # the command channel: list of servers and purges
+  fills     = 32                 # fills under way at once; past that a query is answered `full`
+  fill_s    = 2.0                # a fill is given up if nothing has come after so long
+  idle_s    = 30.0               # an idle connection is closed after so long
+  connect_s = 0.4
+  drain_s   = 5.0                # after SIGTERM what is open has so long
+  born_ms   = 0                  # Unix millisecond of a late start, as the command channel tells it
+
+  store {
+    dir        = "/var/lib/brookhinge/s-1"   # "" keeps memory alone; one box a folder
+    memory_mb  = 64
+    disk_mb    = 1024              # at least four segments
+    segment_mb = 16
+    sync_s     = 0.5               # what was written within the last sync_s may be lost with the power: a miss
+    snapshot_s = 30.0              # pictures of the index: a start reads the last one and what came after it
+    stall_s    = 0.25              # a read that takes longer is a miss, and the disk is left alone for a while
+  }
+}
