Store: two tiers, checked chunks in segments, purge ledger, admission, recovery by pictures

Need: a box that restarts loses its memory tier and starts cold. Change: brookhinge/store. Records bind their place (store, segment, offset) and each 64 KB chunk has its check; index in parallel arrays; ledger synced before a purge counts as taken; everything found at a start is aside until its source says it is unchanged; a TinyLFU sketch with doorkeeper admits by what a newcomer would push out together; the disk goes off after a fault or stall and comes back by trial, reads and writes on bounded threads.

--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -147,8 +147,8 @@
         if block.kind == "box":
             inner = block.blocks[0] if block.blocks else None
             store = take(inner, STORE) if inner else {key: default for key, (_, default) in STORE.items()}
-            if store["dir"] and store["disk_mb"] < 4 * store["segment_mb"]:
-                raise OperatorError(f"line {inner.line}: {block.title()}: store: disk_mb: expected 4 times segment_mb "
+            if store["dir"] and store["disk_mb"] < 8 * store["segment_mb"]:
+                raise OperatorError(f"line {inner.line}: {block.title()}: store: disk_mb: expected 8 times segment_mb "
                                     f"({store['segment_mb']:g}) at least, got {store['disk_mb']:g}")
             boxes[block.labels[0]] = Stand(name=text(block.labels[0]), store=Tier(**store), **values)
         elif block.kind == "log":
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -25,7 +25,7 @@
   store {
     dir        = "/var/lib/brookhinge/s-1"   # "" keeps memory alone; one box a folder
     memory_mb  = 64
-    disk_mb    = 1024              # at least four segments
+    disk_mb    = 1024              # at least eight segments
     segment_mb = 16
     sync_s     = 0.5               # what was written within the last sync_s may be lost with the power: a miss
     snapshot_s = 30.0              # pictures of the index: a start reads the last one and what came after it
--- /dev/null
+++ b/tests/store/test_store.py
@@ -0,0 +1,267 @@
+"""The two tiers on a loop: a disk that fails or stalls delays no answer and comes back by trial; admission, health and
+the order of eviction by themselves."""
+import asyncio
+import errno
+import random
+import threading
+import time
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brookhinge.store.admission import Admission, Sketch, mixed
+from brookhinge.store.cleaning import FULL, choose, room
+from brookhinge.store.health import Health
+from brookhinge.store.memory import OVERHEAD, Memory
+from brookhinge.store.records import CHUNK, Copy, Found
+from brookhinge.store.store import Store
+from brookhinge.store.tier import DiskTier
+from tests.store.simfiles import SimFiles
+
+
+def copy(name, size=900, dated=5.0, rank=1, group=3, tag=b"t"):
+    return Copy(name, 0, tag, dated, group, rank, size, random.Random(name).randbytes(size))
+
+
+def played(scene, files=None, memory=1 << 20, **other):
+    """Runs scene(store, files, lines) on a store with a small disk."""
+    files, lines = files or SimFiles(random.Random(1)), []
+
+    def say(event, **values):
+        lines.append(event + (f" {values['why'].split(':')[0]}" if "why" in values else ""))
+
+    async def run():
+        disk = DiskTier(files, 60 * CHUNK, 5 * CHUNK, say=say)
+        store = Store(memory, disk, say=say, **{"stall_s": 0.05, "sync_s": 0.02, "snapshot_s": 0.05,
+                                                "health": Health(first_s=0.1), **other})
+        await store.start()
+        await store.opened
+        try:
+            return await scene(store, files, lines)
+        finally:
+            files.delay = None
+            await store.close()
+    return asyncio.run(run())
+
+
+async def until(true, within_s=5.0):
+    end = time.monotonic() + within_s
+    while not true():
+        assert time.monotonic() < end, "it did not come"
+        await asyncio.sleep(0.005)
+
+
+def test_what_memory_lost_comes_from_disk_and_is_aside_after_a_restart():
+    async def first(store, files, lines):
+        for n in range(8):
+            store.put(copy(b"o%d" % n))
+        await until(lambda: store.disk.counts["written"] == 8)
+        store.memory.drop((b"o1", 0))
+        found = await store.get(b"o1", 0)
+        return found.body == copy(b"o1").body, found.aside, store.counts["disk_hits"]
+
+    async def second(store, files, lines):
+        found = await store.get(b"o1", 0)
+        assert found.aside and await store.get(b"o2", 0)
+        fresh = store.renew(b"o1", 0, found, 9.0)
+        store.memory.drop((b"o1", 0))
+        again = await store.get(b"o1", 0)
+        return fresh.aside, again.aside, again.dated, store.renew(b"o2", 0, found._replace(dated=9.0), 8.0)
+    files = SimFiles(random.Random(1))
+    assert played(first, files) == (True, False, 1)
+    assert played(second, files) == (False, False, 9.0, None)
+
+
+def test_a_disk_that_stalls_delays_nothing_and_comes_back():
+    async def scene(store, files, lines):
+        for n in range(8):
+            store.put(copy(b"o%d" % n))
+        await until(lambda: store.disk.counts["written"] == 8)
+        store.memory.drop((b"o1", 0))
+        hold = threading.Event()
+        files.delay = lambda call: hold.wait(5)
+        began = time.monotonic()
+        late = await store.get(b"o1", 0)
+        took = time.monotonic() - began
+        for n in range(2000):       # its queue is bounded, and nothing is queued while it is off
+            store.put(copy(b"p%d" % n, 3000))
+        waiting = store.writer.waiting()
+        purge = store.purge_object(b"o2", 99.0)
+        assert await asyncio.wait_for(purge, 0.1) is False and await store.get(b"o2", 0) is None
+        assert await store.get(b"p1999", 0)
+        files.delay = None
+        hold.set()
+        await until(lambda: store.health.on)
+        back = await store.get(b"o1", 0)
+        return late, took < 0.5, waiting <= 256, back.body == copy(b"o1").body, lines[1:3], \
+            b"o2" in store.disk.ledger.objects
+    assert played(scene, memory=1 << 19) == (None, True, True, True, ["disk off stall", "disk on"], True)
+
+
+@pytest.mark.parametrize("call, error, why", [("write", errno.ENOSPC, "full"), ("write", errno.EIO, "write"),
+                                              ("sync", errno.EIO, "sync"), ("read", errno.EIO, "read")])
+def test_a_disk_that_fails_turns_off_and_comes_back(call, error, why):
+    async def scene(store, files, lines):
+        for n in range(8):
+            store.put(copy(b"o%d" % n))
+        await until(lambda: store.disk.counts["written"] == 8 and not store.disk.dirty)
+        files.fail = {call: error}
+        for n in range(4):
+            store.memory.drop((b"o%d" % n, 0))
+            await store.get(b"o%d" % n, 0)
+            store.put(copy(b"p%d" % n))
+        await until(lambda: not store.health.on)
+        assert await store.get(b"p0", 0)
+        turns = store.health.turns
+        await asyncio.sleep(0.3)            # trials fail; each waits longer
+        assert not store.health.on and 1 <= store.health.turns - turns <= 3 or call == "read"
+        files.fail = {}
+        await until(lambda: store.health.on)
+        store.put(copy(b"q"))
+        await until(lambda: store.disk.look(b"q", 0))
+        return lines[1]
+    assert played(scene) == f"disk off {why}"
+
+
+def test_purges_are_durable_when_told_so_also_those_that_came_while_it_opened():
+    files = SimFiles(random.Random(2))
+
+    async def scene(store, files, lines):
+        assert await store.purge_object(b"o1", 50.0) is True and await store.purge_group(7, 60.0) is True
+        files.fail = {"sync": errno.EIO}
+        told = await store.purge_object(b"o2", 70.0)
+        hit = await store.get(b"o2", 0)
+        files.fail = {}
+        await until(lambda: store.health.on)
+        files.crash()
+        return told, hit
+
+    async def again():
+        disk = DiskTier(files, 60 * CHUNK, 5 * CHUNK)
+        store = Store(1 << 20, disk, health=Health(first_s=0.1))
+        files.delay = lambda call: time.sleep(0.005)
+        await store.start()
+        await asyncio.sleep(0.01)
+        assert await store.purge_object(b"o3", 80.0) is False
+        files.delay = None
+        await store.opened
+        files.crash()
+        return files
+    assert played(scene, files) == (False, None)
+    asyncio.run(again())
+    disk = DiskTier(files, 60 * CHUNK, 5 * CHUNK)
+    disk.open()
+    assert disk.ledger.objects == {b"o1": 50.0, b"o2": 70.0, b"o3": 80.0} and disk.ledger.groups == {7: 60.0}
+
+
+def test_a_copy_from_before_a_purge_is_kept_nowhere():
+    async def scene(store, files, lines):
+        store.put(copy(b"o"))
+        await store.purge_group(3, 5.0)
+        return await store.get(b"o", 0), store.put(copy(b"o", dated=5.0)), store.put(copy(b"o", dated=5.1))
+    assert played(scene) == (None, False, True)
+
+
+def test_a_gap_in_what_was_told_sets_both_tiers_aside():
+    async def scene(store, files, lines):
+        store.put(copy(b"o"))
+        store.aside_all()
+        found = await store.get(b"o", 0)
+        assert found.aside
+        store.put(copy(b"p"))
+        return (await store.get(b"p", 0)).aside
+    assert played(scene) is False
+
+
+@pytest.mark.parametrize("bad", [dict(rank=4), dict(group=256), dict(dated=float("nan")), dict(tag=b"x" * 2000)])
+def test_what_cannot_be_kept_is_refused(bad):
+    async def scene(store, files, lines):
+        with pytest.raises(ValueError, match=next(iter(bad))):
+            store.put(copy(b"o", **bad))
+        store.put(copy(b"o"))
+        return (await store.get(b"o", 0)).size
+    assert played(scene) == 900
+
+
+@given(st.lists(st.tuples(st.integers(0, 12), st.integers(0, 3), st.integers(1, 900)), max_size=60))
+def test_memory_drops_the_lowest_rank_first_then_the_longest_unused(puts):
+    memory, used = Memory(4000), []
+    for name, rank, size in puts:
+        before = dict(memory.rank)
+        found = Found(b"", 0.0, 0, rank, size, b"x" * size, False)
+        kept = memory.put(name, found)
+        assert memory.bytes == sum(len(f.body) + OVERHEAD for _, f in memory.items()) <= 4000
+        used = [n for n in used if n != name] + [name]
+        gone = [n for n in before if n not in memory.rank and n != name]
+        assert all(before[n] <= rank for n in gone)
+        for n in gone:      # whatever stayed is of a higher rank, or was used later
+            assert all(memory.rank[m] > before[n] or used.index(m) > used.index(n) for m in memory.rank)
+        assert kept == (name in memory.rank)
+
+
+def test_the_sketch_counts_never_too_little_and_forgets():
+    sketch, truth, chance = Sketch(1024), Counter(), random.Random(3)
+    for _ in range(4000):
+        key = mixed(int(chance.paretovariate(0.8)))
+        sketch.count(key)
+        truth[key] += 1
+    assert all(sketch.estimate(key) >= min(15, n) for key, n in truth.items())
+    over = sum(sketch.estimate(key) > n + 1 for key, n in truth.items()) / len(truth)
+    assert over < 0.2
+    favourite = truth.most_common(1)[0][0]
+    for _ in range(4):
+        sketch.age()
+    assert sketch.estimate(favourite) <= 1
+
+
+def test_a_giant_asked_for_twice_pushes_out_nothing_that_is_wanted():
+    admission = Admission(1024, bend=0.5)
+    small = [(mixed(n), 1000) for n in range(100)]
+    for key, _ in small:
+        for _ in range(3):
+            admission.used(key)
+    giant, rare, liked = mixed(1000), mixed(1001), mixed(1002)
+    for key, times in ((giant, 2), (rare, 1), (liked, 9)):
+        for _ in range(times):
+            admission.used(key)
+    assert not admission.admit(giant, 100_000, 0, iter(small))
+    assert not admission.admit(rare, 1000, 0, iter(small))
+    assert admission.admit(liked, 1000, 0, iter(small))
+    assert not admission.admit(liked, 1000, 0, iter([]))        # nothing may go for it
+    assert Admission(64, room=0.5).admit(rare, 1000, 2500, iter([]))
+
+
+def test_health_turns_off_waits_longer_each_time_and_survives_a_clock_that_steps_back():
+    health, trace = Health(first_s=1.0, longest_s=8.0), []
+    health.proved(-100.0)
+    assert not health.fault(1.0, "read", "x") and not health.fault(2.0, "read", "x") and health.fault(3.0, "read", "x")
+    now = 3.0
+    for _ in range(5):
+        trace.append((health.state, health.pause_s))
+        now += health.pause_s
+        assert health.due(now) and not health.due(now - 0.01)
+        health.trying()
+        health.fault(now, "write", "x")
+    health.trying()
+    health.proved(now)
+    health.fault(now + 1000.0, "full", "x")
+    trace.append((health.state, health.pause_s))
+    assert trace == [("off", 1.0), ("off", 2.0), ("off", 4.0), ("off", 8.0), ("off", 8.0), ("off", 1.0)]
+    assert health.due(now - 5000.0)
+
+
+@given(st.integers(4, 60), st.data())
+def test_cleaning_always_finds_a_segment_that_is_worth_it(count, data):
+    segment = 1000
+    limit = (count + 1) * segment
+    sizes = {n: segment for n in range(count)}
+    left, live = room(limit, segment), {}
+    for n in range(count):
+        live[n] = data.draw(st.integers(0, min(segment, left)))
+        left -= live[n]
+    pick = choose(sizes, live, count - 1, limit, segment)
+    assert pick is not None and pick != count - 1
+    assert live[pick] <= FULL * segment * count / max(1, count - 1) * (limit - 3 * segment) / limit + 1
+    assert choose({n: segment for n in range(count - 1)}, live, 0, limit, segment) is None
