--- /dev/null
+++ b/brookhinge/box/lines.py
@@ -0,0 +1,141 @@
+"""Connections of routers and boxes to a server of lines: bytes to commands, answers to bytes. Decides nothing."""
+import asyncio
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import add_accept_handler, bind_sockets
+
+from brookhinge.box import wire
+from brookhinge.net.cachewire import Unreadable
+
+PIECE = 64 * 1024
+MOST_UNREAD = 8 * 1024 * 1024       # past it a peer that does not read is not read from
+MOST_OPEN = 512                     # queries on one connection
+SWEEP_S = 0.2
+
+
+class Peer:
+    """One connection and what is open on it."""
+
+    def __init__(self, stream, now):
+        self.stream, self.used_at, self.open = stream, now, {}
+        self.may_read = asyncio.Event()
+        self.may_read.set()
+        self.unread = 0
+
+    def write(self, data):
+        try:
+            flushed = self.stream.write(data)
+        except StreamClosedError:
+            return
+        self.unread += len(data)
+        if self.unread > MOST_UNREAD:
+            self.may_read.clear()
+        flushed.add_done_callback(lambda done: self.wrote(len(data), done))
+
+    def wrote(self, size, done):
+        done.cancelled() or done.exception()
+        self.unread -= size
+        if self.unread <= MOST_UNREAD // 2:
+            self.may_read.set()
+
+
+class LineServer:
+    """serve(peer, name, raw fields, body): a coroutine that returns the answer's bytes; it is cancelled at a KILL and
+    when its connection ends."""
+
+    def __init__(self, serve, say, now, idle_s):
+        self.serve, self.say, self.now, self.idle_s = serve, say, now, idle_s
+        self.peers, self.sockets, self.stops, self.sweeping = set(), [], [], None
+
+    def listen(self, host, port):
+        self.sockets = bind_sockets(port, host, family=socket.AF_INET)
+        self.stops = [add_accept_handler(made, self.accept) for made in self.sockets]
+        self.sweeping = asyncio.ensure_future(self.sweep())
+        return self.sockets[0].getsockname()
+
+    def accept(self, made, _):
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        peer = Peer(IOStream(made, read_chunk_size=PIECE), self.now())
+        self.peers.add(peer)
+        asyncio.ensure_future(self.read(peer))
+
+    async def read(self, peer):
+        commands = wire.Commands()
+        try:
+            while True:
+                await peer.may_read.wait()
+                for command, name, *rest in commands.feed(await peer.stream.read_bytes(PIECE, partial=True)):
+                    self.take(peer, command, name, rest)
+        except (StreamClosedError, OSError):
+            pass
+        except Unreadable as fault:
+            self.say("peer", why=f"unreadable: {fault}")
+        except Exception as fault:
+            self.say("fault", where="peer", why=f"{type(fault).__name__}: {fault}")
+        finally:
+            self.close(peer)
+
+    def take(self, peer, command, name, rest):
+        peer.used_at = self.now()
+        if command == "echo":
+            peer.write(wire.answer(name, b"well"))
+        elif command == "kill":
+            if name in peer.open:
+                peer.open.pop(name).cancel()
+        elif name in peer.open:
+            raise Unreadable(f"the id {name[:40]!r} that is open")
+        elif len(peer.open) >= MOST_OPEN:
+            peer.write(wire.answer(name, b"full"))
+        else:
+            peer.open[name] = asyncio.ensure_future(self.run(peer, name, *rest))
+
+    async def run(self, peer, name, raw, body):
+        me = asyncio.current_task()
+        try:
+            data = await self.serve(peer, name, raw, body)
+        except wire.Unusable as fault:
+            self.say("query", why=f"unusable: {fault}")
+            data = wire.answer(name, b"failed")
+        except asyncio.CancelledError:
+            return
+        except Exception as fault:      # one query, not the box
+            self.say("fault", where="query", why=f"{type(fault).__name__}: {fault}")
+            data = wire.answer(name, b"failed")
+        if peer.open.get(name) is me:
+            del peer.open[name]
+            peer.used_at = self.now()
+            peer.write(data)
+
+    def close(self, peer):
+        peer.stream.close()
+        peer.may_read.set()
+        self.peers.discard(peer)
+        for task in peer.open.values():
+            task.cancel()
+        peer.open.clear()
+
+    async def sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            for peer in [p for p in self.peers if not p.open and not p.unread]:
+                if not 0 <= self.now() - peer.used_at <= self.idle_s:
+                    self.close(peer)
+
+    def open(self):
+        return sum(len(peer.open) for peer in self.peers)
+
+    def stop(self):
+        """No new connections."""
+        for stop in self.stops:
+            stop()
+        for made in self.sockets:
+            made.close()
+        self.stops, self.sockets = [], []
+
+    def end(self):
+        self.stop()
+        if self.sweeping:
+            self.sweeping.cancel()
+        for peer in list(self.peers):
+            self.close(peer)
--- /dev/null
+++ b/brookhinge/box/metrics.py
@@ -0,0 +1,26 @@
+"""A box's figures for Prometheus, served from a thread of the library's own."""
+from prometheus_client import CollectorRegistry, start_http_server
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+GAUGES = {"memory_bytes", "disk_parts", "disk_entries", "disk_live_bytes", "disk_disk_bytes", "disk_segments",
+          "disk_suspects"}
+
+
+class Figures:
+    def __init__(self, box):
+        self.box = box
+
+    def collect(self):
+        told = {**self.box.counts, **self.box.store.figures()}
+        yield GaugeMetricFamily("brookhinge_box_disk_on", "1 while the disk tier is used", told.pop("disk") == "on")
+        yield GaugeMetricFamily("brookhinge_box_open", "queries open", self.box.lines.open())
+        yield GaugeMetricFamily("brookhinge_box_fills", "fills under way", len(self.box.fills))
+        for name, value in told.items():
+            kind = GaugeMetricFamily if name in GAUGES else CounterMetricFamily
+            yield kind(f"brookhinge_box_{name}", f"see docs/operators/store.md: {name}", value)
+
+
+def publish(box, address):
+    registry = CollectorRegistry()
+    registry.register(Figures(box))
+    return start_http_server(address[1], address[0], registry=registry)
--- /dev/null
+++ b/brookhinge/box/service.py
@@ -0,0 +1,286 @@
+"""A cache box as one object: lines in front, the store behind, fills over connections to other servers."""
+import asyncio
+import time
+
+from brookhinge.box import judge as j
+from brookhinge.box import wire
+from brookhinge.box.lines import LineServer
+from brookhinge.box.orders import Orders
+from brookhinge.net.caches import Caches
+from brookhinge.net.cachewire import NOTES
+from brookhinge.store import Copy, DiskTier, Found, Store
+from brookhinge.store.files import Files
+from brookhinge.store.ledger import GROUP, OBJECT
+from brookhinge.store.records import ANY_GROUP
+
+MB = 1024 * 1024
+SOCKETS, MULTIPLEX = 256, 64
+NOTE_WORDS = {number: word for word, number in NOTES.items()}
+FIGURES_S, SWEEP_S = 10.0, 0.05
+
+
+class Fill:
+    """One fill under way: who waits for it, and the bound it was asked with."""
+    __slots__ = ("key", "bound_s", "began", "done", "held", "keep", "rank", "origin", "purged")
+
+    def __init__(self, key, bound_s, began, done, held, keep, rank, origin):
+        self.key, self.bound_s, self.began, self.done, self.held = key, bound_s, began, done, held
+        self.keep, self.rank, self.origin, self.purged = keep, rank, origin, float("-inf")
+
+
+class Box:
+    """stand: a Stand of the operator's file; tracks: {name: judge.Track}; kinds: names of parents and origins in the
+    list; reports: names of the load report's fields (util, inflight, queue, x0, x1), empty for none."""
+
+    def __init__(self, stand, say=lambda event, **values: None, tracks=None, kinds=("parent", "origin"), reports=(),
+                 files=None, now=time.time):
+        self.stand, self.say, self.clock, self.start_at = stand, say, now, now()
+        self.tracks, self.kinds, self.reports = tracks or {}, kinds, reports
+        tier = stand.store
+        disk = DiskTier(files or Files(tier.dir), tier.disk_mb * MB, tier.segment_mb * MB, say=say) if tier.dir or files \
+            else None
+        self.store = Store(int(tier.memory_mb * MB), disk, say, tier.stall_s, tier.sync_s, tier.snapshot_s, now=now)
+        self.lines = LineServer(self.serve, say, self.now, stand.idle_s)
+        self.caches = Caches(self.ended, say, self.now, self.start_at, [], stand.connect_s, stand.idle_s, MULTIPLEX,
+                             SOCKETS)
+        self.orders = Orders(self.told, say, stand.channel, self.start_at, self.durable, self.missed, self.heard)
+        self.servers, self.origin, self.role = {}, None, "cache"
+        self.fills, self.joinable, self.serial, self.pending = {}, {}, 0, set()
+        self.told_at = None         # since when nothing that was told can have been missed
+        self.counts = dict.fromkeys(("queries", "hit", "stale", "filled", "via_origin", "joined", "absent", "full", "failed",
+                                     "unchanged", "renewed", "sent_bytes", "filled_bytes", "purges", "gaps"), 0)
+        self.tasks, self.lately = [], 0.5
+
+    def now(self):
+        return self.clock() - self.start_at
+
+    # life
+
+    async def start(self):
+        """Listens and begins to open the store; (host, port)."""
+        await self.store.start()
+        address = self.lines.listen(*self.stand.listen)
+        self.tasks = [asyncio.ensure_future(part()) for part in (self.orders.run, self.sweep, self.figures)]
+        self.say("listening", address="%s:%d" % address)
+        return address
+
+    async def stop(self):
+        """Drains: no new connections; what is open has its time; the store gets a last picture."""
+        self.lines.stop()
+        end = time.monotonic() + self.stand.drain_s
+        while self.lines.open() and time.monotonic() < end:
+            await asyncio.sleep(0.01)
+        self.lines.end()
+        for task in self.tasks:
+            task.cancel()
+        self.orders.close()
+        self.caches.end_all()
+        await self.store.close()
+        self.say("ended")
+
+    async def sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.caches.sweep()
+            for fill, number in [(f, n) for n, f in self.fills.items()]:
+                if self.now() - fill.began > self.stand.fill_s:
+                    self.caches.kill(number, 1)
+                    self.finish(number, "timeout", 0, b"", False, None, None, None)
+
+    async def figures(self):
+        while True:
+            await asyncio.sleep(FIGURES_S)
+            self.say("figures", **self.counts, **self.store.figures(), open=self.lines.open(), fills=len(self.fills))
+
+    # the command channel
+
+    def told(self, method, values):
+        if method == "listed":
+            self.listed(*values)
+        elif method == "purged":
+            _, group, moment, name = values
+            self.purge(OBJECT, name.encode(), moment) if name else self.purge(GROUP, group, moment)
+        else:
+            self.say("command skipped", cursor=values[0], why=values[1])
+
+    def listed(self, _, complete, hosts):
+        if complete:
+            self.servers = {}
+        for server, address, _, kind, _, health, _, born in hosts:
+            old = self.servers.get(server)
+            if old and (old[0], old[2]) != (address, born):
+                self.caches.retire((server, old[0], old[2]))
+            if health == "gone":
+                self.servers.pop(server, None)
+            else:
+                self.servers[server] = address, health, born, kind
+        parent, origin = self.kinds
+        self.origin = next((s for s, (_, health, _, kind) in sorted(self.servers.items())
+                            if kind == origin and health == j.UP), None)
+        mine = self.servers.get(self.stand.name)
+        self.role = "parent" if mine and mine[3] == parent else "cache"
+
+    def purge(self, kind, name, moment):
+        when = moment + self.start_at
+        if kind == GROUP and not 0 <= name <= 255 or kind == OBJECT and len(name) > 255:
+            return self.say("command skipped", why=f"a purge of {name!r:.80}")
+        self.counts["purges"] += 1
+        for fill in self.fills.values():        # what is on its way may be from before
+            if kind == GROUP or fill.key[0] == name:
+                fill.purged = max(fill.purged, when)
+        done = self.store.purge(kind, name, when)
+        if not done.done():
+            self.pending.add(done)
+            done.add_done_callback(self.pending.discard)
+
+    async def durable(self):
+        """Done when every purge told so far is durable, or the disk that it was for is off."""
+        while self.pending:
+            await asyncio.wait(set(self.pending))
+
+    def heard(self):
+        if self.told_at is None:
+            self.told_at = self.now()
+
+    def missed(self, why):
+        self.counts["gaps"] += 1
+        self.say("channel gap", why=why)
+        self.told_at = None
+        self.servers = {}
+        self.store.aside_all()
+
+    # queries
+
+    async def serve(self, peer, name, raw, body):
+        """One PULL from its fields to its answer."""
+        pull = wire.read_pull(raw)
+        self.counts["queries"] += 1
+        came, key = self.now(), (pull.object, pull.part)
+        track = self.tracks.get(pull.sort, j.Track())
+        found = await self.store.get(pull.object, pull.part, pull.patience_s)
+        if self.told_at is None and found is not None:      # what was purged before we were told anything is not known
+            found = found._replace(aside=True)
+        age = None if found is None else max(0.0, self.now() + self.start_at - found.dated)
+        fill = self.joinable.get(key)
+        bound = self.bound(pull, track, found)
+        verdict, note = j.judge(pull, track, age, found is not None and found.aside, self.state(pull.source),
+                                fill is not None and (not bound or fill.bound_s and fill.bound_s <= bound),
+                                len(self.fills), self.stand.fills)
+        if verdict == j.RENEW:
+            self.counts["renewed"] += 1
+            self.fill(pull, found, bound=track.fresh_s)
+            verdict = j.SERVE
+        if verdict == j.SERVE:
+            return self.good(name, pull, found, note, 0.0)
+        if verdict in (j.ABSENT, j.FULL):
+            return self.bad(name, verdict, note)
+        if verdict == j.FILL:
+            fill = self.fill(pull, found, bound)
+        result, got, source_note = await asyncio.shield(fill.done)
+        if result == "satisfied" and self.store.purges.purged(pull.object, got.group, got.dated):
+            result = "errored"          # it was purged while it was under way
+        word, filled = j.after_fill(result, source_note, fill.origin)
+        if word != "data":
+            return self.bad(name, word, filled)
+        return self.good(name, pull, got, "joined" if verdict == j.JOIN else filled, self.now() - came)
+
+    def state(self, source):
+        known = self.servers.get(source)
+        return known[1] if known else None
+
+    def bound(self, pull, track, found):
+        group = ANY_GROUP if found is None else found.group
+        purged = self.store.purges.purged_at(pull.object, group) if found is not None else \
+            self.store.purges.objects.get(pull.object, float("-inf"))
+        now = self.now()
+        since_purge = max(0.001, now + self.start_at - purged) if purged > float("-inf") else None
+        since_told = None if self.told_at is None else max(0.001, now - self.told_at)
+        return j.bound_of(pull, track, since_purge, since_told, found is not None and found.aside)
+
+    def good(self, name, pull, found, note, waited):
+        self.counts[note] += 1
+        self.lately += 0.05 * ((note in ("hit", "stale")) - self.lately)
+        fields = [(b"n", note.encode()), (b"digest", found.tag or b"-"), (b"dated", b"%d" % round(found.dated * 1000))]
+        if found.group != ANY_GROUP:
+            fields.append((b"lot", b"%d" % found.group))
+        if waited:
+            fields.append((b"first", b"%d" % (waited * 1000)))
+        self.report(fields)
+        if pull.got and pull.got == found.tag:
+            self.counts["unchanged"] += 1
+            return wire.answer(name, b"unchanged", fields)
+        self.counts["sent_bytes"] += len(found.body)
+        return wire.answer(name, b"data", fields, found.body)
+
+    def bad(self, name, word, note):
+        self.counts[word] += 1
+        fields = [(b"n", note.encode())] if note else []
+        self.report(fields)
+        return wire.answer(name, word.encode(), fields)
+
+    def report(self, fields):
+        if self.reports:
+            told = {"util": len(self.fills) / self.stand.fills, "inflight": self.lines.open(), "x0": self.lately,
+                    "queue": 0 if self.store.readers is None else self.store.readers.waiting(), "x1": len(self.fills)}
+            fields.append((b"l", b";".join(b"%b:%.3g" % (r.encode(), told.get(r, 0)) for r in self.reports)))
+
+    # fills
+
+    def fill(self, pull, held, bound):
+        """Begins a fill from the source that the query names; with the tag of the copy held, which a source that has
+        the same answers in a few bytes. It runs on when its query leaves: others may want it."""
+        self.serial += 1
+        number, source = self.serial, pull.source
+        address, _, born, kind = self.servers[source]
+        origin = kind == self.kinds[1]
+        keep = not (pull.skip and self.role == "parent")
+        fill = Fill((pull.object, pull.part), bound, self.now(), asyncio.get_running_loop().create_future(), held, keep,
+                    pull.rank, origin)
+        self.fills[number] = fill
+        self.joinable[fill.key] = fill
+        beyond = "" if origin or pull.local or source == self.origin else self.origin
+        tag = held.tag if held is not None and held.tag else None
+        self.caches.pull(number, 1, (source, address, born), b"%016x" % number, pull.sort, pull.object,
+                         b"%d" % pull.part, min(pull.patience_s, self.stand.fill_s), beyond, pull.rank, bound, pull.merge,
+                         pull.local, False, tag, b"", pull.skip)
+        return fill
+
+    def ended(self, _, values):
+        """What a source answered, or what became of the connection to it."""
+        number, _, result, note, _, _, body, same, _, *copy = values
+        if number in self.fills:
+            self.finish(number, result, note, body, same, *(copy or (None, None, None)))
+
+    def finish(self, number, result, note, body, same, dated, tag, lot):
+        fill = self.fills.pop(number)
+        if self.joinable.get(fill.key) is fill:
+            del self.joinable[fill.key]
+        got, when = None, None if dated is None else dated + self.start_at
+        if result == "satisfied":
+            got = self.unchanged(fill, when) if same else self.brought(fill, body, when, tag, lot)
+            if got is None:
+                result = "errored"
+        if not fill.done.done():
+            fill.done.set_result((result, got, note))
+
+    def unchanged(self, fill, when):
+        """The copy held is the source's: renewed, unless a purge has hit what the source gave out."""
+        if fill.held is None or when is None or when <= fill.purged:
+            return None
+        return self.store.renew(*fill.key, fill.held, max(when, fill.held.dated))
+
+    def brought(self, fill, body, when, tag, lot):
+        """New bytes from the source; kept unless the query said otherwise."""
+        self.counts["filled_bytes"] += len(body)
+        group = int(lot) if lot and lot.isdigit() and int(lot) <= 255 else ANY_GROUP
+        copy = Copy(*fill.key, b"" if tag in (None, b"-") else tag, self.clock() if when is None else when, group,
+                    fill.rank, len(body), body)
+        if when is not None and when <= fill.purged and self.store.purges.purged(copy.object, group, copy.dated):
+            return None
+        if body and fill.keep:
+            self.store.put(copy)
+        return as_found(copy)
+
+
+def as_found(copy):
+    return Found(copy.tag, copy.dated, copy.group, copy.rank, copy.size, copy.body, False)
--- /dev/null
+++ b/brookhinge/cli/standin.py
@@ -0,0 +1,94 @@
+"""brookhinge standin origin|channel"""
+import asyncio
+import json
+import sys
+
+import click
+
+from brookhinge.cli import refuse
+from brookhinge.operator.schema import address
+
+
+def place(_, option, value):
+    try:
+        return address(value)
+    except ValueError as fault:
+        raise click.BadParameter(f"expected {fault}, got {value!r}") from None
+
+
+@click.group("standin")
+def command():
+    """Scripted peers for trying things out; no part of a service."""
+
+
+@command.command("origin")
+@click.option("--listen", required=True, callback=place, help="HOST:PORT.")
+@click.option("--delay-ms", type=click.FloatRange(0, 60000), default=20.0, show_default=True, help="Before each answer.")
+@click.option("--largest", type=click.IntRange(2000, 240000), default=60000, show_default=True, help="Bytes of a part.")
+def origin(listen, delay_ms, largest):
+    """An origin whose bytes follow from object, part and version. On standard input: `change OBJECT`, `change-group N`."""
+    from brookhinge.standin.origin import Origin
+
+    async def run():
+        peer = Origin((2000, largest), delay_ms / 1000)
+        click.echo("origin listens at %s:%d" % peer.listen(*listen))
+        async for words in spoken():
+            if words[0] == "change" and len(words) == 2:
+                peer.change(words[1])
+            elif words[0] == "change-group" and len(words) == 2 and words[1].isdigit():
+                peer.change(group=int(words[1]))
+            else:
+                click.echo(f"cannot do {' '.join(words)!r}: expected change OBJECT or change-group N", err=True)
+    started(run)
+
+
+@command.command("channel")
+@click.option("--listen", required=True, callback=place, help="HOST:PORT.")
+@click.option("--hosts", "hosts_file", type=click.Path(), help="JSON list of servers, as in the protocol's `hosts`.")
+def channel(listen, hosts_file):
+    """A command channel. On standard input: `drain NAME`, `remove NAME`, `purge OBJECT`, `purge-group N`."""
+    from brookhinge.standin.channel import CommandChannel
+    hosts = []
+    if hosts_file:
+        try:
+            with open(hosts_file, "rb") as file:
+                hosts = json.load(file)
+            hosts = [{**row, "host": row["host"], "dial": row["dial"]} for row in hosts]
+        except (OSError, ValueError, KeyError, TypeError) as fault:
+            refuse(f"--hosts {hosts_file}: expected a JSON list of servers with host and dial ({fault})")
+
+    async def run():
+        peer = CommandChannel(hosts)
+        click.echo("command channel listens at %s:%d" % (await peer.listen(*listen)))
+        async for words in spoken():
+            verb, name = words[0], words[1] if len(words) == 2 else ""
+            if verb == "drain" and name in peer.hosts:
+                peer.list(name, health="draining")
+            elif verb == "remove" and name in peer.hosts:
+                peer.list(name, health="removed")
+            elif verb == "purge" and name:
+                peer.drop(name)
+            elif verb == "purge-group" and name.isdigit() and int(name) < 256:
+                peer.drop(group=int(name))
+            else:
+                click.echo(f"cannot do {' '.join(words)!r}", err=True)
+    started(run)
+
+
+async def spoken():
+    """Lines of standard input as words; waits for good after its end."""
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        if words := line.decode("utf-8", "replace").split():
+            yield words
+    await asyncio.Event().wait()
+
+
+def started(run):
+    try:
+        asyncio.run(run())
+    except KeyboardInterrupt:
+        pass
+    except OSError as fault:
+        refuse(f"--listen: {fault.strerror}", 1)
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -157,14 +157,14 @@
             line.asked_at = None
         if name not in line.out:        # it crossed the KILL, is a second copy or of an id that nobody asked for
             return
-        result, note, waited, load, dated, digest = cachewire.read_result(word, fields, self.columns)
+        result, note, waited, load, dated, digest, lot = cachewire.read_result(word, fields, self.columns)
         line.used_at = came
         query, push, _ = line.out.pop(name)
         if result != "satisfied":       # a further push may follow, and a second copy of this answer
             self.spend(line, name)
         del self.where[query, push]
         self.post("ended", (query, push, result, note, waited, load, body, word == b"unchanged", came,
-                            None if dated is None else dated - self.start, digest))
+                            None if dated is None else dated - self.start, digest, lot))
         self.settle(line)
 
     def close(self, line):
--- a/brookhinge/net/cachewire.py
+++ b/brookhinge/net/cachewire.py
@@ -11,7 +11,7 @@
     """Bytes that can't be read as this protocol; the connection they came on is closed."""
 
 
-def pull(name, kind, key, part, patience_s, source, rank, age_s, join, held_only, renew, tag, body):
+def pull(name, kind, key, part, patience_s, source, rank, age_s, join, held_only, renew, tag, body, skip=False):
     fields = [b"sort=" + kind, b"asset=" + key, b"slice=" + part, b"patience=%d" % max(1, int(patience_s * 1000))]
     if source:
         fields.append(b"parent=" + source.encode())
@@ -19,7 +19,8 @@
         fields.append(b"shelf=%d" % rank)
     if age_s > 0:
         fields.append(b"accept=%d" % max(1, int(age_s * 1000)))
-    hints = [word for word, on in ((b"merge", join), (b"local", held_only), (b"revalidate", renew)) if on]
+    hints = [word for word, on in ((b"merge", join), (b"local", held_only), (b"skip", skip),
+                                (b"revalidate", renew)) if on]
     if hints:
         fields.append(b"hints=" + b"+".join(hints))
     if tag:
@@ -79,15 +80,15 @@
 
 
 def read_result(word, fields, columns):
-    """(result, note, seconds waited for the source, load report or None, Unix time of the copy or None, its tag) of
-    an answer."""
+    """(result, note, seconds waited for the source, load report or None, Unix time of the copy or None, its tag, its
+    group or None) of an answer."""
     try:
         load = None
         if columns and b"l" in fields:
             told = dict(pair.partition(b":")[::2] for pair in fields[b"l"].split(b";"))
             load = [float(told.get(name, 0.0)) for name in columns]
-        dated = float(fields[b"dated"]) / 1000.0 if word == b"data" and b"dated" in fields else None
+        dated = float(fields[b"dated"]) / 1000.0 if b"dated" in fields else None
         return (RESULTS[word], NOTES.get(fields.get(b"n"), 0), float(fields.get(b"first", 0.0)) / 1000.0, load, dated,
-                fields.get(b"digest"))
+                fields.get(b"digest"), fields.get(b"lot"))
     except (KeyError, ValueError):
         raise Unreadable(f"the answer {word!r} {fields!r:.80}") from None
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -141,7 +141,7 @@
             self.end_out(query)
             self.error(query)
 
-    def ended(self, query, push, result, note, waited, load, body, same, came, dated=None, tag=None):
+    def ended(self, query, push, result, note, waited, load, body, same, came, dated=None, tag=None, lot=None):
         """What a cache server answered, or what became of a push; one that is out no more counts no more."""
         if not self.is_out(query, push):
             return
@@ -149,7 +149,7 @@
         if same and not q.tag:      # it names a copy that the client does not hold
             result = "errored"
         q.out, over = False, result == "satisfied"
-        copy = None if dated is None or not over else (dated, len(body))
+        copy = None if dated is None or not over or same else (dated, len(body))
         self.inbox.append(("ended", (query, push, q.server, result, came - q.sent_at, over, note, waited, load, copy)))
         if over:
             self.served[query] = body, tag
--- a/brookhinge/store/index.py
+++ b/brookhinge/store/index.py
@@ -7,7 +7,7 @@
 
 NONE = 0xffffffff
 FIELDS = (("key", "Q"), ("version", "I"), ("segment", "I"), ("place", "I"), ("length", "I"), ("size", "I"),
-          ("dated", "d"), ("epoch", "I"), ("first", "H"), ("count", "H"), ("group", "B"), ("rank", "B"), ("chain", "I"),
+          ("dated", "d"), ("epoch", "I"), ("first", "H"), ("count", "H"), ("group", "H"), ("rank", "B"), ("chain", "I"),
           ("older", "I"), ("newer", "I"))
 RANKS = 4
 
--- a/brookhinge/store/ledger.py
+++ b/brookhinge/store/ledger.py
@@ -6,7 +6,7 @@
 both moments come from the origin and the command channel. Records are bytes here; the tier writes them."""
 import struct
 
-from brookhinge.store.records import Damaged, check_of
+from brookhinge.store.records import ANY_GROUP, Damaged, check_of
 
 RECORD = struct.Struct("<4sBBHdQQ")       # magic kind group length when serial check
 MAGIC = b"BKPG"
@@ -19,23 +19,30 @@
 
     def __init__(self, most=65536):
         self.most, self.objects, self.groups, self.floor, self.serial = most, {}, {}, float("-inf"), 0
+        self.last_group = float("-inf")     # of all groups
 
     def purged_at(self, object_, group):
-        return max(self.objects.get(object_, self.floor), self.groups.get(group, self.floor), self.floor)
+        of_group = self.last_group if group == ANY_GROUP else self.groups.get(group, self.floor)
+        return max(self.objects.get(object_, self.floor), of_group, self.floor)
 
     def purged(self, object_, group, dated):
         return dated <= self.purged_at(object_, group)
 
     def take(self, kind, name, when):
         """A purge of an object (bytes) or a group (number). Returns its record."""
-        known = self.objects if kind == OBJECT else self.groups
-        if kind == FLOOR:
-            self.floor = max(self.floor, when)
-        else:
-            known[name] = max(when, known.get(name, when))
+        self.note(kind, name, when)
         self.fold()
         return self.record(kind, name, when)
 
+    def note(self, kind, name, when):
+        if kind == FLOOR:
+            self.floor = max(self.floor, when)
+            return
+        known = self.objects if kind == OBJECT else self.groups
+        known[name] = max(when, known.get(name, when))
+        if kind == GROUP:
+            self.last_group = max(self.last_group, when)
+
     def fold(self):
         if len(self.objects) <= self.most:
             return
@@ -69,11 +76,7 @@
             except Damaged:
                 at, gap = at + ALIGN, gap + ALIGN
                 continue
-            known = {OBJECT: self.objects, GROUP: self.groups}.get(kind)
-            if known is None:
-                self.floor = max(self.floor, when)
-            else:
-                known[name] = max(when, known.get(name, when))
+            self.note(kind, name, when)
             self.serial, count, at = max(self.serial, serial), count + 1, at + size
             bad, gap = bad + gap, 0
         self.fold()
--- a/brookhinge/store/records.py
+++ b/brookhinge/store/records.py
@@ -12,7 +12,8 @@
 VERSION = 1
 EXTENT = 1
 RANKS = 4
-HEAD = struct.Struct("<4sBBBBHHHHIIIIdQQ")      # magic kind rank group object tag first count spare part size body
+ANY_GROUP = 256             # not told: every purge of a group hits it
+HEAD = struct.Struct("<4sBBBBHHHHIIIIdQQ")      # magic kind rank 0 object tag first count group part size body
 MAGIC = b"BKRC"                                 # spare dated serial check
 CHECK_AT = HEAD.size - 8
 FILE_HEAD = struct.Struct("<4sHHQQQ")           # magic version chunk_log2 store number check
@@ -34,7 +35,7 @@
     part: int
     tag: bytes          # of this version of the part; b"": the moment stands for it
     dated: float        # when the origin gave this copy out
-    group: int          # 0 to 255, for purges
+    group: int          # 0 to 255, for purges, or ANY_GROUP
     rank: int           # 0 to 3: lower is dropped first
     size: int           # of the whole part
     body: bytes
@@ -91,7 +92,7 @@
     for good, why in (
             (0 < len(copy.object) <= 255, "object: expected 1 to 255 bytes"),
             (0 <= copy.part < 1 << 32, "part: expected 0 to 4294967295"), (len(copy.tag) <= 1024, "tag: too long"),
-            (0 <= copy.group <= 255, "group: expected 0 to 255"), (0 <= copy.rank < RANKS, "rank: expected 0 to 3"),
+            (0 <= copy.group <= ANY_GROUP, "group: expected 0 to 255, or 256 for one that was not told"), (0 <= copy.rank < RANKS, "rank: expected 0 to 3"),
             (0 < copy.size < 1 << 32, "size: out of range"), (copy.dated == copy.dated, "dated: not a number"),
             (-(-copy.size // CHUNK) < 1 << 16, "size: too many chunks"),
             (copy.start % CHUNK == 0 and copy.body and end <= copy.size and (end % CHUNK == 0 or end == copy.size),
@@ -121,8 +122,8 @@
 def assemble(copy, serial, seed, table):
     count = len(table)
     rest = copy.object + copy.tag + struct.pack(f"<{count}Q", *table)
-    fixed = HEAD.pack(MAGIC, EXTENT, copy.rank, copy.group, len(copy.object), len(copy.tag), copy.start // CHUNK,
-                      count, 0, copy.part, copy.size, len(copy.body), 0, copy.dated, serial, 0)[:CHECK_AT]
+    fixed = HEAD.pack(MAGIC, EXTENT, copy.rank, 0, len(copy.object), len(copy.tag), copy.start // CHUNK,
+                      count, copy.group, copy.part, copy.size, len(copy.body), 0, copy.dated, serial, 0)[:CHECK_AT]
     check = check_of(fixed + rest, seed=seed)
     length = length_of(len(copy.object), len(copy.tag), count, len(copy.body))
     fill = b"\0" * (length - HEAD.size - len(rest) - len(copy.body))
@@ -149,7 +150,7 @@
     """The checked head of the record at `at`. Damaged if it is not one that was written at this place."""
     if len(data) - at < HEAD.size:
         raise Damaged("a head that is cut off")
-    (magic, kind, rank, group, object_size, tag_size, first, count, _, part, size, body_size, _, dated, serial,
+    (magic, kind, rank, _, object_size, tag_size, first, count, group, part, size, body_size, _, dated, serial,
      check) = HEAD.unpack_from(data, at)
     if magic != MAGIC or kind != EXTENT:
         raise Damaged("no record")
--- a/brookhinge/store/tier.py
+++ b/brookhinge/store/tier.py
@@ -550,15 +550,20 @@
                                          self.limit, self.segment_bytes)
                 if number is None:
                     return False
-                segment, alive = self.segments[number], self.index.live.get(number, 0)
-            if alive:
+                segment = self.segments[number]
+            self.clean_segment(segment)
+            return True
+
+    def clean_segment(self, segment):
+        """Copies what lives in a segment to the end of the log, and removes it."""
+        with self.writing:
+            if self.index.live.get(segment.number, 0):
                 self.scan(segment, FILE_HEAD.size,
                           lambda place, head, body: self.copy_record(segment, place, head, body))
                 if self.active is not None:
                     self.sync()     # what was copied must be there before its first place goes
             self.remove_segment(segment)
             self.counts["cleaned"] += 1
-            return True
 
     def copy_record(self, segment, place, head, body):
         """Moves one record, checked already, to the end of the log, if it is in use."""
