--- a/brookhinge/store/admission.py
+++ b/brookhinge/store/admission.py
@@ -8,14 +8,15 @@
 
 
 class Sketch:
-    """Counts of 64-bit keys, 0 to 15. `width` counters a row, four rows: two bytes of memory a counter of width."""
+    """Counts of 64-bit keys, 0 to 15. `width` counters a row, four rows, and eight bits a counter for the doorkeeper:
+    three bytes of memory a counter of width. Halved after `sample` counts."""
     ROWS = 4
 
-    def __init__(self, width):
+    def __init__(self, width, sample=None):
         self.width = 1 << max(6, (int(width) - 1).bit_length())
         self.rows = [bytearray(self.width // 2) for _ in range(self.ROWS)]
         self.door = bytearray(self.width // 8 * 8)      # 8 bits a counter of width
-        self.mask, self.counted, self.limit = self.width - 1, 0, 10 * self.width
+        self.mask, self.counted, self.limit = self.width - 1, 0, sample or 10 * self.width
 
     def places(self, key):
         # two halves make as many hashes as are wanted (Kirsch, Mitzenmacher, 2006)
@@ -62,10 +63,13 @@
 
 
 class Admission:
-    """Decides on one tier. `bend` weighs size: 0 counts objects alone, 1 bytes alone."""
+    """Decides on a tier of about `entries` parts. bend weighs size: 0 counts objects alone, 1 bytes alone; room: the share
+    of free space that one part which nobody asked for before may take; most: victims that are looked at."""
+    SAMPLE = 2      # counts an entry before ageing: ten (TinyLFU) kept what was wanted yesterday (docs/design/store.md)
 
-    def __init__(self, width, bend=0.5, room=0.0, most=64):
-        self.sketch, self.bend, self.room, self.most = Sketch(width), bend, room, most
+    def __init__(self, entries, bend=0.5, room=0.0, most=64):
+        entries = max(64, int(entries))
+        self.sketch, self.bend, self.room, self.most = Sketch(2 * entries, self.SAMPLE * entries), bend, room, most
         self.let_in = self.kept_out = 0
 
     def used(self, key):
--- a/brookhinge/store/index.py
+++ b/brookhinge/store/index.py
@@ -16,14 +16,18 @@
     """Entries are small integers. `live` counts the bytes of records in use by segment."""
 
     def __init__(self):
-        for name, kind in FIELDS:
-            setattr(self, name, array(kind))
+        self.set_columns([array(kind) for _, kind in FIELDS])
         self.slots = array("I", [NONE]) * 1024
         self.free, self.parts, self.entries = NONE, 0, 0
         self.oldest, self.newest = [NONE] * RANKS, [NONE] * RANKS
         self.bytes = [0] * RANKS
         self.live = {}
 
+    def set_columns(self, columns):
+        self.columns = columns
+        for (name, _), column in zip(FIELDS, columns):
+            setattr(self, name, column)
+
     # the table
 
     def find(self, key):
@@ -152,12 +156,12 @@
         values = (key, version, segment, place, length, size, dated, epoch, first, count, group, rank, NONE, NONE, NONE)
         if entry != NONE:
             self.free = self.chain[entry]
-            for (name, _), value in zip(FIELDS, values):
-                getattr(self, name)[entry] = value
+            for column, value in zip(self.columns, values):
+                column[entry] = value
         else:
             entry = len(self.key)
-            for (name, _), value in zip(FIELDS, values):
-                getattr(self, name).append(value)
+            for column, value in zip(self.columns, values):
+                column.append(value)
         self.entries += 1
         self.live[segment] = self.live.get(segment, 0) + length
         self.bytes[rank] += length
@@ -250,18 +254,16 @@
     def picture(self):
         """(figures, buffers): all of it as it stands, copied."""
         return ([len(self.key), len(self.slots), self.free, self.parts, self.entries, *self.oldest, *self.newest,
-                 *self.bytes], [getattr(self, name).tobytes() for name, _ in FIELDS] + [self.slots.tobytes()])
+                 *self.bytes], [column.tobytes() for column in self.columns] + [self.slots.tobytes()])
 
     @classmethod
     def from_picture(cls, figures, data, at):
         index = cls()
         count, slots, index.free, index.parts, index.entries = figures[:5]
         index.oldest, index.newest, index.bytes = (list(figures[5 + RANKS * i:5 + RANKS * (i + 1)]) for i in range(3))
-        for name, kind in FIELDS:
-            values = array(kind)
-            end = at + count * values.itemsize
-            values.frombytes(data[at:end])
-            setattr(index, name, values)
+        for column in index.columns:
+            end = at + count * column.itemsize
+            column.frombytes(data[at:end])
             at = end
         index.slots = array("I")
         index.slots.frombytes(data[at:at + 4 * slots])
--- a/brookhinge/store/records.py
+++ b/brookhinge/store/records.py
@@ -82,7 +82,7 @@
 
 
 def version_of(copy):
-    """32 bits that tell versions of a part apart; the tags are compared in full when they are read."""
+    """32 bits that tell versions of a part apart, of a Copy or a Head; tags are compared in full when they are read."""
     return check_of(copy.tag or struct.pack("<d", copy.dated), seed=copy.size) & 0xffffffff
 
 
--- a/brookhinge/store/store.py
+++ b/brookhinge/store/store.py
@@ -6,7 +6,7 @@
 
 from brookhinge.store.admission import Admission
 from brookhinge.store.hands import Hands
-from brookhinge.store.health import Health
+from brookhinge.store.health import TRIAL, Health
 from brookhinge.store.ledger import FLOOR, GROUP, OBJECT, Ledger
 from brookhinge.store.memory import Memory
 from brookhinge.store.records import Copy, Found, key_of, usable
@@ -15,6 +15,7 @@
 READERS, MOST_READS = 4, 64
 MOST_WRITES, MOST_BYTES = 256, 32 * 1024 * 1024
 TEND_S = 0.05
+USUAL_PART = 32768     # bytes: how many parts a disk may hold, for the size of the sketch
 WRITE_STALLS = 8        # a write may take so many times what a read may: it waits for nothing that is asked for
 FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 LATER = (2, 8)          # uses at which a part in memory is offered to the disk again
@@ -29,11 +30,11 @@
                  snapshot_s=30.0, admission=None, now=time.time, health=None):
         self.memory, self.disk, self.say, self.now = Memory(memory_bytes), disk, say, now
         self.stall_s, self.sync_s, self.snapshot_s = stall_s, sync_s, snapshot_s
-        self.admission = admission or Admission(1 << 16, room=0.5)
+        self.admission = admission or Admission((disk.limit if disk else memory_bytes) // USUAL_PART, room=0.5)
         self.health, self.purges = health or Health(), Ledger()
         self.counts = dict.fromkeys(("memory_hits", "disk_hits", "misses", "late", "busy", "unwritten", "aside"), 0)
         self.readers = self.writer = self.tending = self.opened = None
-        self.open_tier = False
+        self.open_tier, self.unsure = False, []     # unsure: purges that wait for the end of a trial
         if disk is not None:
             disk.admit = self.admission.admit
 
@@ -72,8 +73,18 @@
             self.say("disk off", why=self.health.why, again_s=round(self.health.pause_s, 2))
 
     async def try_disk(self):
-        """A trial: opens the store if it is not open, or sees whether the disk works again."""
+        """A trial: opens the store if it is not open, or sees whether the disk works again. Purges that come meanwhile
+        are durable if it goes well."""
         self.health.trying()
+        try:
+            await self.trial()
+        finally:
+            unsure, self.unsure = self.unsure, []
+            for done in unsure:
+                if not done.done():
+                    done.set_result(self.health.on)
+
+    async def trial(self):
         fresh, told = not self.open_tier, self.purges.serial
         try:
             figures = await self.writer.call(self.open_disk if fresh else self.disk.trial, front=True)
@@ -222,6 +233,11 @@
         (it is written when the disk comes back; until then a restart sets everything aside in any case)."""
         self.purges.take(kind, name, when)
         done = asyncio.get_running_loop().create_future()
+        if self.disk is not None and self.health.state == TRIAL:
+            if self.open_tier:
+                self.disk.note_purge(kind, name, when)
+            self.unsure.append(done)
+            return done
         if self.disk is None or not self.open_tier:
             done.set_result(False)
             return done
--- a/brookhinge/store/tier.py
+++ b/brookhinge/store/tier.py
@@ -224,12 +224,8 @@
     def take_scanned(self, segment, place, head):
         self.serial = max(self.serial, head.serial)
         if not self.ledger.purged(head.object, head.group, head.dated):
-            self.enter(head, segment, place, self.epoch)
-
-    def enter(self, head, segment, place, epoch):
-        return self.index.add(key_of(head.object, head.part), version_of(Copy(
-            head.object, head.part, head.tag, head.dated, head.group, head.rank, head.size, b"")), segment,
-            place // ALIGN, head.length, head.size, head.dated, epoch, head.first, len(head.table), head.group, head.rank)
+            self.index.add(key_of(head.object, head.part), version_of(head), segment, place // ALIGN, head.length,
+                           head.size, head.dated, self.epoch, head.first, len(head.table), head.group, head.rank)
 
     def forget_all(self):
         for entry in [e for e in range(len(self.index.segment)) if self.index.segment[e] != NONE]:
@@ -254,26 +250,41 @@
     def read(self, object_, part, start=0, stop=None):
         """Found with the checked bytes of [start, stop), or None if not all of them are there. What does not fit its
         check is a miss, is counted, and its segment is looked over at leisure. OSError is the disk's."""
-        key = key_of(object_, part)
+        key, wanted = key_of(object_, part), []
         with self.lock:
-            held = self.look(object_, part)
-            if held is None:
+            i = self.index
+            entry = i.find(key)
+            if entry is None:
+                return None
+            dated, group, rank, size = i.dated[entry], i.group[entry], i.rank[entry], i.size[entry]
+            if self.ledger.purged(object_, group, dated):
+                i.drop(entry)
                 return None
-            stop = held.size if stop is None else min(stop, held.size)
-            if start >= stop or held.missing(start, stop):
+            aside, at = i.epoch[entry] != self.epoch, start
+            stop = size if stop is None else min(stop, size)
+            i.touch(entry)
+            extents = (entry,) if i.chain[entry] == NONE else sorted(i.chain_of(entry), key=i.first.__getitem__)
+            for e in extents:
+                first = i.first[e] * CHUNK
+                last = min(size, first + i.count[e] * CHUNK)
+                if first <= at < last and at < stop:
+                    wanted.append((self.segments[i.segment[e]], i.place[e] * ALIGN, i.length[e], at - first,
+                                   min(stop, last) - first))
+                    at = min(stop, last)
+            if at < stop or start >= stop:
                 return None
-            head = self.index.find(key)
-            self.index.touch(head)
-            i, wanted = self.index, []
-            for e in sorted(i.chain_of(head), key=i.first.__getitem__):
-                segment = self.segments[i.segment[e]]
-                first, last = i.first[e] * CHUNK, min(held.size, (i.first[e] + i.count[e]) * CHUNK)
-                if first < stop and last > start:
-                    segment.pins += 1
-                    wanted.append((segment, i.place[e] * ALIGN, i.length[e], first, last))
+            for segment, *_ in wanted:
+                segment.pins += 1
             self.counts["reads"] += 1
         try:
-            return self.gather(object_, part, held, start, stop, wanted)
+            pieces, tag = [], None
+            for segment, place, length, begin, end in wanted:
+                head, body, got = self.read_extent(segment, place, length, begin, end)
+                if head.object != object_ or head.part != part or head.size != size or tag not in (None, head.tag):
+                    raise Damaged("a record of something else")
+                tag = head.tag
+                pieces.append(body[begin - got:end - got])
+            return Found(tag, dated, group, rank, size, b"".join(pieces), aside, start)
         except Damaged as fault:
             with self.lock:
                 self.counts["damaged"] += 1
@@ -289,25 +300,6 @@
                 for segment, *_ in wanted:
                     self.unpin(segment)
 
-    def gather(self, object_, part, held, start, stop, wanted):
-        pieces, at, tag = [], start, None
-        for segment, place, length, first, last in wanted:
-            if at >= stop:
-                break
-            if last <= at:
-                continue
-            begin, end = max(at, first), min(stop, last)
-            head, body, got = self.read_extent(segment, place, length, begin - first, end - first)
-            if (head.object, head.part, head.size) != (object_, part, held.size) or tag not in (None, head.tag):
-                raise Damaged("a record of something else")
-            tag = head.tag
-            pieces.append(body[begin - first - got:end - first - got])
-            at = end
-        if at < stop:
-            raise Damaged("records that do not meet")
-        body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
-        return Found(tag, held.dated, held.group, held.rank, held.size, bytes(body), held.aside, start)
-
     def read_extent(self, segment, place, length, begin, end):
         """(head, checked bytes, where they begin) of the whole chunks around [begin, end) of a record's body."""
         first, last = begin // CHUNK, -(-end // CHUNK)
