--- a/brookhinge/box/judge.py
+++ b/brookhinge/box/judge.py
@@ -48,9 +48,11 @@
     return min((b for b in bounds if b), default=0.0)
 
 
-def after_fill(result, note, source_is_origin):
+def after_fill(result, note, source_is_origin, unchanged):
     """(word, note) of the answer to a query whose fill ended with `result`, in the router's words for a push, and with
-    that note (numbers of cachewire.NOTES)."""
+    that note (numbers of cachewire.NOTES). unchanged: the source said that the copy held is the one, so no bytes came."""
+    if result == "satisfied" and unchanged:
+        return "data", "hit"
     if result == "satisfied":
         return "data", "via_origin" if source_is_origin or note in (2, 3) else "filled"
     if result == "miss":
--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -179,7 +179,8 @@
         result, got, source_note = await asyncio.shield(fill.done)
         if result == "satisfied" and self.store.purges.purged(pull.object, got.group, got.dated):
             result = "errored"          # it was purged while it was under way
-        word, filled = j.after_fill(result, source_note, fill.origin)
+        word, filled = j.after_fill(result, source_note, fill.origin, got is not None and fill.held is not None
+                                    and got.body is fill.held.body)
         if word != "data":
             return self.bad(name, word, filled)
         return self.good(name, pull, got, "joined" if verdict == j.JOIN else filled, self.now() - came)
--- a/brookhinge/box/wire.py
+++ b/brookhinge/box/wire.py
@@ -1,7 +1,7 @@
 """Routers' lines as a cache server reads and writes them. Parses and encodes bytes, no I/O."""
 from typing import NamedTuple
 
-from brookhinge.net.cachewire import LONGEST_BODY, LONGEST_LINE, Unreadable, read_fields
+from brookhinge.net.cachewire import LONGEST_BODY, Pieces, Unreadable, read_fields
 
 HEX = frozenset(b"0123456789abcdef")
 HINTS = {b"merge", b"local", b"skip", b"revalidate"}
@@ -27,40 +27,18 @@
     got: bytes          # tag of the client's copy, or b""
 
 
-class Commands:
-    """Cuts a stream of bytes, in any pieces, into commands: ("pull", id, fields, body), ("kill", id), ("echo", tag)."""
+class Commands(Pieces):
+    """Commands: ("pull", id, fields, body), ("kill", id), ("echo", tag)."""
 
-    def __init__(self):
-        self.held, self.head, self.size = bytearray(), None, 0
-
-    def feed(self, data):
-        held, at, commands = self.held, 0, []
-        held += data
-        while True:
-            if self.head is None:
-                end = held.find(b"\r\n", at, at + LONGEST_LINE)
-                if end < 0:
-                    if len(held) - at >= LONGEST_LINE:
-                        raise Unreadable("a line that is too long")
-                    break
-                words = bytes(held[at:end]).split(b" ")
-                at = end + 2
-                if len(words) == 2 and words[0] in (b"KILL", b"ECHO") and words[1]:
-                    commands.append((words[0].decode().lower(), words[1]))
-                    continue
-                if len(words) != 4 or words[0] != b"PULL" or not words[1] or not words[3].isdigit() \
-                        or len(words[3]) > 7 or int(words[3]) > LONGEST_BODY:
-                    raise Unreadable(f"the line {b' '.join(words)[:80]!r}")
-                self.head, self.size = (words[1], words[2]), int(words[3])
-            end = at + self.size
-            if len(held) < end + 2:
-                break
-            if held[end:end + 2] != b"\r\n":
-                raise Unreadable("a body that does not end with its length")
-            commands.append(("pull", self.head[0], self.head[1], bytes(held[at:end])))
-            self.head, at = None, end + 2
-        del held[:at]
-        return commands
+    @staticmethod
+    def begin(line):
+        words = line.split(b" ")
+        if len(words) == 2 and words[0] in (b"KILL", b"ECHO") and words[1]:
+            return (words[0].decode().lower(), words[1]), None
+        if len(words) != 4 or words[0] != b"PULL" or not words[1] or not words[3].isdigit() or len(words[3]) > 7 \
+                or int(words[3]) > LONGEST_BODY:
+            raise Unreadable(f"the line {line[:80]!r}")
+        return ("pull", words[1], words[2]), int(words[3])
 
 
 def whole(fields, name, default, least, most):
--- a/brookhinge/net/cachewire.py
+++ b/brookhinge/net/cachewire.py
@@ -36,14 +36,15 @@
     return b"ECHO %b\r\n" % tag
 
 
-class Answers:
-    """Cuts a stream of bytes, in any pieces, into answers: (id, word, fields, body)."""
+class Pieces:
+    """Cuts a stream of bytes, in any pieces, into lines with the bodies that they announce. A kind of line says in
+    `begin(line)` what it is and how many bytes follow, or None where none do."""
 
     def __init__(self):
         self.held, self.head, self.size = bytearray(), None, 0
 
     def feed(self, data):
-        held, at, answers = self.held, 0, []
+        held, at, items = self.held, 0, []
         held += data
         while True:
             if self.head is None:
@@ -52,17 +53,29 @@
                     if len(held) - at >= LONGEST_LINE:
                         raise Unreadable("a line that is too long")
                     break
-                self.head, self.size = read_head(bytes(held[at:end]))
+                head, size = self.begin(bytes(held[at:end]))
                 at = end + 2
+                if size is None:
+                    items.append(head)
+                    continue
+                self.head, self.size = head, size
             end = at + self.size
             if len(held) < end + 2:
                 break
             if held[end:end + 2] != b"\r\n":
                 raise Unreadable("a body that does not end with its length")
-            answers.append((*self.head, bytes(held[at:end])))
+            items.append((*self.head, bytes(held[at:end])))
             self.head, at = None, end + 2
         del held[:at]
-        return answers
+        return items
+
+
+class Answers(Pieces):
+    """Answers: (id, word, fields, body)."""
+
+    @staticmethod
+    def begin(line):
+        return read_head(line)
 
 
 def read_head(line):
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -225,7 +225,6 @@
     def leave(self, query):
         """No answer is owed: what is out is given up, the decisions are told. What they were to hear of it in
         this very pass is taken back or ends it, or they would send for a query that is over."""
-        q = self.queries[query]
         at = next((i for i, (method, values) in enumerate(self.inbox)
                    if method in ("query", "ended") and values[0] == query), None)
         if at is not None:
