Box: tracks, kinds and load reports in the operator's file; a clock set back sets copies aside

Need: ages are told by the wall clock, and the file could not say how tracks age. Change: track blocks, parent_kind, origin_kind, reports; the box compares the wall clock with the steady one. Measured: tests for a clock set back an hour (copy first served as fresh), a folder in use, metrics.

--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -17,6 +17,7 @@
 SOCKETS, MULTIPLEX = 256, 64
 NOTE_WORDS = {number: word for word, number in NOTES.items()}
 FIGURES_S, SWEEP_S = 10.0, 0.05
+STEP_S = 0.25           # of a clock set back: less is the clock being kept in time
 
 
 class Fill:
@@ -29,13 +30,13 @@
 
 
 class Box:
-    """stand: a Stand of the operator's file; tracks: {name: judge.Track}; kinds: names of parents and origins in the
-    list; reports: names of the load report's fields (util, inflight, queue, x0, x1), empty for none."""
+    """stand: a Stand of the operator's file; files: a file layer in place of the folder named there."""
 
-    def __init__(self, stand, say=lambda event, **values: None, tracks=None, kinds=("parent", "origin"), reports=(),
-                 files=None, now=time.time):
-        self.stand, self.say, self.clock, self.start_at = stand, say, now, now()
-        self.tracks, self.kinds, self.reports = tracks or {}, kinds, reports
+    def __init__(self, stand, say=lambda event, **values: None, files=None, now=time.time, steady=time.monotonic):
+        self.stand, self.say, self.clock, self.start_at, self.steady = stand, say, now, now(), steady
+        self.tracks = {name.encode(): j.Track(*ages) for name, ages in stand.tracks.items()}
+        self.kinds, self.reports = (stand.parent_kind, stand.origin_kind), stand.reports
+        self.apart = now() - steady()       # of the two clocks: it falls when the one that people set steps back
         tier = stand.store
         disk = DiskTier(files or Files(tier.dir), tier.disk_mb * MB, tier.segment_mb * MB, say=say) if tier.dir or files \
             else None
@@ -81,12 +82,22 @@
     async def sweep(self):
         while True:
             await asyncio.sleep(SWEEP_S)
+            self.watch_clock()
             self.caches.sweep()
             for fill, number in [(f, n) for n, f in self.fills.items()]:
                 if self.now() - fill.began > self.stand.fill_s:
                     self.caches.kill(number, 1)
                     self.finish(number, "timeout", 0, b"", False, None, None, None)
 
+    def watch_clock(self):
+        """Ages are told by the clock that people set. Where it steps back, everything kept would look younger than it
+        is: it is aside until its source says that it is unchanged."""
+        apart = self.clock() - self.steady()
+        if apart < self.apart - STEP_S:
+            self.say("clock stepped back", by_s=round(self.apart - apart, 3))
+            self.store.aside_all()
+        self.apart = apart
+
     async def figures(self):
         while True:
             await asyncio.sleep(FIGURES_S)
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -28,6 +28,10 @@
     connect_s: float
     drain_s: float      # what is open at the word to end has so long
     born_ms: int        # told by who starts it; 0: not a late start
+    parent_kind: str    # `class` of parents and of the origin in the list
+    origin_kind: str
+    reports: tuple      # fields of the load report in answers
+    tracks: dict        # name -> (seconds a copy is fresh, how much older it may be); of others it is good until purged
     store: Tier
 
 
@@ -74,6 +78,14 @@
     return check
 
 
+def texts(*words):
+    def check(value):
+        if not isinstance(value, list) or not all(one in words for one in value):
+            raise ValueError("a list of " + ", ".join(words))
+        return tuple(value)
+    return check
+
+
 def address(value):
     host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
     if not host or not colon or not (port.isascii() and port.isdigit()) or int(port) > 65535:
@@ -90,9 +102,12 @@
     "listen": (address, MUST), "channel": (address, MUST), "fills": (whole(1, 10000), 32),
     "fill_s": (number(0.01, 600), 2.0), "idle_s": (number(0.1, 86400), 30.0), "connect_s": (number(0.01, 60), 0.4),
     "drain_s": (number(0, 3600), 5.0), "born_ms": (whole(0, 1 << 53), 0),
+    "parent_kind": (text, "parent"), "origin_kind": (text, "origin"),
+    "reports": (texts("util", "inflight", "queue", "x0", "x1"), ()),
 }
+TRACK = {"fresh_s": (number(0, 1e9), 0.0), "stale_s": (number(0, 1e9), 0.0)}
 BLOCKS = {      # kind: (labels, keys, blocks within)
-    "box": (1, BOX, {"store": (0, STORE, {})}),
+    "box": (1, BOX, {"store": (0, STORE, {}), "track": (1, TRACK, {})}),
     "log": (0, {"level": (one_of("debug", "info", "warning", "error"), "info")}, {}),
     "metrics": (0, {"listen": (address, MUST)}, {}),
 }
@@ -145,12 +160,13 @@
     for block in top.blocks:
         values = take(block, BLOCKS[block.kind][1])
         if block.kind == "box":
-            inner = block.blocks[0] if block.blocks else None
+            inner = next((b for b in block.blocks if b.kind == "store"), None)
+            tracks = {b.labels[0]: tuple(take(b, TRACK).values()) for b in block.blocks if b.kind == "track"}
             store = take(inner, STORE) if inner else {key: default for key, (_, default) in STORE.items()}
             if store["dir"] and store["disk_mb"] < 8 * store["segment_mb"]:
                 raise OperatorError(f"line {inner.line}: {block.title()}: store: disk_mb: expected 8 times segment_mb "
                                     f"({store['segment_mb']:g}) at least, got {store['disk_mb']:g}")
-            boxes[block.labels[0]] = Stand(name=text(block.labels[0]), store=Tier(**store), **values)
+            boxes[block.labels[0]] = Stand(name=text(block.labels[0]), store=Tier(**store), tracks=tracks, **values)
         elif block.kind == "log":
             level = values["level"]
         else:
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -22,6 +22,17 @@
   drain_s   = 5.0                # after SIGTERM what is open has so long
   born_ms   = 0                  # Unix millisecond of a late start, as the command channel tells it
 
+  parent_kind = "parent"         # `class` of parents and of the origin in the command channel's list
+  origin_kind = "origin"
+  reports     = ["util", "x0"]   # fields of the load report in each answer: util, inflight, queue, x0, x1
+
+  # A track whose copies age: fresh for so long, and how much older a copy may be when asked for. Copies of tracks that
+  # do not stand here are good until they are purged.
+  track "notice-pages" {
+    fresh_s = 5
+    stale_s = 20
+  }
+
   store {
     dir        = "/var/lib/brookhinge/s-1"   # "" keeps memory alone; one box a folder
     memory_mb  = 64
--- a/tests/box/test_box.py
+++ b/tests/box/test_box.py
@@ -5,7 +5,6 @@
 import pytest
 
 from brookhinge.box import Box, wire
-from brookhinge.box import judge as j
 from brookhinge.net.cachewire import Unreadable
 from brookhinge.operator.schema import Stand, Tier
 from brookhinge.standin.caller import LineCaller
@@ -34,10 +33,10 @@
                                     "health": "up", "share": 1, "born_ms": 0, **other}
 
     async def start(self):
-        stand = Stand("s-1", ("127.0.0.1", 0), self.channel_at, self.fills, 1.0, 0.3, 0.4, 0.5, 0,
-                      Tier(str(self.folder / "s") if self.disk else "", 8, 64, 2, 0.05, 0.2, 0.25))
-        self.box = Box(stand, lambda event, **v: self.lines.append((event, v)),
-                       {name.encode(): track for name, track in (self.tracks or {}).items()}, reports=("util", "x0"))
+        stand = Stand("s-1", ("127.0.0.1", 0), self.channel_at, self.fills, 1.0, 0.3, 0.4, 0.5, 0, "parent",
+                      "origin", ("util", "x0"), self.tracks or {}, Tier(str(self.folder / "s") if self.disk else "", 8, 64, 2, 0.05, 0.2, 0.25))
+        self.step_s = 0.0
+        self.box = Box(stand, lambda event, **v: self.lines.append((event, v)), now=lambda: time.time() + self.step_s)
         self.address = await self.box.start()
         if self.disk:
             await self.box.store.opened
@@ -104,7 +103,7 @@
         await asyncio.sleep(0.15)
         lines.append(await p.ask(parent="s-0"))
         return lines, p.origin.counts["queries"], p.origin.counts["unchanged"]
-    assert played(scene, tmp_path, tracks={"page": j.Track(0.12, 1.0)}) == (
+    assert played(scene, tmp_path, tracks={"page": (0.12, 1.0)}) == (
         [("absent", "", None), ("data", "stale", True), ("data", "stale", True), ("data", "hit", True),
          ("data", "hit", True)], 3, 2)
 
@@ -173,6 +172,42 @@
     assert played(scene, tmp_path) == [("absent", "", None), ("data", "via_origin", True)] * 2
 
 
+def test_a_clock_that_steps_back_makes_nothing_younger(tmp_path):
+    async def scene(p):
+        await p.ask(parent="s-0")
+        p.step_s = -3600.0
+        while not any(event == "clock stepped back" for event, _ in p.lines):
+            await asyncio.sleep(0.01)
+        return [await p.ask(), await p.ask(parent="s-0"), await p.ask()]
+    assert played(scene, tmp_path, tracks={"page": (2.0, 1.0)}) == [("absent", "", None), ("data", "hit", True),
+                                                                    ("data", "hit", True)]
+
+
+def test_a_folder_of_another_process_or_one_that_cannot_be_written_leaves_memory(tmp_path):
+    async def scene(p):
+        first, lines = p.box, p.lines
+        await p.start()         # a second box on the same folder
+        asked = [await p.ask(parent="s-0"), await p.ask()]
+        second, p.box = p.box, first
+        await second.stop()
+        return asked, [v["why"].split(" process")[0] for event, v in lines if event == "disk off"]
+    assert played(scene, tmp_path) == ([("data", "via_origin", True), ("data", "hit", True)],
+                                       ["closed: [Errno 11] in use by"])
+
+
+def test_figures_for_prometheus(tmp_path):
+    async def scene(p):
+        from urllib.request import urlopen
+
+        from brookhinge.box.metrics import publish
+        await p.ask(parent="s-0")
+        server, thread = publish(p.box, ("127.0.0.1", 0))
+        text = await asyncio.to_thread(lambda: urlopen("http://127.0.0.1:%d/metrics" % server.server_port).read().decode())
+        server.shutdown()
+        return "brookhinge_box_queries_total 1.0" in text and "brookhinge_box_disk_on 1.0" in text
+    assert played(scene, tmp_path)
+
+
 def test_a_source_that_drains_has_gone_or_is_unknown_is_asked_for_nothing(tmp_path):
     async def scene(p):
         lines = [await p.ask(parent="s-77")]
