--- /dev/null
+++ b/benchmarks/storm.py
@@ -0,0 +1,406 @@
+"""A storm after a cut, in simulated time: the daemon's reducer and decisions among modelled boxes and clients.
+
+    python -m benchmarks.storm --short          # under a minute
+    python -m benchmarks.storm --keep benchmarks/results/storm
+
+Three routers share six boxes of four cores. All boxes are cut for some seconds and come back cold and empty; what is sent
+to a box beyond a multiple of what it can do at that moment, for a second, makes it fall over for good. A quarter of the
+clients retry at once, a quarter after a short wait over and over, half heed the time that they are told; all who failed
+during the cut come back together at its end. The same seed plays the same clients with and without `storm`. One run has
+no sockets and no real time; figures are simulated. Last line: one JSON object."""
+import argparse
+import heapq
+import itertools
+import json
+import random
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from brookhinge.decide import Router
+from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
+from brookhinge.net.reducer import Reducer
+from brookhinge.storm.lineage import Lineage
+from brookhinge.storm.plan import Returns
+
+ROUTERS, BOXES, CORES, WORK, OBJECTS = 3, 6, 4, 0.1, 400
+COLD = ColdStart(0.3, 6.0, 3.0, 1.0)
+CONTRACT_S, PATIENCE_S, LONGEST_HINT_S = 0.5, 3.0, 2.0
+TRACKS = (Track("docs", "replayable", "all", 0.0, CONTRACT_S, 0.0, PATIENCE_S, 2.0, 0.2, 0.0, 0.0, 0.0, False),
+          Track("pages", "replayable", "all", 0.0, CONTRACT_S, 0.0, PATIENCE_S, 1.0, 0.2, 0.0, 0.0, 0.0, False))
+
+
+class Box:
+    """Processor sharing among what is on it, by virtual time."""
+
+    def __init__(self, name):
+        self.name, self.up, self.fallen, self.born, self.kept = name, True, False, None, set()
+        self.jobs, self.done, self.v, self.at, self.sent, self.peak = {}, [], 0.0, 0.0, [], 0.0
+
+    def able(self, now):
+        if self.born is None:
+            return CORES
+        return CORES * (COLD.share + (1.0 - COLD.share) * min(1.0, (now - self.born) / COLD.warm_s))
+
+    def advance(self, now):
+        if self.jobs:
+            self.v += (now - self.at) * min(1.0, self.able(self.at) / len(self.jobs))
+        self.at = now
+
+    def take(self, now, key, work):
+        self.advance(now)
+        self.jobs[key] = self.v + work
+        heapq.heappush(self.done, (self.v + work, key))
+        self.sent = [(at, w) for at, w in self.sent if now - at <= COLD.window_s] + [(now, work)]
+        load = sum(w for _, w in self.sent) / (self.able(now) * COLD.window_s)
+        if self.born is not None and now - self.born < COLD.warm_s:
+            self.peak = max(self.peak, load)
+            self.fallen = self.fallen or load > COLD.multiple
+        return not self.fallen
+
+    def next_at(self, now):
+        while self.done and self.done[0][1] not in self.jobs:
+            heapq.heappop(self.done)
+        if not self.done:
+            return None
+        return now + max(0.0, self.done[0][0] - self.v) / min(1.0, self.able(now) / len(self.jobs))
+
+    def finished(self, now):
+        self.advance(now)
+        ready = []
+        while self.done and (self.done[0][1] not in self.jobs or self.done[0][0] <= self.v + 1e-9):
+            _, key = heapq.heappop(self.done)
+            if self.jobs.pop(key, None) is not None:
+                ready.append(key)
+        return ready
+
+
+class Need:
+    """What somebody wants: its tries count under the first."""
+    __slots__ = ("router", "at", "kind", "track", "object", "address", "tries", "served_at", "told", "came", "herd", "out")
+
+    def __init__(self, at, kind, track, object_, address):
+        self.at, self.kind, self.track, self.object, self.address = at, kind, track, object_, address
+        self.router = None
+        self.tries, self.served_at, self.told, self.came, self.herd, self.out = 0, None, None, None, False, False
+
+
+class World:
+    def __init__(self, seed, storm, rate, calm_s, cut_s, after_s, heed=0.5, proxies=0.2, sticks=0.9):
+        self.chance, self.storm = random.Random(seed), storm
+        self.clients = random.Random(seed + 1)
+        self.calm_s, self.cut_s, self.end = calm_s, cut_s, calm_s + cut_s + after_s
+        self.rate, self.heed, self.proxies, self.sticks = rate, heed, proxies, sticks
+        self.events, self.order, self.now = [], itertools.count(), 0.0
+        self.boxes = {f"s-{i}": Box(f"s-{i}") for i in range(BOXES)}
+        self.routers = [self.router(n, seed) for n in range(ROUTERS)]
+        self.serial, self.open, self.out, self.needs = 0, {}, {}, []
+        self.counts = dict(tries=0, pushes=0, told=0, came_when_told=0, served_when_told=0)
+        self.parent_out, self.plans_before = 0, [dict.fromkeys(Returns(0).counts, 0)] * ROUTERS
+
+    def router(self, number, seed):
+        returns = Returns(LONGEST_HINT_S) if self.storm else None
+        router = Router(seed + number, tracks=TRACKS, place=Place(1, ROUTERS, ROUTERS, number, True),
+                        allowed=Allowed(4, False, True, LONGEST_HINT_S),
+                        supply=Supply("any", False, True, "all", 1000.0, 0.0), cold_cache=COLD,
+                        cold_parent=ColdStart(1.0, 0.0, 0.0, 1.0), purge_gone_s=6.0, kinds=("parent", "origin"),
+                        reports=[], returns=returns)
+        return Reducer(router, [t.name.encode() for t in TRACKS], ["hub", "edge"], Lineage() if self.storm else None)
+
+    def at(self, when, work, *args):
+        heapq.heappush(self.events, (when, next(self.order), work, args))
+
+    def hosts(self, health):
+        rows = [("s-p", ("", 1), "hub", "parent", 0, "ready", 40.0, None), ("s-o", ("", 2), "hub", "origin", 0, "ready", 40.0,
+                                                                         None)]
+        return rows + [(name, ("", 3), "edge", "box", 0, health, float(CORES), box.born)
+                       for name, box in self.boxes.items()]
+
+    def tell(self, health, number):
+        for n in range(ROUTERS):
+            self.hear(n, ("listed", (number, True, self.hosts(health))))
+
+    # routers
+
+    def hear(self, n, *events):
+        reducer = self.routers[n]
+        for method, values in reducer.reduce(self.now, list(events)):
+            work = getattr(self, method, None)
+            if work:
+                work(n, *values)
+        at = reducer.next_at()
+        if at is not None:
+            self.at(max(at, self.now) + 1e-6, self.timed, n)
+
+    def timed(self, n):
+        at = self.routers[n].next_at()
+        if at is not None and at <= self.now:
+            self.hear(n)
+
+    def pull(self, n, query, push, server, name, kind, key, part, left, source, *rest):
+        self.counts["pushes"] += 1
+        box = self.boxes.get(server[0])
+        if box is None or not box.up or box.fallen:
+            return self.at(self.now + 0.001, self.ended, n, query, push, "unreachable", 0)
+        hit = key in box.kept
+        if not hit and not source:
+            return self.at(self.now + 0.002, self.ended, n, query, push, "miss", 0)
+        self.out[n, query, push] = server[0]
+        if hit:
+            return self.start(n, query, push, box, key, 1)
+        self.parent_out += 1
+        self.at(self.now + 0.08 * max(1.0, self.parent_out / 40), self.filled, n, query, push, box, key, box.born)
+
+    def filled(self, n, query, push, box, key, born):
+        self.parent_out -= 1
+        if box.up and box.born == born:
+            box.kept.add(key)
+            if (n, query, push) in self.out:
+                self.start(n, query, push, box, key, 2)
+
+    def start(self, n, query, push, box, key, note):
+        if not box.take(self.now, (n, query, push, note), WORK):
+            return self.fall(box)
+        self.look(box)
+
+    def look(self, box):
+        at = box.next_at(self.now)
+        if at is not None:
+            self.at(at + 1e-9, self.finish, box)
+
+    def finish(self, box):
+        ready = box.finished(self.now)
+        for n, query, push, note in ready:
+            if self.out.pop((n, query, push), None):
+                self.ended(n, query, push, "satisfied", note)
+        if ready:
+            self.look(box)
+
+    def fall(self, box):
+        jobs, box.jobs = list(box.jobs), {}
+        for n, query, push, _ in jobs:
+            if self.out.pop((n, query, push), None):
+                self.ended(n, query, push, "broken", 0)
+
+    def ended(self, n, query, push, result, note):
+        self.hear(n, ("ended", (query, push, result, note, 0.0, None, b"x" if result == "satisfied" else b"", False,
+                                self.now)))
+
+    def kill(self, n, query, push):
+        server = self.out.pop((n, query, push), None)
+        if server:
+            box = self.boxes[server]
+            box.advance(self.now)
+            for note in (1, 2):
+                box.jobs.pop((n, query, push, note), None)
+
+    # clients
+
+    def arrive(self):
+        self.at(self.now + self.clients.expovariate(self.rate), self.arrive)
+        c = self.clients
+        kind = "heeds" if c.random() < self.heed else c.choice(("at once", "loops"))
+        address = f"proxy-{c.randrange(3)}" if c.random() < self.proxies else f"a{len(self.needs)}"
+        need = Need(self.now, kind, int(c.random() < 0.5), min(OBJECTS, int(c.paretovariate(0.6))), address)
+        self.needs.append(need)
+        self.ask(need)
+
+    def ask(self, need):
+        if need.served_at is not None or need.out or self.now - need.at > 12.0:
+            return
+        need.out = True
+        need.tries += 1
+        self.counts["tries"] += 1
+        self.serial += 1
+        if need.router is None or self.clients.random() > self.sticks:
+            need.router = self.clients.randrange(ROUTERS)
+        client, n = self.serial, need.router
+        need.came = need.told is not None and need.told - 0.06 <= self.now <= need.told + 0.5
+        need.told = None
+        self.open[n, client] = need
+        self.hear(n, *((("connected", (client, need.address)),) if self.storm else ()),
+                  ("query", (client, 1, b"%x" % client, TRACKS[need.track].name.encode(), b"%016x" % need.object, b"0", 0, 1,
+                             1000.0 * WORK, PATIENCE_S, None, b"", self.now)))
+        self.at(self.now + PATIENCE_S * 0.7, self.tire, n, client, need)
+
+    def tire(self, n, client, need):
+        if self.open.pop((n, client), None):
+            need.out = False
+            self.hear(n, ("forgotten", (client, 1)), ("client_gone", (client,)))
+            self.back(need, None)
+
+    def over(self, n, client):
+        need = self.open.pop((n, client), None)
+        if need is not None:
+            need.out = False
+            self.at(self.now + 1e-6, self.hear, n, ("client_gone", (client,)))
+        return need
+
+    def satisfy(self, n, client, number, body, same):
+        need = self.over(n, client)
+        if need is not None:
+            need.served_at = need.served_at or self.now
+            self.count_told(need, True)
+
+    def nack(self, n, client, number, wait):
+        need = self.over(n, client)
+        if need is not None:
+            self.count_told(need, False)
+            self.back(need, wait)
+
+    def error(self, n, client, number):
+        need = self.over(n, client)
+        if need is not None:
+            self.count_told(need, False)
+            self.back(need, None)
+
+    def count_told(self, need, served):
+        if need.came:
+            self.counts["came_when_told"] += 1
+            self.counts["served_when_told"] += served
+            need.came = None
+
+    def back(self, need, wait):
+        """What a client does after a try that was not served."""
+        if need.tries >= (3 if need.kind != "loops" else 30):
+            return
+        if need.kind == "heeds" and wait:
+            self.counts["told"] += 1
+            need.told = self.now + wait
+            self.at(self.now + wait + self.clients.uniform(0.0, 0.03), self.ask, need)
+        else:
+            pause = 0.01 if need.kind == "at once" else self.clients.uniform(0.1, 0.4)
+            self.at(self.now + pause, self.ask, need)
+
+    # the day
+
+    def cut(self):
+        for box in self.boxes.values():
+            box.up, box.kept = False, set()
+            self.fall(box)
+        self.at(self.now + 1.0, self.tell, "gone", 2)
+
+    def restore(self):
+        for box in self.boxes.values():
+            box.up, box.born, box.at, box.sent = True, self.now, self.now, []
+        self.at(self.now + 0.3, self.tell, "ready", 3)
+        self.at(self.now + 0.5, self.note_plans)
+        for need in self.needs:
+            if need.served_at is None and self.now - need.at < 8.0:
+                need.herd, need.tries = True, min(need.tries, 1)
+                self.at(self.now + 0.3 + self.clients.uniform(0.0, 0.5), self.ask, need)
+
+    def note_plans(self):
+        """What was promised before the boxes were back is left out: nobody knew yet that they would be gone."""
+        self.plans_before = [dict(r.router.returns.counts) for r in self.routers] if self.storm else []
+
+    def run(self):
+        self.tell("ready", 1)
+        self.at(0.0, self.arrive)
+        self.at(self.calm_s, self.cut)
+        self.at(self.calm_s + self.cut_s, self.restore)
+        while self.events and self.events[0][0] < self.end:
+            self.now, _, work, args = heapq.heappop(self.events)
+            work(*args)
+        return self.figures()
+
+    def service(self, begin, end):
+        """Utility answered within the contract time over utility asked for, retries under their first try."""
+        rows = [n for n in self.needs if begin <= n.at < end]
+        asked = sum(TRACKS[n.track].utility for n in rows)
+        good = sum(TRACKS[n.track].utility * (1.0 if n.served_at - n.at <= CONTRACT_S else 0.2)
+                   for n in rows if n.served_at is not None and n.served_at - n.at <= PATIENCE_S)
+        return good / asked if asked else 0.0
+
+    def figures(self):
+        back = self.calm_s + self.cut_s
+        calm, step = self.service(self.calm_s * 0.4, self.calm_s - 0.5), 0.5
+        slots = [(at, self.service(at, at + step)) for at in
+                 (back + step * i for i in range(int((self.end - back - 3.0) / step)))]
+        well = next((at for i, (at, s) in enumerate(slots) if all(x >= 0.9 * calm for _, x in slots[i:i + 3])), None)
+        herd = [n for n in self.needs if n.herd]
+        plans = [{key: r.router.returns.counts[key] - before[key] for key in before}
+                 for r, before in zip(self.routers, self.plans_before)] if self.storm else []
+        return dict(calm=round(calm, 4), service_after=round(self.service(back, back + 8.0), 4),
+                    to_calm_s=None if well is None else round(well - back, 2),
+                    herd=len(herd), herd_served=round(sum(n.served_at is not None for n in herd) / max(1, len(herd)), 4),
+                    peak_over_present=round(max(b.peak for b in self.boxes.values()), 2),
+                    fallen=sum(b.fallen for b in self.boxes.values()),
+                    places_kept_served=round(sum(c["served"] for c in plans) / max(1, sum(c["kept"] for c in plans)), 4),
+                    places_came=round(sum(c["kept"] for c in plans) / max(1, sum(c["given"] for c in plans)), 4),
+                    places=sum(c["given"] for c in plans),
+                    kept_share_served=round(self.counts["served_when_told"] / max(1, self.counts["came_when_told"]), 4),
+                    told_came=round(self.counts["came_when_told"] / max(1, self.counts["told"]), 4),
+                    tries=self.counts["tries"], first_tries=len(self.needs), pushes=self.counts["pushes"],
+                    beside=sum(r.counts["beside"] for r in self.routers), again=sum(r.counts["again"] for r in self.routers))
+
+
+def play(seed, storm, scale=1.0, rate=140.0, **other):
+    return World(seed, storm, rate, 8.0 * scale, 6.0 * scale, 14.0 * scale, **other).run()
+
+
+DAYS = {"usual": {}, "no hints heeded": {"heed": 0.0}, "all heed": {"heed": 1.0}, "busy": {"rate": 190.0},
+        "clients change routers": {"sticks": 0.5}, "all behind proxies": {"proxies": 1.0}}
+
+
+def one(job):
+    name, kind, seed = job
+    return play(seed, kind, **DAYS[name])
+
+
+def calm_cost(count, turns=3):
+    """CPU microseconds a query of a calm day, without and with storm, turn about, the least of each."""
+    best = {}
+    for _ in range(turns):
+        for kind in (False, True):
+            world = World(3, kind, 60.0, count / 60.0, 0.0, 0.0)
+            world.cut, world.restore = (lambda: None), world.note_plans
+            began = time.process_time()
+            world.run()
+            took = (time.process_time() - began) / max(1, len(world.needs)) * 1e6
+            best[kind] = min(took, best.get(kind, took))
+    return {"without_us": round(best[False], 1), "storm_us": round(best[True], 1),
+            "more": round(best[True] / best[False] - 1.0, 4)}
+
+
+def chart(figures, path):
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    board, places = pyplot.subplots(1, 2, figsize=(13, 4.2))
+    names = list(DAYS)
+    for place, key, title in zip(places, ("service_after", "to_calm_s"),
+                                 ("service over 8 s after the cut", "seconds to 0.9 of calm service")):
+        for shift, kind in ((-0.2, "without"), (0.2, "storm")):
+            place.bar([i + shift for i in range(len(names))], [figures[name][kind][key] for name in names], 0.38, label=kind)
+        place.set_xticks(range(len(names)), [name.replace(" ", "\n") for name in names], fontsize=7)
+        place.set_title(title + " (simulated)")
+        place.legend()
+    board.tight_layout()
+    board.savefig(path, dpi=90)
+
+
+def main():
+    options = argparse.ArgumentParser()
+    options.add_argument("--short", action="store_true")
+    options.add_argument("--keep", help="keep figures and chart under this name")
+    given = options.parse_args()
+    seeds = range(1, 3 if given.short else 13)
+    jobs = [(name, kind, seed) for name in DAYS for kind in (False, True) for seed in seeds]
+    with ProcessPoolExecutor() as pool:
+        played = dict(zip(jobs, pool.map(one, jobs)))
+    figures = {"calm_cost": calm_cost(600 if given.short else 4000)}
+    for name in DAYS:
+        figures[name] = {}
+        for kind in (False, True):
+            rows = [played[name, kind, seed] for seed in seeds]
+            figures[name]["storm" if kind else "without"] = {
+                key: round(sum(14.0 if row[key] is None else row[key] for row in rows) / len(rows), 4) for key in rows[0]}
+    if given.keep:
+        Path(given.keep).with_suffix(".json").write_text(json.dumps(figures, indent=1) + "\n")
+        chart(figures, Path(given.keep).with_suffix(".png"))
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    main()
--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -10,7 +10,8 @@
 2. Rest: a server failing far more often than its fellows is left out for a while, then tried singly.
 3. In-flight limit of a cache and of the link in: follows shortest over present answer time (crowding).
 4. Further pushes: timed so that another fits, paid from a budget that queries earn (retry storms).
-5. Shedding: what nothing can serve comes from memory or is nacked at once, the least utility a second first.
+5. Shedding: what nothing can serve comes from memory or is nacked at once, the least utility a second first;
+   a retry has what is left of its first try's, and a place in a plan of returns (brookhinge/storm/plan.py).
 6. Ageing copies: served while fills earn less than they do (a slow or failing way to the origin).
 """
 import math
@@ -117,7 +118,7 @@
 class Doc:
     """What is remembered of an object (one part of it, where it has parts)."""
     def __init__(self, key, part, group):
-        self.key, self.group, self.holders, self.best, self.order = key, group, {}, 0.0, []
+        self.key, self.part, self.group, self.holders, self.best, self.order = key, part, group, {}, 0.0, []
         self.code, self.home_code = digest(f"{key}/{part}"), digest(key)
         self.count = self.asked = self.purges = 0.0
         self.purged_at, self.fresh_at, self.order_of = -1e9, -1e9, None
@@ -129,23 +130,36 @@
     FILL, SPREAD = 1.5, 2.5     # of the present capacity; deviations of chance kept clear of what pushes over
 
     def __init__(self, start, routers):
-        self.start, self.routers, self.credit, self.at = start, routers, {}, {}
+        self.start, self.routers, self.credit, self.at, self.owed = start, routers, {}, {}, {}
 
     def cold(self, now, born):
         return born is not None and now - born < self.start.warm_s
 
-    def take(self, c, now, born, power, work, lump, chance):
-        """Whether work may go to c now; spends it if so. power: transfers at once that c does when warm."""
+    def rate(self, now, born, power, lump):
+        """Seconds of sending a second that this router may send to a cold server."""
         s = self.start
-        if s.multiple <= 0 or not self.cold(now, born):
-            return True
         age = max(0.0, now - born - s.window_s)
         can = (s.share + (1.0 - s.share) * min(1.0, age / s.warm_s)) * power
         room = s.multiple * can * s.window_s            # over all routers; queries come by chance, in lumps
         mean = ((self.SPREAD ** 2 * lump + 4.0 * room) ** 0.5 - self.SPREAD * lump ** 0.5) ** 2 / 4.0
-        rate = min(self.FILL * can, mean / s.window_s) / self.routers
-        credit = min(4.0 * rate * s.window_s, self.credit.get(c, 0.0) + rate * (now - self.at.get(c, now)))
-        self.at[c] = now
+        return min(self.FILL * can, mean / s.window_s) / self.routers
+
+    def take(self, c, now, born, power, work, lump, chance, spare=0.0):
+        """Whether work may go to c now; spends it if so. power: transfers at once that c does when warm;
+        spare: the part of what may be saved left to others; under 0: who was told to come may borrow."""
+        if self.start.multiple <= 0 or not self.cold(now, born):
+            return True
+        rate = self.rate(now, born, power, lump)
+        most, owed = 4.0 * rate * self.start.window_s, self.owed.get(c, 0.0)
+        credit = min(most, self.credit.get(c, 0.0) + rate * (now - self.at.get(c, now)))
+        self.at[c], paid = now, max(0.0, min(owed, credit))
+        self.owed[c], credit = owed - paid, credit - paid
+        if spare > 0.0 and credit < spare * most:
+            self.credit[c] = credit
+            return False
+        if spare < 0.0 and owed < -spare * most:
+            self.owed[c], self.credit[c] = self.owed[c] + work, credit
+            return True
         go = chance.random() * work < credit
         self.credit[c] = max(0.0, credit - work)
         return go
@@ -272,13 +286,14 @@
         self.track, self.doc, self.until, self.through = track, doc, now + left, through
         self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
         self.bad, self.bad_sources, self.ran = set(), set(), None
-        self.ended = self.sibling = self.held = self.filling = self.look = self.missed = False
+        self.ended = self.sibling = self.held = self.filling = self.look = self.missed = self.invited = False
+        self.who, self.worth = None, 1.0
 
 
 class Router:
     def __init__(self, seed, tracks, place, allowed, supply, cold_cache, cold_parent, purge_gone_s, kinds,
-                 reports, machine=None):
-        self.chance = random.Random(seed)
+                 reports, machine=None, returns=None):
+        self.chance, self.returns = random.Random(seed), returns
         self.tracks, self.allowed, self.supply, self.purge_gone_s = tracks, allowed, supply, purge_gone_s
         self.fleet, self.rings = Fleet(kinds, place.zone), Rings()
         self.cold = {"cache": ColdBudget(cold_cache, place.routers_here),
@@ -310,20 +325,33 @@
         if self.fleet.own != own or not self.rings.rings:
             self.rings.seat(self.fleet.own)
 
-    def query(self, query, track, key, part, group, size_kb, retry, write, left):
+    def query(self, query, track, key, part, group, size_kb, retry, write, left, since=0.0, who=None):
+        """since: seconds since the first try, of which this is a retry; who: whom a place may be told."""
         doc = self.docs.get((key, part))
         if doc is None:
             if len(self.docs) >= self.most:
                 self.docs = dict(sorted(self.docs.items(), key=lambda item: -item[1].count)[:self.most // 2])
             doc = self.docs[key, part] = Doc(key, part, group)
-        doc.count, doc.asked, self.counted = doc.count + 1, doc.asked + 1, self.counted + 1
+        fresh = not since       # a retry counts under its first try
+        doc.count, doc.asked, self.counted = doc.count + fresh, doc.asked + fresh, self.counted + fresh
         if self.rings.rings:
-            self.rings.rings[doc.code % len(self.rings.rings)][2][doc.code % INTRA_GEN] += 1.0
+            self.rings.rings[doc.code % len(self.rings.rings)][2][doc.code % INTRA_GEN] += fresh
         q = self.queries[query] = Query(track, doc, self.now, left, write or self.tracks[track].through)
         q.expect = size_kb / self.supply.flow_kb_s if size_kb and self.supply.flow_kb_s else 0.0
         self.sending[track] += 0.02 * (q.expect - self.sending[track]) if q.expect else 0.0
-        self.retries = min(20.0, 0.05 + self.retries * math.exp((self.asked_at - self.now) / LOOK))
+        q.who, t = who, self.tracks[track]
+        need = q.expect or self.sending[track]
+        q.worth = t.late_share if since > max(0.0, t.contract_s + (t.stretch - 1.0) * need) else 1.0
+        self.retries = min(20.0, 0.05 * fresh + self.retries * math.exp((self.asked_at - self.now) / LOOK))
         self.asked_at = self.now
+        if self.returns is not None and who is not None:
+            wait, q.invited = self.returns.arrives(self.now, who, (track, key, part))
+            if wait:            # early: the same place again
+                del self.queries[query]
+                return self.writer.nack(query, wait)
+            q.worth = 1.0 if q.invited else q.worth     # what was promised holds
+            if fresh:
+                self.returns.newcomer(self.now, self.sending[track])
         self.place(query, q)
 
     def ended(self, query, push, server, result, took, over, note, waited, load, copy=None):
@@ -334,6 +362,8 @@
             return
         self.fills -= q.filling
         self.learn(q, c, result, took, note, waited)
+        if q.invited and result == "satisfied":
+            self.returns.counts["served"] += 1
         if copy and self.tracks[q.track].effect == "replayable" and not q.through:
             if self.now - copy[0] < (self.oldest(q.doc, self.tracks[q.track], True) or math.inf):
                 self.copies.keep((q.track, q.doc.code), q.doc, *copy, query, self.writer)
@@ -380,14 +410,14 @@
         busy = {c: (fleet.inflight[c] / (fleet.weight[c] or 1.0), self.chance.random()) for c in holders}
         order = sorted(holders, key=busy.get)
         order = [c for c in order + [c for c in stand_ins if c not in busy] if self.open_to(c, q)]
-        target = next((c for c in order if self.warm_for(c, work)), None)
+        target = next((c for c in order if self.warm_for(c, work, q)), None)
         if target is None:
             return self.pass_by(query, q, track)
         room = self.room_at(target, part)       # elsewhere than at a holder it would miss and be filled anew
         slow = not room and self.crowding.lags(target, now, fleet.own, least=2.0)     # it is crowded, not all
         if not room and (slow or target in holders):
             others = [c for c in order if (slow or c in holders) and c != target and self.room_at(c, part)]
-            target = next((c for c in others if self.warm_for(c, work)), target)
+            target = next((c for c in others if self.warm_for(c, work, q)), target)
             room = target in others
         aged = 0.0 < track.fresh_s < now - doc.fresh_at       # a holder's copy past its fresh time is a fill
         source, q.sibling, q.held = None, False, target in holders and not aged
@@ -399,7 +429,7 @@
             extra = next((c for c in own[at + 1:] + own[:at] if c not in holders), None)
             if extra is not None and self.supply.siblings != "none" and self.open_to(extra, q) \
                     and not self.cold["cache"].cold(now, fleet.born[target]) \
-                    and self.room_at(extra, part) and self.warm_for(extra, work):
+                    and self.room_at(extra, part) and self.warm_for(extra, work, q):
                 target, source, q.sibling, q.held, room = extra, target, True, False, True
         if not room:
             return self.refuse(query, q)
@@ -468,11 +498,29 @@
             return
         effect, group = self.tracks[q.track].effect, self.tracks[q.track].group
         if q.ran is None or effect == "replayable" or (effect, group) == ("referenced", "all"):
-            self.writer.nack(query, min(self.allowed.max_retry_after_s, 0.1 + 0.15 * self.chance.random()))
+            self.writer.nack(query, self.return_in(q))
         else:
             self.writer.error(query)
         del self.queries[query]
 
+    def return_in(self, q):
+        """Seconds after which to come back: a place in the plan of returns, where one can be told."""
+        if self.returns is None or q.who is None:
+            return min(self.allowed.max_retry_after_s, 0.1 + 0.15 * self.chance.random())
+        name, most = (q.track, q.doc.key, q.doc.part), max(t.utility for t in self.tracks)
+        return self.returns.place(self.now, q.who, name, self.sending[q.track],
+                                  0.5 + 0.5 * self.tracks[q.track].utility / most, self.can_take)
+
+    def can_take(self, at):
+        """Seconds of sending a second that this router may send to its caches at a time ahead."""
+        cold, total = self.cold["cache"], 0.0
+        for c in self.fleet.own:
+            born, limit = self.fleet.born[c], self.crowding.limit.get(c, Crowding.FIRST / 4)
+            if cold.start.multiple > 0 and cold.cold(at, born):
+                limit = min(limit, cold.rate(max(at, born), born, self.power(c), max(self.sending)))
+            total += limit
+        return total
+
     def own(self, query, q):
         """Answers from memory, if a copy there will do and comes in time."""
         track, name = self.tracks[q.track], (q.track, q.doc.code)
@@ -507,10 +555,12 @@
             self.mean = max(1.0, total / len(self.docs))
         return doc.count / self.mean / (2.0 * holders) * doc.asked / (doc.asked + doc.purges)
 
-    def warm_for(self, c, work):
-        """Whether a cache or parent is warm, or its cold budget has this work; spends it if so."""
-        return self.cold[self.fleet.role[c]].take(c, self.now, self.fleet.born[c], self.power(c), work,
-                                                  max(self.sending), self.chance)
+    def warm_for(self, c, work, q):
+        """Whether a cache or parent is warm, or its cold budget has this work; spends it if so. Retries too
+        late to earn much leave half of what is saved to others; those that were told to come now may borrow."""
+        return self.cold[self.fleet.role[c]].take(
+            c, self.now, self.fleet.born[c], self.power(c), work, max(self.sending), self.chance,
+            -0.25 if q.invited else 0.5 * (1.0 - q.worth))
 
     def room_at(self, c, part):
         fleet, crowding = self.fleet, self.crowding
@@ -539,7 +589,7 @@
             doc.order = sorted(fleet.parents, key=lambda c: digest(f"{doc.home_code} {fleet.ids[c]}"))
         usable = [c for c in doc.order + fleet.origins if fleet.state[c] == "ready" and c not in bad]
         return next((c for c in usable if fleet.role[c] == "origin" or self.sources.fit(c, now)
-                     and self.warm_for(c, work)), None)
+                     and self.warm_for(c, work, q)), None)
 
     def carried(self, c, work):
         """Notes work sent to a warm server: what such take on the mean is what their like can do at least."""
@@ -562,7 +612,7 @@
     def fair_part(self, q):
         """The part of a limit open to a query: the less utility for its sending time, the smaller."""
         usual = sum(t.utility for t in self.tracks) / sum(self.sending)
-        density = self.tracks[q.track].utility / (q.expect or q.doc.best or self.sending[q.track])
+        density = q.worth * self.tracks[q.track].utility / (q.expect or q.doc.best or self.sending[q.track])
         return max(0.2, 0.85 * (density / usual) ** 0.5)
 
     def oldest(self, doc, track, ageing):
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -39,10 +39,11 @@
     """post(method, values) takes the events; well() tells whether the router takes queries, busy(client) whether
     one has queries open; longest: of each kind of query the patience."""
 
-    def __init__(self, post, say, well, busy, now, longest, sockets, held):
+    def __init__(self, post, say, well, busy, now, longest, sockets, held, told_who=False):
         self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, now
         self.longest, self.sockets, self.most_held, self.paused = longest, sockets, held, False
         self.clients, self.serial, self.unread, self.partial, self.listener = {}, 0, 0, 0, None
+        self.told_who = told_who        # whether anybody asks where clients come from
 
     # accepting
 
@@ -63,7 +64,7 @@
             if len(self.clients) >= self.sockets and not self.make_room():
                 return self.pause("clients hold their share of descriptors")
             try:
-                made, _ = self.listener.accept()
+                made, place = self.listener.accept()
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as fault:
@@ -74,6 +75,8 @@
             self.paused = False
             self.serial += 1
             client = self.clients[self.serial] = Client(self.serial, stream, self.now())
+            if self.told_who:
+                self.post("connected", (client.number, place[0]))
             asyncio.ensure_future(self.run(client))
 
     def make_room(self):
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -3,7 +3,7 @@
 Events and effects are (method, values). The reducer holds the Router, runs one round of it a loop pass and is
 its writer: decisions become effects. Times are seconds since the start. It knows nothing of any wire.
 
-Events in: query, forgotten, client_gone, ended, listed, purged, closing.
+Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected.
 Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say.
 """
 import heapq
@@ -11,23 +11,26 @@
 
 
 OPEN = 32       # queries on one connection, by the protocol
+WAIT_END_S = 0.02       # who waits beside a query is told that nothing came so long before its time is over
 PAST = 1024     # ids remembered of queries that are over: each query has a new one
 
 
 class Open:
     """A query that is owed its final answer; what goes on unchanged is kept as the bytes that came."""
     __slots__ = ("client", "number", "name", "kind", "key", "part", "tag", "body", "until", "pushes", "out",
-                 "server", "sent_at")
+                 "server", "sent_at", "call", "beside")
 
     def __init__(self, client, number, name, kind, key, part, tag, body, until):
         self.client, self.number, self.name, self.kind = client, number, name, kind
         self.key, self.part, self.tag, self.body, self.until = key, part, tag, body, until
         self.pushes, self.out, self.server, self.sent_at = 0, False, None, until
+        self.call, self.beside = None, None     # what the decisions are told of it; the query whose answer it waits for
 
 
 class Reducer:
-    def __init__(self, router, tracks, zones):
-        self.router = router
+    def __init__(self, router, tracks, zones, lineage=None):
+        self.router, self.lineage = router, lineage
+        self.addresses, self.waiting, self.ends = {}, {}, []    # of clients; who waits beside a query; and until when
         self.tracks = {name: i for i, name in enumerate(tracks)}
         self.zones = {name: i for i, name in enumerate(zones)}
         self.queries, self.names, self.clients = {}, {}, {}
@@ -39,7 +42,7 @@
         self.serial, self.cursor, self.now = 0, 0, 0.0
         self.effects, self.inbox, self.current = [], [], None
         self.counts = dict.fromkeys(("queries", "satisfied", "nacked", "errored", "left", "pushes", "timeouts",
-                                     "own"), 0)
+                                     "own", "beside", "again"), 0)
 
     def reduce(self, now, events):
         """One pass: the events, then the pushes whose time is over, then one round."""
@@ -50,6 +53,7 @@
             except Exception as fault:
                 self.faulted(fault)
         self.expire()
+        self.expire_waiting()
         inbox = iter(self.inbox)
         while True:     # a fault of the decisions costs the query that it came up with, not the router
             try:
@@ -77,7 +81,13 @@
             self.error(query)
 
     def next_at(self):
-        """When the next push runs out of time, or None."""
+        """When the next push runs out of time, or who waits beside one, or None."""
+        while self.ends and self.ends[0][1] not in self.queries:
+            heapq.heappop(self.ends)
+        end = self.ends[0][0] if self.ends else None
+        return min((at for at in (self.next_push_at(), end) if at is not None), default=None)
+
+    def next_push_at(self):
         while self.timers and not self.is_out(*self.timers[0][1:]):
             heapq.heappop(self.timers)
         return self.timers[0][0] if self.timers else None
@@ -111,8 +121,43 @@
         self.names[name] = query
         self.clients.setdefault(client, {})[number] = query
         self.counts["queries"] += 1
-        self.inbox.append(("query", (query, track, key.decode("ascii"), part_number, group, size_kb, False, False,
-                                     until - self.now)))
+        call = track, key.decode("ascii"), part_number, group, size_kb, False, False
+        if self.lineage is None or self.router.tracks[track].effect != "replayable":    # an effect is asked for anew
+            self.inbox.append(("query", (query, *call, until - self.now)))
+        else:
+            self.known_again(query, call)
+
+    def known_again(self, query, call):
+        """A query may be a client's retry: beside its first try it waits for that one's answer, it never runs beside
+        it; after it the decisions are told since when it is asked for."""
+        q = self.queries[query]
+        q.call = call
+        address = self.addresses.get(q.client, q.client)
+        seen = self.lineage.asked(self.now, query, address, q.client, call[:3])
+        first = self.queries.get(seen.beside)
+        if first is not None and first.tag == q.tag and first.body == q.body:
+            q.beside = seen.beside
+            self.counts["beside"] += 1
+            self.waiting.setdefault(seen.beside, []).append(query)
+            heapq.heappush(self.ends, (q.until - WAIT_END_S, query))
+        else:
+            self.counts["again"] += seen.kind == "again"
+            self.inbox.append(("query", (query, *call, q.until - self.now, seen.since,
+                                         self.lineage.who(address, q.client))))
+
+    def on_its_own(self, query):
+        """What a query waited for has ended without an answer for it: it is the decisions' now, or waits beside another
+        that waited with it."""
+        q = self.queries[query]
+        q.beside = None
+        if q.until - self.now <= WAIT_END_S:
+            self.error(query)
+        else:
+            self.known_again(query, q.call)
+
+    def connected(self, client, address):
+        self.addresses[client] = address
+        self.lineage.connected(address)
 
     def forgotten(self, client, number):
         query = self.clients.get(client, {}).get(number)
@@ -127,6 +172,9 @@
             self.leave(query)
         self.numbers.pop(client, None)
         self.withdrawn.pop(client, None)
+        address = self.addresses.pop(client, None)
+        if address is not None:
+            self.lineage.disconnected(address)
 
     def close(self, client, why):
         """A connection that breaks the protocol: nothing on it is answered, nor taken in the rest of this pass."""
@@ -137,6 +185,7 @@
     def closing(self):
         """The process ends: what is open gets its error now, and nothing more is decided."""
         self.inbox.clear()
+        self.waiting.clear()        # each has its own error
         for query in list(self.queries):
             self.end_out(query)
             self.error(query)
@@ -156,8 +205,18 @@
             self.counts["satisfied"] += 1
             self.withdrawn.pop(q.client, None)
             self.effects.append(("satisfy", (q.client, q.number, body, same)))
+            self.satisfy_beside(query, body, same)
             self.settle(query)
 
+    def satisfy_beside(self, query, body, same):
+        """Who waited beside a query has its answer: they asked for the same and hold the same copy."""
+        for other in self.waiting.pop(query, ()):
+            if other in self.queries:
+                q = self.queries[other]
+                self.counts["satisfied"] += 1
+                self.effects.append(("satisfy", (q.client, q.number, body, same)))
+                self.settle(other)
+
     def listed(self, number, complete, hosts):
         """A list of servers: (id, address, zone, kind, cell, health, weight, start) each."""
         if number <= self.cursor:
@@ -196,7 +255,7 @@
     def expire(self):
         """Pushes whose time is over are given up before anything else is sent for their queries."""
         while True:
-            at = self.next_at()
+            at = self.next_push_at()
             if at is None or at > self.now:
                 return
             _, query, push = heapq.heappop(self.timers)
@@ -206,6 +265,13 @@
             self.inbox.append(("ended", (query, push, q.server, "timeout", self.now - q.sent_at, False, 0, 0.0,
                                          None)))
 
+    def expire_waiting(self):
+        """Who waits beside a query has its own time all the same."""
+        while self.ends and self.ends[0][0] <= self.now:
+            _, query = heapq.heappop(self.ends)
+            if query in self.queries and self.queries[query].beside is not None:
+                self.error(query)
+
     def give_up(self, query):
         q = self.queries[query]
         if q.out:
@@ -234,10 +300,21 @@
         else:
             self.end_out(query)
         self.counts["left"] += 1
-        self.settle(query)
+        self.settle(query, "forgotten")
 
-    def settle(self, query):
+    def settle(self, query, how=None):
+        """The query is over; how: as the lineage has it, None for one that was satisfied."""
         q = self.queries.pop(query)
+        if self.lineage is not None:
+            if q.beside is None:
+                self.lineage.ended(self.now, query, how)
+            else:
+                fellows = self.waiting.get(q.beside, [])
+                if query in fellows:
+                    fellows.remove(query)
+            for other in self.waiting.pop(query, ()):
+                if other in self.queries:
+                    self.on_its_own(other)
         del self.names[q.name]
         self.past[q.name] = None
         if len(self.past) > PAST:
@@ -266,13 +343,15 @@
         q = self.queries[query]
         self.counts["nacked"] += 1
         self.effects.append(("nack", (q.client, q.number, retry_after_s)))
-        self.settle(query)
+        for other in self.waiting.pop(query, ()):       # the same answer, and the same time to come back
+            self.nack(other, retry_after_s)
+        self.settle(query, "refused")
 
     def error(self, query):
         q = self.queries[query]
         self.counts["errored"] += 1
         self.effects.append(("error", (q.client, q.number)))
-        self.settle(query)
+        self.settle(query, "failed")
 
     def keep(self, query, name):
         """The answer that this query has just had stays in memory under that name."""
@@ -288,6 +367,7 @@
         self.counts["satisfied"] += 1
         self.counts["own"] += 1
         self.effects.append(("satisfy", (q.client, q.number, b"" if same else body, same)))
+        self.satisfy_beside(query, b"" if same else body, same)
         self.settle(query)
 
     def say(self, text):
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -27,14 +27,19 @@
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
-        self.reducer = Reducer(Router(site.seed, machine=site.bounds, **site.decisions),
-                               [t.name.encode() for t in site.decisions["tracks"]], site.zones)
+        lineage = returns = None
+        if site.storm:
+            from brookhinge.storm.lineage import Lineage
+            from brookhinge.storm.plan import Returns
+            lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
+        self.reducer = Reducer(Router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
+                               [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage)
         self.events, self.due, self.timer, self.timer_at = [], False, None, None
         bounds, lines = site.bounds, site.lines
         third = bounds.sockets // 3
         self.front = Front(self.post, self.log, lambda: self.phases.well, self.reducer.clients.__contains__, self.now,
                            {t.name.encode(): t.patience_s for t in site.decisions["tracks"]},
-                           max(8, bounds.sockets - third - SPARE), bounds.memory_mb * 1024 * 1024 // 4)
+                           max(8, bounds.sockets - third - SPARE), bounds.memory_mb * 1024 * 1024 // 4, site.storm)
         self.caches = Caches(self.post, self.log, self.now, self.start, site.columns, lines.connect_s, lines.idle_s,
                              lines.multiplex, third)
         cursor, commands = http.read_commands(site.known, self.start)
--- a/brookhinge/startup.py
+++ b/brookhinge/startup.py
@@ -141,6 +141,7 @@
     zones: list
     columns: list           # of a load report, as cache servers name them
     decisions: dict         # the arguments of Router
+    storm: bool             # whether retries are known as such and returns are planned (brookhinge/storm)
 
 
 def address(table, key):
@@ -191,4 +192,5 @@
                *(top.take(key, NUMBER, 0) for key in ("flow_bytes_per_s", "link_bytes_per_s"))),
         Lines(calls.span("ConnectTimeoutNs", 1e9), calls.span("IdleCloseNs", 30e9),
               more_than(0, calls, "Multiplex", WHOLE, 32)),
-        settings.names("Zones"), [c.encode() for c in decisions["reports"]], decisions)
+        settings.names("Zones"), [c.encode() for c in decisions["reports"]], decisions,
+        bool(top.take("storm", FLAG, False)))
--- /dev/null
+++ b/tests/storm/test_lineage.py
@@ -0,0 +1,188 @@
+"""A client's retry is known as such, never runs beside its first try, and wrong guesses cost nobody an answer."""
+import random
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from brookhinge.storm.lineage import MANY, Lineage
+from tests.helpers import Desk
+
+A, B, PROXY = "192.0.2.1", "192.0.2.2", "198.51.100.1"
+NAME = (0, "aa", 0)
+
+
+def desk(folder, *places):
+    d = Desk(folder)
+    d.reducer.lineage = Lineage()
+    for client, place in enumerate(places, 1):
+        d.hear(("connected", (client, place)))
+    return d
+
+
+def kinds(lines):
+    return [line.split(" for ")[0] for line in lines]
+
+
+def test_a_retry_beside_its_first_try_takes_its_answer_on_the_same_and_on_another_connection(tmp_path):
+    d = desk(tmp_path, A, A)
+    assert kinds(d.ask(client=1)) == ["pull q0.1 r1 s-21 from s-12 rank 1"]
+    assert d.ask(client=1) == [] and d.ask(client=2) == []
+    assert d.end(0, 1, "satisfied", b"x") == [
+        "satisfy 1 1 b'x' False", "satisfy 1 2 b'x' False", "satisfy 2 3 b'x' False"]
+    assert not d.reducer.queries and not d.reducer.waiting and not d.reducer.lineage.of_query
+
+
+def test_what_is_no_retry_runs_by_itself(tmp_path):
+    d = desk(tmp_path, A, B, A)
+    d.ask(client=1)
+    assert len(d.ask(client=2)) == 1                    # another address
+    assert len(d.ask(client=1, key=b"bb")) == 1         # another object
+    assert len(d.ask(client=3, tag=b"t")) == 1          # holds another copy: the answer may not fit it
+    assert len(d.ask(client=1, kind=b"order", key=b"cc")) == len(d.ask(client=1, kind=b"order", key=b"cc")) == 1
+    assert d.reducer.counts["beside"] == 0
+
+
+def test_behind_an_address_with_many_connections_only_the_connection_tells(tmp_path):
+    d = desk(tmp_path, *[PROXY] * (MANY + 1))
+    d.ask(client=1)
+    assert len(d.ask(client=2)) == 1 and d.ask(client=1) == []
+
+
+def test_when_the_first_is_forgotten_or_fails_who_waits_goes_on_alone_and_in_its_own_time(tmp_path):
+    d = desk(tmp_path, A, A, A)
+    d.ask(client=1, number=1)
+    d.ask(client=2, number=2, allow=0.5)
+    d.ask(client=3, number=3)
+    lines = d.hear(("forgotten", (1, 1)))
+    assert [line.split()[0] for line in lines] == ["kill", "pull"] and " q1.1 " in lines[1]     # one of both, not two
+    assert d.reducer.queries[2].beside == 1
+    assert kinds(d.end(1, 1, "broken")) == ["pull q1.2 r2 s-22 from s-12 rank 1"]
+    assert d.end(1, 2, "broken") == ["nack 2 2 0.0", "nack 3 3 0.0"] and not d.reducer.waiting
+
+
+def test_who_waits_has_its_error_before_its_time_is_over(tmp_path):
+    d = desk(tmp_path, A, A)
+    d.ask(client=1, allow=1.0)
+    d.ask(client=2, allow=0.2)
+    at = d.reducer.queries[1].until
+    assert d.reducer.next_at() <= at and d.hear(at=at - 0.015) == ["error 2 2"]
+    assert d.end(0, 1, "satisfied", b"x") == ["satisfy 1 1 b'x' False"]
+
+
+def test_a_nack_reaches_all_who_wait_with_the_same_time(tmp_path):
+    d = desk(tmp_path, A, A)
+    d.ask(client=1)
+    d.ask(client=2)
+    d.reducer.effects = []
+    d.reducer.nack(0, 0.25)
+    assert [d.printed(*e) for e in d.reducer.effects] == ["nack 1 1 0.25", "nack 2 2 0.25"]
+
+
+def test_a_retry_has_its_first_tries_time_and_is_forgotten_by_itself():
+    lineage, trace = Lineage(remember_s=5.0), []
+
+    def ask(now, query):
+        seen = lineage.asked(now, query, A, 1, NAME)
+        trace.append((seen.kind, round(seen.since, 3)))
+    ask(0.0, 1)
+    lineage.ended(0.5, 1, "refused")
+    ask(0.75, 2)
+    lineage.ended(1.0, 2, "forgotten")
+    ask(5.9, 3)
+    lineage.ended(6.0, 3, "failed")
+    ask(11.1, 4)
+    lineage.ended(11.2, 4, None)
+    ask(11.3, 5)
+    lineage.ended(11.4, 5, "refused")
+    ask(3.0, 6)         # the clock stepped back
+    assert trace == [("new", 0.0), ("again", 0.75), ("again", 5.9), ("new", 0.0), ("new", 0.0), ("new", 0.0)]
+
+
+def test_memory_is_bounded():
+    lineage = Lineage(most=100)
+    for n in range(5000):
+        lineage.asked(n * 0.001, n, f"a{n % 777}", n, (0, n, 0))
+        if n % 2:
+            lineage.ended(n * 0.001, n, "refused")
+    assert len(lineage.tries) == 100 and len(lineage.of_query) <= 100
+
+
+class Answers(RuleBasedStateMachine):
+    """Whatever comes in whatever order: each query gets exactly one final answer in its own time, and never are two
+    pushes out for one address and object."""
+
+    @initialize(seed=st.integers(0, 1 << 20))
+    def begin(self, seed):
+        import tempfile
+        from pathlib import Path
+        with tempfile.TemporaryDirectory() as folder:
+            self.d = desk(Path(folder), A, A, B)
+        self.chance, self.owed, self.numbers, self.now = random.Random(seed), {}, 0, 1.0
+
+    def take(self, lines):
+        for line in lines:
+            word, *rest = line.split()
+            if word in ("satisfy", "nack", "error", "reject"):
+                assert self.owed.pop((int(rest[0]), int(rest[1]))) >= self.now - 1e-9, "after its time"
+
+    def step(self, *events, by=0.01):
+        end = self.now + by
+        while (at := self.d.reducer.next_at()) is not None and at < end:
+            self.now = max(self.now, at)
+            self.take(self.d.hear(at=self.now))
+        self.now = end
+        self.take(self.d.hear(*events, at=self.now))
+
+    @rule(client=st.integers(1, 3), key=st.sampled_from([b"aa", b"bb"]), allow=st.sampled_from([0.05, 0.3, 1.0]))
+    def ask(self, client, key, allow):
+        self.numbers += 1
+        self.owed[client, self.numbers] = self.now + 0.01 + allow
+        self.step(("query", (client, self.numbers, b"r%d" % self.numbers, b"page", key, b"0", 0, 4, 100.0, allow, None,
+                             b"", self.now + 0.01)))
+
+    @rule(result=st.sampled_from(["satisfied", "miss", "full", "errored", "broken", "unreachable"]))
+    def answer(self, result):
+        out = [(n, q.pushes) for n, q in self.d.reducer.queries.items() if q.out]
+        if out:
+            query, push = self.chance.choice(out)
+            self.step(("ended", (query, push, result, 2, 0.0, None, b"x" if result == "satisfied" else b"", False,
+                                 self.now)))
+
+    @rule()
+    def forget(self):
+        if self.owed:
+            client, number = self.chance.choice(sorted(self.owed))
+            del self.owed[client, number]
+            self.step(("forgotten", (client, number)))
+
+    @rule(by=st.sampled_from([0.005, 0.05]))
+    def wait(self, by):
+        self.step(by=by)
+
+    @rule()
+    def close_one(self):
+        client = self.chance.randint(1, 3)
+        self.owed = {key: at for key, at in self.owed.items() if key[0] != client}
+        self.step(("client_gone", (client,)), ("connected", (client, A if client < 3 else B)))
+
+    @invariant()
+    def alone(self):
+        if not hasattr(self, "d"):
+            return
+        reducer = self.d.reducer
+        out = [(reducer.addresses[q.client], q.key) for q in reducer.queries.values() if q.out]
+        assert len(out) == len(set(out))
+        assert {(q.client, q.number) for q in reducer.queries.values()} == set(self.owed)
+        waiting = [n for fellows in reducer.waiting.values() for n in fellows]
+        assert sorted(waiting) == sorted(n for n, q in reducer.queries.items() if q.beside is not None)
+
+    def teardown(self):
+        if hasattr(self, "d"):
+            self.take(self.d.hear(("closing", ())))
+            assert not self.owed and not self.d.reducer.queries
+
+
+TestAnswers = Answers.TestCase
+TestAnswers.settings = settings(max_examples=80, stateful_step_count=40, deadline=None, derandomize=True,
+                                suppress_health_check=list(HealthCheck))
