Storm: places only for who can be known, worth by what answers take now; daemon's tests with storm on

Need: places told to clients behind proxies were never kept; a retry was pushed that could not be answered in time.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -302,6 +302,7 @@
         self.docs, self.queries, self.groups, self.copies = {}, {}, {}, Copies(machine)
         self.most = min(MOST_DOCS, int(DOCS_IN_MB * machine.memory_mb)) if machine else MOST_DOCS
         self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
+        self.takes = [0.0] * len(tracks)        # mean time that answers of each track take now
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
         self.mean, self.mean_at, self.fills, self.heard_at, self.load = 0.0, 0.0, 0, {}, {}
         parts = (self.health, self.sources, self.crowding, *self.cold.values())
@@ -340,8 +341,8 @@
         q.expect = size_kb / self.supply.flow_kb_s if size_kb and self.supply.flow_kb_s else 0.0
         self.sending[track] += 0.02 * (q.expect - self.sending[track]) if q.expect else 0.0
         q.who, t = who, self.tracks[track]
-        need = q.expect or self.sending[track]
-        q.worth = t.late_share if since > max(0.0, t.contract_s + (t.stretch - 1.0) * need) else 1.0
+        need = self.takes[track] - t.stretch * (q.expect or self.sending[track])
+        q.worth = t.late_share if since > max(0.0, t.contract_s - need) else 1.0
         self.retries = min(20.0, 0.05 * fresh + self.retries * math.exp((self.asked_at - self.now) / LOOK))
         self.asked_at = self.now
         if self.returns is not None and who is not None:
@@ -631,6 +632,7 @@
                 doc.holders.pop(c, None)
                 doc.holders[c] = now
             doc.fresh_at = now if q.filling else doc.fresh_at
+            self.takes[q.track] += 0.05 * (took - self.takes[q.track])
             self.carried(c, self.sending[q.track])      # not what was sent: in a jam the last warm get it all
             if not q.expect:
                 self.sending[q.track] += 0.02 * (min(took, 3.0) - self.sending[q.track])
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -142,8 +142,9 @@
             heapq.heappush(self.ends, (q.until - WAIT_END_S, query))
         else:
             self.counts["again"] += seen.kind == "again"
+            who = self.lineage.who(address, q.client)       # a place is told to who can be known when they come
             self.inbox.append(("query", (query, *call, q.until - self.now, seen.since,
-                                         self.lineage.who(address, q.client))))
+                                         who if who[0] == "address" else None)))
 
     def on_its_own(self, query):
         """What a query waited for has ended without an answer for it: it is the decisions' now, or waits beside another
--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -37,11 +37,12 @@
         return made.getsockname()[1]
 
 
-def settings(aim_s=0.3, patience_s=3.0, warm_s=5.0):
+def settings(aim_s=0.3, patience_s=3.0, warm_s=5.0, longest_hint_s=0.0):
     """The settings of a router among boxes of this town."""
     return {"Az": "edge-1", "Zones": ["hub", "edge-1"], "MachineTypes": ["box", "parent", "origin"], "Instances": 1,
             "Classes": [{"Name": "page", "AimNs": aim_s * 1e9, "DeadlineNs": patience_s * 1e9, "Effect": "retryable"}],
-            "Limits": {"MaxAttempts": 4, "Cancel": True, "ConnectTimeoutNs": 2e8, "Multiplex": 32},
+            "Limits": {"MaxAttempts": 4, "Cancel": True, "ConnectTimeoutNs": 2e8, "Multiplex": 32,
+                       "RetryAfter": longest_hint_s > 0, "MaxRetryAfterNs": longest_hint_s * 1e9},
             "Rules": {"ColdFrom": 0.3, "WarmUpNs": warm_s * 1e9, "FallMultiple": 3.0, "FallNs": 1e9},
             "Report": {"Columns": ["cpu"]}, "WeightSource": "nominal",
             "Specifics": {"UpperKind": 1, "MasterKind": 2, "Says": "all", "SharesFills": True, "PeersFill": "any"}}
@@ -51,9 +52,10 @@
     """async with Town(folder) as town: town.boxes, town.origin, town.channel, town.router_address."""
 
     def __init__(self, folder, boxes=3, router=True, parent=True, disk=True, memory_mb=64, disk_mb=256, segment_mb=4, snapshot_s=1.0,
-                 origin_delay_s=0.02, sizes=(2_000, 60_000), parent_here=False, parent_mb=64, **settings_):
+                 origin_delay_s=0.02, sizes=(2_000, 60_000), parent_here=False, parent_mb=64, storm=False, **settings_):
         self.folder, self.router, self.disk, self.settings = Path(folder), router, disk, settings_
         self.tier = dict(memory_mb=memory_mb, disk_mb=disk_mb, segment_mb=segment_mb, snapshot_s=snapshot_s)
+        self.storm = storm
         self.origin = Origin(sizes, origin_delay_s)
         self.channel = CommandChannel()
         self.names = [f"s-{i + 1}" for i in range(boxes)]
@@ -119,7 +121,7 @@
         path.write_text(json.dumps({
             "name": "n1", "listen": f"127.0.0.1:{self.ports['router']}", "seed": "8c1f",
             "channel": f"127.0.0.1:{self.channel_port}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": self.channel.answer(0), "settings": settings(**self.settings)}))
+            "known": self.channel.answer(0), "storm": self.storm, "settings": settings(**self.settings)}))
         await self.spawn("router", [], {"BALANCER_CONFIG": str(path)})
         await self.accepts("router", self.ports["router"], 10.0)
         self.router_address = "127.0.0.1", self.ports["router"]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -126,11 +126,14 @@
     return {"cursor": cursor, "nodes": {"seq": cursor, "whole": whole, "hosts": hosts}}
 
 
+ALWAYS = {}     # keys of every configuration: tests/storm plays the services' tests with `storm` on
+
+
 def configuration(ports=None, channel=9, **other):
     hosts = [host(server, (ports or {}).get(server, 9)) for server in SERVERS]
     return {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "channel": f"127.0.0.1:{channel}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"cursor": 3, "cmds": [listed(3, hosts)]}, "settings": settings(), **other}
+            "known": {"cursor": 3, "cmds": [listed(3, hosts)]}, "settings": settings(), **ALWAYS, **other}
 
 
 def read(values, folder):
