Storm: signs told from a busy hour and one client, and a door paced by the loop's lag

Need: a crowd at the door takes the loop's time and the descriptors, and nobody was told that it is one.

--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -32,18 +32,18 @@
     def __init__(self, number, stream, now):
         self.number, self.stream, self.unread, self.partial = number, stream, 0, 0
         self.asked, self.used_at, self.part_at, self.rejects = False, now, None, 0
-        self.may_read = asyncio.Event()
+        self.may_read, self.network = asyncio.Event(), None
 
 
 class Front:
     """post(method, values) takes the events; well() tells whether the router takes queries, busy(client) whether
     one has queries open; longest: of each kind of query the patience."""
 
-    def __init__(self, post, say, well, busy, now, longest, sockets, held, told_who=False):
+    def __init__(self, post, say, well, busy, now, longest, sockets, held, gate=None):
         self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, now
         self.longest, self.sockets, self.most_held, self.paused = longest, sockets, held, False
         self.clients, self.serial, self.unread, self.partial, self.listener = {}, 0, 0, 0, None
-        self.told_who = told_who        # whether anybody asks where clients come from
+        self.gate = gate                # storm/gate.py, where it is on: how many to take, and whose
 
     # accepting
 
@@ -58,7 +58,7 @@
 
     def accept(self):
         """Takes what has come; without descriptors it looks again in a moment, it never ends."""
-        for _ in range(64):
+        for _ in range(64 if self.gate is None else self.gate.in_a_pass()):
             if self.listener is None:
                 return
             if len(self.clients) >= self.sockets and not self.make_room():
@@ -71,11 +71,18 @@
                 if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     return self.pause(f"no descriptor: {fault.strerror}")
                 continue            # that connection ended before it was taken
+            network = None
+            if self.gate is not None:
+                network, kept = self.gate.came(self.now(), place[0])
+                if not kept:
+                    made.close()
+                    continue
             stream = IOStream(made, max_buffer_size=2 * thrift.LONGEST, read_chunk_size=PIECE)
             self.paused = False
             self.serial += 1
             client = self.clients[self.serial] = Client(self.serial, stream, self.now())
-            if self.told_who:
+            if network is not None:
+                client.network = network
                 self.post("connected", (client.number, place[0]))
             asyncio.ensure_future(self.run(client))
 
@@ -252,6 +259,8 @@
         client.may_read.set()
         if self.clients.pop(client.number, None) is not None:
             self.partial -= client.partial
+            if client.network is not None:
+                self.gate.left(client.network)
             self.post("client_gone", (client.number,))
 
     def end_all(self):
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -27,8 +27,9 @@
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
-        lineage = returns = None
+        lineage = returns = self.gate = None
         if site.storm:
+            from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
             from brookhinge.storm.plan import Returns
             lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
@@ -37,9 +38,12 @@
         self.events, self.due, self.timer, self.timer_at = [], False, None, None
         bounds, lines = site.bounds, site.lines
         third = bounds.sockets // 3
+        sockets = max(8, bounds.sockets - third - SPARE)
+        if site.storm:
+            self.gate = Gate(sockets)
         self.front = Front(self.post, self.log, lambda: self.phases.well, self.reducer.clients.__contains__, self.now,
                            {t.name.encode(): t.patience_s for t in site.decisions["tracks"]},
-                           max(8, bounds.sockets - third - SPARE), bounds.memory_mb * 1024 * 1024 // 4, site.storm)
+                           sockets, bounds.memory_mb * 1024 * 1024 // 4, self.gate)
         self.caches = Caches(self.post, self.log, self.now, self.start, site.columns, lines.connect_s, lines.idle_s,
                              lines.multiplex, third)
         cursor, commands = http.read_commands(site.known, self.start)
@@ -147,9 +151,15 @@
 
     async def sweep(self):
         while True:
+            due = self.now() + SWEEP_S
             await asyncio.sleep(SWEEP_S)
             self.caches.sweep()
             self.front.sweep()
+            if self.gate is not None:
+                counts, now = self.reducer.counts, self.now()
+                told = self.gate.look(now, now - due, counts["queries"], counts["again"] + counts["beside"])
+                if told is not None:
+                    self.log("storm", **told)
 
     async def figures(self):
         """What was done since the last line, and by how much the loop lags."""
--- a/tests/storm/test_daemon.py
+++ b/tests/storm/test_daemon.py
@@ -78,3 +78,23 @@
     assert counts["lost"] == 0 and faults == []
     assert cut["satisfied"] > 20 and cut["nacked"] + cut["errored"] > 10 and back > 50
     assert waits and all(0 <= wait <= 1000 for wait in waits)
+
+
+def test_a_crowd_at_the_door_is_seen_and_costs_open_connections_nothing(tmp_path):
+    """Two hundred connections from one address: the descriptors' share holds, who is open goes on."""
+    async def scene(t):
+        t.caller.ask(1)
+        heard = [await t.caller.hear()]
+        t.service.gate.signs.began = -300.0         # as after five calm minutes
+        crowd = await asyncio.gather(*(asyncio.open_connection(*t.address) for _ in range(200)))
+        await asyncio.sleep(0.2)
+        t.caller.ask(2, lookup="cd" * 8)
+        heard.append(await t.caller.hear())
+        kept = len(t.service.front.clients)
+        gate = t.service.gate
+        for _, writer in crowd:
+            writer.close()
+        await until(lambda: gate.door.open == len(t.service.front.clients) == 1)      # noqa: F405
+        return heard, kept, gate.door.counts["turned_away"], [line.split()[1] for line in t.lines if line.startswith("storm")]
+    heard, kept, away, states = played(scene, tmp_path, limits={"memory_mb": 192, "sockets": 160})      # noqa: F405
+    assert heard == [(1, "satisfied 19"), (2, "satisfied 19")] and kept <= 83 and away > 100 and states[0] == "client"
--- /dev/null
+++ b/tests/storm/test_signs.py
@@ -0,0 +1,94 @@
+"""A storm is told from a busy hour and from one bad client; the door keeps the loop's time and the descriptors' share."""
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brookhinge.storm.door import FAIR, LEAST, MOST, Door
+from brookhinge.storm.networks import Networks
+from brookhinge.storm.signs import Signs
+
+
+def day(*hours, seed=1):
+    """Plays hours of (seconds, connections a second, queries a second, share of returns, networks); the states seen, in
+    order, with the second at which each began."""
+    signs, chance, now, seen = Signs(), random.Random(seed), 0.0, []
+    for seconds, connects, queries, returns, networks in hours:
+        end, next_connect, next_query = now + seconds, now, now
+        while now < end:
+            now = min(next_connect, next_query)
+            if next_connect <= next_query:
+                signs.connected(now, f"n{chance.randrange(networks)}")
+                next_connect += chance.expovariate(connects)
+            else:
+                signs.counted(now, 1, chance.random() < returns)
+                next_query += chance.expovariate(queries)
+            state = signs.look(now)
+            if not seen or seen[-1][0] != state:
+                seen.append((state, round(now)))
+    return [state for state, at in seen if at > 10], seen
+
+
+def test_a_storm_is_seen_within_seconds_and_ends():
+    states, seen = day((60, 4, 100, 0.02, 200), (8, 80, 300, 0.7, 200), (30, 4, 100, 0.02, 200))
+    assert states in (["storm", "calm"], ["storm", "busy", "calm"], ["busy", "storm", "calm"]), seen
+    began = next(at for state, at in seen if state == "storm")
+    assert 60 <= began <= 62 and seen[-1][0] == "calm" and seen[-1][1] <= 90
+
+
+def test_a_busy_hour_is_no_storm():
+    states, seen = day((60, 4, 100, 0.02, 200), (30, 9, 220, 0.03, 200), (20, 4, 100, 0.02, 200))
+    assert "storm" not in states and "client" not in states and "busy" in states, seen
+
+
+def test_one_bad_client_is_no_storm():
+    states, seen = day((60, 4, 100, 0.02, 200), (20, 100, 200, 0.6, 1), (20, 4, 100, 0.02, 200))
+    assert "client" in states and "storm" not in states, seen
+
+
+def test_it_does_not_flap_in_a_storm():
+    _, seen = day((60, 4, 100, 0.02, 200), (30, 60, 250, 0.5, 200))
+    assert sum(state == "storm" for state, _ in seen) == 1, seen
+
+
+def test_networks_are_bounded_whatever_comes():
+    networks = Networks({"school": ["198.51.100.0/22", "2001:db8::/32"]}, most=50)
+    assert networks.of("198.51.103.9") == networks.of("2001:db8::7") == "school"
+    one = {networks.of(f"10.1.{n >> 8}.{n & 255}") for n in range(10_000)}
+    many = {networks.of(f"{n & 63 | 64}.{n >> 6 & 255}.1.{n & 255}") for n in range(10_000)}
+    six = {networks.of(f"2001:dead:{n:x}::1") for n in range(10_000)}
+    assert len(one) <= 60 and len(one | many | six) <= 110 and networks.learned <= 100
+    assert networks.of("unix") == networks.of("") == ""
+    with pytest.raises(ValueError, match="expected a prefix"):
+        Networks({"x": ["300.1.1.1/8"]})
+
+
+def test_signs_of_many_networks_are_bounded():
+    signs = Signs(most=100)
+    for n in range(20_000):
+        signs.connected(n * 0.001, f"n{n}")
+    assert len(signs.networks) <= 100 and signs.spread(20.0) > 10
+
+
+def test_the_door_takes_fewer_the_more_the_loop_lags():
+    door = Door(100)
+    assert [door.in_a_pass(lag) for lag in (-1.0, 0.0, 0.02, 0.2, 9.0)] == [MOST, MOST, MOST // 2, 5, LEAST]
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 4)), max_size=300))
+def test_the_door_counts_what_is_open_and_keeps_shares_where_it_is_scarce(steps):
+    door, open_ = Door(40), []
+    for comes, network in steps:
+        if comes and len(open_) < 40:
+            scarce = 40 - len(open_) < 10
+            held = open_.count(network)
+            if door.lets_in(network):
+                open_.append(network)
+                assert not scarce or held < max(FAIR, 40 / (len(set(open_) - {network}) + 1))
+            else:
+                assert scarce and held >= FAIR
+        elif open_:
+            door.left(open_.pop(network % len(open_)))
+        assert door.open == len(open_) and sum(door.held.values()) == len(open_)
+        assert all(door.held[n] == open_.count(n) for n in set(open_)) and len(door.held) == len(set(open_))
