Promised places pass the limits by weight, and what they borrow is paid back by half

Need: of places kept too few were served, and who was told to come could take all of a cold cache's budget. Change: who comes when told has the whole of a limit; a debt takes half of what the budget brings, so others go on.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -151,13 +151,14 @@
             return True
         rate = self.rate(now, born, power, lump)
         most, owed = 4.0 * rate * self.start.window_s, self.owed.get(c, 0.0)
-        credit = min(most, self.credit.get(c, 0.0) + rate * (now - self.at.get(c, now)))
-        self.at[c], paid = now, max(0.0, min(owed, credit))
-        self.owed[c], credit = owed - paid, credit - paid
+        come = rate * (now - self.at.get(c, now))
+        paid = max(0.0, min(owed, 0.5 * come))      # what was borrowed takes half of what comes: others go on
+        credit = min(most, self.credit.get(c, 0.0) + come - paid)
+        self.at[c], self.owed[c] = now, owed - paid
         if spare > 0.0 and credit < spare * most:
             self.credit[c] = credit
             return False
-        if spare < 0.0 and owed < -spare * most:
+        if spare < 0.0 and self.owed[c] < -spare * most:
             self.owed[c], self.credit[c] = self.owed[c] + work, credit
             return True
         go = chance.random() * work < credit
@@ -558,7 +559,7 @@
 
     def warm_for(self, c, work, q):
         """Whether a cache or parent is warm, or its cold budget has this work; spends it if so. Retries too
-        late to earn much leave half of what is saved to others; those that were told to come now may borrow."""
+        late to earn much leave half of what is saved to others; those told to come now may borrow."""
         return self.cold[self.fleet.role[c]].take(
             c, self.now, self.fleet.born[c], self.power(c), work, max(self.sending), self.chance,
             -0.25 if q.invited else 0.5 * (1.0 - q.worth))
@@ -614,7 +615,7 @@
         """The part of a limit open to a query: the less utility for its sending time, the smaller."""
         usual = sum(t.utility for t in self.tracks) / sum(self.sending)
         density = q.worth * self.tracks[q.track].utility / (q.expect or q.doc.best or self.sending[q.track])
-        return max(0.2, 0.85 * (density / usual) ** 0.5)
+        return 1.0 if q.invited else max(0.2, 0.85 * (density / usual) ** 0.5)
 
     def oldest(self, doc, track, ageing):
         """Oldest copy that will do; shuts out those from before a known purge until they are gone."""
