Read again: dead names gone, one way from a copy to what is served, a setting that did nothing

Cause: found on rereading the change. born_ms in a box's block had no effect (the command channel tells it to routers); constants and counters that nobody read; a Found made from a Copy in three places. Change: Copy.found serves box and store; the rest is removed. Behaviour is as it was, but for the key that is refused now.

--- a/brookhinge/box/judge.py
+++ b/brookhinge/box/judge.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 SERVE, RENEW, FILL, JOIN, ABSENT, FULL = "serve", "renew", "fill", "join", "absent", "full"
-UP, DRAINING = "ready", "draining"
+UP = "ready"
 
 
 class Track(NamedTuple):
--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -7,15 +7,13 @@
 from brookhinge.box.lines import LineServer
 from brookhinge.box.orders import Orders
 from brookhinge.net.caches import Caches
-from brookhinge.net.cachewire import NOTES
-from brookhinge.store import Copy, DiskTier, Found, Store
+from brookhinge.store import Copy, DiskTier, Store
 from brookhinge.store.files import Files
 from brookhinge.store.ledger import GROUP, OBJECT
 from brookhinge.store.records import ANY_GROUP
 
 MB = 1024 * 1024
 SOCKETS, MULTIPLEX = 256, 64
-NOTE_WORDS = {number: word for word, number in NOTES.items()}
 FIGURES_S, SWEEP_S = 10.0, 0.05
 STEP_S = 0.25           # of a clock set back: less is the clock being kept in time
 
@@ -203,9 +201,9 @@
         return known[1] if known else None
 
     def bound(self, pull, track, found):
-        group = ANY_GROUP if found is None else found.group
-        purged = self.store.purges.purged_at(pull.object, group) if found is not None else \
-            self.store.purges.objects.get(pull.object, float("-inf"))
+        purges = self.store.purges      # the group of an object is known by a copy of it alone
+        purged = purges.objects.get(pull.object, float("-inf")) if found is None else \
+            purges.purged_at(pull.object, found.group)
         now = self.now()
         since_purge = max(0.001, now + self.start_at - purged) if purged > float("-inf") else None
         since_told = None if self.told_at is None else max(0.001, now - self.told_at)
@@ -293,8 +291,4 @@
             return None
         if body and fill.keep:
             self.store.put(copy)
-        return as_found(copy)
-
-
-def as_found(copy):
-    return Found(copy.tag, copy.dated, copy.group, copy.rank, copy.size, copy.body, False)
+        return copy.found()
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -27,7 +27,6 @@
     idle_s: float       # an idle connection is closed after so long
     connect_s: float
     drain_s: float      # what is open at the word to end has so long
-    born_ms: int        # told by who starts it; 0: not a late start
     parent_kind: str    # `class` of parents and of the origin in the list
     origin_kind: str
     reports: tuple      # fields of the load report in answers
@@ -101,7 +100,7 @@
 BOX = {
     "listen": (address, MUST), "channel": (address, MUST), "fills": (whole(1, 10000), 32),
     "fill_s": (number(0.01, 600), 2.0), "idle_s": (number(0.1, 86400), 30.0), "connect_s": (number(0.01, 60), 0.4),
-    "drain_s": (number(0, 3600), 5.0), "born_ms": (whole(0, 1 << 53), 0),
+    "drain_s": (number(0, 3600), 5.0),
     "parent_kind": (text, "parent"), "origin_kind": (text, "origin"),
     "reports": (texts("util", "inflight", "queue", "x0", "x1"), ()),
 }
--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -74,7 +74,7 @@
         for name in self.own:
             if name == "p-1" and self.parent_here:
                 self.parent = Box(Stand(name, ("127.0.0.1", self.ports[name]), ("127.0.0.1", self.channel_port), 64, 2.0, 30.0,
-                                        0.4, 0.5, 0, "parent", "origin", (), {}, Tier("", self.parent_mb, 1, 1, 1, 1, 1)))
+                                        0.4, 0.5, "parent", "origin", (), {}, Tier("", self.parent_mb, 1, 1, 1, 1, 1)))
                 await self.parent.start()
             else:
                 await self.start(name)
--- a/brookhinge/store/admission.py
+++ b/brookhinge/store/admission.py
@@ -68,7 +68,6 @@
     def __init__(self, entries, bend=0.5, room=0.0, most=64):
         entries = max(64, int(entries))
         self.sketch, self.bend, self.room, self.most = Sketch(2 * entries, self.SAMPLE * entries), bend, room, most
-        self.let_in = self.kept_out = 0
 
     def used(self, key):
         self.sketch.count(key)
@@ -94,8 +93,4 @@
                 if need <= 0:
                     good = True
                     break
-        if good:
-            self.let_in += 1
-        else:
-            self.kept_out += 1
         return good
--- a/brookhinge/store/records.py
+++ b/brookhinge/store/records.py
@@ -41,6 +41,10 @@
     body: bytes
     start: int = 0
 
+    def found(self):
+        """The same as a read would hand it out."""
+        return Found(self.tag, self.dated, self.group, self.rank, self.size, self.body, False, self.start)
+
 
 class Held(NamedTuple):
     """What the disk knows of a part without reading it."""
--- a/brookhinge/store/store.py
+++ b/brookhinge/store/store.py
@@ -9,7 +9,7 @@
 from brookhinge.store.health import TRIAL, Health
 from brookhinge.store.ledger import FLOOR, GROUP, OBJECT, Ledger
 from brookhinge.store.memory import Memory
-from brookhinge.store.records import Copy, Found, key_of, usable
+from brookhinge.store.records import Copy, key_of, usable
 from brookhinge.store.tier import StoreUnusable
 
 READERS, MOST_READS = 4, 64
@@ -168,7 +168,8 @@
             if not self.purges.purged(object_, found.group, found.dated):
                 self.counts["memory_hits"] += 1
                 if self.health.on and self.admission.sketch.estimate(code) in LATER and not self.disk.look(object_, part):
-                    self.write(object_, part, found)
+                    self.queue(Copy(object_, part, found.tag, found.dated, found.group, found.rank, found.size,
+                                    found.body))
                 return found
             self.memory.drop(key)
         if not self.health.on or within_s <= 0 or self.disk.look(object_, part) is None:
@@ -208,15 +209,11 @@
             raise ValueError(why or "body: expected the whole part")
         if self.purges.purged(copy.object, copy.group, copy.dated):
             return False
-        found = Found(copy.tag, copy.dated, copy.group, copy.rank, copy.size, copy.body, False)
-        self.memory.put((copy.object, copy.part), found)
+        self.memory.put((copy.object, copy.part), copy.found())
         if self.health.on:
             self.queue(copy)
         return True
 
-    def write(self, object_, part, found):
-        self.queue(Copy(object_, part, found.tag, found.dated, found.group, found.rank, found.size, found.body))
-
     def queue(self, copy):
         writing = self.writer.call(self.disk.write, copy, size=len(copy.body))
         if writing is None:
--- a/brookhinge/store/tier.py
+++ b/brookhinge/store/tier.py
@@ -1,5 +1,5 @@
 """The disk tier: segments, index, ledger and pictures in one folder. All calls may come from any thread; none is made on
-an event loop but `look`, `aside_all` and `count`, which touch memory alone.
+an event loop but `look`, `drop`, `renew`, `note_purge`, `aside_all` and `figures`, which touch memory alone.
 
 Files of a store:
     store                  which store this is, and the version of its format
--- a/brookhinge/storm/lineage.py
+++ b/brookhinge/storm/lineage.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-OUT, REFUSED, FAILED, FORGOTTEN = "out", "refused", "failed", "forgotten"
+OUT = "out"
 NEW, AGAIN, BESIDE = "new", "again", "beside"
 MANY = 4            # connections open from one address, past which an address tells nobody from another
 
@@ -83,7 +83,7 @@
         self.of_query.pop(old.query, None)
 
     def ended(self, now, query, state):
-        """A query is over: served (None), refused, failed or forgotten."""
+        """A query is over: None if it was served, else how: 'refused', 'failed' or 'forgotten'."""
         key = self.of_query.pop(query, None)
         known = self.tries.get(key)
         if known is None or known.query != query:
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -20,7 +20,6 @@
   idle_s    = 30.0               # an idle connection is closed after so long
   connect_s = 0.4
   drain_s   = 5.0                # after SIGTERM what is open has so long
-  born_ms   = 0                  # Unix millisecond of a late start, as the command channel tells it
 
   parent_kind = "parent"         # `class` of parents and of the origin in the command channel's list
   origin_kind = "origin"
--- a/tests/box/test_box.py
+++ b/tests/box/test_box.py
@@ -34,7 +34,7 @@
                                     "health": "up", "share": 1, "born_ms": 0, **other}
 
     async def start(self):
-        stand = Stand("s-1", ("127.0.0.1", 0), self.channel_at, self.fills, 1.0, 0.3, 0.4, 0.5, 0, "parent",
+        stand = Stand("s-1", ("127.0.0.1", 0), self.channel_at, self.fills, 1.0, 0.3, 0.4, 0.5, "parent",
                       "origin", ("util", "x0"), self.tracks or {}, Tier(str(self.folder / "s") if self.disk else "", 8, 64, 2, 0.05, 0.2, 0.25))
         self.step_s = 0.0
         self.box = Box(stand, lambda event, **v: self.lines.append((event, v)), now=lambda: time.time() + self.step_s)
--- a/tests/operator/test_operator.py
+++ b/tests/operator/test_operator.py
@@ -18,7 +18,7 @@
 
 @pytest.mark.parametrize("text, why", [
     (BOX % "  fills = 0\n", 'line 4: box "s-1": fills: expected a whole number from 1 to 10000, got 0'),
-    (BOX % "  fils = 3\n", 'line 4: box "s-1": fils: no such key, expected one of born_ms, channel'),
+    (BOX % "  fils = 3\n", 'line 4: box "s-1": fils: no such key, expected one of channel'),
     (BOX % "  store {\n    disk_mb = \"x\"\n  }\n", "line 5: store: disk_mb: expected a number from 1"),
     (BOX % "  store {\n    dir = \"d\"\n    disk_mb = 20\n  }\n", "disk_mb: expected 8 times segment_mb (16)"),
     ('box "s-1" {\n}\n', 'line 1: box "s-1": listen: missing'),
