A jammed origin is let recover: parents asked for what they hold, little goes past them

All routers' pushes by kind and note, summed over 4 s: fills 'via origin' 444 at 0.58 s before, 75 at 1.47 s, then none from 12 s on; in their place 641 to 777 errors with note 7 after 1.30 s (the caches' fill time-out) and 226 to 631 'origin failed'. Cause: the origin goes on with fills that were given up, so each new one comes too late as well; caches stay empty and ask again. place() sent every miss there whatever came back. Change: mechanism 7 in decide.py.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -13,6 +13,7 @@
 5. Shedding: what nothing can serve comes from memory or is nacked at once, the least utility a second first;
    a retry has what is left of its first try's, and a place in a plan of returns (brookhinge/storm/plan.py).
 6. Ageing copies: served while fills earn less than they do (a slow or failing way to the origin).
+7. Way to the origin: while what goes there ends badly, parents are asked for what they hold, little goes on.
 """
 import math
 import random
@@ -251,6 +252,26 @@
         return inflight < part * min(max(limit, 0.7 * most if weight else 0.0), most)
 
 
+class Way:
+    """Mechanism 7. How fills that ended at the origin went lately; the worse, the fewer go. Guards against an
+    origin kept busy by fills that nobody waits for. It could harm where only late fills warm caches."""
+    FADE, SPARE = 5.0, 2.0      # seconds; about one in six may go badly before fewer go
+
+    def __init__(self):
+        self.good, self.bad, self.at, self.due = 0.0, 0.0, 0.0, {}      # due: of each fill that is out
+
+    def count(self, now, good):
+        fade = math.exp((self.at - now) / self.FADE)
+        self.at, self.good, self.bad = now, self.good * fade + good, self.bad * fade + (not good)
+
+    def open(self, now):
+        """The part of what would go to the origin that may. What is out and late tells first."""
+        fade = math.exp((self.at - now) / self.FADE)
+        bad = self.bad * fade + sum(due < now for due in self.due.values())
+        good = 1.0 + self.good * fade
+        return min(1.0, self.SPARE * (good / (good + bad)) ** 4)
+
+
 class Copies:
     """Mechanism 5. Copies in memory, for queries that no cache can answer in time. They leave one by one on
     the router's link: none is promised that would come late. It could harm where others need that link."""
@@ -288,6 +309,7 @@
         self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
         self.bad, self.bad_sources, self.ran = set(), set(), None
         self.ended = self.sibling = self.held = self.filling = self.look = self.missed = self.invited = False
+        self.local = self.lacks = False      # asked of its parent only if that holds it; it did not
         self.who, self.worth = None, 1.0
 
 
@@ -305,6 +327,7 @@
         self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
         self.takes = [0.0] * len(tracks)        # mean time that answers of each track take now
         self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
+        self.way = Way()
         self.mean, self.mean_at, self.fills, self.heard_at, self.load = 0.0, 0.0, 0, {}, {}
         parts = (self.health, self.sources, self.crowding, *self.cold.values())
         self.figures = [d for p in parts for d in vars(p).values() if isinstance(d, dict)] + [self.heard_at]
@@ -358,11 +381,15 @@
 
     def ended(self, query, push, server, result, took, over, note, waited, load, copy=None):
         q, c = self.queries.get(query), self.fleet.index.get(server)
+        due = self.way.due.pop(query, None)
         if c is not None:
             self.fleet.inflight[c] = max(0, self.fleet.inflight[c] - 1)
         if q is None or c is None:
             return
         self.fills -= q.filling
+        if due is not None and (note in (3, 6, 10) or note == 7 and result != "full" or result == "timeout"
+                                or result == "cancelled" and due < self.now):
+            self.way.count(self.now, result == "satisfied" and due >= self.now)
         self.learn(q, c, result, took, note, waited)
         if q.invited and result == "satisfied":
             self.returns.counts["served"] += 1
@@ -448,6 +475,13 @@
                 if q.missed:
                     return self.refuse(query, q)
                 source, q.look = None, True
+        opens, q.local = self.way.open(now), False
+        if source is not None and opens < 1.0 and not (q.held or q.sibling or q.through):
+            q.local = fleet.role[source] == "parent" and not q.lacks     # what a parent holds costs no origin
+            if not q.local and self.chance.random() >= opens:
+                if track.stale_s <= 0 or q.look:
+                    return self.refuse(query, q)
+                source, q.look = None, True
         rank = 0 if q.through else 2 if doc.count >= 2 else 1
         ageing = self.fill_worth[q.track] < track.stale_share      # an old copy earns more than a fill now
         age = self.oldest(doc, track, ageing or q.look)
@@ -464,17 +498,23 @@
             self.carried(source, self.sending[q.track] * (1.0 if q.missed else 0.25))       # most are hits
         q.filling = source != target and not q.sibling and not q.held
         self.fills += q.filling
+        if q.filling and not q.local and self.supply.tells == "all":
+            self.way.due[query] = self.now + self.wanted(q)
         for tier, c in ((self.health, target), (self.sources, source)):
             if c in tier.rest_until:
                 tier.trial_at[c] = self.now
         ids, joins = self.fleet.ids, self.supply.joins
-        self.writer.push(query, ids[target], until, ids[source], rank, age, joins, q.sibling, renew)
+        self.writer.push(query, ids[target], until, ids[source], rank, age, joins, q.sibling or q.local,
+                         renew)
 
     def again(self, query, q, result):
         """After a push that did not answer: another, or the final answer. No effect twice."""
         if q.sibling and result in ("full", "miss"):       # a failed sibling fill retries home
             q.doc.holders.pop(q.source, None)
             return self.place(query, q)
+        if result == "miss" and q.local:
+            q.lacks = True
+            return self.place(query, q)
         if result == "miss" and q.source == q.server:      # looked for
             q.missed = True
             return self.refuse(query, q) if q.look else self.place(query, q)
@@ -540,7 +580,7 @@
         source = self.parent(q, self.sending[q.track])
         if source is None or self.fleet.inflight[source] > 16 or not self.allowed_twice(q, source):
             return self.refuse(query, q)
-        q.sibling = q.held = False
+        q.sibling = q.held = q.local = False
         self.send(query, q, source, source, 0, self.oldest(q.doc, track, False), False, q.until - self.now)
 
     def holders(self, doc):
@@ -659,8 +699,7 @@
         if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
             self.crowding.answered(INLET, now, 0.0, self.fills)
         if q.filling and note != 1 and result in ("satisfied", "timeout", "full", "errored"):
-            wanted = track.contract_s + track.stretch * (q.expect or doc.best or self.sending[q.track])
-            worth = 0.0 if result != "satisfied" else 1.0 if took <= wanted else track.late_share
+            worth = 0.0 if result != "satisfied" else 1.0 if took <= self.wanted(q) else track.late_share
             self.fill_worth[q.track] += 0.05 * (worth - self.fill_worth[q.track])
         # A failed fill speaks against cache and source alike unless notes tell which: the one at fault soon
         # stands out among its fellows. A time-out counts only while nothing is answered: no crowd.
@@ -684,6 +723,11 @@
         if far and self.sources.judge(source, now, failed or slow, share, fleet.parents):
             self.writer.say(f"resting parent {fleet.ids[source]}: {result}")
 
+    def wanted(self, q):
+        """Seconds from a push within which its answer earns all."""
+        track = self.tracks[q.track]
+        return track.contract_s + track.stretch * (q.expect or q.doc.best or self.sending[q.track])
+
     def cycle(self):
         """The sub-ranges follow the load; object counts are bounded and halved."""
         self.next_cycle, self.counted = self.now + CYCLE, 0
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,7 +1,7 @@
 """Guards: each failure found, as the decisions that answer it."""
 from helpers import CACHES, Bench, track
 
-from brookhinge.decide import Doc
+from brookhinge.decide import Doc, Way
 from brookhinge.startup import Bounds
 
 
@@ -288,3 +288,63 @@
         assert all(b.router.crowding.open(c, b.now, 0.2, b.router.chance, way_in) for _ in range(50))
         b.router.crowding.timed(c, b.now, 8.0, 16.0)
         assert not all(b.router.crowding.open(c, b.now, 0.2, b.router.chance, way_in) for _ in range(50))
+
+
+def stuck_origin(b, count=6):
+    """Fills that the origin never finishes: each cache gives its own up."""
+    for i in range(count):
+        b.ask("abcdefgh"[i % 8], part=100 + i)
+        while b.next in b.router.queries:
+            b.end(b.next, "errored", note=7, took=1.3)
+            b.now += 0.2
+
+
+def test_stuck_origin_is_left_to_recover():
+    """roll+mass and join+mass: the origin works on fills that were given up long ago, new ones only add to them. What
+    parents hold goes on being served; what they lack is mostly nacked, at once, until fills do well again."""
+    b = Bench(tells="all", seed=3)
+    stuck_origin(b)
+    lines = b.ask("z")
+    assert lines == ["q7 push 23 from 12 rank 1 held"]
+    b.end(b.next, "satisfied", note=2)                      # held by the parent: served as ever
+    shut = 0
+    for i in range(20):
+        b.now += 0.05
+        b.ask("z", part=200 + i)
+        shut += b.end(b.next, "miss", note=8) == [f"q{b.next} nack"]
+        if b.next in b.router.queries:
+            b.end(b.next, "errored", note=7, over=True)
+    assert 15 <= shut < 20                                  # some go, or nobody would see it recover
+    b.now += 12.0
+    for i in range(8):
+        b.serve("y", part=i, note=3)
+    assert b.ask("z", part=300) == ["q36 push 21 from 12 rank 1"]
+
+
+def test_late_fills_shut_the_way_before_they_end():
+    """join+mass: what went to the origin in the second until the first fills failed took it six to work off."""
+    b = Bench(tells="all")
+    for i in range(5):
+        b.ask("a", part=i)
+    b.now += 0.2
+    assert "held" not in b.ask("a", part=10)[0]
+    b.now += 0.5                                            # past the contract time of each
+    assert "held" in b.ask("a", part=11)[0]
+
+
+def test_dead_parents_and_held_fills_do_not_speak_of_the_origin():
+    """zone+mass: parents of a lost zone refuse at once, links are full; the origin is well."""
+    b = Bench(tells="all")
+    for i in range(6):
+        b.ask("abcdefgh"[i % 8], part=i)
+        b.end(b.next, "full", note=7, took=0.07, over=True)
+    assert b.router.way.open(b.now) == 1.0
+
+
+def test_way_to_the_origin_follows_what_comes_back():
+    way = Way()
+    told = []
+    for now, good in ((0.0, True), (0.5, False), (1.0, False), (1.5, False), (2.0, False), (9.0, True), (14.0, True)):
+        way.count(now, good)
+        told.append(round(way.open(now), 2))
+    assert told == [1.0, 0.37, 0.11, 0.05, 0.02, 0.53, 1.0]
