--- a/brookhinge/cli/__init__.py
+++ b/brookhinge/cli/__init__.py
@@ -9,6 +9,7 @@
     "box": ("brookhinge.cli.box", "A cache server on the two-tier store."),
     "ask": ("brookhinge.cli.ask", "Asks a router for an object, and comes back when told."),
     "explain": ("brookhinge.cli.explain", "Tells the storms in a router's log as a story."),
+    "fleet": ("brookhinge.cli.fleet", "What a router believes of its fellows: show, watch."),
     "store": ("brookhinge.cli.store", "Looks into a store that no process uses: inspect, verify, compact."),
     "demo": ("brookhinge.cli.demo", "Origin, parent, three boxes, channel and a router on loopback, for a minute."),
     "standin": ("brookhinge.cli.standin", "Scripted peers for trying things out."),
--- a/brookhinge/cli/check.py
+++ b/brookhinge/cli/check.py
@@ -16,6 +16,8 @@
         refuse(f"{file}: {fault}")
     rows = [{"block": "box", "name": name, "listen": "%s:%d" % stand.listen, "store": stand.store.dir or "memory alone"}
             for name, stand in told.box.items()]
+    rows += [{"block": "fleet", "name": name, "listen": "%s:%d" % fleet.listen, "store": ""}
+             for name, fleet in told.fleet.items()]
     if told.metrics:
         rows.append({"block": "metrics", "name": "", "listen": "%s:%d" % told.metrics, "store": ""})
     table(rows, ["block", "name", "listen", "store"], as_json)
--- /dev/null
+++ b/brookhinge/cli/fleet.py
@@ -0,0 +1,77 @@
+"""brookhinge fleet show|watch"""
+import asyncio
+import time
+
+import click
+
+from brookhinge.cli import refuse, table
+from brookhinge.operator import OperatorError, read_file
+
+COLUMNS = ["member", "state", "for_s", "by", "zone", "address"]
+
+
+def block_of(file, router):
+    try:
+        told = read_file(file)
+    except OperatorError as fault:
+        refuse(f"{file}: {fault}")
+    if not told.fleet:
+        refuse(f"{file}: no block fleet")
+    if router is not None and router not in told.fleet:
+        refuse(f'{file}: no block fleet "{router}", there is ' + ", ".join(told.fleet))
+    return told.fleet[router] if router is not None else next(iter(told.fleet.values()))
+
+
+def ask(block):
+    """Rows of one router's view and its digest; ends the command if nothing answers."""
+    from brookhinge.membership.look import look
+    seen = asyncio.run(look(block.listen, block.site, block.key))
+    if seen is None:
+        refuse(f"{block.name}: no answer from {'%s:%d' % block.listen}: not up, another key, or another site", 1)
+    return [dict(zip(COLUMNS, row)) for row in seen[0]], f"{seen[1]:016x}"
+
+
+@click.group("fleet")
+def command():
+    """What a router believes of its fellows."""
+
+
+@command.command("show")
+@click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
+@click.option("--router", help="Whose view; the first block's without.")
+@click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
+def show(file, router, as_json):
+    """Each member's state, for how long, by whose word; and the view's digest: the same at two routers, the same view."""
+    block = block_of(file, router)
+    rows, digest = ask(block)
+    if as_json:
+        return table([{"router": block.name, "digest": digest, "members": rows}], [], True)
+    click.echo(f"{block.name} believes ({digest}):")
+    table(rows, COLUMNS, False)
+
+
+@command.command("watch")
+@click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
+@click.option("--router", help="Whose view; the first block's without.")
+@click.option("--every", default=1.0, type=click.FloatRange(0.2, 60), show_default=True, help="Seconds.")
+@click.option("--rounds", default=0, type=click.IntRange(0), help="Ends after so many; 0: goes on.")
+def watch(file, router, every, rounds):
+    """The same, drawn anew until interrupted."""
+    from rich.console import Console
+    from rich.live import Live
+    from rich.table import Table
+    block, done = block_of(file, router), 0
+
+    def drawn():
+        rows, digest = ask(block)
+        grid = Table(title=f"{block.name} believes ({digest})")
+        for column in COLUMNS:
+            grid.add_column(column)
+        for row in rows:
+            style = {"alive": "green", "suspected": "yellow", "lost": "red"}.get(row["state"], "dim")
+            grid.add_row(*(str(row[column]) for column in COLUMNS), style=style)
+        return grid
+    with Live(drawn(), console=Console(), refresh_per_second=4) as live:
+        while not rounds or (done := done + 1) < rounds:
+            time.sleep(every)
+            live.update(drawn())
--- /dev/null
+++ b/brookhinge/membership/fellow.py
@@ -0,0 +1,385 @@
+"""One router's part in the fleet's view: SWIM's probing and news, Lifeguard's local health, full exchange by buckets.
+
+    fellow.round(now, inbox, writer)     inbox: (sender's claim, digests, news, words, method, values), as post.py reads
+    writer.send(address, method, values, news, words)
+    writer.told(change, name, by)        joined, suspected, cleared, lost, back, left, restarted, moved, taken ...
+    writer.word(kind, values, by)        tightening news of the decisions, once each: see `spread`
+    fellow.next_at()                     when a round is due though nothing came
+
+No I/O and no clock; chance is the caller's. Times are seconds of the caller's monotonic clock."""
+import math
+
+from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED, View
+
+NEWS, WORDS = 8, 6          # claims and words in one datagram: it stays under 1,400 bytes
+WORDS_KEPT, KEEP_S = 512, 30.0
+HELPERS, EAGER = 3, 4       # who are asked to probe for another; to whom a word goes on at once
+
+
+class Pace:
+    """The protocol's own times, in seconds; each is stretched by local health where that stands."""
+    probe, timeout = 0.5, 0.15      # between two probes; for a direct answer
+    gossip = 0.1                    # between two sendings of what is news, as long as any is
+    retry = 2.0                     # between two tries of one that is lost
+    exchange = 5.0                  # least time between two exchanges that this router begins
+    remember = 600.0                # how long the lost are tried and the gone remembered
+    seek = 1.0                      # between two tries of the addresses to join by, while alone
+
+
+class Suspicion:
+    """Lifeguard: the deadline shortens as independent witnesses confirm."""
+    __slots__ = ("since", "witnesses", "longest", "shortest")
+    CONFIRM = 3
+
+    def __init__(self, now, by, count):
+        self.since, self.witnesses = now, {by}
+        self.shortest = 4.0 * max(1.0, math.log10(max(1, count))) * Pace.probe
+        self.longest = 4.0 * self.shortest
+
+    def ends(self):
+        part = math.log(len(self.witnesses)) / math.log(self.CONFIRM + 1)
+        return self.since + max(self.shortest, self.longest - (self.longest - self.shortest) * part)
+
+
+class Fellow:
+    def __init__(self, name, address, zone, version, born, seeds, chance, now):
+        """born: milliseconds of the wall clock at the start; seeds: addresses to join by, any of which will do."""
+        self.name, self.chance, self.seeds = name, chance, [s for s in seeds if s != address]
+        self.uid, self.version = chance.getrandbits(62), version
+        self.view = View(Pace.remember)
+        self.view.take(now, (name, self.uid, born, born, ALIVE, *address, zone, version, 0.0), name)
+        self.suspicions, self.news, self.words, self.seen = {}, {}, {}, {}
+        self.health, self.order, self.probing, self.helping, self.nonce = 0, [], None, {}, 0
+        self.last = now
+        self.probe_at = now + Pace.probe * chance.random()
+        self.retry_at = now + Pace.retry * chance.random()
+        self.exchange_at, self.seek_at, self.gossip_at, self.forget_at = now, now, now, now + 10.0
+        self.out = False        # the name is another's: this process stays out
+        self.contest = None     # (nonce, until, claim): asking whether an older holder of the name lives
+
+    # what others call
+
+    def spread(self, now, kind, values, writer):
+        """Tells all fellows something that tightens a rule: a drain, a purge, a server gone."""
+        self.hear_word(now, (kind, *values), self.name, writer)
+
+    def leave(self, now, writer):
+        """The word of leaving goes to as many as will carry it on."""
+        me = self.view.index[self.name]
+        name, uid, born, inc, _, *rest = self.view.claim(me, now)
+        if not self.out:
+            self.view.take(now, (name, uid, born, inc, LEFT, *rest), name)
+            for i in self.some(EAGER * 2):
+                self.send(i, "tell", (), writer, [self.view.claim(me, now)])
+        self.out = True
+
+    def members(self):
+        """(name, state, since, by whose word, address, zone, version) of each."""
+        v = self.view
+        return list(zip(v.names, v.state, v.since, v.by, v.address, v.zone, v.version))
+
+    def next_at(self):
+        if self.out:
+            return math.inf
+        times = [self.probe_at, self.retry_at, self.forget_at]
+        times += [self.probing[3]] if self.probing else []
+        times += [s.ends() for s in self.suspicions.values()]
+        times += [until for _, _, until in self.helping.values()]
+        times += [self.gossip_at] if self.news or any(n for n, _, _ in self.words.values()) else []
+        times += [self.seek_at] if self.alone() else []
+        times += [self.contest[1]] if self.contest else []
+        return min(times)
+
+    # a round
+
+    def round(self, now, inbox, writer):
+        if self.out:
+            return
+        if now - self.last > 2.0 * Pace.probe:
+            self.woke(now, now - self.last)
+        self.last = now
+        for message in inbox:
+            self.hear(now, message, writer)
+            if self.out:
+                return
+        self.contested(now, writer)
+        self.judge(now, writer)
+        self.probe(now, writer)
+        self.seek(now, writer)
+        if now >= self.gossip_at:
+            self.gossip(now, writer)
+        if now >= self.forget_at:
+            self.forget_at = now + 10.0
+            if self.view.forget(now):
+                self.order, self.probing = [], None
+            self.words = {key: word for key, word in self.words.items() if now - word[1] < KEEP_S}
+
+    def woke(self, now, gap):
+        """Frozen or starved: what ran out meanwhile ran out unwatched. Nobody is condemned for it."""
+        self.health = min(8, self.health + 2)
+        for suspicion in self.suspicions.values():
+            suspicion.since += gap
+        self.probing, self.helping = None, {}
+        self.probe_at = now
+        if self.contest:
+            self.contest = (self.contest[0], self.contest[1] + gap, self.contest[2])
+
+    def hear(self, now, message, writer):
+        claim, digests, news, words, method, values = message
+        if claim[1] == self.uid:
+            return
+        told = self.believe(now, claim, claim[0], writer)
+        for one in news:
+            self.believe(now, one, claim[0], writer)
+        for word in words:
+            self.hear_word(now, word, claim[0], writer)
+        if self.out:
+            return
+        i = self.view.index.get(claim[0])
+        if i is None or self.view.uid[i] != claim[1]:       # another holds that name: it is told so
+            if method == "ping" and values[1] == self.uid:      # it asks whether this process lives
+                writer.send(claim[5:7], "ack", values[:1], [], [])
+            elif method == "ack":
+                self.acked(values[0], writer)
+            elif i is not None:
+                writer.send(claim[5:7], "tell", (), [self.view.claim(i, now)], [])
+            return
+        if self.view.state[i] != ALIVE:     # it lives, and is told what is said of it
+            self.send(i, "tell", (), writer, [self.view.claim(i, now)])
+        if told in ("joined", "restarted", "back"):
+            self.catch_up(now, i, writer)
+        if method not in ("tell", "rows", "buckets", "foreign"):     # of another version: known, and no more
+            self.compare(now, i, digests, writer)
+        if method == "ping":
+            nonce, uid = values
+            if uid in (0, self.uid):
+                self.send(i, "ack", (nonce,), writer)
+        elif method == "ack":
+            self.acked(values[0], writer)
+        elif method == "ask":
+            nonce, host, port, uid = values
+            self.nonce += 1
+            self.helping[self.nonce] = (i, nonce, now + Pace.timeout)
+            writer.send((host, port), "ping", (self.nonce, uid), *self.cargo(now))
+        elif method == "nack":
+            if self.probing and values[0] == self.probing[1]:
+                self.probing[4].add(claim[0])
+        elif method == "buckets":
+            self.answer_buckets(now, i, values, writer)
+
+    def believe(self, now, claim, by, writer):
+        """Merges a claim, answers one about this process, and passes on what is new."""
+        name, uid, born, inc, state = claim[:5]
+        me = self.view.index[self.name]
+        if name == self.name:
+            if uid != self.uid:
+                self.rival(now, claim, writer)
+            elif state != ALIVE and inc >= self.view.inc[me]:      # not so: said with a higher incarnation
+                self.health = min(8, self.health + (state == SUSPECTED))
+                self.assert_self(now, inc + 1)
+            return None
+        i = self.view.index.get(name)
+        if i is not None and state == SUSPECTED and i in self.suspicions and self.view.uid[i] == uid \
+                and self.view.inc[i] == inc and by not in self.suspicions[i].witnesses \
+                and len(self.suspicions[i].witnesses) <= Suspicion.CONFIRM:
+            self.suspicions[i].witnesses.add(by)
+            self.news[i] = self.repeats()
+        change = self.view.take(now, claim, by)
+        if change is None:
+            return None
+        i = self.view.index[name]
+        self.news[i] = self.repeats()
+        self.suspicions.pop(i, None)
+        if self.view.state[i] == SUSPECTED:
+            self.suspicions[i] = Suspicion(now, by, len(self.view.names))
+        if change != "renewed":
+            writer.told(change, name, by)
+        return change
+
+    def assert_self(self, now, inc):
+        me = self.view.index[self.name]
+        name, uid, born, _, _, *rest = self.view.claim(me, now)
+        self.view.take(now, (name, uid, born, inc, ALIVE, *rest), name)
+        self.news[me] = self.repeats()
+
+    def rival(self, now, claim, writer):
+        """Another process under this name: one before this one, or one beside it. The older start keeps the name, if
+        it lives; whether it does, it alone can say."""
+        me = self.view.index[self.name]
+        _, uid, born, inc, state, host, port = claim[:7]
+        if state in (LOST, LEFT) or (host, port) == self.view.address[me] \
+                or (born, uid) > (self.view.born[me], self.uid):
+            if inc >= self.view.inc[me]:
+                self.assert_self(now, inc + 1)
+        elif self.contest is None:
+            self.nonce += 1
+            self.contest = (self.nonce, now + 8.0 * Pace.timeout, claim)
+            writer.send((host, port), "ping", (self.nonce, uid), *self.cargo(now))
+
+    def contested(self, now, writer):
+        if self.contest and now >= self.contest[1]:         # it does not answer: a process of the past
+            claim, self.contest = self.contest[2], None
+            if claim[3] >= self.view.inc[self.view.index[self.name]]:
+                self.assert_self(now, claim[3] + 1)
+
+    def acked(self, nonce, writer):
+        if self.contest and nonce == self.contest[0]:
+            self.out = True
+            writer.told("taken", self.name, "%s:%d" % self.contest[2][5:7])
+        elif self.probing and nonce == self.probing[1]:
+            self.probing, self.health = None, max(0, self.health - 1)
+        elif nonce in self.helping:
+            i, theirs, _ = self.helping.pop(nonce)
+            self.send(i, "ack", (theirs,), writer)
+
+    # probing
+
+    def stretch(self):
+        return 1.0 + self.health
+
+    def probe(self, now, writer):
+        v = self.view
+        for nonce, (i, theirs, until) in list(self.helping.items()):
+            if now >= until:
+                del self.helping[nonce]
+                if i < len(v.names):
+                    self.send(i, "nack", (theirs,), writer)
+        if self.probing and now >= self.probing[3]:
+            i, nonce, stage, _, nacks, asked, uid = self.probing
+            if i >= len(v.names) or v.uid[i] != uid:
+                self.probing = None
+            elif stage == 0:
+                helpers = [h for h in self.some(HELPERS + 1) if h != i][:HELPERS]
+                for h in helpers:
+                    self.send(h, "ask", (nonce, *v.address[i], v.uid[i]), writer)
+                self.send(i, "ping", (nonce, v.uid[i]), writer)     # a datagram lost is no silence
+                self.probing = (i, nonce, 1, now + (Pace.probe - Pace.timeout) * self.stretch(), set(), len(helpers),
+                                uid)
+            else:
+                self.probing = None
+                silent = asked - len(nacks)     # helpers that did not even say that they failed: is it us?
+                self.health = min(8, max(0, self.health + (silent if asked else 1)))
+                if v.state[i] == ALIVE:
+                    self.believe(now, (*v.claim(i, now)[:4], SUSPECTED, *v.claim(i, now)[5:]), self.name, writer)
+        if now >= self.probe_at and self.probing is None:
+            i = self.next_probed()
+            self.probe_at = now + Pace.probe * self.stretch()
+            if i is not None:
+                self.nonce += 1
+                self.probing = (i, self.nonce, 0, now + Pace.timeout * self.stretch(), (), 0, v.uid[i])
+                self.send(i, "ping", (self.nonce, v.uid[i]), writer,
+                          [v.claim(i, now)] if v.state[i] != ALIVE else [])
+        elif now >= self.probe_at:
+            self.probe_at = self.probing[3]
+        if now >= self.retry_at:
+            self.retry_at = now + Pace.retry
+            lost = [i for i, state in enumerate(v.state) if state == LOST]
+            if lost:
+                i = self.chance.choice(lost)
+                self.send(i, "ping", (0, 0), writer, [v.claim(i, now)])
+
+    def next_probed(self):
+        """Each in turn, in an order drawn anew each time all were probed."""
+        while True:
+            if not self.order:
+                self.order = [name for i, name in enumerate(self.view.names)
+                              if name != self.name and self.view.state[i] in (ALIVE, SUSPECTED)]
+                self.chance.shuffle(self.order)
+                if not self.order:
+                    return None
+            i = self.view.index.get(self.order.pop())
+            if i is not None and self.view.state[i] in (ALIVE, SUSPECTED):
+                return i
+
+    def judge(self, now, writer):
+        for i, suspicion in list(self.suspicions.items()):
+            if now >= suspicion.ends():
+                claim = self.view.claim(i, now)
+                self.believe(now, (*claim[:4], LOST, *claim[5:]), self.name, writer)
+
+    # news
+
+    def repeats(self):
+        return 3 * math.ceil(math.log10(len(self.view.names) + 1)) + 1
+
+    def some(self, count):
+        """That many of the living at random, but not this one."""
+        v = self.view
+        living = [i for i, state in enumerate(v.state) if state in (ALIVE, SUSPECTED) and v.uid[i] != self.uid]
+        return self.chance.sample(living, min(count, len(living)))
+
+    def cargo(self, now, first=()):
+        """What rides along on a datagram: news and words told least often so far."""
+        claims, words = list(first), []
+        for i in sorted(self.news, key=self.news.get, reverse=True)[:NEWS - len(claims)]:
+            self.news[i] -= 1
+            if self.news[i] <= 0:
+                del self.news[i]
+            claims.append(self.view.claim(i, now))
+        for key in sorted((k for k, w in self.words.items() if w[0] > 0), key=lambda k: -self.words[k][0])[:WORDS]:
+            left, at, word = self.words[key]
+            self.words[key] = left - 1, at, word
+            words.append(word)
+        return claims, words
+
+    def send(self, i, method, values, writer, first=()):
+        writer.send(self.view.address[i], method, values, *self.cargo(self.last, first))
+
+    def gossip(self, now, writer):
+        self.gossip_at = now + Pace.gossip
+        if self.news or any(left > 0 for left, _, _ in self.words.values()):
+            for i in self.some(HELPERS):
+                self.send(i, "tell", (), writer)
+
+    def hear_word(self, now, word, by, writer):
+        """A word that tightens binds at once, is told once, and goes on at once."""
+        if word in self.words or word in self.seen:
+            return
+        if len(self.words) >= WORDS_KEPT:
+            del self.words[next(iter(self.words))]
+        self.seen[word] = now
+        while len(self.seen) > 4 * WORDS_KEPT:
+            del self.seen[next(iter(self.seen))]
+        self.words[word] = self.repeats(), now, word
+        if by != self.name:
+            writer.word(word[0], word[1:], by)
+        for i in self.some(EAGER):
+            self.send(i, "tell", (), writer)
+
+    def catch_up(self, now, i, writer):
+        """Who has just come, or come back, has heard none of the words of late."""
+        words = [word for _, _, word in self.words.values()]
+        for at in range(0, len(words), WORDS):
+            writer.send(self.view.address[i], "tell", (), [], words[at:at + WORDS])
+
+    # exchange
+
+    def compare(self, now, i, digests, writer):
+        """Views that differ though little is news: the parts that do are sent, one way and then the other."""
+        if digests != self.view.digest() and now >= self.exchange_at and not self.news:
+            self.exchange_at = now + (Pace.exchange if len(self.view.names) > 2 else Pace.probe)
+            self.send(i, "buckets", tuple(self.view.digests), writer)
+
+    def answer_buckets(self, now, i, theirs, writer):
+        """Rows of the buckets that differ, and the other's in return if there are rows here that it lacks."""
+        v = self.view
+        rows = [k for k in range(len(v.names)) if theirs[v.bucket(k)] != v.digests[v.bucket(k)]]
+        for at in range(0, len(rows), NEWS):
+            writer.send(v.address[i], "rows", (), [v.claim(k, now) for k in rows[at:at + NEWS]], [])
+        if now >= self.exchange_at:
+            self.exchange_at = now + Pace.exchange
+            self.send(i, "buckets", tuple(v.digests), writer)
+        elif not rows:
+            writer.send(v.address[i], "buckets", tuple(v.digests), [], [])
+
+    # joining
+
+    def alone(self):
+        return sum(state in (ALIVE, SUSPECTED) for state in self.view.state) <= 1 and bool(self.seeds)
+
+    def seek(self, now, writer):
+        """While nobody is known: the addresses of the list, one after another. Nobody there is a state, no error."""
+        if now >= self.seek_at and self.alone():
+            self.seek_at = now + Pace.seek * (0.5 + self.chance.random())
+            for address in self.chance.sample(self.seeds, min(3, len(self.seeds))):
+                writer.send(address, "ping", (0, 0), *self.cargo(now))
--- /dev/null
+++ b/brookhinge/membership/look.py
@@ -0,0 +1,50 @@
+"""An onlooker's question to one router: what it believes of its fleet. The onlooker joins nothing."""
+import asyncio
+import random
+import time
+
+from brookhinge.membership.post import Post
+
+TRIES, WAIT_S = 4, 0.4
+
+
+class Onlooker(asyncio.DatagramProtocol):
+    def __init__(self, post):
+        self.post, self.answers = post, asyncio.Queue()
+
+    def datagram_received(self, data, address):
+        message = self.post.read(data)
+        if message is not None and message[4] == "seen":
+            self.answers.put_nowait(message)
+
+
+async def look(address, site, key):
+    """(rows, digest) of the router that listens at address: rows of (member, state, seconds since, by whose word, zone,
+    address), in order of name; None if nothing answers. A view that changes while it is read is read again."""
+    uid = random.getrandbits(62)
+    post = Post(site, key)
+    transport, onlooker = await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: Onlooker(post), remote_addr=address)
+    me = ("?", uid, 0, 0, 0, *transport.get_extra_info("sockname")[:2], "", 1, 0.0)
+    rows, tries, digest = [], 0, None
+    try:
+        while tries < TRIES:
+            transport.sendto(post.write(me, 0, "look", (len(rows),), [], []))
+            end = time.monotonic() + WAIT_S
+            try:
+                _, seen, _, words, _, (at, total) = await asyncio.wait_for(
+                    onlooker.answers.get(), max(0.01, end - time.monotonic()))
+            except asyncio.TimeoutError:
+                tries += 1
+                continue
+            if digest not in (None, seen) and rows:
+                rows, digest, tries = [], None, tries + 1
+                continue
+            digest = seen
+            if at == len(rows):
+                rows += words
+            if len(rows) >= total:
+                return sorted(rows), digest
+        return None
+    finally:
+        transport.close()
--- /dev/null
+++ b/brookhinge/membership/post.py
@@ -0,0 +1,116 @@
+"""Datagrams of fellows: bytes to calls and back, keyed, guarded against replays. No I/O.
+
+    datagram   = checksum (16 bytes: BLAKE2b keyed with the fleet's key, over the rest) + MessagePack array
+    array      = [form, site, sequence, claim, version, rest]
+    rest       = [digest, news, words, method, values], MessagePack in turn: a reader of another version stops before it
+
+`form` stays 1 for good: any version can say who sent a datagram, and at which version it speaks. Lengths are bounded
+before anything is read, texts and counts after. What can't be read is counted and dropped, and tells nothing.
+A datagram is taken once: of each process the highest sequence is kept and which of the 64 before it came."""
+import hashlib
+import hmac
+
+import msgspec
+
+VERSION = 1
+MOST_BYTES, MOST_TEXT, SENDERS, WINDOW = 1400, 64, 4096, 64
+METHODS = {"ping": 2, "ack": 1, "nack": 1, "ask": 4, "tell": 0, "rows": 0, "buckets": 64,
+           "look": 1, "seen": 2}
+
+Claim = tuple[str, int, int, int, int, str, int, str, int, float]
+Head = tuple[int, str, int, Claim, int, bytes]
+Rest = tuple[int, list[Claim], list[tuple], str, list]
+head, rest, pack = msgspec.msgpack.Decoder(Head), msgspec.msgpack.Decoder(Rest), msgspec.msgpack.Encoder()
+
+
+class Guard:
+    """Which datagrams of each process have come."""
+
+    def __init__(self):
+        self.came = {}      # uid: (highest sequence, bits of those before it)
+
+    def fresh(self, uid, number):
+        top, bits = self.came.pop(uid, (0, 0))
+        if number > top:
+            shift = number - top
+            bits = (bits << shift | 1 << shift - 1) & (1 << WINDOW) - 1 if shift <= WINDOW else 0
+            top, new = number, True
+        else:
+            back = top - number
+            new = 0 < back <= WINDOW and not bits >> back - 1 & 1
+            bits |= (1 << back - 1) if new else 0
+        self.came[uid] = top, bits
+        if len(self.came) > SENDERS:
+            del self.came[next(iter(self.came))]
+        return new
+
+
+class Post:
+    """What one router writes and reads. counts: why datagrams were dropped."""
+
+    def __init__(self, site, key):
+        self.site, self.key, self.sequence, self.guard = site, key, 0, Guard()
+        self.counts = dict.fromkeys(("sent", "taken", "torn", "forged", "again", "other_site", "unread", "foreign",
+                                     "too_long"), 0)
+
+    def write(self, claim, digest, method, values, news, words):
+        """One datagram, or None if it would be too long (news are left out before it is given up)."""
+        while True:
+            body = pack.encode((1, self.site, self.sequence + 1, claim, VERSION,
+                                pack.encode((digest, news, words, method, values))))
+            if len(body) + 16 <= MOST_BYTES:
+                break
+            if not news and not words:
+                self.counts["too_long"] += 1
+                return None
+            news, words = (news[:-1], words) if news else (news, words[:-1])
+        self.sequence += 1
+        self.counts["sent"] += 1
+        return hashlib.blake2b(body, digest_size=16, key=self.key).digest() + body
+
+    def read(self, data):
+        """A message for Fellow.round, or None. Of another version: what its sender claims, and nothing else."""
+        why, message = self.look(data)
+        self.counts[why] += 1
+        return message
+
+    def look(self, data):
+        if not 32 < len(data) <= MOST_BYTES:
+            return "torn", None
+        body = data[16:]
+        if not hmac.compare_digest(hashlib.blake2b(body, digest_size=16, key=self.key).digest(), data[:16]):
+            return "forged", None
+        try:
+            form, site, number, claim, version, inner = head.decode(body)
+            if form != 1 or not sound(claim):
+                return "unread", None
+            if site != self.site:
+                return "other_site", None
+            if not self.guard.fresh(claim[1], number):
+                return "again", None
+            if version != VERSION:
+                return "foreign", (claim, 0, (), (), "foreign", ())
+            digest, news, words, method, values = rest.decode(inner)
+        except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
+            return "unread", None
+        if METHODS.get(method) != len(values) or not all(sound(one) for one in news) \
+                or not all(simple(word) for word in words) or not fits(method, values):
+            return "unread", None
+        return "taken", (claim, digest, tuple(news), tuple(words), method, tuple(values))
+
+
+def sound(claim):
+    name, uid, born, inc, state, host, port, zone, version, age = claim
+    return 0 < len(name) <= MOST_TEXT and len(host) <= MOST_TEXT and len(zone) <= MOST_TEXT and 0 <= state <= 3 \
+        and 0 < port < 65536 and age >= 0.0 and min(uid, born, inc, version) >= 0
+
+
+def simple(word):
+    """A word is a short row of texts and numbers."""
+    return 0 < len(word) <= 6 and isinstance(word[0], str) and all(
+        isinstance(part, (int, float)) or isinstance(part, str) and len(part) <= MOST_TEXT for part in word)
+
+
+def fits(method, values):
+    texts = (1,) if method == "ask" else ()
+    return all(isinstance(value, str) if i in texts else isinstance(value, int) for i, value in enumerate(values))
--- a/brookhinge/net/program.py
+++ b/brookhinge/net/program.py
@@ -16,8 +16,23 @@
         service.log("configuration", why=str(fault))
 
 
-async def serve(site):
-    service = Service(site)
+def fleet_of(site, environ):
+    """The block of the operator's file that BROOKHINGE_FLEET names; without one nothing of it is imported."""
+    path = environ.get("BROOKHINGE_FLEET")
+    if not path:
+        return None
+    from brookhinge.operator import OperatorError, read_file
+    try:
+        told = read_file(path)
+    except OperatorError as fault:
+        raise StartError(f"BROOKHINGE_FLEET: {path}: {fault}") from None
+    if site.name not in told.fleet:
+        raise StartError(f'BROOKHINGE_FLEET: {path}: no block fleet "{site.name}"')
+    return told.fleet[site.name]
+
+
+async def serve(site, fleet):
+    service = Service(site, fleet=fleet)
     for word in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(word, service.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, service)
@@ -27,13 +42,15 @@
 def main():
     try:
         site = read_site(os.environ)
+        fleet = fleet_of(site, os.environ)
     except StartError as fault:
         print(f"brookhinge: {fault}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(site))
+        asyncio.run(serve(site, fleet))
     except OSError as fault:
-        print(f"brookhinge: listen: expected an address that is free here, got {site.listen} ({fault.strerror})",
+        where = [site.listen] + ([fleet.listen] if fleet else [])
+        print(f"brookhinge: listen: expected an address that is free here, got {where} ({fault.strerror})",
               file=sys.stderr)
         return 2
     return 0
--- a/brookhinge/net/reducer.py
+++ b/brookhinge/net/reducer.py
@@ -3,8 +3,9 @@
 Events and effects are (method, values). The reducer holds the Router, runs one round of it a loop pass and is
 its writer: decisions become effects. Times are seconds since the start. It knows nothing of any wire.
 
-Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected.
-Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say.
+Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected, among fellows
+also heard and fellows.
+Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say; among fellows also spread.
 """
 import heapq
 import traceback
@@ -28,8 +29,8 @@
 
 
 class Reducer:
-    def __init__(self, router, tracks, zones, lineage=None):
-        self.router, self.lineage = router, lineage
+    def __init__(self, router, tracks, zones, lineage=None, tight=None):
+        self.router, self.lineage, self.tight = router, lineage, tight
         self.addresses, self.waiting, self.ends = {}, {}, []    # of clients; who waits beside a query; and until when
         self.tracks = {name: i for i, name in enumerate(tracks)}
         self.zones = {name: i for i, name in enumerate(zones)}
@@ -225,11 +226,18 @@
         self.cursor, rows, seen = number, [], set()
         for server, address, zone, kind, cell, health, weight, born in hosts:
             seen.add(server)
-            rows.append((server, health, weight, born, cell, kind, self.zones.get(zone, -1)))
-            self.redial(server, (address, born) if health != "gone" else None)
+            row = server, health, weight, born, cell, kind, self.zones.get(zone, -1)
+            if self.tight is not None:
+                row, word = self.tight.told(row)
+                if word is not None:
+                    self.effects.append(("spread", word))
+            rows.append(row)
+            self.redial(server, (address, born) if row[1] != "gone" else None)
         if complete:
             for server in [s for s in self.dials if s not in seen]:
                 self.redial(server, None)
+            if self.tight is not None:
+                self.effects += [("spread", word) for word in self.tight.absent(seen)]
         self.inbox.append(("roster", ("full" if complete else "changes", rows)))
 
     def redial(self, server, dial):
@@ -245,8 +253,31 @@
     def purged(self, number, group, moment, key):
         if number > self.cursor:
             self.cursor = number
+            if self.tight is not None:
+                stamp = round((moment + self.tight.start) * 1000)
+                self.effects.append(("spread", ("purge", group, key, stamp)))
+                if not self.tight.purge_is_new(group, key, stamp):
+                    return
             self.inbox.append(("purged", (group, max(0.0, self.now - moment), key)))
 
+    def heard(self, kind, values):
+        """A fellow's word. It can only tighten, and binds in this very pass."""
+        if kind == "purge":
+            group, key, stamp = values
+            if self.tight.purge_is_new(group, key, stamp):
+                self.inbox.append(("purged", (group, max(0.0, self.now - stamp / 1000.0 + self.tight.start), key)))
+            return
+        row = self.tight.hear((kind, *values))
+        if row is not None:
+            if row[1] == "gone":
+                self.redial(row[0], None)
+            self.inbox.append(("roster", ("changes", [row])))
+            self.effects.append(("say", ("heard", {"server": row[0], "health": row[1]})))
+
+    def fellows(self, here, all_):
+        """By how many routers this place's limits and the whole fleet's are divided from here on."""
+        self.inbox.append(("fellows", (here, all_)))
+
     def skipped(self, number, why):
         self.cursor = max(self.cursor, number)
         self.effects.append(("say", ("command skipped", {"cursor": number, "why": why})))
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -23,18 +23,24 @@
 class Service:
     """Joins sockets and reducer: what comes in during a loop pass is one round, its effects are carried out."""
 
-    def __init__(self, site, log=None):
+    def __init__(self, site, log=None, fleet=None):
+        """fleet: the block of the operator's file under this router's name, or None: it shares nothing."""
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
-        lineage = returns = self.gate = None
+        lineage = returns = self.gate = self.talk = tight = None
+        if fleet is not None:
+            from brookhinge.membership.talk import Talk
+            from brookhinge.membership.tight import Tight
+            place, tight = site.decisions["place"], Tight(self.start)
+            self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log)
         if site.storm:
             from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
             from brookhinge.storm.plan import Returns
             lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
         self.reducer = Reducer(Router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
-                               [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage)
+                               [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage, tight)
         self.events, self.due, self.timer, self.timer_at = [], False, None, None
         bounds, lines = site.bounds, site.lines
         third = bounds.sockets // 3
@@ -51,6 +57,8 @@
         self.carry = {name: getattr(part, name) for part, names in (
             (self.front, ("satisfy", "nack", "error", "reject", "shut")), (self.caches, ("pull", "kill", "retire")))
             for name in names}
+        if self.talk is not None:
+            self.carry["spread"] = self.talk.spread
         self.carry["say"] = lambda event, values: self.log(event, **values)
         for event in commands:
             self.post(*event)
@@ -105,6 +113,8 @@
         self.ended = asyncio.Event()
         self.round()                # what is known at the start comes before the first query
         address = self.front.listen(*self.site.listen)
+        if self.talk is not None:
+            await self.talk.start()
         self.phases.step("ready")
         gc.collect()
         gc.freeze()
@@ -116,6 +126,8 @@
         self.channel.close()
         self.front.end_all()
         self.caches.end_all()
+        if self.talk is not None:       # its share of what is limited was in use until here
+            await self.talk.leave()
         self.phases.step("ended")
 
     def reload(self, site):
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -34,9 +34,22 @@
     store: Tier
 
 
+class Fleet(NamedTuple):
+    """One router among its fellows: see brookhinge/membership."""
+    name: str
+    listen: tuple       # UDP
+    advertise: tuple    # where fellows reach it, if that is elsewhere; else None
+    join: tuple         # addresses of fellows, any of which will do
+    site: str           # fellows of another site are not listened to
+    key: bytes          # of the checksums of all datagrams; the same for the whole fleet
+    zone: str           # where it stands
+    lease_s: float      # how long a router that was lost still counts
+
+
 class Told(NamedTuple):
     """What a file turns on."""
     box: dict           # name -> Stand
+    fleet: dict         # name -> Fleet
     log: str            # least level that is logged
     metrics: tuple      # HOST:PORT on which figures are served, or None
 
@@ -92,6 +105,21 @@
     return host, int(port)
 
 
+def addresses(value):
+    if not isinstance(value, list) or not value:
+        raise ValueError("a list of HOST:PORT")
+    try:
+        return tuple(address(one) for one in value)
+    except ValueError:
+        raise ValueError("a list of HOST:PORT") from None
+
+
+def key(value):
+    if not isinstance(value, str) or not 32 <= len(value) <= 128 or len(value) % 2 or set(value) - set("0123456789abcdef"):
+        raise ValueError("32 to 128 hex digits")
+    return bytes.fromhex(value)
+
+
 STORE = {
     "dir": (path, ""), "memory_mb": (number(1, 1 << 20), 64), "disk_mb": (number(1, 1 << 24), 1024),
     "segment_mb": (number(0.25, 1024), 16), "sync_s": (number(0, 3600), 0.5),
@@ -105,8 +133,13 @@
     "reports": (texts("util", "inflight", "queue", "x0", "x1"), ()),
 }
 TRACK = {"fresh_s": (number(0, 1e9), 0.0), "stale_s": (number(0, 1e9), 0.0)}
+FLEET = {
+    "listen": (address, MUST), "advertise": (address, None), "join": (addresses, MUST), "site": (text, MUST), "key": (key, MUST), "zone": (path, ""),
+    "lease_s": (number(0, 3600), 10.0),
+}
 BLOCKS = {      # kind: (labels, keys, blocks within)
     "box": (1, BOX, {"store": (0, STORE, {}), "track": (1, TRACK, {})}),
+    "fleet": (1, FLEET, {}),
     "log": (0, {"level": (one_of("debug", "info", "warning", "error"), "info")}, {}),
     "metrics": (0, {"listen": (address, MUST)}, {}),
 }
@@ -150,12 +183,20 @@
         check_blocks(inner, within)
 
 
+def short(block):
+    """A router's name, short enough for a datagram and not that of an onlooker."""
+    name = block.labels[0]
+    if not 0 < len(name) <= 64 or name.startswith("?") or not name.isprintable():
+        raise OperatorError(f"line {block.line}: {block.title()}: expected a name of 1 to 64 letters, got {name!r:.80}")
+    return name
+
+
 def read_text(source):
     top = parse(source)
     for key, line in top.lines.items():
         raise OperatorError(f"line {line}: {key}: expected a block, got a key outside of any")
     check_blocks(top, BLOCKS)
-    boxes, level, metrics = {}, "info", None
+    boxes, fleet, level, metrics = {}, {}, "info", None
     for block in top.blocks:
         values = take(block, BLOCKS[block.kind][1])
         if block.kind == "box":
@@ -166,6 +207,8 @@
                 raise OperatorError(f"line {inner.line}: {block.title()}: store: disk_mb: expected 8 times segment_mb "
                                     f"({store['segment_mb']:g}) at least, got {store['disk_mb']:g}")
             boxes[block.labels[0]] = Stand(name=text(block.labels[0]), store=Tier(**store), tracks=tracks, **values)
+        elif block.kind == "fleet":
+            fleet[block.labels[0]] = Fleet(name=short(block), **values)
         elif block.kind == "log":
             level = values["level"]
         else:
@@ -175,7 +218,7 @@
         if stand.store.dir and dirs.setdefault(stand.store.dir, name) != name:
             raise OperatorError(f'box "{name}": store: dir: {stand.store.dir!r} is that of box '
                                 f'"{dirs[stand.store.dir]}" too')
-    return Told(boxes, level, metrics)
+    return Told(boxes, fleet, level, metrics)
 
 
 def read_file(name):
--- /dev/null
+++ b/brookhinge/standin/rig.py
@@ -0,0 +1,221 @@
+"""A rig of several real routers on loopback with faults between and in them: wires that lose, delay, double and cut
+datagrams by a seed, processes killed, frozen, thawed, ended, restarted, started with a clock that is off. Boxes, origin and
+a command channel for each router stand in this process. Ends only what it started, by id.
+
+    async with Rig(folder, routers=6) as rig:
+        await rig.until(rig.one_view, 10)
+        rig.kill("n3"); rig.wires.cut = lambda a, b: {a, b} == {"n1", "n2"}
+
+Waiting is always `until(it holds, at most so long)`: a slow machine takes longer and comes to the same verdict."""
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import time
+from pathlib import Path
+
+from brookhinge.box import Box
+from brookhinge.membership.look import look
+from brookhinge.operator.schema import Stand, Tier
+from brookhinge.standin.caller import ThriftCaller
+from brookhinge.standin.channel import CommandChannel
+from brookhinge.standin.origin import Origin
+from brookhinge.standin.town import free_port, settings
+
+KEY = "0123456789abcdef" * 2
+BLOCK = """fleet "{name}" {{
+  listen    = "127.0.0.1:{port}"
+  advertise = "127.0.0.1:{relay}"
+  join      = [{join}]
+  site      = "rig"
+  key       = "{key}"
+  zone      = "edge-1"
+  lease_s   = {lease_s}
+}}
+"""
+OFF = "import time, sys; real = time.time; time.time = lambda: real() + {off}; sys.argv = ['brookhinge']; " \
+      "from brookhinge.__main__ import main; sys.exit(main())"
+
+
+class Wire(asyncio.DatagramProtocol):
+    """The way to one router: fellows know it by this address."""
+
+    def __init__(self, wires, name):
+        self.wires, self.name = wires, name
+
+    def datagram_received(self, data, address):
+        self.wires.carry(self, data, address)
+
+
+class Wires:
+    """cut(a, b): whether what a sends to b is lost; loss, double: chances; delay_s: on the mean."""
+
+    def __init__(self, seed):
+        self.chance, self.loss, self.double, self.delay_s, self.corrupt = random.Random(seed), 0.0, 0.0, 0.0, 0.0
+        self.cut, self.ports, self.ways, self.carried = lambda a, b: False, {}, {}, 0
+
+    async def open(self, name, port):
+        self.ports[port] = name
+        transport, way = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: Wire(self, name), local_addr=("127.0.0.1", 0))
+        way.transport, way.to = transport, ("127.0.0.1", port)
+        self.ways[name] = way
+        return transport.get_extra_info("sockname")[1]
+
+    def carry(self, way, data, address):
+        sender = self.ports.get(address[1])
+        if sender is not None and (self.cut(sender, way.name) or self.chance.random() < self.loss):
+            return
+        self.carried += 1
+        if self.chance.random() < self.corrupt:
+            at = self.chance.randrange(len(data))
+            data = data[:at] + bytes([self.chance.randrange(256)]) + data[at + 1:]
+        for _ in range(1 + (self.chance.random() < self.double)):
+            wait = self.delay_s * 2 * self.chance.random()
+            if wait > 0:
+                asyncio.get_running_loop().call_later(wait, self.pass_on, way, data)
+            else:
+                self.pass_on(way, data)
+
+    @staticmethod
+    def pass_on(way, data):
+        if not way.transport.is_closing():
+            way.transport.sendto(data, way.to)
+
+    def close(self):
+        for way in self.ways.values():
+            way.transport.close()
+
+
+class Rig:
+    def __init__(self, folder, routers=6, boxes=2, seed=1, lease_s=5, **settings_):
+        self.folder, self.settings, self.lease_s, self.boxes = Path(folder), settings_, lease_s, {}
+        self.names = [f"n{k + 1}" for k in range(routers)]
+        self.box_names = [f"s-{k + 1}" for k in range(boxes)]
+        self.wires, self.origin = Wires(seed), Origin((2_000, 8_000), 0.005)
+        self.channels, self.ports, self.udp, self.relay, self.processes = {}, {}, {}, {}, {}
+
+    async def __aenter__(self):
+        self.folder.mkdir(parents=True, exist_ok=True)
+        _, origin_port = self.origin.listen()
+        rows = [self.row("origin", "origin", "hub", origin_port)]
+        self.feed = CommandChannel()
+        _, feed_port = await self.feed.listen()
+        for name in self.box_names:
+            port = free_port()
+            rows.append(self.row(name, "box", "edge-1", port))
+            self.feed.hosts = {row["host"]: row for row in rows}
+            self.boxes[name] = Box(Stand(name, ("127.0.0.1", port), ("127.0.0.1", feed_port), 64, 2.0, 30.0, 0.4, 0.5,
+                                         "parent", "origin", (), {}, Tier("", 16, 1, 1, 1, 1, 1)))
+            await self.boxes[name].start()
+        for name in self.names:
+            self.udp[name] = free_port()
+            self.relay[name] = await self.wires.open(name, self.udp[name])
+            self.channels[name] = CommandChannel([dict(row) for row in rows])
+            await self.channels[name].listen()
+        self.join = ", ".join(f'"127.0.0.1:{self.relay[name]}"' for name in self.names[:3])
+        (self.folder / "fleet.hcl").write_text("".join(map(self.block, self.names)))
+        await asyncio.gather(*(self.start(name) for name in self.names))
+        return self
+
+    def block(self, name):
+        return BLOCK.format(name=name, port=self.udp[name], relay=self.relay[name], join=self.join, key=KEY,
+                            lease_s=self.lease_s)
+
+    @staticmethod
+    def row(name, kind, site, port):
+        return {"host": name, "dial": f"127.0.0.1:{port}", "site": site, "class": kind, "block": 0, "health": "up",
+                "share": 4, "born_ms": 0}
+
+    async def start(self, name, off_s=0, under=None, key=None):
+        """Starts a router; back when it accepts connections. under: with another's name; off_s: its wall clock."""
+        self.ports[name] = free_port()
+        path, said = self.folder / f"{name}.json", under or name
+        path.write_text(json.dumps({
+            "name": said, "listen": f"127.0.0.1:{self.ports[name]}", "seed": f"{abs(hash(name)) % 65536:x}",
+            "channel": "%s:%d" % self.channels[name].server.sockets[0].getsockname()[:2],
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.channels[name].answer(0),
+            "settings": {**settings(**self.settings), "Instances": len(self.names)}}))
+        file = self.folder / "fleet.hcl"
+        if under or key:
+            file = self.folder / f"{name}.hcl"
+            file.write_text(self.block(name).replace(f'"{name}"', f'"{said}"', 1).replace(KEY, key or KEY))
+        args = ["-c", OFF.format(off=off_s)] if off_s else ["-m", "brookhinge"]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable, *args, stdout=log, stderr=log, cwd=Path(__file__).parents[2],
+                env={**os.environ, "BALANCER_CONFIG": str(path), "BROOKHINGE_FLEET": str(file)})
+        if not await self.until(lambda: self.accepts(name), 20.0):
+            raise RuntimeError(f"{name} is not up: {(self.folder / f'{name}.log').read_text()[-800:]}")
+
+    async def accepts(self, name):
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.ports[name])
+            writer.close()
+            return True
+        except OSError:
+            return False
+
+    async def kill(self, name, how=signal.SIGKILL):
+        process = self.processes.pop(name)
+        process.send_signal(how)
+        await process.wait()
+
+    async def end(self, name):
+        await self.kill(name, signal.SIGTERM)
+
+    def freeze(self, name):
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name):
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    async def caller(self, name):
+        return await ThriftCaller(("127.0.0.1", self.ports[name])).connect()
+
+    async def view(self, name):
+        """What a router believes: {member: state}, or None if it does not answer."""
+        seen = await look(("127.0.0.1", self.udp[name]), "rig", bytes.fromhex(KEY))
+        return seen and {row[0]: row[1] for row in seen[0]}
+
+    async def one_view(self, names=None, but=()):
+        """Whether all those hold just each other for living."""
+        names = names or [name for name in self.processes if name not in but]
+        views = await asyncio.gather(*map(self.view, names))
+        return all(view is not None and {member for member, state in view.items() if state in ("alive", "suspected")}
+                   == set(names) for view in views)
+
+    @staticmethod
+    async def until(holds, at_most_s):
+        """Waits until holds() does; seconds it took, or None."""
+        began = time.monotonic()
+        while True:
+            told = holds()
+            if asyncio.iscoroutine(told):
+                told = await told
+            if told:
+                return max(1e-6, time.monotonic() - began)
+            if time.monotonic() - began > at_most_s:
+                return None
+            await asyncio.sleep(0.05)
+
+    def log(self, name, event):
+        """Lines of that event in a router's log."""
+        text = (self.folder / f"{name}.log").read_text().splitlines()
+        return [line for line in map(json.loads, (t for t in text if t.startswith("{"))) if line["event"] == event]
+
+    async def __aexit__(self, *_):
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+        for process in self.processes.values():
+            await process.wait()
+        self.wires.close()
+        for channel in self.channels.values():
+            channel.end()
+        for box in self.boxes.values():
+            await box.stop()
+        self.feed.end()
+        self.origin.end()
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -11,6 +11,17 @@
 #   listen = "127.0.0.1:9100"
 # }
 
+# A router among its fellows: `BROOKHINGE_FLEET=deploy/operator.hcl` beside BALANCER_CONFIG; the block of its own name
+# counts. See docs/operators/membership.md. The platform bars talk among routers: there it stays off.
+# fleet "n1" {
+#   listen  = "127.0.0.1:7301"                       # UDP
+#   join    = ["127.0.0.1:7301", "127.0.0.1:7302"]   # any of them will do; nobody there yet is no error
+#   site    = "tender-portal"                        # fellows of another site are not listened to
+#   key     = "00112233445566778899aabbccddeeff"     # the same in the whole fleet: 32 to 128 hex digits
+#   zone    = "edge-1"
+#   lease_s = 10                                     # so long a router that was lost still counts in limits
+# }
+
 # A cache box: `brookhinge box --file deploy/operator.hcl --name s-1`. See docs/operators/store.md.
 box "s-1" {
   listen    = "127.0.0.1:9001"
--- /dev/null
+++ b/tests/membership/test_cli.py
@@ -0,0 +1,47 @@
+"""The operator's look at a fleet of real routers, and what may not be imported where it is off."""
+import asyncio
+import json
+import subprocess
+import sys
+
+from brookhinge.standin.rig import Rig
+
+
+def run(*args):
+    done = subprocess.run([sys.executable, "-m", "brookhinge", *args], capture_output=True, text=True, timeout=30)
+    return done.returncode, done.stdout, done.stderr
+
+
+def test_show_watch_and_what_cannot_be_shown(tmp_path):
+    async def script():
+        async with Rig(tmp_path, routers=3, boxes=1) as rig:
+            assert await rig.until(rig.one_view, 60.0)
+            await rig.kill("n3")
+            assert await rig.until(rig.one_view, 60.0)
+            told = await asyncio.to_thread(lambda: [
+                run("fleet", "show", "--file", str(tmp_path / "fleet.hcl"), *rest)
+                for rest in (("--router", "n2", "--json"), (), ("--router", "n3"), ("--router", "n9"))])
+            drawn = await asyncio.to_thread(run, "fleet", "watch", "--file", str(tmp_path / "fleet.hcl"), "--rounds", "2",
+                                            "--every", "0.2")
+            return told, drawn
+    (seen, text, dead, none), drawn = asyncio.run(script())
+    rows = json.loads(seen[1])[0]["members"]
+    assert [(row["member"], row["state"]) for row in rows] == [("n1", "alive"), ("n2", "alive"), ("n3", "lost")]
+    assert text[1].splitlines()[0].startswith("n1 believes (") and "n3" in text[1]
+    assert dead[0] == 1 and "no answer from" in dead[2] and dead[2].count("\n") == 1
+    assert none[0] == 2 and 'no block fleet "n9"' in none[2]
+    assert drawn[0] == 0 and "lost" in drawn[1]
+
+
+def test_off_imports_nothing_of_it():
+    code = "import sys, brookhinge.net.program, brookhinge.net.service; print([m for m in sys.modules if m.startswith(" \
+           "('msgspec', 'rich', 'brookhinge.membership', 'brookhinge.operator'))])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
+    assert done.stdout == "[]\n"
+
+
+def test_a_block_that_is_missing_refuses_the_start(tmp_path):
+    file = tmp_path / "f.hcl"
+    file.write_text('fleet "a" {\n  listen = "127.0.0.1:0"\n  join = ["127.0.0.1:1"]\n  site = "s"\n  key = "xyz"\n}\n')
+    code, _, why = run("check", str(file))
+    assert code == 2 and 'line 5: fleet "a": key: expected 32 to 128 hex digits' in why
--- /dev/null
+++ b/tests/membership/test_post.py
@@ -0,0 +1,85 @@
+"""Datagrams: what was written is read once; nothing that was torn, forged, doubled or is another's is believed."""
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from brookhinge.membership import post
+from brookhinge.membership.post import MOST_BYTES, Guard, Post
+
+ME = ("n1", 7, 100, 100, 0, "127.0.0.1", 9000, "east", 1, 0.0)
+KEY = b"k" * 16
+
+
+def pair(key=KEY, site="s"):
+    return Post("s", KEY), Post(site, key)
+
+
+def test_read_as_written_and_once():
+    a, b = pair()
+    words = [("drain", "s-1", 5)]
+    data = a.write(ME, 77, "ask", (1, "127.0.0.1", 9001, 3), [ME], words)
+    assert b.read(data) == (ME, 77, (ME,), (("drain", "s-1", 5),), "ask", (1, "127.0.0.1", 9001, 3))
+    assert b.read(data) is None and b.counts["again"] == 1
+
+
+def test_late_doubled_and_reordered_datagrams():
+    guard = Guard()
+    chance, came = random.Random(5), []
+    numbers = [n for n in range(1, 400) for _ in range(2)]
+    numbers.sort(key=lambda n: n + chance.random() * 40)
+    came = [n for n in numbers if guard.fresh(1, n)]
+    assert sorted(came) == list(range(1, 400))
+    assert not guard.fresh(1, 100)                          # later than a window: not believed, new or not
+
+
+def test_wrong_key_other_site_other_version(monkeypatch):
+    a, b = pair(key=b"z" * 16)
+    assert b.read(a.write(ME, 0, "ping", (1, 0), [], [])) is None and b.counts["forged"] == 1
+    a, b = pair(site="t")
+    assert b.read(a.write(ME, 0, "ping", (1, 0), [], [])) is None and b.counts["other_site"] == 1
+    a, b = pair()
+    with monkeypatch.context() as later:
+        later.setattr(post, "VERSION", 2)
+        later.setattr(post, "METHODS", {**post.METHODS, "sing": 3})
+        data = a.write(ME, 0, "sing", (1, 2, 3), [ME], [])
+    assert b.read(data) == (ME, 0, (), (), "foreign", ()) and b.counts["foreign"] == 1
+
+
+def test_never_too_long():
+    a, b = pair()
+    long = ("n" * 64, 2 ** 62, 2 ** 45, 2 ** 45, 0, "h" * 64, 65535, "z" * 64, 1, 1e9)
+    data = a.write(long, 2 ** 63, "buckets", tuple(2 ** 63 + k for k in range(64)), [long] * 8, [("w" * 60,) * 6] * 6)
+    assert len(data) <= MOST_BYTES and b.read(data)[4] == "buckets"
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.binary(max_size=1500))
+def test_noise_is_dropped(data):
+    b = Post("s", KEY)
+    assert b.read(data) is None and sum(b.counts.values()) == 1
+
+
+def test_mutated_datagrams_are_dropped_also_under_a_right_checksum():
+    """100,000 by a seeded mutator; every second one is signed anew, as by a fellow gone wrong."""
+    chance, b, read = random.Random(9), Post("s", KEY), 0
+    a = Post("s", KEY)
+    whole = [a.write(ME, 5, "ping", (1, 0), [ME], [("drain", "s", 1)]), a.write(ME, 5, "rows", (), [ME] * 4, []),
+             a.write(ME, 5, "buckets", tuple(range(64)), [], [])]
+    for k in range(100_000):
+        data = bytearray(chance.choice(whole))
+        for _ in range(chance.randrange(1, 4)):
+            at = chance.randrange(16, len(data))
+            if chance.random() < 0.2:
+                del data[at:at + chance.randrange(1, 9)]
+            else:
+                data[at] = chance.randrange(256)
+            if len(data) < 18:
+                break
+        data = bytes(data)
+        if k % 2:
+            data = post.hashlib.blake2b(data[16:], digest_size=16, key=KEY).digest() + data[16:]
+        message = b.read(data)
+        if message is not None:
+            read += 1
+            assert post.sound(message[0]) and message[4] in (*post.METHODS, "foreign")
+    assert b.counts["forged"] > 49_000 and read < 20_000 and sum(b.counts.values()) == 100_000
--- /dev/null
+++ b/tests/membership/test_tight.py
@@ -0,0 +1,75 @@
+"""What fellows tell of servers: it tightens at once, and nothing it says loosens."""
+from hypothesis import given, settings, strategies as st
+
+from helpers import Bench
+
+from brookhinge.membership.tight import Tight, WORSE
+
+
+def row(server="s", health="ready", born=None):
+    return (server, health, 4.0, born, 0, "box", 1)
+
+
+def test_a_drain_heard_binds_until_the_own_channel_has_caught_up():
+    t = Tight(1000.0)
+    assert t.told(row()) == (row(), None)
+    assert t.hear(("draining", "s", 0)) == row(health="draining")
+    assert t.hear(("draining", "s", 0)) is None                         # once
+    assert t.told(row())[0] == row(health="draining")                   # the own channel is behind
+    assert t.told(row(health="draining")) == (row(health="draining"), None)     # the fellows know
+    assert t.told(row())[0] == row()                                    # it says so itself: it is ready again
+
+
+def test_of_another_start_nothing_is_believed():
+    t = Tight(1000.0)
+    t.told(row(born=5.0))
+    assert t.hear(("gone", "s", 0)) is None and t.told(row(born=5.0))[0] == row(born=5.0)
+    assert t.hear(("gone", "s", 1005000)) == row(health="gone", born=5.0)
+    assert t.told(row(born=9.0))[0] == row(born=9.0)
+
+
+def test_heard_before_the_own_channel_lists_it():
+    t = Tight(0.0)
+    assert t.hear(("gone", "new", 7000)) is None
+    assert t.told(row("new", born=7.0))[0] == row("new", "gone", 7.0)
+
+
+def test_a_whole_list_that_leaves_one_out_is_a_word():
+    t = Tight(0.0)
+    t.told(row("a")), t.told(row("b"))
+    assert t.absent({"b"}) == [("gone", "a", 0)] and t.absent({"b"}) == []
+
+
+def test_words_that_are_no_words():
+    t = Tight(0.0)
+    t.told(row())
+    assert t.hear(("ready", "s", 0)) is None and t.hear(("draining", 5, 0)) is None
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(["told", "hear"]), st.sampled_from(["ready", "draining", "gone"]),
+                          st.sampled_from([None, 1.0, 2.0])), max_size=12))
+def test_hearing_never_loosens(steps):
+    t, now = Tight(0.0), {}
+    for how, health, born in steps:
+        if how == "told":
+            used, _ = t.told(row(health=health, born=born))
+            assert WORSE[used[1]] >= WORSE[health]
+            now = {"health": used[1], "born": born} if health != "gone" else {}
+        else:
+            used = t.hear((health, "s", t.stamp(born)))
+            if used is not None:
+                assert now["born"] == born and WORSE[used[1]] > WORSE[now["health"]]
+                now["health"] = used[1]
+
+
+def test_purges_are_taken_once():
+    t = Tight(0.0)
+    assert [t.purge_is_new(3, "", 5), t.purge_is_new(3, "", 5), t.purge_is_new(3, "", 6)] == [True, False, True]
+
+
+def test_more_sharers_make_a_cold_budget_smaller_at_once():
+    b = Bench(routers=4)
+    rate = [cold.rate(0.5, 0.0, 4.0, 0.1) for cold in b.router.cold.values()]
+    b.call("fellows", 8, 16)
+    assert [cold.rate(0.5, 0.0, 4.0, 0.1) for cold in b.router.cold.values()] == [rate[0] / 2, rate[1] / 4]
--- /dev/null
+++ b/tests/membership/test_view.py
@@ -0,0 +1,81 @@
+"""Claims about one router, merged in any order: the same view everywhere."""
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from brookhinge.membership.counting import sharers
+from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED, View
+
+
+def claim(name="a", uid=1, inc=10, state=ALIVE, port=5, age=0.0):
+    return (name, uid, 10, inc, state, "10.0.0.1", port, "z", 1, age)
+
+
+def told(view, *claims, now=0.0):
+    return [view.take(now, one, "x") for one in claims]
+
+
+def test_what_changes_is_said_once():
+    v = View(600.0)
+    assert told(v, claim(), claim(), claim(state=SUSPECTED), claim(), claim(inc=11), claim(state=LOST),
+                claim(inc=11, state=LOST), claim(inc=12), claim(inc=12, state=LEFT), claim(inc=12)) == [
+        "joined", None, "suspected", None, "cleared", None, "lost", "back", "left", None]
+
+
+def test_a_leaver_never_comes_back_by_old_news_but_its_successor_does():
+    v = View(600.0)
+    told(v, claim(), claim(state=LEFT))
+    assert told(v, claim(inc=9), claim(state=LOST), claim(uid=2, inc=9)) == [None, None, None]
+    assert told(v, claim(uid=2, inc=11)) == ["restarted"] and v.state == [ALIVE]
+    assert told(v, claim(inc=10, state=LEFT)) == [None]     # the older process's word, late
+
+
+def test_another_router_at_an_old_address_is_another():
+    v = View(600.0)
+    told(v, claim("a", 1), claim("b", 2))
+    assert v.names == ["a", "b"] and v.address == [("10.0.0.1", 5)] * 2
+
+
+claims = st.builds(claim, name=st.sampled_from("ab"), uid=st.integers(1, 3), inc=st.integers(10, 13),
+                   state=st.integers(0, 3))
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.lists(claims, max_size=10), st.randoms(use_true_random=False))
+def test_order_and_doubling_change_nothing(rows, chance):
+    one, two = View(600.0), View(600.0)
+    again = rows + chance.sample(rows, len(rows))
+    chance.shuffle(again)
+    told(one, *rows)
+    told(two, *again)
+    assert one.digest() == two.digest()
+    for view in (one, two):
+        for i, name in enumerate(view.names):
+            best = max((r[3], r[1], r[4]) for r in rows if r[0] == name)
+            assert (view.inc[i], view.uid[i], view.state[i]) == best
+
+
+def test_digests_follow_what_is_known():
+    chance, v = random.Random(3), View(600.0)
+    for k in range(300):
+        told(v, claim(f"n{chance.randrange(20)}", chance.randrange(3), chance.randrange(9), chance.randrange(4)))
+    fresh = View(600.0)
+    told(fresh, *(v.claim(i, 0.0) for i in range(len(v.names))))
+    assert fresh.digest() == v.digest()
+    assert v.forget(601.0) and all(state in (ALIVE, SUSPECTED) for state in v.state)
+    fresh = View(600.0)
+    told(fresh, *(v.claim(i, 601.0) for i in range(len(v.names))), now=601.0)
+    assert fresh.digest() == v.digest()
+
+
+def test_only_word_or_a_lease_frees_a_share():
+    v = View(600.0)
+    told(v, *(claim(name, k + 1) for k, name in enumerate("abcd")))
+    trace = [sharers(v, 0.0, 8.0, 6)]
+    told(v, claim("a", 1, state=SUSPECTED), claim("b", 2, state=LEFT))
+    trace.append(sharers(v, 0.0, 8.0, 6))
+    told(v, claim("a", 1, state=LOST), now=1.0)
+    trace += [sharers(v, now, 8.0, 6) for now in (1.0, 8.9, 9.1)]
+    told(v, claim("c", 33, inc=20), now=20.0)               # killed and restarted, nobody heard it leave
+    trace += [sharers(v, now, 8.0, 3) for now in (20.0, 28.1)]
+    assert trace == [6, 5, 5, 5, 4, 3, 2]
