--- a/brookhinge/membership/counting.py
+++ b/brookhinge/membership/counting.py
@@ -1,6 +1,6 @@
 """By how many a limit of the whole fleet is divided. Counting too few routers lets all together push over a cold server
 (rule 4), so whoever may still be alive counts. No I/O, no clock."""
-from brookhinge.membership.view import ALIVE, LOST, SUSPECTED
+from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED
 
 
 def sharers(view, now, lease_s, told, zone=None):
@@ -11,13 +11,14 @@
     zone     where one place's limit is meant: those that stand there; else all
 
     Who is alive or suspected counts. Who was lost counts until `lease_s` after it was last believed alive: it may only
-    be cut off. So does a process that was replaced under its name without a word of leaving. Who left by word, or was
-    lost for longer, frees its share, and nobody else does."""
+    be cut off. So does a process that was replaced under its name without a word of leaving. Below what the settings
+    tell, only a word of leaving frees a share: two sides of a cut that each gave the other up would together use twice
+    the whole."""
     using = sum(now - at < lease_s and zone in (None, there) for at, there in view.ghosts)
-    freed = 0
+    left = 0
     for state, since, there in zip(view.state, view.since, view.zone):
         if zone not in (None, there):
             continue
-        may = state in (ALIVE, SUSPECTED) or state == LOST and now - since < lease_s
-        using, freed = using + may, freed + (not may)
-    return max(using, told - freed, 1)
+        using += state in (ALIVE, SUSPECTED) or state == LOST and now - since < lease_s
+        left += state == LEFT
+    return max(using, told - left, 1)
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -19,7 +19,7 @@
 #   site    = "tender-portal"                        # fellows of another site are not listened to
 #   key     = "00112233445566778899aabbccddeeff"     # the same in the whole fleet: 32 to 128 hex digits
 #   zone    = "edge-1"
-#   lease_s = 10                                     # so long a router that was lost still counts in limits
+#   lease_s = 10                                     # so long a lost router still counts in limits
 # }
 
 # A cache box: `brookhinge box --file deploy/operator.hcl --name s-1`. See docs/operators/store.md.
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -75,7 +75,16 @@
     told(v, claim("a", 1, state=SUSPECTED), claim("b", 2, state=LEFT))
     trace.append(sharers(v, 0.0, 8.0, 6))
     told(v, claim("a", 1, state=LOST), now=1.0)
-    trace += [sharers(v, now, 8.0, 6) for now in (1.0, 8.9, 9.1)]
+    trace += [sharers(v, now, 8.0, 3) for now in (1.0, 8.9, 9.1)]
+    trace.append(sharers(v, 9.1, 8.0, 6))                   # the settings tell of more than were heard of
     told(v, claim("c", 33, inc=20), now=20.0)               # killed and restarted, nobody heard it leave
-    trace += [sharers(v, now, 8.0, 3) for now in (20.0, 28.1)]
-    assert trace == [6, 5, 5, 5, 4, 3, 2]
+    trace += [sharers(v, now, 8.0, 2) for now in (20.0, 28.1)]
+    assert trace == [6, 5, 3, 3, 2, 5, 3, 2]
+
+
+def test_two_sides_of_a_cut_never_use_more_than_the_whole():
+    """Each has given the other up for longer than a lease; both still divide by all that the settings tell."""
+    sides = [View(600.0), View(600.0)]
+    for side, mine in zip(sides, ("ab", "cd")):
+        told(side, *(claim(name, k + 1, state=ALIVE if name in mine else LOST) for k, name in enumerate("abcd")))
+    assert sum(2 / sharers(side, 100.0, 8.0, 4) for side in sides) <= 1.0
