--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -233,7 +233,7 @@
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
         usual = (0.2 if way_in else 0.4) * min(1.0, 8.0 / self.routers)     # of many routers little is own
         crowd = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) - usual
-        shut = crowd / (self.CROWD * part) * (1.0 - 1.0 / self.routers)
+        shut = crowd / ((0.5 if way_in else 1.0) * self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
 
     def answered(self, c, now, ratio, inflight):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -66,6 +66,16 @@
     assert crowds == [False, True]
 
 
+def test_a_crowded_link_in_shuts_out_twice_as_many_as_a_crowded_cache():
+    """roll+mass, zone+mass: half the caches are new or emptied, each fill through the full link came late."""
+    b = Bench(routers=8)
+    for c in (-1, 21):
+        b.router.crowding.timed(c, 0.0, 10.0, 6.0)
+    went = {way: sum(b.router.crowding.open(c, 0.0, 1.0, b.router.chance, way) for _ in range(4000)) / 4000
+            for way, c in ((False, 21), (True, -1))}
+    assert went[False] > 0.8 > 0.7 > went[True]
+
+
 def test_crowded_caches_do_not_rest():
     """Time-outs beside answers are a crowd, not silence."""
     b = Bench()
