Clients in a hurry do not speak against the origin; forgetting, late drains, script player

With it in the fleet's view: what is kept by place moves when places close up (news and suspicions went to others), a drain that the own channel saw end is not believed again, standin fleet plays scripts.

--- a/brookhinge/cli/standin.py
+++ b/brookhinge/cli/standin.py
@@ -1,11 +1,11 @@
-"""brookhinge standin origin|channel"""
+"""brookhinge standin origin|channel|fleet"""
 import asyncio
 import json
 import sys
 
 import click
 
-from brookhinge.cli import refuse
+from brookhinge.cli import refuse, table
 from brookhinge.operator.schema import address
 
 
@@ -75,6 +75,27 @@
     started(run)
 
 
+@command.command("fleet")
+@click.argument("script", type=click.Path())
+@click.option("--json", "as_json", is_flag=True, help="Print the table as JSON.")
+def fleet(script, as_json):
+    """Plays SCRIPT (HCL): several real routers on loopback, killed, frozen, cut off; a line an event, then a table."""
+    import tempfile
+
+    from brookhinge.operator import OperatorError
+    from brookhinge.standin.script import play
+    try:
+        with open(script, encoding="utf-8") as file, tempfile.TemporaryDirectory(prefix="brookhinge-") as folder:
+            rows, good = asyncio.run(play(file.read(), folder, lambda line: click.echo(line, err=as_json)))
+    except (OSError, UnicodeDecodeError) as fault:
+        refuse(f"{script}: {fault}")
+    except OperatorError as fault:
+        refuse(f"{script}: {fault}")
+    table(rows, list(rows[0]), as_json)
+    if not good:
+        sys.exit(1)
+
+
 async def spoken():
     """Lines of standard input as words; waits for good after its end."""
     reader = asyncio.StreamReader()
--- a/brookhinge/membership/fellow.py
+++ b/brookhinge/membership/fellow.py
@@ -110,10 +110,20 @@
             self.gossip(now, writer)
         if now >= self.forget_at:
             self.forget_at = now + 10.0
-            if self.view.forget(now):
-                self.order, self.probing = [], None
+            self.forget(now)
             self.words = {key: word for key, word in self.words.items() if now - word[1] < KEEP_S}
 
+    def forget(self, now):
+        """Who has been gone for long is dropped; places close up, and what is kept by place moves with them."""
+        named = [(kept, {self.view.names[i]: value for i, value in kept.items()})
+                 for kept in (self.news, self.suspicions)]
+        if self.view.forget(now):
+            self.probing, self.helping = None, {}
+            for kept, by_name in named:
+                kept.clear()
+                kept.update((self.view.index[name], value) for name, value in by_name.items()
+                            if name in self.view.index)
+
     def woke(self, now, gap):
         """Frozen or starved: what ran out meanwhile ran out unwatched. Nobody is condemned for it."""
         self.health = min(8, self.health + 2)
--- a/brookhinge/membership/tight.py
+++ b/brookhinge/membership/tight.py
@@ -15,6 +15,7 @@
 
     def __init__(self, start):
         self.start, self.rows, self.heard, self.purges = start, {}, {}, {}
+        self.own, self.passed = {}, {}      # what the own channel said last; starts that it took back from a drain
 
     def stamp(self, born):
         return round((born + self.start) * 1000) if born is not None else 0
@@ -25,15 +26,21 @@
         before, heard = self.rows.get(server), self.heard.get(server)
         if heard and (heard[0] != born or WORSE[heard[1]] <= WORSE[health]):     # caught up, or another start
             heard = self.heard.pop(server) and None
+        if (born, "draining") == self.own.get(server) and health == "ready":
+            self.passed[server] = born
+        self.own[server] = born, health
         news = health != "ready" and (before is None or before[1] != health or self.stamp(before[3]) != born)
         used = self.rows[server] = (server, heard[1], *row[2:]) if heard else row
         if health == "gone":
-            self.rows.pop(server)
+            for kept in (self.rows, self.own, self.passed):
+                kept.pop(server, None)
         return used, (health, server, born) if news else None
 
     def absent(self, present):
         """Servers that a whole list of the own channel leaves out: their words."""
         out = [(server, self.stamp(self.rows.pop(server)[3])) for server in list(self.rows) if server not in present]
+        for server, _ in out:
+            self.own.pop(server, None), self.passed.pop(server, None)
         return [("gone", server, born) for server, born in out]
 
     def hear(self, word):
@@ -41,6 +48,8 @@
         kind, server, born = word
         if kind not in ("draining", "gone") or not isinstance(server, str):
             return None
+        if kind == "draining" and self.passed.get(server) == born:
+            return None     # a drain that the own channel saw begin and end: a late word of it would hold for good
         heard = self.heard.get(server)
         if heard is None or heard[0] == born and WORSE[heard[1]] < WORSE[kind] or heard[0] < born:
             self.heard[server] = born, kind
--- a/tests/membership/test_cli.py
+++ b/tests/membership/test_cli.py
@@ -45,3 +45,16 @@
     file.write_text('fleet "a" {\n  listen = "127.0.0.1:0"\n  join = ["127.0.0.1:1"]\n  site = "s"\n  key = "xyz"\n}\n')
     code, _, why = run("check", str(file))
     assert code == 2 and 'line 5: fleet "a": key: expected 32 to 128 hex digits' in why
+
+
+def test_a_script_is_played_and_a_bad_one_named(tmp_path):
+    script = tmp_path / "s.hcl"
+    script.write_text('rig {\n  routers = 3\n}\nstep {\n  until = "one view"\n  within_s = 60\n}\nstep {\n  kill = ["n3"]\n}\n'
+                      'step {\n  until = "one view"\n  within_s = 60\n}\n')
+    code, out, err = run("standin", "fleet", str(script))
+    assert code == 0 and "kill n3" in out and out.count("one view after") == 2, out + err
+    assert out.splitlines()[-1].split()[:4] == ["n3", "False", "0", "0"]
+    script.write_text('step {\n  kill = ["n9"]\n}\n')
+    assert run("standin", "fleet", str(script))[::2] == (2, f"brookhinge: {script}: line 1: step: no router n9\n")
+    script.write_text('step {\n  kill = ["n1"]\n  heal = true\n}\n')
+    assert "expected one of wires, kill" in run("standin", "fleet", str(script))[2]
--- a/tests/membership/test_fellows.py
+++ b/tests/membership/test_fellows.py
@@ -235,3 +235,16 @@
         net.run(0.5)
     net.run(SETTLE)
     assert net.one_view() and changes(net, "lost") == []
+
+
+def test_forgetting_one_leaves_the_suspicion_of_another_with_its_own():
+    net = fleet(5)
+    fellow, v = net.hosts[1].fellow, net.hosts[1].fellow.view
+    first, last = (v.names[i] for i in sorted(v.index[f"n{n}"] for n in (2, 3, 4, 5))[::3])
+    for name, state, age in ((first, LOST, Pace.remember - 1.0), (last, SUSPECTED, 0.0)):
+        fellow.believe(net.now, (*v.claim(v.index[name], net.now)[:4], state, *v.claim(v.index[name], net.now)[5:9], age),
+                       "n9", net.hosts[1])
+    fellow.forget(net.now + 2.0)
+    assert first not in v.index
+    assert [v.names[i] for i in fellow.suspicions] == [last]
+    assert all(i < len(v.names) for i in fellow.news)
--- a/tests/membership/test_tight.py
+++ b/tests/membership/test_tight.py
@@ -20,6 +20,14 @@
     assert t.told(row())[0] == row()                                    # it says so itself: it is ready again
 
 
+def test_a_late_word_of_a_drain_that_is_over_holds_nothing():
+    t = Tight(1000.0)
+    for health in ("ready", "draining", "ready"):
+        t.told(row(health=health))
+    assert t.hear(("draining", "s", 0)) is None and t.told(row())[0] == row()
+    assert t.hear(("gone", "s", 0)) == row(health="gone")
+
+
 def test_of_another_start_nothing_is_believed():
     t = Tight(1000.0)
     t.told(row(born=5.0))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -374,6 +374,16 @@
     assert b.router.way.open(b.now) == 1.0
 
 
+def test_clients_in_a_hurry_do_not_speak_of_the_origin():
+    """wide: half of the clients give hardly more time than a hit takes; their fills end before any could have come."""
+    b = Bench(tells="all")
+    for i in range(12):
+        b.ask("abcdefgh"[i % 8], part=i, left=0.15)
+        b.now += 0.1
+        b.end(b.next, "timeout", took=0.1, over=True)
+    assert b.router.way.open(b.now) == 1.0
+
+
 def test_way_to_the_origin_follows_what_comes_back():
     way = Way()
     told = []
