--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -388,7 +388,7 @@
             return
         self.fills -= q.filling
         if due is not None and (note in (3, 6, 10) or note == 7 and result != "full"
-                                or result in ("timeout", "cancelled") and due < self.now):     # not the hurried
+                                or result in ("timeout", "cancelled") and due < self.now):  # not the hurried
             self.way.count(self.now, result == "satisfied" and due >= self.now)
         self.learn(q, c, result, took, note, waited)
         if q.invited and result == "satisfied":
