Read again: one ending for rig and town, one frame for benchmarks, the view's own list of the living

Found on reading the change: the living were listed anew in three places beside View.living, claims of suspicion and loss were put together twice, the own incarnation was outbid with the same check three times, two loops ended processes, three benchmarks kept figures alike, a counter was never read. Behaviour as it was.

--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -5,7 +5,6 @@
 In virtual time (simulated): the daemon's own fellows on a network that loses datagrams, 2 ms apart; beside them all-to-all
 heartbeats on the same network. Then real routers as processes on loopback, the same figures. Seconds, bytes a member a
 second; a fleet knows when 99% of those who live do. Last line: one JSON object."""
-import argparse
 import asyncio
 import json
 import random
@@ -14,8 +13,8 @@
 import tempfile
 import time
 from concurrent.futures import ProcessPoolExecutor
-from pathlib import Path
 
+from benchmarks import kept
 from brookhinge.membership.view import ALIVE, LOST, SUSPECTED
 from brookhinge.standin.rig import Rig
 from brookhinge.standin.virtual import Net
@@ -186,10 +185,7 @@
 
 
 def main():
-    options = argparse.ArgumentParser()
-    options.add_argument("--short", action="store_true")
-    options.add_argument("--keep", help="keep figures and chart under this name")
-    given = options.parse_args()
+    given = kept.given()
     sizes = ((16, 2, (0.0, 0.1)), (64, 2, (0.1,))) if given.short else \
         ((16, 20, (0.0, 0.1, 0.3)), (64, 20, (0.0, 0.1, 0.3)), (200, 20, (0.0, 0.1, 0.3)), (1000, 2, (0.1,)))
     jobs = [(seed, count, loss, count <= 200) for count, seeds, losses in sizes for loss in losses
@@ -208,10 +204,7 @@
     figures["heartbeats"] = [{"members": count, **heartbeats(1, count, 0.1)} for count in
                              ((16, 64) if given.short else (16, 64, 200))]
     figures["processes"] = asyncio.run(processes(*(6, 8.0) if given.short else (16, 30.0)))
-    if given.keep:
-        Path(given.keep).with_suffix(".json").write_text(json.dumps(figures, indent=1) + "\n")
-        chart(figures, Path(given.keep).with_suffix(".png"))
-    print(json.dumps(figures))
+    kept.finish(figures, given.keep, chart)
 
 
 if __name__ == "__main__":
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -4,10 +4,8 @@
     python -m benchmarks.store --keep benchmarks/results/store
 
 Last line: one JSON object. Everything is on this machine's disk and loopback; callers and traffic are generated."""
-import argparse
 import array
 import asyncio
-import json
 import os
 import random
 import sqlite3
@@ -17,6 +15,7 @@
 from collections import OrderedDict
 from pathlib import Path
 
+from benchmarks import kept
 from brookhinge.store.admission import Admission
 from brookhinge.store.files import Files
 from brookhinge.store.index import FIELDS, Index
@@ -402,10 +401,7 @@
 
 
 def main():
-    options = argparse.ArgumentParser()
-    options.add_argument("--short", action="store_true")
-    options.add_argument("--keep", help="keep figures, table and chart under this name")
-    given = options.parse_args()
+    given = kept.given()
     short, figures = given.short, {}
     with tempfile.TemporaryDirectory(prefix="store-") as name:
         folder = Path(name)
@@ -417,12 +413,7 @@
         seconds = 4.0 if short else 10.0
         figures["town"] = {kind: asyncio.run(town_after_a_kill(folder / kind, kind == "with_disk", 6, seconds))
                            for kind in ("with_disk", "memory_alone")}
-    if given.keep:
-        path = Path(given.keep)
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.with_suffix(".json").write_text(json.dumps(figures, indent=1) + "\n")
-        chart(figures, path.with_suffix(".png"))
-    print(json.dumps(figures))
+    kept.finish(figures, given.keep, chart)
 
 
 if __name__ == "__main__":
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -8,15 +8,13 @@
 clients retry at once, a quarter after a short wait over and over, half heed the time that they are told; all who failed
 during the cut come back together at its end. The same seed plays the same clients with and without `storm`. One run has
 no sockets and no real time; figures are simulated. Last line: one JSON object."""
-import argparse
 import heapq
 import itertools
-import json
 import random
 import time
 from concurrent.futures import ProcessPoolExecutor
-from pathlib import Path
 
+from benchmarks import kept
 from brookhinge.decide import Router
 from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
 from brookhinge.net.reducer import Reducer
@@ -381,10 +379,7 @@
 
 
 def main():
-    options = argparse.ArgumentParser()
-    options.add_argument("--short", action="store_true")
-    options.add_argument("--keep", help="keep figures and chart under this name")
-    given = options.parse_args()
+    given = kept.given()
     seeds = range(1, 3 if given.short else 13)
     jobs = [(name, kind, seed) for name in DAYS for kind in (False, True) for seed in seeds]
     with ProcessPoolExecutor() as pool:
@@ -396,10 +391,7 @@
             rows = [played[name, kind, seed] for seed in seeds]
             figures[name]["storm" if kind else "without"] = {
                 key: round(sum(14.0 if row[key] is None else row[key] for row in rows) / len(rows), 4) for key in rows[0]}
-    if given.keep:
-        Path(given.keep).with_suffix(".json").write_text(json.dumps(figures, indent=1) + "\n")
-        chart(figures, Path(given.keep).with_suffix(".png"))
-    print(json.dumps(figures))
+    kept.finish(figures, given.keep, chart)
 
 
 if __name__ == "__main__":
--- a/brookhinge/membership/fellow.py
+++ b/brookhinge/membership/fellow.py
@@ -186,7 +186,7 @@
                 self.rival(now, claim, writer)
             elif state != ALIVE and inc >= self.view.inc[me]:      # not so: said with a higher incarnation
                 self.health = min(8, self.health + (state == SUSPECTED))
-                self.assert_self(now, inc + 1)
+                self.assert_self(now, inc)
             return None
         i = self.view.index.get(name)
         if i is not None and state == SUSPECTED and i in self.suspicions and self.view.uid[i] == uid \
@@ -207,10 +207,17 @@
         return change
 
     def assert_self(self, now, inc):
+        """Outbids an incarnation that others claim under this name, unless it is outbid already."""
         me = self.view.index[self.name]
-        name, uid, born, _, _, *rest = self.view.claim(me, now)
-        self.view.take(now, (name, uid, born, inc, ALIVE, *rest), name)
-        self.news[me] = self.repeats()
+        if inc >= self.view.inc[me]:
+            name, uid, born, _, _, *rest = self.view.claim(me, now)
+            self.view.take(now, (name, uid, born, inc + 1, ALIVE, *rest), name)
+            self.news[me] = self.repeats()
+
+    def call(self, now, i, state, writer):
+        """This router's own word that a member is suspected or lost."""
+        claim = self.view.claim(i, now)
+        self.believe(now, (*claim[:4], state, *claim[5:]), self.name, writer)
 
     def rival(self, now, claim, writer):
         """Another process under this name: one before this one, or one beside it. The older start keeps the name, if
@@ -219,8 +226,7 @@
         _, uid, born, inc, state, host, port = claim[:7]
         if state in (LOST, LEFT) or (host, port) == self.view.address[me] \
                 or (born, uid) > (self.view.born[me], self.uid):
-            if inc >= self.view.inc[me]:
-                self.assert_self(now, inc + 1)
+            self.assert_self(now, inc)
         elif self.contest is None:
             self.nonce += 1
             self.contest = (self.nonce, now + 8.0 * Pace.timeout, claim)
@@ -229,8 +235,7 @@
     def contested(self, now, writer):
         if self.contest and now >= self.contest[1]:         # it does not answer: a process of the past
             claim, self.contest = self.contest[2], None
-            if claim[3] >= self.view.inc[self.view.index[self.name]]:
-                self.assert_self(now, claim[3] + 1)
+            self.assert_self(now, claim[3])
 
     def acked(self, nonce, writer):
         if self.contest and nonce == self.contest[0]:
@@ -270,7 +275,7 @@
                 silent = asked - len(nacks)     # helpers that did not even say that they failed: is it us?
                 self.health = min(8, max(0, self.health + (silent if asked else 1)))
                 if v.state[i] == ALIVE:
-                    self.believe(now, (*v.claim(i, now)[:4], SUSPECTED, *v.claim(i, now)[5:]), self.name, writer)
+                    self.call(now, i, SUSPECTED, writer)
         if now >= self.probe_at and self.probing is None:
             i = self.next_probed()
             self.probe_at = now + Pace.probe * self.stretch()
@@ -292,8 +297,7 @@
         """Each in turn, in an order drawn anew each time all were probed."""
         while True:
             if not self.order:
-                self.order = [name for i, name in enumerate(self.view.names)
-                              if name != self.name and self.view.state[i] in (ALIVE, SUSPECTED)]
+                self.order = [self.view.names[i] for i in self.view.living() if self.view.names[i] != self.name]
                 self.chance.shuffle(self.order)
                 if not self.order:
                     return None
@@ -304,8 +308,7 @@
     def judge(self, now, writer):
         for i, suspicion in list(self.suspicions.items()):
             if now >= suspicion.ends():
-                claim = self.view.claim(i, now)
-                self.believe(now, (*claim[:4], LOST, *claim[5:]), self.name, writer)
+                self.call(now, i, LOST, writer)
 
     # news
 
@@ -315,7 +318,7 @@
     def some(self, count):
         """That many of the living at random, but not this one."""
         v = self.view
-        living = [i for i, state in enumerate(v.state) if state in (ALIVE, SUSPECTED) and v.uid[i] != self.uid]
+        living = [i for i in v.living() if v.uid[i] != self.uid]
         return self.chance.sample(living, min(count, len(living)))
 
     def cargo(self, now, first=()):
@@ -343,11 +346,11 @@
 
     def hear_word(self, now, word, by, writer):
         """A word that tightens binds at once, is told once, and goes on at once."""
-        if word in self.words or word in self.seen:
+        if word in self.seen:
             return
         if len(self.words) >= WORDS_KEPT:
             del self.words[next(iter(self.words))]
-        self.seen[word] = now
+        self.seen[word] = None
         while len(self.seen) > 4 * WORDS_KEPT:
             del self.seen[next(iter(self.seen))]
         self.words[word] = self.repeats(), now, word
@@ -371,7 +374,7 @@
             self.send(i, "buckets", tuple(self.view.digests), writer)
 
     def answer_buckets(self, now, i, theirs, writer):
-        """Rows of the buckets that differ, and the other's in return if there are rows here that it lacks."""
+        """Rows of the buckets that differ; at times the own digests too, for the rows that are lacking here."""
         v = self.view
         rows = [k for k in range(len(v.names)) if theirs[v.bucket(k)] != v.digests[v.bucket(k)]]
         for at in range(0, len(rows), NEWS):
@@ -383,7 +386,7 @@
     # joining
 
     def alone(self):
-        return sum(state in (ALIVE, SUSPECTED) for state in self.view.state) <= 1 and bool(self.seeds)
+        return bool(self.seeds) and len(self.view.living()) <= 1
 
     def seek(self, now, writer):
         """While nobody is known: the addresses of the list, one after another. Nobody there is a state, no error."""
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -134,8 +134,8 @@
 }
 TRACK = {"fresh_s": (number(0, 1e9), 0.0), "stale_s": (number(0, 1e9), 0.0)}
 FLEET = {
-    "listen": (address, MUST), "advertise": (address, None), "join": (addresses, MUST), "site": (text, MUST), "key": (key, MUST), "zone": (path, ""),
-    "lease_s": (number(0, 3600), 10.0),
+    "listen": (address, MUST), "advertise": (address, None), "join": (addresses, MUST), "site": (text, MUST),
+    "key": (key, MUST), "zone": (path, ""), "lease_s": (number(0, 3600), 10.0),
 }
 BLOCKS = {      # kind: (labels, keys, blocks within)
     "box": (1, BOX, {"store": (0, STORE, {}), "track": (1, TRACK, {})}),
--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -22,7 +22,7 @@
 from brookhinge.standin.caller import ThriftCaller
 from brookhinge.standin.channel import CommandChannel
 from brookhinge.standin.origin import Origin
-from brookhinge.standin.town import free_port, settings
+from brookhinge.standin.town import end_all, free_port, settings
 
 KEY = "0123456789abcdef" * 2
 BLOCK = """fleet "{name}" {{
@@ -54,7 +54,7 @@
 
     def __init__(self, seed):
         self.chance, self.loss, self.double, self.delay_s, self.corrupt = random.Random(seed), 0.0, 0.0, 0.0, 0.0
-        self.cut, self.ports, self.ways, self.carried = lambda a, b: False, {}, {}, 0
+        self.cut, self.ports, self.ways = lambda a, b: False, {}, {}
 
     async def open(self, name, port):
         self.ports[port] = name
@@ -68,7 +68,6 @@
         sender = self.ports.get(address[1])
         if sender is not None and (self.cut(sender, way.name) or self.chance.random() < self.loss):
             return
-        self.carried += 1
         if self.chance.random() < self.corrupt:
             at = self.chance.randrange(len(data))
             data = data[:at] + bytes([self.chance.randrange(256)]) + data[at + 1:]
@@ -207,11 +206,7 @@
         return [line for line in map(json.loads, (t for t in text if t.startswith("{"))) if line["event"] == event]
 
     async def __aexit__(self, *_):
-        for process in self.processes.values():
-            if process.returncode is None:
-                process.kill()
-        for process in self.processes.values():
-            await process.wait()
+        await end_all(self.processes.values())
         self.wires.close()
         for channel in self.channels.values():
             channel.end()
--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -48,6 +48,14 @@
             "Specifics": {"UpperKind": 1, "MasterKind": 2, "Says": "all", "SharesFills": True, "PeersFill": "any"}}
 
 
+async def end_all(processes):
+    for process in processes:
+        if process.returncode is None:
+            process.kill()
+    for process in processes:
+        await process.wait()
+
+
 class Town:
     """async with Town(folder) as town: town.boxes, town.origin, town.channel, town.router_address."""
 
@@ -145,11 +153,7 @@
         return self.channel.drop(object_, group, when)
 
     async def __aexit__(self, *_):
-        for process in self.processes.values():
-            if process.returncode is None:
-                process.kill()
-        for process in self.processes.values():
-            await process.wait()
+        await end_all(self.processes.values())
         if self.parent:
             await self.parent.stop()
         self.origin.end()
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -19,6 +19,14 @@
     return [line for line in b.trace.lines if line.startswith("say")]
 
 
+def fills_of_a_slow_parent(b, count, pause):
+    for i in range(count):
+        b.ask("abcdefgh"[i % 8], part=i)
+        slow = b.router.queries[b.next].source == b.router.fleet.index[11]
+        b.end(b.next, "satisfied", note=2, took=1.5 if slow else 0.15)
+        b.now += pause
+
+
 def test_silent_parent_rests():
     """Incident i620fa4: fills by one parent hang, all else is answered; the parent rests, no cache does."""
     b = Bench(tells="all")
@@ -33,10 +41,7 @@
 def test_slow_parent_rests():
     """andino-slots-later rough-1: an ageing parent answers all, ever later; one just gone from the list may still."""
     b = Bench(tells="all")
-    for i in range(40):
-        b.ask("abcdefgh"[i % 8], part=i)
-        slow = b.router.queries[b.next].source == b.router.fleet.index[11]
-        b.end(b.next, "satisfied", note=2, took=1.5 if slow else 0.15)
+    fills_of_a_slow_parent(b, 40, 0.0)
     b.ask("a", part=99)
     b.call("roster", "changes", [b.row(p, "gone", kind="parent", zone=0) for p in (11, 12)])
     b.end(b.next, "satisfied", note=2, took=1.5)
@@ -46,11 +51,7 @@
 def test_one_slow_fill_in_a_while_rests_no_parent():
     """zone+mass: with a query a second each of 200 routers had its own slow parents; objects met at no one parent."""
     b = Bench(tells="all")
-    for i in range(24):
-        b.ask("abcdefgh"[i % 8], part=i)
-        slow = b.router.queries[b.next].source == b.router.fleet.index[11]
-        b.end(b.next, "satisfied", note=2, took=1.5 if slow else 0.15)
-        b.now += 1.0
+    fills_of_a_slow_parent(b, 24, 1.0)
     assert says(b) == []
 
 
