Engine seam: reducer, rounds, phases and commands apart from sockets and parsers

Need: Service joined front, caches, channel and reducer by hand, startup.py imported a parser of net/ upwards, and talk among fellows had no place to join. Now engine/ holds reducer, rounds, phases, commands and log; sources post events, takers of effects join rounds by name and say themselves what a failed effect costs (front: its client; caches: its push). net/ is sockets and parsers.

--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -17,7 +17,7 @@
 from benchmarks import kept
 from brookhinge.decide import Router
 from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
-from brookhinge.net.reducer import Reducer
+from brookhinge.engine.reducer import Reducer
 from brookhinge.storm.lineage import Lineage
 from brookhinge.storm.plan import Returns
 
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -44,6 +44,11 @@
             return self.end(query, push, "unreachable")
         self.put(line, query, push, name, wire)
 
+    def failed(self, effect, values):
+        """A push that could not be written is over."""
+        if effect == "pull":
+            self.end(values[0], values[1], "broken")
+
     def put(self, line, query, push, name, wire):
         self.where[query, push] = line, name
         line.used_at = self.now()
--- a/brookhinge/net/channel.py
+++ b/brookhinge/net/channel.py
@@ -6,6 +6,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from brookhinge.engine.commands import NoCommands, read_commands
 from brookhinge.net import http
 
 BLOCK_S, SLACK_S = 1.0, 0.5     # a poll waits so long; past the slack as well the connection is taken for dead
@@ -32,7 +33,7 @@
                 status, body, kept = await asyncio.wait_for(self.ask(), self.block_s + self.slack_s)
                 if status != 200:
                     raise http.Unreadable(f"status {status}")
-                cursor, commands = http.read_commands(body, self.start)
+                cursor, commands = read_commands(body, self.start)
                 if not kept:
                     self.close()
                 pause = FIRST_S
@@ -40,7 +41,7 @@
                 continue
             except (StreamClosedError, OSError, asyncio.TimeoutError) as fault:
                 why = type(fault).__name__
-            except http.Unreadable as fault:
+            except (http.Unreadable, NoCommands) as fault:
                 why = str(fault)
             except Exception as fault:
                 why = f"{type(fault).__name__}: {fault}"
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -223,6 +223,11 @@
             self.say("client connection", why=why)
             self.drop(self.clients[client])
 
+    def failed(self, effect, values):
+        """An answer that could not be written costs its client's connection."""
+        if values[0] in self.clients:
+            self.drop(self.clients[values[0]])
+
     def reply(self, client, wire):
         if client in self.clients:
             self.clients[client].used_at = self.now()
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -4,13 +4,14 @@
 import time
 
 from brookhinge.decide import Router
-from brookhinge.net import http
+from brookhinge.engine.commands import read_commands
+from brookhinge.engine.log import Log
+from brookhinge.engine.phases import Phases
+from brookhinge.engine.reducer import Reducer
+from brookhinge.engine.rounds import Rounds
 from brookhinge.net.caches import Caches
 from brookhinge.net.channel import Channel
 from brookhinge.net.front import Front
-from brookhinge.net.log import Log
-from brookhinge.net.phases import Phases
-from brookhinge.net.reducer import Reducer
 
 LEAVE_S = 0.7       # after the word to end, new connections and queries are taken for so long
 LONGEST_S = 3.0     # and what is open then has its patience, but no more than this, less what the end itself takes:
@@ -21,7 +22,7 @@
 
 
 class Service:
-    """Joins sockets and reducer: what comes in during a loop pass is one round, its effects are carried out."""
+    """Joins sockets and engine, from start to exit."""
 
     def __init__(self, site, log=None, fleet=None):
         """fleet: the block of the operator's file under this router's name, or None: it shares nothing."""
@@ -30,10 +31,8 @@
         self.phases = Phases(self.log)
         lineage = returns = self.gate = self.talk = tight = None
         if fleet is not None:
-            from brookhinge.membership.talk import Talk
             from brookhinge.membership.tight import Tight
-            place, tight = site.decisions["place"], Tight(self.start)
-            self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log)
+            tight = Tight(self.start)
         if site.storm:
             from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
@@ -41,7 +40,8 @@
             lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
         self.reducer = Reducer(Router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
                                [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage, tight)
-        self.events, self.due, self.timer, self.timer_at = [], False, None, None
+        self.rounds = Rounds(self.reducer, self.now, self.log)
+        self.post = self.rounds.post
         bounds, lines = site.bounds, site.lines
         third = bounds.sockets // 3
         sockets = max(8, bounds.sockets - third - SPARE)
@@ -52,14 +52,16 @@
                            sockets, bounds.memory_mb * 1024 * 1024 // 4, self.gate)
         self.caches = Caches(self.post, self.log, self.now, self.start, site.columns, lines.connect_s, lines.idle_s,
                              lines.multiplex, third)
-        cursor, commands = http.read_commands(site.known, self.start)
+        cursor, commands = read_commands(site.known, self.start)
         self.channel = Channel(self.post, self.log, site.channel, cursor, self.start)
-        self.carry = {name: getattr(part, name) for part, names in (
-            (self.front, ("satisfy", "nack", "error", "reject", "shut")), (self.caches, ("pull", "kill", "retire")))
-            for name in names}
-        if self.talk is not None:
-            self.carry["spread"] = self.talk.spread
-        self.carry["say"] = lambda event, values: self.log(event, **values)
+        self.rounds.join(self.front, "satisfy", "nack", "error", "reject", "shut")
+        self.rounds.join(self.caches, "pull", "kill", "retire")
+        self.rounds.join(self, "say")
+        if fleet is not None:
+            from brookhinge.membership.talk import Talk
+            place = site.decisions["place"]
+            self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log)
+            self.rounds.join(self.talk, "spread")
         for event in commands:
             self.post(*event)
         self.ended = None
@@ -67,42 +69,8 @@
     def now(self):
         return time.time() - self.start
 
-    # rounds
-
-    def post(self, method, values):
-        self.events.append((method, values))
-        if not self.due and self.phases.now != "starting":
-            self.due = True
-            asyncio.get_running_loop().call_soon(self.round)
-
-    def round(self):
-        """One pass; an effect that fails is logged and costs its query or its client, never the router."""
-        self.due, events, self.events = False, self.events, []
-        for method, values in self.reducer.reduce(self.now(), events):
-            try:
-                self.carry[method](*values)
-            except Exception as fault:
-                self.log("fault", where=method, why=f"{type(fault).__name__}: {fault}")
-                if method == "pull":
-                    self.post("ended", (values[0], values[1], "broken", 0, 0.0, None, b"", False, self.now()))
-                elif method in ("satisfy", "nack", "error", "reject") and values[0] in self.front.clients:
-                    self.front.drop(self.front.clients[values[0]])
-        self.set_timer()
-
-    def set_timer(self):
-        at = self.reducer.next_at()
-        if at == self.timer_at:
-            return
-        if self.timer is not None:
-            self.timer.cancel()
-        self.timer_at, self.timer = at, None
-        if at is not None:
-            self.timer = asyncio.get_running_loop().call_later(max(0.0, at - self.now()), self.timed)
-
-    def timed(self):
-        self.timer = self.timer_at = None
-        if not self.due:
-            self.round()
+    def say(self, event, values):
+        self.log(event, **values)
 
     # life
 
@@ -111,7 +79,7 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self.faulted)
         self.ended = asyncio.Event()
-        self.round()                # what is known at the start comes before the first query
+        self.rounds.open()          # what is known at the start comes before the first query
         address = self.front.listen(*self.site.listen)
         if self.talk is not None:
             await self.talk.start()
@@ -150,7 +118,7 @@
         self.look_for_end()
 
     def look_for_end(self):
-        open_ = self.events or self.reducer.queries
+        open_ = self.rounds.events or self.reducer.queries
         if open_ and self.now() >= self.until:
             self.post("closing", ())
         if (open_ or self.front.unread) and self.now() < self.until + END_S / 2:
--- a/brookhinge/startup.py
+++ b/brookhinge/startup.py
@@ -3,8 +3,8 @@
 import json
 from typing import NamedTuple
 
+from brookhinge.engine.commands import read_commands
 from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
-from brookhinge.net.http import read_commands
 
 NS = 1e-9
 EFFECTS = {"retryable": "replayable", "dedup": "referenced", "fragile": "single-use"}
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -1,6 +1,7 @@
 """Parsers and encoders: bytes in any pieces, what can't be read, what is written."""
 import pytest
 
+from brookhinge.engine import commands
 from brookhinge.net import cachewire, http, thrift
 
 SERVE = bytes.fromhex("80010001 00000005") + b"serve" + bytes.fromhex(
@@ -134,8 +135,8 @@
 
 @pytest.mark.parametrize("body", [b"", b"[]", b"null", b"{}", b'{"cursor":"x","cmds":[]}', b'{"cursor":1,"cmds":{}}'])
 def test_commands_that_cannot_be_read(body):
-    with pytest.raises(http.Unreadable):
-        http.read_commands(body, 0.0)
+    with pytest.raises(commands.NoCommands):
+        commands.read_commands(body, 0.0)
 
 
 def test_the_request_to_the_channel():
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,7 +1,7 @@
 """The reducer: events in, effects out, as printed traces."""
 from helpers import Desk, host, listed
 
-from brookhinge.net.http import read_commands
+from brookhinge.engine.commands import read_commands
 
 
 def commands(*told, start=0.0):
