--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -12,9 +12,12 @@
 import sys
 import tempfile
 import time
+import tracemalloc
 from concurrent.futures import ProcessPoolExecutor
 
 from benchmarks import kept
+from brookhinge.membership.fellow import Fellow
+from brookhinge.membership.post import Post
 from brookhinge.membership.view import ALIVE, LOST, SUSPECTED
 from brookhinge.standin.rig import Rig
 from brookhinge.standin.virtual import Net
@@ -102,6 +105,48 @@
                                if c == "suspected"})}
 
 
+class Timed:
+    """A fellow's writer that makes datagrams as the daemon does."""
+
+    def __init__(self, host, post):
+        self.host, self.post = host, post
+
+    def send(self, address, method, values, news, words):
+        v = self.host.fellow.view
+        self.post.write(v.claim(v.index[self.host.name], self.host.net.now), v.digest(), method, values, news, words)
+        self.host.send(address, method, values, news, words)
+
+    def __getattr__(self, name):
+        return getattr(self.host, name)
+
+
+def cost(count, seconds):
+    """One member among so many: the part of a core that datagrams and rounds take, and KB that its view holds."""
+    net, key = fleet(1, count, 0.0), b"k" * 16
+    host, posts = net.hosts[1], {}
+    mine = Timed(host, Post("s", key))
+    fellow, total = host.fellow, [0.0]
+    round_ = fellow.round
+
+    def timed(now, inbox, writer):
+        wires = [posts.setdefault(m[0][1], Post("s", key)).write(m[0], m[1], m[4], m[5], list(m[2]), list(m[3]))
+                 for m in inbox]
+        began = time.process_time()
+        round_(now, [m for m in map(mine.post.read, wires) if m is not None], mine)
+        total[0] += time.process_time() - began
+    fellow.round = timed
+    net.run(seconds)
+    del fellow.round
+    tracemalloc.start()
+    held = Fellow("n0", ("10.0.0.1", 9999), "z", 1, 1, [], random.Random(1), 0.0)
+    for n, other in net.hosts.items():
+        v = other.fellow.view
+        held.round(0.0, [(v.claim(v.index[other.name], 0.0), 0, (), (), "tell", ())], mine)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {"members": count, "core_share": round(total[0] / seconds, 5), "view_kb": round(size / 1024)}
+
+
 def heartbeats(seed, count, loss, seconds=60.0, every=0.5, missed=5):
     """All to all: each sends to each; lost after so many missed. The crash of one, and false 'lost' of the others."""
     chance, heard, false = random.Random(seed), [[0.0] * count for _ in range(count)], 0
@@ -203,6 +248,7 @@
             print(json.dumps(figures["virtual"][-1]), file=sys.stderr)
     figures["heartbeats"] = [{"members": count, **heartbeats(1, count, 0.1)} for count in
                              ((16, 64) if given.short else (16, 64, 200))]
+    figures["cost"] = cost(*(64, 20.0) if given.short else (200, 120.0))
     figures["processes"] = asyncio.run(processes(*(6, 8.0) if given.short else (16, 30.0)))
     kept.finish(figures, given.keep, chart)
 
--- a/brookhinge/box/metrics.py
+++ b/brookhinge/box/metrics.py
@@ -1,5 +1,4 @@
-"""A box's figures for Prometheus, served from a thread of the library's own."""
-from prometheus_client import CollectorRegistry, start_http_server
+"""A box's figures for Prometheus."""
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 GAUGES = {"memory_bytes", "disk_parts", "disk_entries", "disk_live_bytes", "disk_disk_bytes", "disk_segments",
@@ -18,9 +17,3 @@
         for name, value in told.items():
             kind = GaugeMetricFamily if name in GAUGES else CounterMetricFamily
             yield kind(f"brookhinge_box_{name}", f"see docs/operators/store.md: {name}", value)
-
-
-def publish(box, address):
-    registry = CollectorRegistry()
-    registry.register(Figures(box))
-    return start_http_server(address[1], address[0], registry=registry)
--- a/brookhinge/cli/box.py
+++ b/brookhinge/cli/box.py
@@ -28,8 +28,9 @@
     box = Box(stand, lambda event, **values: log.info(event, **values))
     await box.start()
     if metrics:
-        from brookhinge.box.metrics import publish
-        publish(box, metrics)
+        from brookhinge.box.metrics import Figures
+        from brookhinge.metrics import publish
+        publish(Figures(box), metrics)
     await ended.wait()
     await box.stop()
 
--- a/brookhinge/membership/fellow.py
+++ b/brookhinge/membership/fellow.py
@@ -154,14 +154,19 @@
             elif i is not None and method != "tell":        # a tell is never answered by one: two would go on for good
                 writer.send(claim[5:7], "tell", (), [self.view.claim(i, now)], [])
             return
-        if self.view.state[i] != ALIVE and method != "tell":        # it lives, and is told what is said of it
+        foreign = self.view.version[i] != self.version      # claims and probes it can read, and no more
+        if self.view.state[i] != ALIVE and foreign:         # it lives, and is told what is said of it
+            self.ping(i, 0, writer)
+        elif self.view.state[i] != ALIVE and method != "tell":
             self.send(i, "tell", (), writer, [self.view.claim(i, now)])
         if told in ("joined", "restarted", "back"):
-            self.catch_up(now, i, writer)
-        if method not in ("tell", "rows", "buckets", "foreign"):     # of another version: known, and no more
+            self.catch_up(now, i, foreign, writer)
+        if method not in ("tell", "rows", "buckets") and not foreign:
             self.compare(now, i, digests, writer)
         if method == "ping":
-            nonce, uid = values
+            nonce, uid, inc, state = values
+            if state != ALIVE and inc >= self.view.inc[self.view.index[self.name]]:
+                self.denied(now, inc, state)
             if uid in (0, self.uid):
                 self.send(i, "ack", (nonce,), writer)
         elif method == "ack":
@@ -170,7 +175,7 @@
             nonce, host, port, uid = values
             self.nonce += 1
             self.helping[self.nonce] = (i, nonce, now + Pace.timeout)
-            writer.send((host, port), "ping", (self.nonce, uid), *self.cargo(now))
+            writer.send((host, port), "ping", (self.nonce, uid, 0, ALIVE), *self.cargo(now))
         elif method == "nack":
             if self.probing and values[0] == self.probing[1]:
                 self.probing[4].add(claim[0])
@@ -185,8 +190,7 @@
             if uid != self.uid:
                 self.rival(now, claim, writer)
             elif state != ALIVE and inc >= self.view.inc[me]:      # not so: said with a higher incarnation
-                self.health = min(8, self.health + (state == SUSPECTED))
-                self.assert_self(now, inc)
+                self.denied(now, inc, state)
             return None
         i = self.view.index.get(name)
         if i is not None and state == SUSPECTED and i in self.suspicions and self.view.uid[i] == uid \
@@ -206,6 +210,11 @@
             writer.told(change, name, by)
         return change
 
+    def denied(self, now, inc, state):
+        """Others say that this process is suspected or worse."""
+        self.health = min(8, self.health + (state == SUSPECTED))
+        self.assert_self(now, inc)
+
     def assert_self(self, now, inc):
         """Outbids an incarnation that others claim under this name, unless it is outbid already."""
         me = self.view.index[self.name]
@@ -230,7 +239,7 @@
         elif self.contest is None:
             self.nonce += 1
             self.contest = (self.nonce, now + 8.0 * Pace.timeout, claim)
-            writer.send((host, port), "ping", (self.nonce, uid), *self.cargo(now))
+            writer.send((host, port), "ping", (self.nonce, uid, 0, ALIVE), *self.cargo(now))
 
     def contested(self, now, writer):
         if self.contest and now >= self.contest[1]:         # it does not answer: a process of the past
@@ -264,10 +273,10 @@
             if i >= len(v.names) or v.uid[i] != uid:
                 self.probing = None
             elif stage == 0:
-                helpers = [h for h in self.some(HELPERS + 1) if h != i][:HELPERS]
+                helpers = [h for h in self.some(HELPERS + 1, True) if h != i][:HELPERS]
                 for h in helpers:
                     self.send(h, "ask", (nonce, *v.address[i], v.uid[i]), writer)
-                self.send(i, "ping", (nonce, v.uid[i]), writer)     # a datagram lost is no silence
+                self.ping(i, nonce, writer)         # a datagram lost is no silence
                 self.probing = (i, nonce, 1, now + (Pace.probe - Pace.timeout) * self.stretch(), set(), len(helpers),
                                 uid)
             else:
@@ -282,8 +291,7 @@
             if i is not None:
                 self.nonce += 1
                 self.probing = (i, self.nonce, 0, now + Pace.timeout * self.stretch(), (), 0, v.uid[i])
-                self.send(i, "ping", (self.nonce, v.uid[i]), writer,
-                          [v.claim(i, now)] if v.state[i] != ALIVE else [])
+                self.ping(i, self.nonce, writer)
         elif now >= self.probe_at:
             self.probe_at = self.probing[3]
         if now >= self.retry_at:
@@ -291,7 +299,16 @@
             lost = [i for i, state in enumerate(v.state) if state == LOST]
             if lost:
                 i = self.chance.choice(lost)
-                self.send(i, "ping", (0, 0), writer, [v.claim(i, now)])
+                self.ping(i, 0, writer, anybody=True)
+
+    def ping(self, i, nonce, writer, anybody=False):
+        """Asks a member whether it lives, and says what is believed of it: it denies what is not so. anybody: also
+        another process at its address may answer. With one of another version no digests are compared: some claims
+        at random ride along instead."""
+        v = self.view
+        first = [v.claim(k, self.last) for k in self.chance.sample(range(len(v.names)), min(NEWS // 2, len(v.names)))] \
+            if v.version[i] != self.version else []
+        self.send(i, "ping", (nonce, 0 if anybody else v.uid[i], v.inc[i], v.state[i]), writer, first)
 
     def next_probed(self):
         """Each in turn, in an order drawn anew each time all were probed."""
@@ -315,10 +332,10 @@
     def repeats(self):
         return 3 * math.ceil(math.log10(len(self.view.names) + 1)) + 1
 
-    def some(self, count):
-        """That many of the living at random, but not this one."""
+    def some(self, count, alike=False):
+        """That many of the living at random, but not itself; alike: who read all that this one writes."""
         v = self.view
-        living = [i for i in v.living() if v.uid[i] != self.uid]
+        living = [i for i in v.living() if v.uid[i] != self.uid and (not alike or v.version[i] == self.version)]
         return self.chance.sample(living, min(count, len(living)))
 
     def cargo(self, now, first=()):
@@ -359,8 +376,13 @@
         for i in self.some(EAGER):
             self.send(i, "tell", (), writer)
 
-    def catch_up(self, now, i, writer):
-        """Who has just come, or come back, has heard none of the words of late."""
+    def catch_up(self, now, i, foreign, writer):
+        """Who has just come, or come back, has heard none of the words of late; of another version, it gets the view."""
+        if foreign:
+            if now >= self.exchange_at:
+                self.exchange_at = now + Pace.exchange
+                self.rows(now, i, range(len(self.view.names)), writer)
+            return
         words = [word for _, _, word in self.words.values()]
         for at in range(0, len(words), WORDS):
             writer.send(self.view.address[i], "tell", (), [], words[at:at + WORDS])
@@ -376,13 +398,16 @@
     def answer_buckets(self, now, i, theirs, writer):
         """Rows of the buckets that differ; at times the own digests too, for the rows that are lacking here."""
         v = self.view
-        rows = [k for k in range(len(v.names)) if theirs[v.bucket(k)] != v.digests[v.bucket(k)]]
-        for at in range(0, len(rows), NEWS):
-            writer.send(v.address[i], "rows", (), [v.claim(k, now) for k in rows[at:at + NEWS]], [])
+        self.rows(now, i, [k for k in range(len(v.names)) if theirs[v.bucket(k)] != v.digests[v.bucket(k)]], writer)
         if now >= self.exchange_at:
             self.exchange_at = now + Pace.exchange
             self.send(i, "buckets", tuple(v.digests), writer)
 
+    def rows(self, now, i, places, writer):
+        v = self.view
+        for at in range(0, len(places), NEWS):
+            writer.send(v.address[i], "rows", (), [v.claim(k, now) for k in places[at:at + NEWS]], [])
+
     # joining
 
     def alone(self):
@@ -393,4 +418,4 @@
         if now >= self.seek_at and self.alone():
             self.seek_at = now + Pace.seek * (0.5 + self.chance.random())
             for address in self.chance.sample(self.seeds, min(3, len(self.seeds))):
-                writer.send(address, "ping", (0, 0), *self.cargo(now))
+                writer.send(address, "ping", (0, 0, 0, ALIVE), *self.cargo(now))
--- a/brookhinge/membership/post.py
+++ b/brookhinge/membership/post.py
@@ -1,10 +1,13 @@
 """Datagrams of fellows: bytes to calls and back, keyed, guarded against replays. No I/O.
 
     datagram   = checksum (16 bytes: BLAKE2b keyed with the fleet's key, over the rest) + MessagePack array
-    array      = [form, site, sequence, claim, version, rest]
-    rest       = [digest, news, words, method, values], MessagePack in turn: a reader of another version stops before it
+    array      = [form, site, sequence, claim, version, call, news, rest]
+    call       = [0], or a probe: [1, nonce, uid, incarnation, state], or its answer: [2, nonce]
+    news       = claims about others
+    rest       = [digest, words, method, values], MessagePack in turn: a reader of another version stops before it
 
-`form` stays 1 for good: any version can say who sent a datagram, and at which version it speaks. Lengths are bounded
+`form` stays 1 for good: any version reads who sent a datagram, at which version it speaks, what it claims of others, and
+answers its probes; so routers of two versions hold one view and don't take each other for dead. Lengths are bounded
 before anything is read, texts and counts after. What can't be read is counted and dropped, and tells nothing.
 A datagram is taken once: of each process the highest sequence is kept and which of the 64 before it came."""
 import hashlib
@@ -14,12 +17,13 @@
 
 VERSION = 1
 MOST_BYTES, MOST_TEXT, SENDERS, WINDOW = 1400, 64, 4096, 64
-METHODS = {"ping": 2, "ack": 1, "nack": 1, "ask": 4, "tell": 0, "rows": 0, "buckets": 64,
-           "look": 1, "seen": 2}
+METHODS = {"ping": 4, "ack": 1, "nack": 1, "ask": 4, "tell": 0, "rows": 0, "buckets": 64,
+           "look": 1, "seen": 2, "want": 2, "lend": 2}
 
 Claim = tuple[str, int, int, int, int, str, int, str, int, float]
-Head = tuple[int, str, int, Claim, int, bytes]
-Rest = tuple[int, list[Claim], list[tuple], str, list]
+Head = tuple[int, str, int, Claim, int, list[int], list[Claim], bytes]
+PROBES = {"ping": 1, "ack": 2}      # methods that any version reads
+Rest = tuple[int, list[tuple], str, list]
 head, rest, pack = msgspec.msgpack.Decoder(Head), msgspec.msgpack.Decoder(Rest), msgspec.msgpack.Encoder()
 
 
@@ -56,8 +60,10 @@
     def write(self, claim, digest, method, values, news, words):
         """One datagram, or None if it would be too long (news are left out before it is given up)."""
         while True:
+            probe = method in PROBES
             body = pack.encode((1, self.site, self.sequence + 1, claim, VERSION,
-                                pack.encode((digest, news, words, method, values))))
+                                (PROBES[method], *values) if probe else (0,), news,
+                                pack.encode((digest, words, method, () if probe else values))))
             if len(body) + 16 <= MOST_BYTES:
                 break
             if not news and not words:
@@ -81,20 +87,25 @@
         if not hmac.compare_digest(hashlib.blake2b(body, digest_size=16, key=self.key).digest(), data[:16]):
             return "forged", None
         try:
-            form, site, number, claim, version, inner = head.decode(body)
-            if form != 1 or not sound(claim):
+            form, site, number, claim, version, call, news, inner = head.decode(body)
+            if form != 1 or not sound(claim) or not all(map(sound, news)):
                 return "unread", None
             if site != self.site:
                 return "other_site", None
             if not self.guard.fresh(claim[1], number):
                 return "again", None
+            probe = next((method for method, kind in PROBES.items() if call[:1] == [kind]), None)
             if version != VERSION:
-                return "foreign", (claim, 0, (), (), "foreign", ())
-            digest, news, words, method, values = rest.decode(inner)
+                if probe is not None and len(call) != METHODS[probe] + 1:
+                    return "unread", None
+                return "foreign", (claim, 0, tuple(news), (), probe or "foreign", tuple(call[1:]))
+            digest, words, method, values = rest.decode(inner)
+            if probe is not None:
+                method, values = probe, call[1:]
         except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
             return "unread", None
-        if METHODS.get(method) != len(values) or not all(sound(one) for one in news) \
-                or not all(simple(word) for word in words) or not fits(method, values):
+        if METHODS.get(method) != len(values) or not all(simple(word) for word in words) \
+                or not fits(method, values):
             return "unread", None
         return "taken", (claim, digest, tuple(news), tuple(words), method, tuple(values))
 
--- a/brookhinge/membership/talk.py
+++ b/brookhinge/membership/talk.py
@@ -1,5 +1,6 @@
 """Joins a fellow to UDP on an asyncio loop. Decides nothing: datagrams in, rounds, datagrams out, changes to the log."""
 import asyncio
+import collections
 import math
 import os
 import random
@@ -7,24 +8,33 @@
 
 from brookhinge.membership.counting import sharers
 from brookhinge.membership.fellow import Fellow
-from brookhinge.membership.post import Post
+from brookhinge.membership.post import VERSION, Post
 from brookhinge.membership.view import STATES
 
 READ = 256          # datagrams of one pass of the loop that go into one round; the rest is the next one's
+LIMITS = ("want", "lend")   # methods of brookhinge/limits
 LEAVING_S = 0.05    # after the word of leaving, so that it is out before the socket closes
 
 
+def steady():
+    """Seconds of a clock that also goes on while the machine sleeps, where there is one: leases end by it."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) if hasattr(time, "CLOCK_BOOTTIME") else time.monotonic()
+
+
 class Talk(asyncio.DatagramProtocol):
     """One router among its fellows: `await start()`, `spread(kind, values)`, `await leave()`.
 
     block    `fleet` of the operator's file: name, listen, join, site, key, zone, lease_s
     sharers  how many routers the settings tell of: at this place, and in all
     event    called with (method, values) for the reducer: `heard` and `fellows`
-    log      called as log(event, **values)"""
+    log      called as log(event, **values)
+    demand   where limits are shared: what was asked of them lately (brookhinge/limits)"""
 
-    def __init__(self, block, seed, sharers_told, event, log):
+    def __init__(self, block, seed, sharers_told, event, log, demand=None):
         self.block, self.event, self.log, self.seed = block, event, log, seed
         self.post, self.inbox, self.due, self.timer, self.transport = Post(block.site, block.key), [], False, None, None
+        self.demand, self.limits, self.lending = demand, None, []
+        self.changes, self.server = collections.Counter(), None
         self.told_of, self.counted, self.count_at = sharers_told, sharers_told, 0.0
 
     async def start(self):
@@ -32,9 +42,18 @@
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.block.listen)
         address = self.block.advertise or self.transport.get_extra_info("sockname")[:2]
         born = round(time.time() * 1000)        # two starts with one seed are two processes all the same
-        self.fellow = Fellow(self.block.name, address, self.block.zone, 1, born, list(self.block.join),
+        self.fellow = Fellow(self.block.name, address, self.block.zone, VERSION, born, list(self.block.join),
                              random.Random(f"{self.seed} {born} {os.getpid()}"), time.monotonic())
-        self.log("fleet", change="listening", address="%s:%d" % address)
+        if self.block.metrics:
+            from brookhinge.membership.metrics import Figures
+            from brookhinge.metrics import publish
+            self.server, _ = publish(Figures(self), self.block.metrics)
+        self.log("fleet", change="listening", address="%s:%d" % address,
+                 **({"metrics": self.server.server_port} if self.server else {}))
+        if self.demand is not None:
+            from brookhinge.limits.limits import Limits
+            self.limits = Limits(self.fellow.view, self.block.name, self.block.zone, VERSION, lambda: self.counted,
+                                 self.demand, steady())
         self.turn()
         return address
 
@@ -45,6 +64,11 @@
         if message[0][0].startswith("?"):
             return self.shown(message, address)
         if len(self.inbox) < READ:
+            if message[4] in LIMITS:        # its sender is a member as any other, the rest is not the fellow's
+                claim, digest, news, rows, method, values = message
+                if self.limits is not None and len(self.lending) < READ:
+                    self.lending.append((claim[1], method, values, rows))
+                message = claim, digest, news, (), "tell", ()
             self.inbox.append(message)
         if not self.due:
             self.due = True
@@ -62,11 +86,19 @@
         now = time.monotonic()
         if now >= self.count_at:
             self.count(now)
-        at = self.fellow.next_at()
+        wait = self.fellow.next_at() - now
+        if self.limits is not None and not self.fellow.out:
+            lending, self.lending, at = self.lending, [], steady()
+            self.limits.round(at, lending, self)
+            wait = min(wait, self.limits.next_at() - at)
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = None if at == math.inf else asyncio.get_running_loop().call_later(
-            max(0.001, at - now), self.turn)
+        self.timer = None if wait == math.inf else asyncio.get_running_loop().call_later(max(0.001, wait), self.turn)
+
+    def before(self):
+        """Before a round of the decisions: no part of a limit is used after its end."""
+        if self.limits is not None and steady() >= self.limits.shrinks_at:
+            self.limits.tell(steady(), self)
 
     def count(self, now):
         """How many share the limits, looked at after each change and each second."""
@@ -90,6 +122,8 @@
         await asyncio.sleep(LEAVING_S)
         if self.timer is not None:
             self.timer.cancel()
+        if self.server is not None:
+            self.server.shutdown()
         self.transport.close()
 
     def shown(self, message, address):
@@ -116,6 +150,7 @@
 
     def told(self, change, name, by):
         self.count_at = 0.0
+        self.changes[change] += 1
         if change == "taken":
             self.log("fleet", change=change, member=name, by=by,
                      why="an older process holds this name: this one stays out of the fleet")
@@ -124,3 +159,11 @@
 
     def word(self, kind, values, by):
         self.event("heard", (kind, values))
+
+    # the limits' writer
+
+    def lend(self, place, method, values, rows):
+        self.send(self.fellow.view.address[place], method, values, [], rows)
+
+    def parts(self, rows):
+        self.event("parts", (rows,))
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -44,6 +44,8 @@
     key: bytes          # of the checksums of all datagrams; the same for the whole fleet
     zone: str           # where it stands
     lease_s: float      # how long a router that was lost still counts
+    metrics: tuple      # HOST:PORT on which its figures are served, or None
+    share_limits: bool  # parts of limits move to where the queries are: see brookhinge/limits
 
 
 class Told(NamedTuple):
@@ -70,6 +72,12 @@
     return check
 
 
+def flag(value):
+    if not isinstance(value, bool):
+        raise ValueError("true or false")
+    return value
+
+
 def text(value):
     if not isinstance(value, str) or not value or not value.isprintable():
         raise ValueError("a text")
@@ -136,6 +144,7 @@
 FLEET = {
     "listen": (address, MUST), "advertise": (address, None), "join": (addresses, MUST), "site": (text, MUST),
     "key": (key, MUST), "zone": (path, ""), "lease_s": (number(0, 3600), 10.0),
+    "metrics": (address, None), "share_limits": (flag, False),
 }
 BLOCKS = {      # kind: (labels, keys, blocks within)
     "box": (1, BOX, {"store": (0, STORE, {}), "track": (1, TRACK, {})}),
