Limits of the whole fleet: parts given, lent and ended by themselves; bound checked by model

Need: each router holds one Nth of a cold server's budget whatever its traffic. Tests: 1000 short histories whole and 435 of four steps, 40 long ones with crashes, freezes, cuts, late and doubled datagrams, clocks that run apart; six planted faults and a drift far past the stated one are each found.

--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -136,21 +136,25 @@
     def cold(self, now, born):
         return born is not None and now - born < self.start.warm_s
 
-    def rate(self, now, born, power, lump):
-        """Seconds of sending a second that this router may send to a cold server."""
+    def part(self, c, born):
+        """This router's part of what all may send to c."""
+        return 1.0 / self.routers
+
+    def whole(self, now, born, power, lump):
+        """Seconds of sending a second that all routers together may send to a cold server."""
         s = self.start
         age = max(0.0, now - born - s.window_s)
         can = (s.share + (1.0 - s.share) * min(1.0, age / s.warm_s)) * power
         room = s.multiple * can * s.window_s            # over all routers; queries come by chance, in lumps
         mean = ((self.SPREAD ** 2 * lump + 4.0 * room) ** 0.5 - self.SPREAD * lump ** 0.5) ** 2 / 4.0
-        return min(self.FILL * can, mean / s.window_s) / self.routers
+        return min(self.FILL * can, mean / s.window_s)
 
     def take(self, c, now, born, power, work, lump, chance, spare=0.0):
         """Whether work may go to c now; spends it if so. power: transfers at once that c does when warm;
         spare: the part of what may be saved left to others; under 0: who was told to come may borrow."""
         if self.start.multiple <= 0 or not self.cold(now, born):
             return True
-        rate = self.rate(now, born, power, lump)
+        rate = self.whole(now, born, power, lump) * self.part(c, born)
         most, owed = 4.0 * rate * self.start.window_s, self.owed.get(c, 0.0)
         come = rate * (now - self.at.get(c, now))
         paid = max(0.0, min(owed, 0.5 * come))      # what was borrowed takes half of what comes: others go on
@@ -245,10 +249,13 @@
             if aim < limit or inflight > limit / 2:
                 self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
 
+    def share(self, c):
+        return 1.0 / self.routers
+
     def room(self, c, inflight, part, weight=0.0):
         """weight: transfers at full pace, where told: a crowd shows at once; else it is found from low."""
         limit = self.limit.setdefault(c, self.FIRST if weight or c == INLET else self.FIRST / 4)
-        most = weight * (0.6 + 1.9 / self.routers) or self.MOST
+        most = weight * (0.6 + 1.9 * self.share(c)) or self.MOST
         return inflight < part * min(max(limit, 0.7 * most if weight else 0.0), most)
 
 
@@ -559,7 +566,8 @@
         for c in self.fleet.own:
             born, limit = self.fleet.born[c], self.crowding.limit.get(c, Crowding.FIRST / 4)
             if cold.start.multiple > 0 and cold.cold(at, born):
-                limit = min(limit, cold.rate(max(at, born), born, self.power(c), max(self.sending)))
+                limit = min(limit, cold.part(c, born) * cold.whole(
+                    max(at, born), born, self.power(c), max(self.sending)))
             total += limit
         return total
 
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -4,7 +4,7 @@
 its writer: decisions become effects. Times are seconds since the start. It knows nothing of any wire.
 
 Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected, among fellows
-also heard and fellows.
+also heard, fellows and parts.
 Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say; among fellows also spread.
 """
 import heapq
@@ -278,6 +278,19 @@
         """By how many routers this place's limits and the whole fleet's are divided from here on."""
         self.inbox.append(("fellows", (here, all_)))
 
+    def parts(self, rows):
+        """What this router may use of limits that the fleet shares: (kind, server, start in ms, part or None) each."""
+        told = []
+        for kind, server, start, part in rows:
+            row = self.tight.rows.get(server)
+            if kind == "own" or row is not None and self.tight.stamp(row[3]) == start:
+                told.append((kind, server, row and row[3], part))
+        self.inbox.append(("parts", (told,)))
+
+    def demand(self):
+        """What was asked of limits that the fleet shares, starts in ms; it begins anew."""
+        return [(kind, server, self.tight.stamp(born), part) for kind, server, born, part in self.router.demand(self.now)]
+
     def skipped(self, number, why):
         self.cursor = max(self.cursor, number)
         self.effects.append(("say", ("command skipped", {"cursor": number, "why": why})))
--- a/brookhinge/engine/rounds.py
+++ b/brookhinge/engine/rounds.py
@@ -11,6 +11,7 @@
     def __init__(self, reducer, now, log):
         self.reducer, self.now, self.log = reducer, now, log
         self.events, self.takers, self.due, self.timer, self.timer_at, self.opened = [], {}, False, None, None, False
+        self.before = []        # called before each round: what they post goes before all else
 
     def join(self, part, *effects):
         """A taker has a method for each effect; failed(effect, values) says what became of one that it could not carry
@@ -32,6 +33,9 @@
     def round(self):
         """One pass; an effect that fails is logged and costs its query or its client, never the router."""
         self.due, events, self.events = False, self.events, []
+        for look in self.before:
+            look()
+        events, self.events = self.events + events, []
         for method, values in self.reducer.reduce(self.now(), events):
             take, failed = self.takers[method]
             try:
--- /dev/null
+++ b/brookhinge/limits/shared.py
@@ -0,0 +1,76 @@
+"""The decisions where limits are shared: the same budgets, with parts that are told and demand that is counted. No I/O,
+no clock. A part that was told belongs to one start of a server; of another start, or of a limit that nothing was told
+of, a router has its own part, one of N."""
+from brookhinge.decide import ColdBudget, Crowding, Router
+
+
+class SharedBudget(ColdBudget):
+    def __init__(self, start, routers):
+        super().__init__(start, routers)
+        self.parts, self.asked, self.own = {}, {}, 0.0
+
+    def part(self, c, born):
+        told = self.parts.get(c)
+        return told[1] if told and told[0] == born else self.own / self.routers
+
+    def take(self, c, now, born, power, work, lump, chance, spare=0.0):
+        if self.start.multiple > 0 and self.cold(now, born):
+            self.asked[c] = self.asked.get(c, 0.0) + work       # also what it refuses: that is what is wanting
+        return super().take(c, now, born, power, work, lump, chance, spare)
+
+
+class SharedCrowding(Crowding):
+    def __init__(self, routers):
+        super().__init__(routers)
+        self.parts, self.peaks, self.own = {}, {}, 0.0
+
+    def share(self, c):
+        return self.parts[c][1] if c in self.parts else self.own / self.routers
+
+    def room(self, c, inflight, part, weight=0.0):
+        if weight:
+            self.peaks[c] = max(self.peaks.get(c, 0.0), ((inflight + 1) / weight - 0.6) / 1.9)
+        return super().room(c, inflight, part, weight)
+
+
+class SharingRouter(Router):
+    """Beside Router's calls it takes `parts`, and `demand(now)` tells what was asked since it was last called."""
+
+    def __init__(self, seed, tracks, place, *rest, **named):
+        super().__init__(seed, tracks, place, *rest, **named)
+        cold = self.cold
+        self.cold = {role: SharedBudget(old.start, old.routers) for role, old in cold.items()}
+        self.crowding, self.counted_at = SharedCrowding(place.routers_here), 0.0
+        parts = (self.health, self.sources, self.crowding, *self.cold.values())
+        self.figures = [d for p in parts for d in vars(p).values() if isinstance(d, dict)] + [self.heard_at]
+
+    def parts(self, rows):
+        """(kind, server, born, part) each; part None: its own again. Kind "own": the part that it has by itself of all
+        that nothing is told of, 0 to 1 times one of N."""
+        for kind, server, born, part in rows:
+            if kind == "own":
+                for limit in (self.crowding, *self.cold.values()):
+                    limit.own = part
+                continue
+            c, limit = self.fleet.index.get(server), self.crowding if kind == "room" else self.cold[kind]
+            if c is not None and part is not None:
+                limit.parts[c] = born, part
+            else:
+                limit.parts.pop(c, None)
+
+    def demand(self, now):
+        """(kind, server, born, part of the whole) of each limit that was asked for."""
+        rows, fleet = [], self.fleet
+        elapsed = max(0.05, now - self.counted_at)
+        for role, budget in self.cold.items():
+            for c, work in budget.asked.items():
+                if budget.cold(now, fleet.born[c]) and fleet.state[c] == "ready":
+                    whole = budget.whole(now, fleet.born[c], self.power(c), max(self.sending))
+                    rows.append((role, fleet.ids[c], fleet.born[c], work / elapsed / max(whole, 1e-9)))
+            budget.asked.clear()
+        for c, peak in self.crowding.peaks.items():
+            if fleet.state[c] == "ready" and peak > 0.0:
+                rows.append(("room", fleet.ids[c], fleet.born[c], peak))
+        self.crowding.peaks.clear()
+        self.counted_at = now
+        return rows
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -29,16 +29,19 @@
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
-        lineage = returns = self.gate = self.talk = tight = None
+        router, lineage = Router, None
+        returns = self.gate = self.talk = tight = None
         if fleet is not None:
             from brookhinge.membership.tight import Tight
             tight = Tight(self.start)
+            if fleet.share_limits:
+                from brookhinge.limits.shared import SharingRouter as router
         if site.storm:
             from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
             from brookhinge.storm.plan import Returns
             lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
-        self.reducer = Reducer(Router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
+        self.reducer = Reducer(router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
                                [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage, tight)
         self.rounds = Rounds(self.reducer, self.now, self.log)
         self.post = self.rounds.post
@@ -60,7 +63,9 @@
         if fleet is not None:
             from brookhinge.membership.talk import Talk
             place = site.decisions["place"]
-            self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log)
+            self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log,
+                             self.reducer.demand if fleet.share_limits else None)
+            self.rounds.before.append(self.talk.before)
             self.rounds.join(self.talk, "spread")
         for event in commands:
             self.post(*event)
--- /dev/null
+++ b/tests/limits/test_bound.py
@@ -0,0 +1,161 @@
+"""All parts of a limit together never pass its whole: over all short histories of three routers, over long ones by seed,
+with processes that crash, freeze and come back, clocks that run apart, datagrams lost, doubled and late. Each property has
+faults planted that it finds."""
+import copy
+import itertools
+
+import pytest
+
+from brookhinge.limits import keeper
+from brookhinge.limits.holder import Holder
+from brookhinge.limits.keeper import Keeper
+from brookhinge.limits.terms import DRIFT, LEND, START, TERM
+from brookhinge.standin.lending import COLD, World
+
+STEPS = ("pass", "drop", "double", "late", "beat", "lease", "restart 1", "restart 2", "freeze 1", "turn")
+DEPTH = 4
+
+
+def whole(world):
+    total = world.total()
+    assert total <= 1.0 + 1e-6, f"{total:.4f} of the whole in use at {world.now:.2f} s"
+
+
+def lending(seed=1, count=3):
+    """One router is asked for much, the others for nothing: what they gave is lent to it."""
+    world = World(seed, count, delay=0.05)
+    world.members[1].demand[COLD] = 1.0
+    world.run(START + 3.0, lambda: whole(world))
+    assert world.members[1].part() > 0.7
+    return world
+
+
+def take(world, what):
+    """One step of a short history."""
+    kind, _, n = what.partition(" ")
+    messages = sorted(k for k in range(len(world.queue)) if world.queue[k][4] is not None)
+    if kind in ("drop", "double", "late") and messages:
+        at, serial, member, starts, message = world.queue[messages[0]]
+        if kind == "drop":
+            world.queue[messages[0]] = (at, serial, member, -1, message)
+        else:
+            world.push(at + (0.01 if kind == "double" else LEND + 0.3), member, message)
+    elif kind == "beat":
+        world.run(0.25, lambda: whole(world))
+    elif kind == "lease":
+        world.run(LEND, lambda: whole(world))
+    elif kind == "restart":
+        world.members[int(n)].up = False
+        world.restart(int(n))
+    elif kind == "freeze":
+        (world.thaw if world.members[1].frozen else world.freeze)(1)
+    elif kind == "turn":        # the demand goes to another
+        for n, member in world.members.items():
+            member.demand[COLD] = 1.0 if member.demand.get(COLD, 0.0) == 0.0 and n != 1 else 0.0
+    else:
+        world.run(0.06, lambda: whole(world))
+    whole(world)
+
+
+def short_histories(depth=DEPTH, every=1):
+    start, count = lending(), 0
+    for steps in itertools.islice(itertools.product(STEPS, repeat=depth), 0, None, every):
+        world = copy.deepcopy(start)
+        for what in steps:
+            take(world, what)
+        if world.members[1].frozen:
+            world.thaw(1)
+        world.run(TERM, lambda: whole(world))
+        count += 1
+    return count
+
+
+def test_short_histories_keep_the_whole():
+    assert short_histories(3) == 1000
+    assert short_histories(4, every=23) > 400
+
+
+def long_history(seed, seconds=60.0, drift=DRIFT):
+    """Anything at any time, by seed. Every other one without crashes: all parts are in use, and many datagrams late."""
+    count, calm = 5 - seed % 2 * 2, seed % 2
+    world = World(seed, count, loss=0.1, delay=0.05, double=0.1, drift=drift)
+    world.late, chance = 0.4 if calm else 0.05, world.chance
+    while world.now < seconds:
+        n = chance.randint(1, count)
+        member, what = world.members[n], chance.random()
+        if what < 0.4:
+            member.demand[COLD] = chance.choice((0.0, 0.1, 0.5, 1.0))
+        elif what < 0.5 and member.up and not calm:
+            world.crash(n)
+        elif what < 0.65 and not member.up:
+            world.restart(n)
+        elif what < 0.75 and member.up:
+            (world.thaw if member.frozen else world.freeze)(n)
+        elif what < 0.8:
+            apart = {k for k in world.members if chance.random() < 0.5}
+            world.cut = lambda a, b, apart=apart: (a in apart) != (b in apart)
+        elif what < 0.9:
+            world.cut = lambda a, b: False
+        world.run(chance.choice((0.05, 0.3, 1.0, 2.0)), lambda: whole(world))
+
+
+def test_long_histories_keep_the_whole():
+    for seed in range(40):
+        long_history(seed)
+
+
+def planted_gift_from_its_arrival(monkeypatch):
+    """A keeper counts a gift from when the word came, not from its own word before it."""
+    def hear(self, now, holder_, number, answers, rows, real=Keeper.hear):
+        desk = self.desks.setdefault(holder_, keeper.Desk())
+        desk.sent[answers] = now
+        real(self, now, holder_, number, answers, rows)
+    monkeypatch.setattr(Keeper, "hear", hear)
+
+
+def planted_loan_from_its_arrival(monkeypatch):
+    """A borrower counts a loan from when it came, not from its asking."""
+    def granted(self, now, keeper_, number, answers, rows, real=Holder.granted):
+        self.said.setdefault(keeper_, {})[answers] = now
+        real(self, now, keeper_, number, answers, rows)
+    monkeypatch.setattr(Holder, "granted", granted)
+
+
+def planted_no_start(monkeypatch):
+    """A process that has just started uses its own part at once."""
+    monkeypatch.setattr(Holder, "own", lambda self, now: 1.0)
+
+
+def planted_forgotten_gift(monkeypatch):
+    """A holder that gives less than before is bound by the last word alone."""
+    def gave(self, limit, now, but=None):
+        return sum(gifts[-1][0] for keeper_, gifts in self.given.get(limit, {}).items() if keeper_ != but and gifts)
+    monkeypatch.setattr(Holder, "gave", gave)
+
+
+def planted_loans_not_counted(monkeypatch):
+    """A keeper forgets what it lent at its last beat."""
+    def lend(self, now, real=Keeper.lend):
+        self.loans.clear()
+        return real(self, now)
+    monkeypatch.setattr(Keeper, "lend", lend)
+
+
+def planted_used_past_its_end(monkeypatch):
+    """Nobody looks before a round whether a loan has ended."""
+    monkeypatch.setattr(Holder, "changes_at", lambda self, now: float("inf"))
+
+
+@pytest.mark.parametrize("plant", [planted_gift_from_its_arrival, planted_loan_from_its_arrival, planted_no_start,
+                                   planted_forgotten_gift, planted_loans_not_counted, planted_used_past_its_end])
+def test_planted_faults_are_found(monkeypatch, plant):
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match="of the whole"):
+        for seed in range(40):
+            long_history(seed)
+
+
+def test_clocks_far_past_the_stated_drift_are_what_breaks_it():
+    with pytest.raises(AssertionError, match="of the whole"):
+        for seed in range(40):
+            long_history(seed, drift=100 * DRIFT)
