Shared limits in the daemon: eight real processes, cold boxes under flood, brookhinge fleet limits

Now routers with share_limits = true talk of parts over the fleet's datagrams, the decisions are told their parts before each round (a process that was frozen uses nothing past its end), and the rig counts what reaches each box: eight routers, three boxes restarted cold under twice what they bear, half of it at one router; killed, frozen for longer than a lease, cut in halves, restarted under their names, seven in ten at once: no box over what pushes it over. A keeper that lends what it has not is found by the same rig. Rig: boxes that note arrivals and fail some, ways to a box that break, routers that run a line first.

--- a/brookhinge/cli/fleet.py
+++ b/brookhinge/cli/fleet.py
@@ -7,6 +7,7 @@
 from brookhinge.cli import refuse, table
 from brookhinge.operator import OperatorError, read_file
 
+PARTS = ["kind", "server", "own", "given", "lent", "in_use", "shrinks_in_s", "keeper"]
 COLUMNS = ["member", "state", "for_s", "by", "zone", "address"]
 
 
@@ -22,13 +23,13 @@
     return told.fleet[router] if router is not None else next(iter(told.fleet.values()))
 
 
-def ask(block):
+def ask(block, what=0, columns=COLUMNS):
     """Rows of one router's view and its digest; ends the command if nothing answers."""
     from brookhinge.membership.look import look
-    seen = asyncio.run(look(block.listen, block.site, block.key))
+    seen = asyncio.run(look(block.listen, block.site, block.key, what))
     if seen is None:
         refuse(f"{block.name}: no answer from {'%s:%d' % block.listen}: not up, another key, or another site", 1)
-    return [dict(zip(COLUMNS, row)) for row in seen[0]], f"{seen[1]:016x}"
+    return [dict(zip(columns, row)) for row in seen[0]], f"{seen[1]:016x}"
 
 
 @click.group("fleet")
@@ -50,6 +51,22 @@
     table(rows, COLUMNS, False)
 
 
+@command.command("limits")
+@click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
+@click.option("--router", help="Whose parts; the first block's without.")
+@click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
+def limits(file, router, as_json):
+    """What a router may use of each shared limit, as parts of the whole: its own, given away, lent, for how long."""
+    from brookhinge.membership.look import LIMITS
+    block = block_of(file, router)
+    rows, _ = ask(block, LIMITS, PARTS)
+    if as_json:
+        return table([{"router": block.name, "limits": rows}], [], True)
+    click.echo(f"{block.name} may use" + ("" if rows else " its own part of each limit"))
+    if rows:
+        table(rows, PARTS, False)
+
+
 @command.command("watch")
 @click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
 @click.option("--router", help="Whose view; the first block's without.")
--- a/brookhinge/limits/limits.py
+++ b/brookhinge/limits/limits.py
@@ -1,13 +1,14 @@
 """One router's side of the fleet's limits: its parts as holder, its desk as keeper, and whom it turns to. No I/O, no clock.
 
     limits.round(now, inbox, writer)     inbox: (sender's process, method, values, rows) of datagrams `want` and `lend`
-    writer.lend(place, method, values, rows)     place: of a member in the view
-    writer.parts(rows)                   (kind, server, start, part) of each limit whose part has changed"""
+    writer.post_to(place, method, values, rows)      place: of a member in the view
+    writer.event_of("parts", rows)       (kind, server, start, part) of each limit whose part has changed"""
 import xxhash
 
 from brookhinge.limits.holder import Holder
 from brookhinge.limits.keeper import Keeper
 from brookhinge.limits.terms import BEAT, FADE, ROWS
+from brookhinge.membership.look import LIMITS
 from brookhinge.membership.view import ALIVE
 
 EVERYWHERE = {"parent"}     # kinds that routers of all places share; all others are one place's
@@ -18,6 +19,8 @@
     """view: the fleet's; sharers(): by how many this place's limits and the whole fleet's are divided; demand(): what was
     asked lately, (kind, server, start, part of the whole) each; it begins anew with each call."""
 
+    methods, look = ("want", "lend"), LIMITS
+
     def __init__(self, view, name, zone, version, sharers, demand, now):
         self.view, self.name, self.zone, self.version = view, name, zone, version
         self.sharers, self.demand = sharers, demand
@@ -75,7 +78,7 @@
             rows.append((*limit, None))
         self.shrinks_at = self.holder.changes_at(now)
         if rows:
-            writer.parts(rows)
+            writer.event_of("parts", rows)
 
     def beat(self, now, writer):
         """Looks at demand, says what is wanting, and lends."""
@@ -97,6 +100,17 @@
             self.want(now, keeper, limits, writer)
         self.lend(now, writer)
 
+    def shown(self, now):
+        """(kind, server, own part, given away, lent, in use, seconds till that shrinks, keeper) of each limit."""
+        rows = []
+        for limit in sorted(self.asked.keys() | self.holder.given.keys() | self.holder.lent.keys()):
+            keeper = self.keeper_of(limit)
+            ends = min((until - now for _, _, until in self.holder.lent.get(limit, {}).values() if until > now), default=0.0)
+            rows.append((limit[0], limit[1], round(self.base(limit), 4), round(self.holder.gave(limit, now), 4),
+                         round(self.holder.has(limit, now), 4), round(self.part(limit, now), 4), round(ends, 2),
+                         self.view.names[keeper] if keeper is not None else ""))
+        return rows
+
     def want(self, now, keeper, limits, writer):
         uid = self.view.uid[keeper]
         for at in range(0, len(limits), ROWS):
@@ -125,7 +139,7 @@
         if self.view.names[place] == self.name:         # its own keeper: nothing on the wire
             self.hear(now, self.view.uid[place], method, values, rows, writer)
         else:
-            writer.lend(place, method, values, rows)
+            writer.post_to(place, method, values, rows)
 
     def hear(self, now, sender, method, values, rows, writer):
         number, answers = values
--- a/brookhinge/membership/look.py
+++ b/brookhinge/membership/look.py
@@ -6,6 +6,7 @@
 from brookhinge.membership.post import Post
 
 TRIES, WAIT_S = 4, 0.4
+MEMBERS, LIMITS, VERDICTS = range(3)        # what can be asked for
 
 
 class Onlooker(asyncio.DatagramProtocol):
@@ -18,9 +19,10 @@
             self.answers.put_nowait(message)
 
 
-async def look(address, site, key):
-    """(rows, digest) of the router that listens at address: rows of (member, state, seconds since, by whose word, zone,
-    address), in order of name; None if nothing answers. A view that changes while it is read is read again."""
+async def look(address, site, key, what=MEMBERS):
+    """(rows, digest) of the router that listens at address, in order; None if nothing answers. Rows of members: (member,
+    state, seconds since, by whose word, zone, address); of limits and verdicts as their cores' `shown` says. A view that
+    changes while it is read is read again."""
     uid = random.getrandbits(62)
     post = Post(site, key)
     transport, onlooker = await asyncio.get_running_loop().create_datagram_endpoint(
@@ -29,7 +31,7 @@
     rows, tries, digest = [], 0, None
     try:
         while tries < TRIES:
-            transport.sendto(post.write(me, 0, "look", (len(rows),), [], []))
+            transport.sendto(post.write(me, 0, "look", (len(rows), what), [], []))
             end = time.monotonic() + WAIT_S
             try:
                 _, seen, _, words, _, (at, total) = await asyncio.wait_for(
--- a/brookhinge/membership/post.py
+++ b/brookhinge/membership/post.py
@@ -18,7 +18,8 @@
 VERSION = 1
 MOST_BYTES, MOST_TEXT, SENDERS, WINDOW = 1400, 64, 4096, 64
 METHODS = {"ping": 4, "ack": 1, "nack": 1, "ask": 4, "tell": 0, "rows": 0, "buckets": 64,
-           "look": 1, "seen": 2, "want": 2, "lend": 2}
+           "look": 2, "seen": 2, "want": 2, "lend": 2, "evidence": 2, "table": 2}
+MAIL = ("want", "lend", "evidence", "table")     # of cores beside the fellow: rows stand in the place of words
 
 Claim = tuple[str, int, int, int, int, str, int, str, int, float]
 Head = tuple[int, str, int, Claim, int, list[int], list[Claim], bytes]
@@ -118,7 +119,7 @@
 
 def simple(word):
     """A word is a short row of texts and numbers."""
-    return 0 < len(word) <= 6 and isinstance(word[0], str) and all(
+    return 0 < len(word) <= 8 and isinstance(word[0], str) and all(
         isinstance(part, (int, float)) or isinstance(part, str) and len(part) <= MOST_TEXT for part in word)
 
 
--- a/brookhinge/membership/talk.py
+++ b/brookhinge/membership/talk.py
@@ -8,11 +8,11 @@
 
 from brookhinge.membership.counting import sharers
 from brookhinge.membership.fellow import Fellow
-from brookhinge.membership.post import VERSION, Post
+from brookhinge.membership.look import MEMBERS
+from brookhinge.membership.post import MAIL, VERSION, Post
 from brookhinge.membership.view import STATES
 
 READ = 256          # datagrams of one pass of the loop that go into one round; the rest is the next one's
-LIMITS = ("want", "lend")   # methods of brookhinge/limits
 LEAVING_S = 0.05    # after the word of leaving, so that it is out before the socket closes
 
 
@@ -28,12 +28,14 @@
     sharers  how many routers the settings tell of: at this place, and in all
     event    called with (method, values) for the reducer: `heard` and `fellows`
     log      called as log(event, **values)
-    demand   where limits are shared: what was asked of them lately (brookhinge/limits)"""
 
-    def __init__(self, block, seed, sharers_told, event, log, demand=None):
+    What else fellows talk about joins by `add`: a core with `methods`, round(now, inbox, writer), next_at(), and
+    tell(now, writer), which is called before a round of the decisions once its `shrinks_at` is past."""
+
+    def __init__(self, block, seed, sharers_told, event, log):
         self.block, self.event, self.log, self.seed = block, event, log, seed
         self.post, self.inbox, self.due, self.timer, self.transport = Post(block.site, block.key), [], False, None, None
-        self.demand, self.limits, self.lending = demand, None, []
+        self.makers, self.cores, self.mail = [], [], {}
         self.changes, self.server = collections.Counter(), None
         self.told_of, self.counted, self.count_at = sharers_told, sharers_told, 0.0
 
@@ -50,10 +52,9 @@
             self.server, _ = publish(Figures(self), self.block.metrics)
         self.log("fleet", change="listening", address="%s:%d" % address,
                  **({"metrics": self.server.server_port} if self.server else {}))
-        if self.demand is not None:
-            from brookhinge.limits.limits import Limits
-            self.limits = Limits(self.fellow.view, self.block.name, self.block.zone, VERSION, lambda: self.counted,
-                                 self.demand, steady())
+        self.cores = [make(self, steady()) for make in self.makers]
+        self.mail = {method: core for core in self.cores for method in core.methods}
+        self.letters = {id(core): [] for core in self.cores}
         self.turn()
         return address
 
@@ -64,10 +65,10 @@
         if message[0][0].startswith("?"):
             return self.shown(message, address)
         if len(self.inbox) < READ:
-            if message[4] in LIMITS:        # its sender is a member as any other, the rest is not the fellow's
-                claim, digest, news, rows, method, values = message
-                if self.limits is not None and len(self.lending) < READ:
-                    self.lending.append((claim[1], method, values, rows))
+            claim, digest, news, rows, method, values = message
+            if method in MAIL:              # its sender is a member as any other, the rest is not the fellow's
+                if method in self.mail:
+                    self.letters[id(self.mail[method])].append((claim[1], method, values, rows))
                 message = claim, digest, news, (), "tell", ()
             self.inbox.append(message)
         if not self.due:
@@ -87,18 +88,20 @@
         if now >= self.count_at:
             self.count(now)
         wait = self.fellow.next_at() - now
-        if self.limits is not None and not self.fellow.out:
-            lending, self.lending, at = self.lending, [], steady()
-            self.limits.round(at, lending, self)
-            wait = min(wait, self.limits.next_at() - at)
+        for core in self.cores if not self.fellow.out else ():
+            letters, self.letters[id(core)] = self.letters[id(core)], []
+            at = steady()
+            core.round(at, letters, self)
+            wait = min(wait, core.next_at() - at)
         if self.timer is not None:
             self.timer.cancel()
         self.timer = None if wait == math.inf else asyncio.get_running_loop().call_later(max(0.001, wait), self.turn)
 
     def before(self):
-        """Before a round of the decisions: no part of a limit is used after its end."""
-        if self.limits is not None and steady() >= self.limits.shrinks_at:
-            self.limits.tell(steady(), self)
+        """Before a round of the decisions: nothing that ends by itself is used after its end."""
+        for core in self.cores:
+            if steady() >= core.shrinks_at:
+                core.tell(steady(), self)
 
     def count(self, now):
         """How many share the limits, looked at after each change and each second."""
@@ -131,11 +134,14 @@
         claim, _, _, _, method, values = message
         if method != "look":
             return
-        v, now = self.fellow.view, time.monotonic()
-        rows = [(v.names[i], STATES[v.state[i]], round(now - v.since[i], 1), v.by[i], v.zone[i], "%s:%d" % v.address[i])
-                for i in range(values[0], min(len(v.names), values[0] + 6))]
-        data = self.post.write(v.claim(v.index[self.fellow.name], now), v.digest(), "seen", (values[0], len(v.names)), [],
-                               rows)
+        v, now, (at, what) = self.fellow.view, time.monotonic(), values
+        if what == MEMBERS:
+            rows = [(v.names[i], STATES[v.state[i]], round(now - v.since[i], 1), v.by[i], v.zone[i],
+                     "%s:%d" % v.address[i]) for i in range(len(v.names))]
+        else:
+            rows = next((core.shown(steady()) for core in self.cores if core.look == what), [])
+        data = self.post.write(v.claim(v.index[self.fellow.name], now), v.digest(), "seen", (at, len(rows)), [],
+                               rows[at:at + 6])
         if data is not None:
             self.transport.sendto(data, address)
 
@@ -160,10 +166,14 @@
     def word(self, kind, values, by):
         self.event("heard", (kind, values))
 
-    # the limits' writer
+    # the cores' writer
+
+    def add(self, make):
+        """make(talk, now): a core, made when the fellow is."""
+        self.makers.append(make)
 
-    def lend(self, place, method, values, rows):
+    def post_to(self, place, method, values, rows):
         self.send(self.fellow.view.address[place], method, values, [], rows)
 
-    def parts(self, rows):
-        self.event("parts", (rows,))
+    def event_of(self, method, *values):
+        self.event(method, values)
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -63,9 +63,12 @@
         if fleet is not None:
             from brookhinge.membership.talk import Talk
             place = site.decisions["place"]
-            self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log,
-                             self.reducer.demand if fleet.share_limits else None)
+            self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log)
             self.rounds.before.append(self.talk.before)
+            if fleet.share_limits:
+                from brookhinge.limits.limits import Limits
+                self.talk.add(lambda talk, now: Limits(talk.fellow.view, fleet.name, fleet.zone, talk.fellow.version,
+                                                       lambda: talk.counted, self.reducer.demand, now))
             self.rounds.join(self.talk, "spread")
         for event in commands:
             self.post(*event)
--- a/brookhinge/standin/lending.py
+++ b/brookhinge/standin/lending.py
@@ -51,10 +51,10 @@
 
     # the writer
 
-    def lend(self, place, method, values, rows):
+    def post_to(self, place, method, values, rows):
         self.world.send(self, self.view.names[place], (self.uid, method, values, [(*r[:3], *r[3:]) for r in rows]))
 
-    def parts(self, rows):
+    def event_of(self, method, rows):
         for *limit, part in rows:
             if part is None:
                 self.used.pop(tuple(limit), None)
--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -14,10 +14,11 @@
 import signal
 import sys
 import time
+import zlib
 from pathlib import Path
 
-from brookhinge.box import Box
-from brookhinge.membership.look import look
+from brookhinge.box import Box, wire
+from brookhinge.membership.look import LIMITS, look
 from brookhinge.operator.schema import Stand, Tier
 from brookhinge.standin.caller import ThriftCaller
 from brookhinge.standin.channel import CommandChannel
@@ -33,13 +34,18 @@
   key       = "{key}"
   zone      = "edge-1"
   lease_s   = {lease_s}
-}}
+{more}}}
 """
 OFF = "import time; real = time.time; time.time = lambda: real() + {off}"      # a wall clock that is off
 OTHER_VERSION = "import brookhinge.membership.post as post; post.VERSION = 2"  # a program that speaks other messages
 MAIN = "; import sys; sys.argv = ['brookhinge']; from brookhinge.__main__ import main; sys.exit(main())"
 
 
+def seed_of(name):
+    """The same in every run, which `hash` is not."""
+    return zlib.crc32(name.encode()) % 65536
+
+
 class Wire(asyncio.DatagramProtocol):
     """The way to one router: fellows know it by this address."""
 
@@ -89,9 +95,77 @@
             way.transport.close()
 
 
+class Watched(Box):
+    """A box that notes when each query came, and fails some: all kinds alike, by a seed."""
+
+    def __init__(self, stand, seed):
+        super().__init__(stand)
+        self.came, self.fails, self.chance = [], 0.0, random.Random(f"{seed} {stand.name}")
+
+    async def serve(self, peer, name, raw, body):
+        self.came.append(time.monotonic())
+        if self.chance.random() < self.fails:
+            return wire.answer(name, b"failed")
+        return await super().serve(peer, name, raw, body)
+
+    def most_in(self, seconds, since=0.0):
+        """The most queries that came within any stretch of so many seconds."""
+        came = [at for at in self.came if at >= since]
+        first = most = 0
+        for last, at in enumerate(came):
+            while came[first] <= at - seconds:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+class Pipe:
+    """The way from one router to one box: TCP, cut short by a seed."""
+
+    def __init__(self, port, seed):
+        self.port, self.breaks, self.chance, self.open = port, 0.0, random.Random(seed), set()
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.carry, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def carry(self, reader, writer):
+        try:
+            there, back = await asyncio.open_connection("127.0.0.1", self.port)
+        except OSError:
+            return writer.transport.abort()
+        self.open |= {writer, back}
+        try:
+            await asyncio.gather(self.pump(reader, back), self.pump(there, writer))
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.open -= {writer, back}
+            writer.transport.abort()
+            back.transport.abort()
+
+    async def pump(self, reader, writer):
+        while data := await reader.read(65536):
+            if self.chance.random() < self.breaks:
+                raise ConnectionError
+            writer.write(data)
+            await writer.drain()
+        raise ConnectionError
+
+    def close(self):
+        self.server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+
+
 class Rig:
-    def __init__(self, folder, routers=6, boxes=2, seed=1, lease_s=5, **settings_):
+    """more: lines that each router's block of the operator's file has beside the usual ones; piped: names of routers that
+    reach the boxes over ways of their own (`rig.pipes[router, box]`); first: Python that each router runs first."""
+
+    def __init__(self, folder, routers=6, boxes=2, seed=1, lease_s=5, more="", piped=(), first="", **settings_):
         self.folder, self.settings, self.lease_s, self.boxes = Path(folder), settings_, lease_s, {}
+        self.more, self.piped, self.pipes, self.seed = "".join(f"  {line}\n" for line in more.splitlines()), piped, {}, seed
+        self.box_ports, self.first = {}, first
         self.names = [f"n{k + 1}" for k in range(routers)]
         self.box_names = [f"s-{k + 1}" for k in range(boxes)]
         self.wires, self.origin = Wires(seed), Origin((2_000, 8_000), 0.005)
@@ -102,18 +176,19 @@
         _, origin_port = self.origin.listen()
         rows = [self.row("origin", "origin", "hub", origin_port)]
         self.feed = CommandChannel()
-        _, feed_port = await self.feed.listen()
+        _, self.feed_port = await self.feed.listen()
         for name in self.box_names:
-            port = free_port()
-            rows.append(self.row(name, "box", "edge-1", port))
+            self.box_ports[name] = free_port()
+            rows.append(self.row(name, "box", "edge-1", self.box_ports[name]))
             self.feed.hosts = {row["host"]: row for row in rows}
-            self.boxes[name] = Box(Stand(name, ("127.0.0.1", port), ("127.0.0.1", feed_port), 64, 2.0, 30.0, 0.4, 0.5,
-                                         "parent", "origin", (), {}, Tier("", 16, 1, 1, 1, 1, 1)))
-            await self.boxes[name].start()
+            await self.start_box(name)
         for name in self.names:
             self.udp[name] = free_port()
             self.relay[name] = await self.wires.open(name, self.udp[name])
             self.channels[name] = CommandChannel([dict(row) for row in rows])
+            for box in self.box_names if name in self.piped else ():
+                pipe = self.pipes[name, box] = Pipe(self.box_ports[box], f"{seed_of(name)} {box}")
+                self.channels[name].hosts[box]["dial"] = f"127.0.0.1:{await pipe.listen()}"
             await self.channels[name].listen()
         self.join = ", ".join(f'"127.0.0.1:{self.relay[name]}"' for name in self.names[:3])
         (self.folder / "fleet.hcl").write_text("".join(map(self.block, self.names)))
@@ -122,7 +197,23 @@
 
     def block(self, name):
         return BLOCK.format(name=name, port=self.udp[name], relay=self.relay[name], join=self.join, key=KEY,
-                            lease_s=self.lease_s)
+                            lease_s=self.lease_s, more=self.more)
+
+    async def start_box(self, name):
+        """Starts a box, or starts it anew, with nothing in its memory."""
+        if name in self.boxes:
+            await self.boxes[name].stop()
+        self.boxes[name] = Watched(Stand(name, ("127.0.0.1", self.box_ports[name]), ("127.0.0.1", self.feed_port), 64, 2.0,
+                                         30.0, 0.4, 0.5, "parent", "origin", (), {}, Tier("", 16, 1, 1, 1, 1, 1)), self.seed)
+        await self.boxes[name].start()
+
+    async def cold(self, *names):
+        """Boxes start anew, and every router that has a command channel is told so."""
+        born = round(time.time() * 1000)
+        await asyncio.gather(*map(self.start_box, names))
+        for channel in self.channels.values():
+            for name in names:
+                channel.list(name, born_ms=born)
 
     @staticmethod
     def row(name, kind, site, port):
@@ -135,7 +226,7 @@
         self.ports[name] = free_port()
         path, said = self.folder / f"{name}.json", under or name
         path.write_text(json.dumps({
-            "name": said, "listen": f"127.0.0.1:{self.ports[name]}", "seed": f"{abs(hash(name)) % 65536:x}",
+            "name": said, "listen": f"127.0.0.1:{self.ports[name]}", "seed": f"{seed_of(name):x}",
             "channel": "%s:%d" % self.channels[name].server.sockets[0].getsockname()[:2],
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.channels[name].answer(0),
             "settings": {**settings(**self.settings), "Instances": len(self.names)}}))
@@ -143,6 +234,7 @@
         if under or key:
             file = self.folder / f"{name}.hcl"
             file.write_text(self.block(name).replace(f'"{name}"', f'"{said}"', 1).replace(KEY, key or KEY))
+        first = first or self.first
         args = ["-c", first + MAIN] if first else ["-m", "brookhinge"]
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = await asyncio.create_subprocess_exec(
@@ -181,6 +273,11 @@
         seen = await look(("127.0.0.1", self.udp[name]), "rig", bytes.fromhex(KEY))
         return seen and {row[0]: row[1] for row in seen[0]}
 
+    async def parts(self, name):
+        """What a router says of the limits that it shares."""
+        seen = await look(("127.0.0.1", self.udp[name]), "rig", bytes.fromhex(KEY), LIMITS)
+        return seen and seen[0]
+
     async def one_view(self, names=None, but=(), others=()):
         """Whether all those hold just each other for living, and `others`, who are not asked."""
         names = names or [name for name in self.processes if name not in but]
@@ -210,6 +307,8 @@
     async def __aexit__(self, *_):
         await end_all(self.processes.values())
         self.wires.close()
+        for pipe in self.pipes.values():
+            pipe.close()
         for channel in self.channels.values():
             channel.end()
         for box in self.boxes.values():
--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -37,7 +37,7 @@
         return made.getsockname()[1]
 
 
-def settings(aim_s=0.3, patience_s=3.0, warm_s=5.0, longest_hint_s=0.0):
+def settings(aim_s=0.3, patience_s=3.0, warm_s=5.0, longest_hint_s=0.0, flow_kb_s=0.0):
     """The settings of a router among boxes of this town."""
     return {"Az": "edge-1", "Zones": ["hub", "edge-1"], "MachineTypes": ["box", "parent", "origin"], "Instances": 1,
             "Classes": [{"Name": "page", "AimNs": aim_s * 1e9, "DeadlineNs": patience_s * 1e9, "Effect": "retryable"}],
@@ -45,7 +45,8 @@
                        "RetryAfter": longest_hint_s > 0, "MaxRetryAfterNs": longest_hint_s * 1e9},
             "Rules": {"ColdFrom": 0.3, "WarmUpNs": warm_s * 1e9, "FallMultiple": 3.0, "FallNs": 1e9},
             "Report": {"Columns": ["cpu"]}, "WeightSource": "nominal",
-            "Specifics": {"UpperKind": 1, "MasterKind": 2, "Says": "all", "SharesFills": True, "PeersFill": "any"}}
+            "Specifics": {"UpperKind": 1, "MasterKind": 2, "Says": "all", "SharesFills": True, "PeersFill": "any",
+                          "OneFlowKbPerS": flow_kb_s}}
 
 
 async def end_all(processes):
--- /dev/null
+++ b/tests/limits/test_rig.py
@@ -0,0 +1,140 @@
+"""Real routers that share limits, with faults in and between them. Boxes note when each query came: over all routers no
+more may reach a cold one in any window than what pushes it over, whoever dies, sleeps or is cut off meanwhile."""
+import asyncio
+import random
+
+import pytest
+
+from brookhinge.limits.terms import LEND, START
+from brookhinge.standin.rig import Rig
+
+LONG = 60.0
+WINDOW_S, WORK_S = 1.0, 0.1         # by the rig's settings, and what each query below is expected to take
+FALLS = 3.0 * 0.3 * 4 * WINDOW_S / WORK_S       # multiple x share at the start x power x window, in queries
+ROOM = FALLS + 3.0 * FALLS ** 0.5 + 3.0
+
+
+class Load:
+    """Callers of each router, so many queries a second each; every query has to get one answer."""
+
+    def __init__(self, rig, rates):
+        self.rig, self.rates, self.kinds, self.going, self.chance = rig, rates, {}, [], random.Random(5)
+
+    async def __aenter__(self):
+        self.going = [asyncio.ensure_future(self.call(name, rate)) for name, rate in self.rates.items()]
+        return self
+
+    async def call(self, name, rate):
+        caller, asking = None, set()
+        while True:
+            await asyncio.sleep(1.0 / rate * (0.5 + self.chance.random()))
+            try:
+                caller = caller or await self.rig.caller(name)
+                task = asyncio.ensure_future(caller.ask(f"{self.chance.randrange(1 << 48):016x}", size_kb=50.0,
+                                                           patience_ms=1900))
+            except OSError:             # that router is down
+                caller = None
+                continue
+            asking.add(task)
+            task.add_done_callback(asking.discard)
+            task.add_done_callback(lambda done, name=name: self.count(name, done))
+            if not caller.connection.open:
+                caller = None
+
+    def count(self, name, done):
+        kind = "none" if done.cancelled() or done.exception() else done.result()[0]
+        self.kinds.setdefault(name, {}).setdefault(kind, 0)
+        self.kinds[name][kind] += 1
+
+    async def __aexit__(self, *_):
+        for task in self.going:
+            task.cancel()
+        await asyncio.gather(*self.going, return_exceptions=True)
+
+
+def play(script, folder, routers=8, first=""):
+    async def run():
+        async with Rig(folder, routers=routers, boxes=3, aim_s=WORK_S, flow_kb_s=500.0, warm_s=20.0, patience_s=2.0,
+                       more="share_limits = true", first=first) as rig:
+            assert await rig.until(rig.one_view, LONG)
+            await asyncio.sleep(START + 0.5)
+            await script(rig)
+            for name, box in rig.boxes.items():
+                assert box.most_in(WINDOW_S) <= ROOM, f"{name} got {box.most_in(WINDOW_S)} within {WINDOW_S} s"
+    asyncio.run(run())
+
+
+def uneven(rig, much=40.0, little=0.5):
+    return {name: much if name == "n1" else little for name in rig.names}
+
+
+def flood(rig):
+    """More than boxes would bear, half of it at one router."""
+    return uneven(rig, 150.0, 150.0 / 7)
+
+
+async def lent(rig, name):
+    """The largest part of a cold box that a router may use now."""
+    rows = await rig.parts(name)
+    return max((row[5] for row in rows or () if row[0] == "cache"), default=0.0)
+
+
+def test_a_busy_router_gets_what_the_others_do_not_need(tmp_path):
+    async def script(rig):
+        await rig.cold(*rig.box_names)
+        async with Load(rig, uneven(rig)) as load:
+            async def busy():
+                return await lent(rig, "n1") > 2.0 / 8
+            assert await rig.until(busy, LONG)
+            before = sum(len(box.came) for box in rig.boxes.values())
+            assert await rig.until(lambda: sum(len(box.came) for box in rig.boxes.values()) > before + 60, LONG)
+        assert load.kinds["n1"].get("lost", 0) == 0
+    play(script, tmp_path)
+
+
+def test_nobody_passes_the_whole_while_routers_die_sleep_and_are_cut_off(tmp_path):
+    async def script(rig):
+        async with Load(rig, flood(rig)):
+            await rig.cold(*rig.box_names)
+            await asyncio.sleep(2.0)
+            await rig.kill("n2")                        # among them whoever keeps a limit, and who gave some away
+            rig.freeze("n3")
+            await asyncio.sleep(LEND + 0.5)
+            rig.thaw("n3")
+            rig.freeze("n1")                            # who was lent the most
+            await asyncio.sleep(LEND + 0.5)
+            rig.thaw("n1")
+            await rig.start("n2")                       # under its name, with what it gave away still out
+            half = set(rig.names[:4])
+            rig.wires.cut = lambda a, b: (a in half) != (b in half)
+            await asyncio.sleep(2.0)
+            rig.wires.cut = lambda a, b: False
+            await rig.cold("s-1")                       # another process at the address, while parts of it are out
+            await asyncio.sleep(2.0)
+    play(script, tmp_path)
+
+
+def test_seven_in_ten_killed_and_all_restarted_during_a_cold_start(tmp_path):
+    async def script(rig):
+        async with Load(rig, flood(rig)):
+            await rig.cold(*rig.box_names)
+            await asyncio.sleep(1.0)
+            gone = rig.names[2:]
+            await asyncio.gather(*map(rig.kill, gone))
+            await asyncio.gather(*map(rig.start, gone))
+            for name in rig.names[:2]:
+                await rig.end(name)
+                await rig.start(name)
+            await asyncio.sleep(2.0)
+    play(script, tmp_path)
+
+
+def test_the_rig_finds_keepers_that_lend_what_they_have_not(tmp_path):
+    async def script(rig):
+        async with Load(rig, flood(rig)):
+            await rig.cold(*rig.box_names)
+            await asyncio.sleep(4.0)
+    lavish = "import brookhinge.limits.keeper as k; k.Keeper.lend = lambda self, now: {limit: {holder: 1.0 for holder, " \
+             "(need, until) in self.needs[limit].items() if need > 0 and until > now} for limit in self.wanting(now)}"
+    with pytest.raises(AssertionError, match="within"):
+        play(script, tmp_path, first=lavish)
