Verdicts of boxes from what all routers saw: evidence shared, each decides by itself

Need: each router finds a bad box alone from one or two queries a second. Now totals of tries and failures go to a collector of each box in question and from there to all, merged by router, start and number; each router judges by itself: three witnesses at least, none counting more than twice the median, who sees most boxes fail speaks of itself, never more than two in five. A resting box is tried at one pace by the fleet, comes back over a ramp; evidence older than 4 s acts on nobody, a router cut off is as it would be alone. Off unless share_verdicts = true. Tests: tables, properties (a liar condemns nobody, doubling and order change nothing), eight real processes: a box that fails four in ten left by all and taken back, one router's broken links rest no box elsewhere, a cut.

--- a/brookhinge/cli/fleet.py
+++ b/brookhinge/cli/fleet.py
@@ -8,6 +8,7 @@
 from brookhinge.operator import OperatorError, read_file
 
 PARTS = ["kind", "server", "own", "given", "lent", "in_use", "shrinks_in_s", "keeper"]
+SAID = ["server", "state", "for_s", "why", "witnesses", "tries", "failed", "own_trouble"]
 COLUMNS = ["member", "state", "for_s", "by", "zone", "address"]
 
 
@@ -67,6 +68,22 @@
         table(rows, PARTS, False)
 
 
+@command.command("verdicts")
+@click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
+@click.option("--router", help="Whose verdicts; the first block's without.")
+@click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
+def verdicts(file, router, as_json):
+    """Which servers are in question at a router, why one rests, by how many witnesses, and which is its own trouble."""
+    from brookhinge.membership.look import VERDICTS
+    block = block_of(file, router)
+    rows, _ = ask(block, VERDICTS, SAID)
+    if as_json:
+        return table([{"router": block.name, "verdicts": rows}], [], True)
+    click.echo(f"{block.name}: {len(rows)} servers in question")
+    if rows:
+        table(rows, SAID, False)
+
+
 @command.command("watch")
 @click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
 @click.option("--router", help="Whose view; the first block's without.")
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -4,7 +4,7 @@
 its writer: decisions become effects. Times are seconds since the start. It knows nothing of any wire.
 
 Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected, among fellows
-also heard, fellows and parts.
+also heard, fellows, parts and verdicts.
 Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say; among fellows also spread.
 """
 import heapq
@@ -291,6 +291,19 @@
         """What was asked of limits that the fleet shares, starts in ms; it begins anew."""
         return [(kind, server, self.tight.stamp(born), part) for kind, server, born, part in self.router.demand(self.now)]
 
+    def verdicts(self, rows):
+        """What follows from what all routers saw of servers: (server, start in ms, how, seconds) each."""
+        told = []
+        for server, start, how, seconds in rows:
+            row = self.tight.rows.get(server)
+            if row is not None and self.tight.stamp(row[3]) == start:
+                told.append((server, how, seconds))
+        self.inbox.append(("verdicts", (told,)))
+
+    def seen(self):
+        """{(server, start in ms): (tries, failed)} of caches, totals of this process."""
+        return {(server, self.tight.stamp(born)): (tries, failed) for server, born, tries, failed in self.router.seen()}
+
     def skipped(self, number, why):
         self.cursor = max(self.cursor, number)
         self.effects.append(("say", ("command skipped", {"cursor": number, "why": why})))
--- a/brookhinge/limits/shared.py
+++ b/brookhinge/limits/shared.py
@@ -1,7 +1,7 @@
 """The decisions where limits are shared: the same budgets, with parts that are told and demand that is counted. No I/O,
 no clock. A part that was told belongs to one start of a server; of another start, or of a limit that nothing was told
 of, a router has its own part, one of N."""
-from brookhinge.decide import ColdBudget, Crowding, Router
+from brookhinge.decide import ColdBudget, Crowding
 
 
 class SharedBudget(ColdBudget):
@@ -33,16 +33,16 @@
         return super().room(c, inflight, part, weight)
 
 
-class SharingRouter(Router):
-    """Beside Router's calls it takes `parts`, and `demand(now)` tells what was asked since it was last called."""
+class Sharing:
+    """Goes before Router: beside its calls it takes `parts`, and `demand(now)` tells what was asked since the last call."""
 
     def __init__(self, seed, tracks, place, *rest, **named):
         super().__init__(seed, tracks, place, *rest, **named)
         cold = self.cold
         self.cold = {role: SharedBudget(old.start, old.routers) for role, old in cold.items()}
         self.crowding, self.counted_at = SharedCrowding(place.routers_here), 0.0
-        parts = (self.health, self.sources, self.crowding, *self.cold.values())
-        self.figures = [d for p in parts for d in vars(p).values() if isinstance(d, dict)] + [self.heard_at]
+        self.figures += [figures for limit in (self.crowding, *self.cold.values()) for figures in vars(limit).values()
+                         if isinstance(figures, dict)]
 
     def parts(self, rows):
         """(kind, server, born, part) each; part None: its own again. Kind "own": the part that it has by itself of all
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -29,18 +29,23 @@
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
-        router, lineage = Router, None
+        kinds, lineage = [], None       # what goes before Router where limits or verdicts are shared
         returns = self.gate = self.talk = tight = None
         if fleet is not None:
             from brookhinge.membership.tight import Tight
             tight = Tight(self.start)
             if fleet.share_limits:
-                from brookhinge.limits.shared import SharingRouter as router
+                from brookhinge.limits.shared import Sharing
+                kinds.append(Sharing)
+            if fleet.share_verdicts:
+                from brookhinge.verdicts.shared import Judging
+                kinds.append(Judging)
         if site.storm:
             from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
             from brookhinge.storm.plan import Returns
             lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
+        router = type("Router", (*kinds, Router), {}) if kinds else Router
         self.reducer = Reducer(router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
                                [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage, tight)
         self.rounds = Rounds(self.reducer, self.now, self.log)
@@ -69,6 +74,12 @@
                 from brookhinge.limits.limits import Limits
                 self.talk.add(lambda talk, now: Limits(talk.fellow.view, fleet.name, fleet.zone, talk.fellow.version,
                                                        lambda: talk.counted, self.reducer.demand, now))
+            if fleet.share_verdicts:
+                from brookhinge.verdicts.verdicts import Verdicts
+                own = self.reducer.router.fleet
+                self.talk.add(lambda talk, now: Verdicts(talk.fellow.view, fleet.name, fleet.zone, talk.fellow.version,
+                                                         lambda: talk.counted[0], self.reducer.seen, lambda: len(own.own),
+                                                         now))
             self.rounds.join(self.talk, "spread")
         for event in commands:
             self.post(*event)
--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 
 from brookhinge.box import Box, wire
-from brookhinge.membership.look import LIMITS, look
+from brookhinge.membership.look import LIMITS, VERDICTS, look
 from brookhinge.operator.schema import Stand, Tier
 from brookhinge.standin.caller import ThriftCaller
 from brookhinge.standin.channel import CommandChannel
@@ -275,7 +275,14 @@
 
     async def parts(self, name):
         """What a router says of the limits that it shares."""
-        seen = await look(("127.0.0.1", self.udp[name]), "rig", bytes.fromhex(KEY), LIMITS)
+        return await self.shown(name, LIMITS)
+
+    async def verdicts(self, name):
+        """What it says of servers in question."""
+        return await self.shown(name, VERDICTS)
+
+    async def shown(self, name, what):
+        seen = await look(("127.0.0.1", self.udp[name]), "rig", bytes.fromhex(KEY), what)
         return seen and seen[0]
 
     async def one_view(self, names=None, but=(), others=()):
