What is saved for a cold server counts from its telling, not from the first query or an earlier start

Seen: in a model of 32 routers (1 query a second each, five boxes restarted cold) 37% of the queries were nacked at 'no cache may be sent to', though all together sent half of what the boxes bear. Cause: ColdBudget.take began to save with the first query to a server, so each router's first query to each cold server was refused, and a router with few queries has hardly a second one while it is cold. The same line kept what had been saved since an earlier start of the server, whole, for its next one (rate x the time between). Now the telling of a start sets what is saved to nothing and its clock to now. The guard's test fails without it.

--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -8,16 +8,15 @@
 clients retry at once, a quarter after a short wait over and over, half heed the time that they are told; all who failed
 during the cut come back together at its end. The same seed plays the same clients with and without `storm`. One run has
 no sockets and no real time; figures are simulated. Last line: one JSON object."""
-import heapq
-import itertools
 import random
 import time
 from concurrent.futures import ProcessPoolExecutor
 
 from benchmarks import kept
 from brookhinge.decide import Router
-from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
 from brookhinge.engine.reducer import Reducer
+from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
+from brookhinge.standin.model import Model
 from brookhinge.storm.lineage import Lineage
 from brookhinge.storm.plan import Returns
 
@@ -28,51 +27,6 @@
           Track("pages", "replayable", "all", 0.0, CONTRACT_S, 0.0, PATIENCE_S, 1.0, 0.2, 0.0, 0.0, 0.0, False))
 
 
-class Box:
-    """Processor sharing among what is on it, by virtual time."""
-
-    def __init__(self, name):
-        self.name, self.up, self.fallen, self.born, self.kept = name, True, False, None, set()
-        self.jobs, self.done, self.v, self.at, self.sent, self.peak = {}, [], 0.0, 0.0, [], 0.0
-
-    def able(self, now):
-        if self.born is None:
-            return CORES
-        return CORES * (COLD.share + (1.0 - COLD.share) * min(1.0, (now - self.born) / COLD.warm_s))
-
-    def advance(self, now):
-        if self.jobs:
-            self.v += (now - self.at) * min(1.0, self.able(self.at) / len(self.jobs))
-        self.at = now
-
-    def take(self, now, key, work):
-        self.advance(now)
-        self.jobs[key] = self.v + work
-        heapq.heappush(self.done, (self.v + work, key))
-        self.sent = [(at, w) for at, w in self.sent if now - at <= COLD.window_s] + [(now, work)]
-        load = sum(w for _, w in self.sent) / (self.able(now) * COLD.window_s)
-        if self.born is not None and now - self.born < COLD.warm_s:
-            self.peak = max(self.peak, load)
-            self.fallen = self.fallen or load > COLD.multiple
-        return not self.fallen
-
-    def next_at(self, now):
-        while self.done and self.done[0][1] not in self.jobs:
-            heapq.heappop(self.done)
-        if not self.done:
-            return None
-        return now + max(0.0, self.done[0][0] - self.v) / min(1.0, self.able(now) / len(self.jobs))
-
-    def finished(self, now):
-        self.advance(now)
-        ready = []
-        while self.done and (self.done[0][1] not in self.jobs or self.done[0][0] <= self.v + 1e-9):
-            _, key = heapq.heappop(self.done)
-            if self.jobs.pop(key, None) is not None:
-                ready.append(key)
-        return ready
-
-
 class Need:
     """What somebody wants: its tries count under the first."""
     __slots__ = ("router", "at", "kind", "track", "object", "address", "tries", "served_at", "told", "came", "herd", "out")
@@ -83,18 +37,17 @@
         self.tries, self.served_at, self.told, self.came, self.herd, self.out = 0, None, None, None, False, False
 
 
-class World:
+class World(Model):
     def __init__(self, seed, storm, rate, calm_s, cut_s, after_s, heed=0.5, proxies=0.2, sticks=0.9):
-        self.chance, self.storm = random.Random(seed), storm
+        super().__init__(seed, BOXES, CORES, COLD, WORK)
+        self.storm = storm
         self.clients = random.Random(seed + 1)
         self.calm_s, self.cut_s, self.end = calm_s, cut_s, calm_s + cut_s + after_s
         self.rate, self.heed, self.proxies, self.sticks = rate, heed, proxies, sticks
-        self.events, self.order, self.now = [], itertools.count(), 0.0
-        self.boxes = {f"s-{i}": Box(f"s-{i}") for i in range(BOXES)}
         self.routers = [self.router(n, seed) for n in range(ROUTERS)]
-        self.serial, self.open, self.out, self.needs = 0, {}, {}, []
-        self.counts = dict(tries=0, pushes=0, told=0, came_when_told=0, served_when_told=0)
-        self.parent_out, self.plans_before = 0, [dict.fromkeys(Returns(0).counts, 0)] * ROUTERS
+        self.serial, self.open, self.needs = 0, {}, []
+        self.counts = dict(tries=0, told=0, came_when_told=0, served_when_told=0)
+        self.plans_before = [dict.fromkeys(Returns(0).counts, 0)] * ROUTERS
 
     def router(self, number, seed):
         returns = Returns(LONGEST_HINT_S) if self.storm else None
@@ -105,93 +58,6 @@
                         reports=[], returns=returns)
         return Reducer(router, [t.name.encode() for t in TRACKS], ["hub", "edge"], Lineage() if self.storm else None)
 
-    def at(self, when, work, *args):
-        heapq.heappush(self.events, (when, next(self.order), work, args))
-
-    def hosts(self, health):
-        rows = [("s-p", ("", 1), "hub", "parent", 0, "ready", 40.0, None), ("s-o", ("", 2), "hub", "origin", 0, "ready", 40.0,
-                                                                         None)]
-        return rows + [(name, ("", 3), "edge", "box", 0, health, float(CORES), box.born)
-                       for name, box in self.boxes.items()]
-
-    def tell(self, health, number):
-        for n in range(ROUTERS):
-            self.hear(n, ("listed", (number, True, self.hosts(health))))
-
-    # routers
-
-    def hear(self, n, *events):
-        reducer = self.routers[n]
-        for method, values in reducer.reduce(self.now, list(events)):
-            work = getattr(self, method, None)
-            if work:
-                work(n, *values)
-        at = reducer.next_at()
-        if at is not None:
-            self.at(max(at, self.now) + 1e-6, self.timed, n)
-
-    def timed(self, n):
-        at = self.routers[n].next_at()
-        if at is not None and at <= self.now:
-            self.hear(n)
-
-    def pull(self, n, query, push, server, name, kind, key, part, left, source, *rest):
-        self.counts["pushes"] += 1
-        box = self.boxes.get(server[0])
-        if box is None or not box.up or box.fallen:
-            return self.at(self.now + 0.001, self.ended, n, query, push, "unreachable", 0)
-        hit = key in box.kept
-        if not hit and not source:
-            return self.at(self.now + 0.002, self.ended, n, query, push, "miss", 0)
-        self.out[n, query, push] = server[0]
-        if hit:
-            return self.start(n, query, push, box, key, 1)
-        self.parent_out += 1
-        self.at(self.now + 0.08 * max(1.0, self.parent_out / 40), self.filled, n, query, push, box, key, box.born)
-
-    def filled(self, n, query, push, box, key, born):
-        self.parent_out -= 1
-        if box.up and box.born == born:
-            box.kept.add(key)
-            if (n, query, push) in self.out:
-                self.start(n, query, push, box, key, 2)
-
-    def start(self, n, query, push, box, key, note):
-        if not box.take(self.now, (n, query, push, note), WORK):
-            return self.fall(box)
-        self.look(box)
-
-    def look(self, box):
-        at = box.next_at(self.now)
-        if at is not None:
-            self.at(at + 1e-9, self.finish, box)
-
-    def finish(self, box):
-        ready = box.finished(self.now)
-        for n, query, push, note in ready:
-            if self.out.pop((n, query, push), None):
-                self.ended(n, query, push, "satisfied", note)
-        if ready:
-            self.look(box)
-
-    def fall(self, box):
-        jobs, box.jobs = list(box.jobs), {}
-        for n, query, push, _ in jobs:
-            if self.out.pop((n, query, push), None):
-                self.ended(n, query, push, "broken", 0)
-
-    def ended(self, n, query, push, result, note):
-        self.hear(n, ("ended", (query, push, result, note, 0.0, None, b"x" if result == "satisfied" else b"", False,
-                                self.now)))
-
-    def kill(self, n, query, push):
-        server = self.out.pop((n, query, push), None)
-        if server:
-            box = self.boxes[server]
-            box.advance(self.now)
-            for note in (1, 2):
-                box.jobs.pop((n, query, push, note), None)
-
     # clients
 
     def arrive(self):
@@ -297,9 +163,7 @@
         self.at(0.0, self.arrive)
         self.at(self.calm_s, self.cut)
         self.at(self.calm_s + self.cut_s, self.restore)
-        while self.events and self.events[0][0] < self.end:
-            self.now, _, work, args = heapq.heappop(self.events)
-            work(*args)
+        self.play(self.end)
         return self.figures()
 
     def service(self, begin, end):
@@ -329,7 +193,7 @@
                     places=sum(c["given"] for c in plans),
                     kept_share_served=round(self.counts["served_when_told"] / max(1, self.counts["came_when_told"]), 4),
                     told_came=round(self.counts["came_when_told"] / max(1, self.counts["told"]), 4),
-                    tries=self.counts["tries"], first_tries=len(self.needs), pushes=self.counts["pushes"],
+                    tries=self.counts["tries"], first_tries=len(self.needs), pushes=self.pushes,
                     beside=sum(r.counts["beside"] for r in self.routers), again=sum(r.counts["again"] for r in self.routers))
 
 
--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -126,8 +126,8 @@
 
 
 class ColdBudget:
-    """Mechanism 1. Seconds of sending to servers that started lately: a router's share of what each can do.
-    A query goes with the chance that saved credit covers it. It could leave a quick starter idle."""
+    """Mechanism 1. Seconds of sending to servers that started lately: a router's share of what each can do. A
+    query goes with the chance that what is saved covers it. It could leave a quick starter idle."""
     FILL, SPREAD = 1.5, 2.5     # of the present capacity; deviations of chance kept clear of what pushes over
 
     def __init__(self, start, routers):
@@ -137,7 +137,6 @@
         return born is not None and now - born < self.start.warm_s
 
     def part(self, c, born):
-        """This router's part of what all may send to c."""
         return 1.0 / self.routers
 
     def whole(self, now, born, power, lump):
@@ -323,7 +322,7 @@
 class Router:
     def __init__(self, seed, tracks, place, allowed, supply, cold_cache, cold_parent, purge_gone_s, kinds,
                  reports, machine=None, returns=None):
-        self.chance, self.returns = random.Random(seed), returns
+        self.chance, self.returns, self.way = random.Random(seed), returns, Way()
         self.tracks, self.allowed, self.supply, self.purge_gone_s = tracks, allowed, supply, purge_gone_s
         self.fleet, self.rings = Fleet(kinds, place.zone), Rings()
         self.cold = {"cache": ColdBudget(cold_cache, place.routers_here),
@@ -332,9 +331,7 @@
         self.docs, self.queries, self.groups, self.copies = {}, {}, {}, Copies(machine)
         self.most = min(MOST_DOCS, int(DOCS_IN_MB * machine.memory_mb)) if machine else MOST_DOCS
         self.sending = [t.contract_s or 0.1 for t in tracks]    # mean sending time of each track
-        self.takes = [0.0] * len(tracks)        # mean time that answers of each track take now
-        self.fill_worth = [1.0] * len(tracks)             # utility that its fills earned lately
-        self.way = Way()
+        self.takes, self.fill_worth = [0.0] * len(tracks), [1.0] * len(tracks)      # of answers now; of fills
         self.mean, self.mean_at, self.fills, self.heard_at, self.load = 0.0, 0.0, 0, {}, {}
         parts = (self.health, self.sources, self.crowding, *self.cold.values())
         self.figures = [d for p in parts for d in vars(p).values() if isinstance(d, dict)] + [self.heard_at]
@@ -351,6 +348,10 @@
     def roster(self, kind, rows):
         own = self.fleet.own
         self.fleet.told(self.now, kind, rows)
+        for c, at in enumerate(self.fleet.forgot_at):
+            if at == self.now and self.fleet.role[c] in self.cold:
+                budget = self.cold[self.fleet.role[c]]      # what is saved counts from its telling
+                budget.at[c], budget.credit[c] = at, 0.0
         for c in self.fleet.fresh:
             for figures in self.figures:
                 figures.pop(c, None)
@@ -738,8 +739,7 @@
         track = self.tracks[q.track]
         return track.contract_s + track.stretch * (q.expect or q.doc.best or self.sending[q.track])
 
-    def fellows(self, here, everywhere):
-        """How many routers share the limits from here on, where they tell one another."""
+    def fellows(self, here, everywhere):    # so many share the limits from here on, where they tell it
         self.cold["cache"].routers, self.cold["parent"].routers = here, everywhere
         self.crowding.routers = self.among = here
 
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -289,7 +289,7 @@
 
     def demand(self):
         """What was asked of limits that the fleet shares, starts in ms; it begins anew."""
-        return [(kind, server, self.tight.stamp(born), part) for kind, server, born, part in self.router.demand(self.now)]
+        return [(kind, server, self.tight.stamp(born), *told) for kind, server, born, *told in self.router.demand(self.now)]
 
     def verdicts(self, rows):
         """What follows from what all routers saw of servers: (server, start in ms, how, seconds) each."""
--- a/brookhinge/limits/keeper.py
+++ b/brookhinge/limits/keeper.py
@@ -52,7 +52,11 @@
             given = [self.holds(limit, at) for at in moments]
             free = [given[k] - sum(row[k] for row in out.values()) for k in range(len(moments))]
             needs = {holder: need for holder, (need, until) in self.needs[limit].items() if until > now and need > 0.0}
-            for holder, amount in filled(needs, given[-1]).items():
+            parts = filled(needs, given[-1])
+            rest = max(0.0, given[-1] - sum(parts.values()))
+            sharing = self.needs[limit]         # what nobody lacks goes back to all alike: nothing that was given lies idle
+            for holder in sorted(sharing, key=lambda holder: (holder not in needs, holder)):
+                amount = parts.get(holder, 0.0) + rest / len(sharing)
                 has = out.get(holder, [0.0] * len(moments))
                 amount = min(amount, *(part + more for part, more in zip(has, free)))
                 if amount > 0.0:        # what others still hold of it comes to it as that ends
--- a/brookhinge/limits/limits.py
+++ b/brookhinge/limits/limits.py
@@ -7,17 +7,18 @@
 
 from brookhinge.limits.holder import Holder
 from brookhinge.limits.keeper import Keeper
-from brookhinge.limits.terms import BEAT, FADE, ROWS
+from brookhinge.limits.terms import BEAT, FADE, HEAD, ROWS
 from brookhinge.membership.look import LIMITS
 from brookhinge.membership.view import ALIVE
 
 EVERYWHERE = {"parent"}     # kinds that routers of all places share; all others are one place's
-AT_ONCE, FORGET_S = 64, 10.0
+AT_ONCE = 64
 
 
 class Limits:
-    """view: the fleet's; sharers(): by how many this place's limits and the whole fleet's are divided; demand(): what was
-    asked lately, (kind, server, start, part of the whole) each; it begins anew with each call."""
+    """view: the fleet's; sharers(): by how many this place's limits and the whole fleet's are divided; demand(): what
+    was asked a second since it was last called, (kind, server, start, rate, whole) each, whole 0 where nothing is limited
+    now: what a server was asked for before it started anew tells what it will be asked for."""
 
     methods, look = ("want", "lend"), LIMITS
 
@@ -25,8 +26,9 @@
         self.view, self.name, self.zone, self.version = view, name, zone, version
         self.sharers, self.demand = sharers, demand
         self.holder, self.keeper = Holder(now, max(sharers()) <= 1), Keeper()
-        self.asked, self.pressed, self.heard = {}, {}, {}   # limit -> (mean, at); limit -> {keeper: until}; keeper -> number
+        self.asked, self.pressed, self.heard = {}, {}, {}   # limit -> part of the whole; limit -> {keeper: until}; keeper -> number
         self.told, self.told_own, self.beat_at, self.shrinks_at = {}, None, now, now
+        self.looked_at, self.rates = now - BEAT, {}         # (kind, server) -> what was asked of it a second, on the mean
         self.counts = dict.fromkeys(("want", "lend", "lent", "gave"), 0)
 
     def base(self, limit):
@@ -82,17 +84,23 @@
 
     def beat(self, now, writer):
         """Looks at demand, says what is wanting, and lends."""
-        for kind, server, start, part in self.demand():
-            mean, at = self.asked.get((kind, server, start), (0.0, now - BEAT))
-            weight = min(1.0, (now - at) / FADE)
-            self.asked[kind, server, start] = mean + weight * (part - mean), now
-        self.asked = {limit: told for limit, told in self.asked.items() if now - told[1] < FORGET_S}
+        elapsed, self.looked_at = now - self.looked_at, now
+        lately, wholes = {}, {}
+        for kind, server, start, rate, whole in self.demand():
+            lately[kind, server] = rate
+            if whole:
+                wholes[kind, server, start] = whole
+        for name in self.rates.keys() | lately.keys():
+            rate, mean = lately.get(name, 0.0), self.rates.get(name, 0.0)
+            self.rates[name] = mean + min(1.0, elapsed / FADE) * (rate - mean)
+        self.rates = {name: mean for name, mean in self.rates.items() if mean > 1e-4}
+        self.asked = {limit: self.rates.get(limit[:2], 0.0) / whole for limit, whole in wholes.items()}
         self.holder.forget(now)
         self.pressed = {limit: lasting for limit, told in self.pressed.items()
                         if (lasting := {keeper: until for keeper, until in told.items() if until > now})}
         wanting = {}
-        for limit, (demand, _) in self.asked.items():
-            if demand * 1.25 > self.part(limit, now) or limit in self.pressed:
+        for limit, demand in self.asked.items():
+            if demand * HEAD > self.part(limit, now) or limit in self.pressed:
                 keeper = self.keeper_of(limit)
                 if keeper is not None:
                     wanting.setdefault(keeper, []).append(limit)
@@ -114,7 +122,7 @@
     def want(self, now, keeper, limits, writer):
         uid = self.view.uid[keeper]
         for at in range(0, len(limits), ROWS):
-            wants = {limit: (self.base(limit), self.asked.get(limit, (0.0, 0.0))[0]) for limit in limits[at:at + ROWS]}
+            wants = {limit: (self.base(limit), self.asked.get(limit, 0.0)) for limit in limits[at:at + ROWS]}
             number, rows = self.holder.word(now, uid, wants, self.pressed)
             if rows:
                 self.counts["want"] += 1
--- a/brookhinge/limits/shared.py
+++ b/brookhinge/limits/shared.py
@@ -7,16 +7,24 @@
 class SharedBudget(ColdBudget):
     def __init__(self, start, routers):
         super().__init__(start, routers)
-        self.parts, self.asked, self.own = {}, {}, 0.0
+        self.parts, self.asked, self.own, self.refused_at = {}, {}, 0.0, None
 
     def part(self, c, born):
         told = self.parts.get(c)
         return told[1] if told and told[0] == born else self.own / self.routers
 
     def take(self, c, now, born, power, work, lump, chance, spare=0.0):
-        if self.start.multiple > 0 and self.cold(now, born):
-            self.asked[c] = self.asked.get(c, 0.0) + work       # also what it refuses: that is what is wanting
-        return super().take(c, now, born, power, work, lump, chance, spare)
+        went = super().take(c, now, born, power, work, lump, chance, spare)
+        if went or self.refused_at != now:      # what a server refuses is wanting there, not at those asked in its place
+            self.asked[c] = self.asked.get(c, 0.0) + work
+        self.refused_at = None if went else now
+        return went
+
+    def settle(self, c, now, born, power, lump):
+        """What was saved up to now was saved at the part that held till now."""
+        if c in self.at:
+            come = self.whole(now, born, power, lump) * self.part(c, born) * (now - self.at[c])
+            self.credit[c], self.at[c] = self.credit.get(c, 0.0) + come, now
 
 
 class SharedCrowding(Crowding):
@@ -53,24 +61,30 @@
                     limit.own = part
                 continue
             c, limit = self.fleet.index.get(server), self.crowding if kind == "room" else self.cold[kind]
+            if c is not None and kind != "room" and limit.cold(self.now, self.fleet.born[c]):
+                limit.settle(c, self.now, self.fleet.born[c], self.power(c), max(self.sending))
             if c is not None and part is not None:
                 limit.parts[c] = born, part
             else:
                 limit.parts.pop(c, None)
 
     def demand(self, now):
-        """(kind, server, born, part of the whole) of each limit that was asked for."""
+        """(kind, server, born, rate, whole) of each server that was asked: seconds of sending a second; whole 0 where it is
+        warm. Of room: what was in flight at most, beside what each may have."""
         rows, fleet = [], self.fleet
         elapsed = max(0.05, now - self.counted_at)
         for role, budget in self.cold.items():
             for c, work in budget.asked.items():
-                if budget.cold(now, fleet.born[c]) and fleet.state[c] == "ready":
-                    whole = budget.whole(now, fleet.born[c], self.power(c), max(self.sending))
-                    rows.append((role, fleet.ids[c], fleet.born[c], work / elapsed / max(whole, 1e-9)))
+                whole = budget.whole(now, fleet.born[c], self.power(c), max(self.sending)) \
+                    if budget.cold(now, fleet.born[c]) and budget.start.multiple > 0 else 0.0
+                rows.append((role, fleet.ids[c], fleet.born[c], work / elapsed, whole))
+            rows += [(role, fleet.ids[c], fleet.born[c], 0.0, budget.whole(
+                now, fleet.born[c], self.power(c), max(self.sending))) for c in (fleet.own if role == "cache" else fleet.parents)
+                if c not in budget.asked and budget.cold(now, fleet.born[c]) and budget.start.multiple > 0]
             budget.asked.clear()
         for c, peak in self.crowding.peaks.items():
             if fleet.state[c] == "ready" and peak > 0.0:
-                rows.append(("room", fleet.ids[c], fleet.born[c], peak))
+                rows.append(("room", fleet.ids[c], fleet.born[c], peak, 1.0))
         self.crowding.peaks.clear()
         self.counted_at = now
         return rows
--- a/brookhinge/standin/lending.py
+++ b/brookhinge/standin/lending.py
@@ -32,7 +32,7 @@
         for other in self.world.members.values():
             self.notice(other.n, ALIVE)
         self.limits = Limits(self.view, self.name, "z", 1, lambda: (self.world.count, self.world.count),
-                             lambda: [(*limit, part) for limit, part in self.demand.items()], self.clock())
+                             lambda: [(*limit, part, 1.0) for limit, part in self.demand.items()], self.clock())
         self.world.plan(self, self.world.now)
 
     def notice(self, n, state):
--- /dev/null
+++ b/brookhinge/standin/sharing.py
@@ -0,0 +1,147 @@
+"""A fleet of routers that share limits and verdicts, or nothing, among modelled boxes in simulated time: the daemon's reducer,
+decisions and cores; wires and the news of the view are stood in for."""
+from brookhinge.decide import Router
+from brookhinge.engine.reducer import Reducer
+from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
+from brookhinge.limits.limits import Limits
+from brookhinge.limits.shared import Sharing
+from brookhinge.membership.tight import Tight
+from brookhinge.membership.view import ALIVE, View
+from brookhinge.standin.model import Model
+from brookhinge.verdicts.shared import Judging
+from brookhinge.verdicts.verdicts import Verdicts
+
+WORK, CONTRACT_S, PATIENCE_S = 0.1, 0.5, 3.0
+COLD = ColdStart(0.3, 12.0, 3.0, 1.0)
+PAGES = Track("pages", "replayable", "all", 0.0, CONTRACT_S, 0.0, PATIENCE_S, 1.0, 0.2, 0.0, 0.0, 0.0, False)
+WIRE_S = 0.002
+
+
+class Writer:
+    """What the cores of one router write: datagrams go over the model's wires, events into its next round."""
+
+    def __init__(self, fleet, n):
+        self.fleet, self.n = fleet, n
+
+    def post_to(self, place, method, values, rows):
+        self.fleet.datagram(self.n, self.fleet.views[self.n].names[place], method, values, rows)
+
+    def event_of(self, method, rows):
+        self.fleet.told[self.n].append((method, (rows,)))
+
+
+class Fleet(Model):
+    """rate: queries a second in all; skew: of a router's part of them, 0: all alike; share: with limits and verdicts."""
+
+    def __init__(self, seed, routers, boxes, rate, skew=1.0, share=True, loss=0.0, cores=4, objects=400):
+        super().__init__(seed, boxes, cores, COLD, WORK)
+        self.share, self.loss, self.rate, self.objects = share, loss, rate, objects
+        parts = [self.chance.lognormvariate(0.0, skew) for _ in range(routers)]
+        self.parts = [part / sum(parts) for part in parts]
+        self.cut, self.broken = lambda a, b: False, {}          # broken: router -> share of its pushes that fail on the way
+        self.serial, self.open, self.asked, self.datagrams = 0, {}, [], 0
+        kinds = (Sharing, Judging, Router) if share else (Router,)
+        kind = type("Router", kinds, {})
+        self.routers = [Reducer(kind(
+            seed + n, tracks=(PAGES,), place=Place(1, routers, routers, n, True), allowed=Allowed(4, False, True, 0.0),
+            supply=Supply("any", False, True, "all", 1000.0, 0.0), cold_cache=COLD,
+            cold_parent=ColdStart(1.0, 0.0, 0.0, 1.0), purge_gone_s=6.0, kinds=("parent", "origin"), reports=[]),
+            ["pages".encode()], ["hub", "edge"], None, Tight(0.0)) for n in range(routers)]
+        self.told, self.views, self.cores, self.writers = [[] for _ in range(routers)], [], [], []
+        for n in range(routers if share else 0):
+            view = View(600.0)
+            for k in range(routers):
+                view.take(0.0, (f"n{k}", k + 1, 1, 1, ALIVE, "h", k + 1, "z", 1, 0.0), "n0")
+            reducer, own = self.routers[n], self.routers[n].router.fleet
+            self.views.append(view)
+            self.writers.append(Writer(self, n))
+            self.cores.append([
+                Limits(view, f"n{n}", "z", 1, lambda: (routers, routers), reducer.demand, -60.0),
+                Verdicts(view, f"n{n}", "z", 1, lambda: routers, reducer.seen, lambda own=own: len(own.own), 0.0)])
+            for core in range(2):
+                self.at(self.chance.random() * 0.25, self.turn, n, core)
+
+    # talk
+
+    def turn(self, n, core):
+        """A core's own round, when it is due."""
+        one = self.cores[n][core]
+        if self.now >= one.next_at():
+            one.round(self.now, [], self.writers[n])
+            self.flush(n)
+        self.at(max(one.next_at(), self.now + 0.001), self.turn, n, core)
+
+    def datagram(self, n, name, method, values, rows):
+        self.datagrams += 1
+        to = int(name[1:])
+        if not self.cut(n, to) and self.chance.random() >= self.loss:
+            self.at(self.now + WIRE_S * (0.5 + self.chance.random()), self.letter, to, n + 1, method, values, rows)
+
+    def letter(self, n, uid, method, values, rows):
+        core = next(core for core in self.cores[n] if method in core.methods)
+        core.round(self.now, [(uid, method, values, rows)], self.writers[n])
+        self.flush(n)
+
+    def flush(self, n):
+        if self.told[n]:
+            self.hear(n)
+
+    def hear(self, n, *events):
+        for core in self.cores[n] if self.share else ():
+            if self.now >= core.shrinks_at:
+                core.tell(self.now, self.writers[n])
+        before, self.told[n] = self.told[n], []
+        super().hear(n, *before, *events)
+
+    def pull(self, n, query, push, server, *rest):
+        broken = self.broken.get(n, 0.0)
+        if broken and self.chance.random() < broken:
+            self.pushes += 1
+            return self.at(self.now + 0.002, self.ended, n, query, push, "broken", 0)
+        super().pull(n, query, push, server, *rest)
+
+    # clients: each asks once
+
+    def arrive(self):
+        self.at(self.now + self.chance.expovariate(self.rate), self.arrive)
+        n = self.chance.choices(range(len(self.routers)), self.parts)[0]
+        self.serial += 1
+        object_ = min(self.objects, int(self.chance.paretovariate(0.6)))
+        self.open[n, self.serial] = len(self.asked)
+        self.asked.append([self.now, None, "lost"])
+        self.hear(n, ("query", (self.serial, 1, b"%x" % self.serial, b"pages", b"%016x" % object_, b"0", 0, 1, 1000.0 * WORK,
+                                PATIENCE_S, None, b"", self.now)))
+
+    def over(self, n, client, how):
+        at = self.open.pop((n, client))
+        self.asked[at][1:] = self.now, how
+        self.at(self.now + 1e-6, self.hear, n, ("client_gone", (client,)))
+
+    def satisfy(self, n, client, number, body, same):
+        self.over(n, client, "satisfied")
+
+    def nack(self, n, client, number, wait):
+        self.over(n, client, "nacked")
+
+    def error(self, n, client, number):
+        self.over(n, client, "errored")
+
+    # the day
+
+    def restart(self):
+        """All boxes start anew, cold and empty; the list says so a moment later."""
+        for box in self.boxes.values():
+            self.fall(box)
+            box.born, box.kept, box.at, box.sent = self.now, set(), self.now, []
+        self.at(self.now + 0.05, self.tell, "ready", 2)
+
+    def run(self, end):
+        self.tell("ready", 1)
+        self.at(0.0, self.arrive)
+        self.play(end)
+
+    def worth(self, begin, end):
+        """The share of what was asked that was answered in its contract time; late ones count a fifth."""
+        rows = [row for row in self.asked if begin <= row[0] < end]
+        good = sum((1.0 if at - came <= CONTRACT_S else 0.2) for came, at, how in rows if how == "satisfied")
+        return good / max(1, len(rows))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -392,3 +392,21 @@
         way.count(now, good)
         told.append(round(way.open(now), 2))
     assert told == [1.0, 0.37, 0.11, 0.05, 0.02, 0.53, 1.0]
+
+
+def test_what_is_saved_for_a_cold_server_counts_from_its_telling_and_is_not_kept_for_its_next_start():
+    """A router with few queries was refused its first one at each server that started, and a server that started twice met
+    all that had been saved since its first start at once."""
+    b = Bench(routers=4)
+    budget, power = b.router.cold["cache"], 4.0
+
+    def told(now, born):
+        b.router.round(now, [("roster", ("changes", [b.row(1, "ready", born=born)]))], b)
+        c = b.router.fleet.index[1]
+        return c, budget.whole(now, born, power, 0.1) * budget.part(c, born)
+    c, rate = told(10.0, 9.9)
+    assert budget.take(c, 10.0, 9.9, power, 0.1, 0.1, b.router.chance) is False
+    c, rate = told(100.0, 99.9)                 # its second start: nothing is left of what came since the first
+    assert budget.take(c, 100.0, 99.9, power, 0.1, 0.1, b.router.chance) is False
+    c, rate = told(200.0, 199.9)
+    assert budget.take(c, 200.0 + 0.2 / rate, 199.9, power, 0.1, 0.1, b.router.chance) is True
