--- a/brookhinge/verdicts/verdicts.py
+++ b/brookhinge/verdicts/verdicts.py
@@ -142,7 +142,8 @@
 
     def decide(self, now, seen, writer):
         """What the evidence comes to now. A rest ends when trials went well, or when there is no evidence any more."""
-        bad = judge.at_fault(seen, self.sharers(), self.servers())
+        bad = judge.at_fault(seen, self.sharers(), self.servers(),
+                             [server for server, told in self.resting.items() if told.ramp_at is None])
         self.trouble = set(judge.own_trouble(seen, self.uid))
         for server, part in bad.items():
             resting = self.resting.get(server)
