--- a/brookhinge/cli/__init__.py
+++ b/brookhinge/cli/__init__.py
@@ -10,6 +10,8 @@
     "ask": ("brookhinge.cli.ask", "Asks a router for an object, and comes back when told."),
     "explain": ("brookhinge.cli.explain", "Tells the storms in a router's log as a story."),
     "fleet": ("brookhinge.cli.fleet", "What a router believes of its fellows: show, watch."),
+    "keep": ("brookhinge.cli.keep", "Keeps one place's routers running, and changes them when told."),
+    "roll": ("brookhinge.cli.roll", "A change through a fleet in stages that are judged: check, start, status, back."),
     "store": ("brookhinge.cli.store", "Looks into a store that no process uses: inspect, verify, compact."),
     "demo": ("brookhinge.cli.demo", "Origin, parent, three boxes, channel and a router on loopback, for a minute."),
     "standin": ("brookhinge.cli.standin", "Scripted peers for trying things out."),
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -19,9 +19,10 @@
 class Open:
     """A query that is owed its final answer; what goes on unchanged is kept as the bytes that came."""
     __slots__ = ("client", "number", "name", "kind", "key", "part", "tag", "body", "until", "pushes", "out",
-                 "server", "sent_at", "call", "beside")
+                 "server", "sent_at", "call", "beside", "seen")
 
     def __init__(self, client, number, name, kind, key, part, tag, body, until):
+        self.seen = None        # (track, size in KB, when it came), where somebody counts what becomes of queries
         self.client, self.number, self.name, self.kind = client, number, name, kind
         self.key, self.part, self.tag, self.body, self.until = key, part, tag, body, until
         self.pushes, self.out, self.server, self.sent_at = 0, False, None, until
@@ -29,7 +30,8 @@
 
 
 class Reducer:
-    def __init__(self, router, tracks, zones, lineage=None, tight=None):
+    def __init__(self, router, tracks, zones, lineage=None, tight=None, scores=None):
+        self.scores = scores
         self.router, self.lineage, self.tight = router, lineage, tight
         self.addresses, self.waiting, self.ends = {}, {}, []    # of clients; who waits beside a query; and until when
         self.tracks = {name: i for i, name in enumerate(tracks)}
@@ -122,6 +124,8 @@
         self.names[name] = query
         self.clients.setdefault(client, {})[number] = query
         self.counts["queries"] += 1
+        if self.scores is not None:
+            self.queries[query].seen = track, size_kb, came
         call = track, key.decode("ascii"), part_number, group, size_kb, False, False
         if self.lineage is None or self.router.tracks[track].effect != "replayable":    # an effect is asked for anew
             self.inbox.append(("query", (query, *call, until - self.now)))
@@ -363,6 +367,8 @@
     def settle(self, query, how=None):
         """The query is over; how: as the lineage has it, None for one that was satisfied."""
         q = self.queries.pop(query)
+        if q.seen is not None:
+            self.scores.ended(*q.seen[:2], self.now - q.seen[2], how or "satisfied")
         if self.lineage is not None:
             if q.beside is None:
                 self.lineage.ended(self.now, query, how)
--- a/brookhinge/logs.py
+++ b/brookhinge/logs.py
@@ -1,5 +1,5 @@
 """Logs of all programs but the platform's router: structlog rendered by orjson, one JSON line an event in the form
-that the router writes. The router keeps its own small writer (net/log.py): structlog would take 4.2 MB of its 32."""
+that the router writes. The router keeps its own small writer (engine/log.py): structlog would take 4.2 MB of its 32."""
 import logging
 import sys
 import time
--- a/brookhinge/membership/talk.py
+++ b/brookhinge/membership/talk.py
@@ -119,7 +119,7 @@
 
     async def leave(self):
         """Tells the fellows that this router goes, and closes."""
-        if self.transport is None:
+        if self.transport is None:      # it never got to join
             return
         self.fellow.leave(time.monotonic(), self)
         await asyncio.sleep(LEAVING_S)
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -47,11 +47,15 @@
 
     # accepting
 
-    def listen(self, host, port):
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind((host, port))
-        self.listener.listen(1024)
+    def listen(self, host, port, handed=None):
+        """handed: the descriptor of a socket that listens already, which outlives this process."""
+        if handed is not None:
+            self.listener = socket.socket(fileno=handed)
+        else:
+            self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.bind((host, port))
+            self.listener.listen(1024)
         self.listener.setblocking(False)
         asyncio.get_running_loop().add_reader(self.listener, self.accept)
         return self.listener.getsockname()
--- a/brookhinge/net/program.py
+++ b/brookhinge/net/program.py
@@ -31,8 +31,18 @@
     return told.fleet[site.name]
 
 
-async def serve(site, fleet):
-    service = Service(site, fleet=fleet)
+def kept(environ):
+    """What a keeper hands its routers: the descriptor of the listening socket, and how often it wants scores."""
+    handed, scores_s = environ.get("BROOKHINGE_LISTENER"), environ.get("BROOKHINGE_SCORES_S")
+    try:
+        return {"handed": int(handed) if handed else None, "scores_s": float(scores_s) if scores_s else 0.0}
+    except ValueError:
+        raise StartError("BROOKHINGE_LISTENER, BROOKHINGE_SCORES_S: expected numbers, got "
+                         f"{handed!r:.20}, {scores_s!r:.20}") from None
+
+
+async def serve(site, fleet, kept_):
+    service = Service(site, fleet=fleet, **kept_)
     for word in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(word, service.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, service)
@@ -42,12 +52,12 @@
 def main():
     try:
         site = read_site(os.environ)
-        fleet = fleet_of(site, os.environ)
+        fleet, kept_ = fleet_of(site, os.environ), kept(os.environ)
     except StartError as fault:
         print(f"brookhinge: {fault}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(site, fleet))
+        asyncio.run(serve(site, fleet, kept_))
     except OSError as fault:
         where = [site.listen] + ([fleet.listen] if fleet else [])
         print(f"brookhinge: listen: expected an address that is free here, got {where} ({fault.strerror})",
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -1,5 +1,6 @@
 """The router on sockets as one object that others can embed: `await Service(...).run()`, `stop()` to end it."""
 import asyncio
+import errno
 import gc
 import time
 
@@ -24,8 +25,13 @@
 class Service:
     """Joins sockets and engine, from start to exit."""
 
-    def __init__(self, site, log=None, fleet=None):
-        """fleet: the block of the operator's file under this router's name, or None: it shares nothing."""
+    def __init__(self, site, log=None, fleet=None, handed=None, scores_s=0.0):
+        """fleet: the block of the operator's file under this router's name, or None: it shares nothing. handed: descriptor
+        of a listening socket that a keeper holds; scores_s: seconds between two lines of what became of queries, 0: none."""
+        self.handed, self.scores_s, scores = handed, scores_s, None
+        if scores_s:
+            from brookhinge.engine.scores import Scores
+            scores = Scores(site.decisions["tracks"], site.decisions["supply"].flow_kb_s)
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
@@ -47,7 +53,7 @@
             lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
         router = type("Router", (*kinds, Router), {}) if kinds else Router
         self.reducer = Reducer(router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
-                               [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage, tight)
+                               [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage, tight, scores)
         self.rounds = Rounds(self.reducer, self.now, self.log)
         self.post = self.rounds.post
         bounds, lines = site.bounds, site.lines
@@ -99,13 +105,15 @@
         loop.set_exception_handler(self.faulted)
         self.ended = asyncio.Event()
         self.rounds.open()          # what is known at the start comes before the first query
-        address = self.front.listen(*self.site.listen)
-        if self.talk is not None:
+        address = self.front.listen(*self.site.listen, self.handed)
+        if self.talk is not None and self.handed is None:
             await self.talk.start()
         self.phases.step("ready")
         gc.collect()
         gc.freeze()
-        tasks = [loop.create_task(part()) for part in (self.channel.run, self.figures, self.sweep)]
+        parts = [self.channel.run, self.figures, self.sweep] + [self.scored] * bool(self.scores_s) \
+            + [self.join_late] * (self.talk is not None and self.handed is not None)
+        tasks = [loop.create_task(part()) for part in parts]
         self.log("listening", address="%s:%d" % address)
         await self.ended.wait()
         for task in tasks:
@@ -160,6 +168,22 @@
                 if told is not None:
                     self.log("storm", **told)
 
+    async def join_late(self):
+        """A process that takes over joins the fleet once the one before it has left: they have one name and address."""
+        while True:
+            try:
+                await self.talk.start()
+                return
+            except OSError as fault:
+                if fault.errno != errno.EADDRINUSE:
+                    return self.log("fault", where="fleet", why=str(fault))
+            await asyncio.sleep(SWEEP_S)
+
+    async def scored(self):
+        while True:
+            await asyncio.sleep(self.scores_s)
+            self.log("scores", totals=self.reducer.scores.totals)
+
     async def figures(self):
         """What was done since the last line, and by how much the loop lags."""
         said = dict(self.reducer.counts)
--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -225,11 +225,7 @@
         runs before the program."""
         self.ports[name] = free_port()
         path, said = self.folder / f"{name}.json", under or name
-        path.write_text(json.dumps({
-            "name": said, "listen": f"127.0.0.1:{self.ports[name]}", "seed": f"{seed_of(name):x}",
-            "channel": "%s:%d" % self.channels[name].server.sockets[0].getsockname()[:2],
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.channels[name].answer(0),
-            "settings": {**settings(**self.settings), "Instances": len(self.names)}}))
+        path.write_text(self.configuration(name, said))
         file = self.folder / "fleet.hcl"
         if under or key:
             file = self.folder / f"{name}.hcl"
@@ -243,6 +239,13 @@
         if not await self.until(lambda: self.accepts(name), 20.0):
             raise RuntimeError(f"{name} is not up: {(self.folder / f'{name}.log').read_text()[-800:]}")
 
+    def configuration(self, name, said):
+        return json.dumps({
+            "name": said, "listen": f"127.0.0.1:{self.ports[name]}", "seed": f"{seed_of(name):x}",
+            "channel": "%s:%d" % self.channels[name].server.sockets[0].getsockname()[:2],
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.channels[name].answer(0),
+            "settings": {**settings(**self.settings), "Instances": len(self.names)}})
+
     async def accepts(self, name):
         try:
             _, writer = await asyncio.open_connection("127.0.0.1", self.ports[name])
--- /dev/null
+++ b/tests/rollout/test_rig.py
@@ -0,0 +1,115 @@
+"""Rollouts among real processes: routers, their keepers and a coordinator, some of which are killed."""
+import asyncio
+
+import pytest
+
+from brookhinge.standin import rolling
+from brookhinge.standin.load import Load
+from brookhinge.standin.rolling import Rolling
+
+LONG = 120.0
+
+
+def play(script, folder, rate=12.0, **rig_):
+    async def run():
+        async with Rolling(folder, boxes=2, patience_s=2.0, **rig_) as rig:
+            async with Load(rig, dict.fromkeys(rig.names, rate), objects=200) as load:
+                await script(rig, load)
+            await asyncio.sleep(0.2)
+            return load.kinds
+    return asyncio.run(run())
+
+
+def lost(kinds):
+    return sum(told.get("lost", 0) + told.get("none", 0) for told in kinds.values())
+
+
+def test_a_good_change_goes_through_and_no_query_is_lost(tmp_path):
+    async def script(rig, load):
+        roll = await rig.roll()
+        assert await rig.ended(roll, LONG) == 0, rig.text("roll")
+        assert set(rig.versions().values()) == {"v2"} and rig.status()["phase"] == "done"
+        assert rig.text("roll").count('"event":"passed"') == 3
+    kinds = play(script, tmp_path)
+    assert sum(told.get("satisfied", 0) for told in kinds.values()) > 300
+
+
+@pytest.mark.parametrize("what, version, worse", [
+    ("nacked", rolling.FAILS.format(part=0.5), ""), ("crash", rolling.CRASHES.format(after_s=3.0), ""),
+    ("not ready", rolling.NEVER_READY, "")])
+def test_a_change_that_is_worse_is_stopped_and_taken_back(tmp_path, what, version, worse):
+    async def script(rig, load):
+        roll = await rig.roll()
+        assert await rig.ended(roll, LONG) == 1, rig.text("roll")
+        assert set(rig.versions().values()) == {"v1"} and rig.status()["phase"] == "back"
+        assert rig.text("roll").count('"event":"change"') <= 2      # stopped in its first stage
+        for name in rig.names:
+            assert await rig.until(lambda name=name: rig.accepts(name), 30.0)
+    play(script, tmp_path, version=version, worse=worse, untold="back")
+
+
+def test_a_coordinator_killed_again_and_again_goes_on_and_an_older_one_is_refused(tmp_path):
+    async def script(rig, load):
+        first = await rig.roll()
+        for _ in range(4):
+            assert await rig.until(lambda: rig.status(), LONG)
+            await asyncio.sleep(2.5)
+            if first.returncode is None:
+                first.kill()
+                await first.wait()
+            first = await rig.roll()
+        assert await rig.ended(first, LONG) == 0, rig.text("roll")
+        assert set(rig.versions().values()) == {"v2"}
+    play(script, tmp_path, stages="[0.5, 1.0]")
+
+
+def test_two_coordinators_the_younger_one_acts(tmp_path):
+    async def script(rig, load):
+        older = await rig.roll("one")
+        assert await rig.until(lambda: rig.status("one"), LONG)
+        same = await rig.roll("one")                        # on the same journal: refused at once
+        assert await rig.ended(same, LONG) == 1 and "in use by another process" in rig.text("one")
+        younger = await rig.roll("two")
+        assert await rig.ended(older, LONG) == 1, rig.text("one")
+        assert rig.status("one")["phase"] == "superseded"
+        assert await rig.ended(younger, LONG) == 0, rig.text("two")
+    play(script, tmp_path, stages="[0.5, 1.0]")
+
+
+def test_a_killed_keeper_leaves_its_routers_serving_and_its_successor_takes_them_over(tmp_path):
+    async def script(rig, load):
+        before = dict(load.kinds.get("n1", {}))
+        rig.keepers["k1"].kill()
+        await rig.keepers["k1"].wait()
+        await asyncio.sleep(1.0)
+        assert load.kinds["n1"].get("satisfied", 0) > before.get("satisfied", 0)
+        await rig.keep("k1")
+        assert await rig.until(lambda: rig.text("k1").count('"event":"found"') == 3, LONG), rig.text("k1")
+        roll = await rig.roll()
+        assert await rig.ended(roll, LONG) == 0, rig.text("roll") + rig.text("k1")
+        assert set(rig.versions().values()) == {"v2"}
+    play(script, tmp_path, stages="[0.5, 1.0]")
+
+
+def test_a_coordinator_gone_for_good_leaves_what_was_not_judged_to_go_back_by_itself(tmp_path):
+    async def script(rig, load):
+        roll = await rig.roll()
+        assert await rig.until(lambda: "v2" in rig.versions().values(), LONG)
+        roll.kill()
+        await roll.wait()
+        assert await rig.until(lambda: '"event":"alone"' in rig.text("k1") + rig.text("k2"), LONG)
+        roll = await rig.roll("watch")                      # looks only: it stands before its first change for long
+        assert await rig.until(rig.settled("v1", "watch"), LONG)
+    play(script, tmp_path, most_s=60.0, alone_s=3.0, untold="pause")
+
+
+def test_back_in_the_middle_of_a_stage_and_a_pause(tmp_path):
+    async def script(rig, load):
+        roll = await rig.roll()
+        assert await rig.until(lambda: "v2" in rig.versions().values(), LONG)
+        rig.ask("pause")
+        assert await rig.until(lambda: rig.status()["phase"] == "paused", LONG)
+        rig.ask("back")
+        assert await rig.ended(roll, LONG) == 1, rig.text("roll")
+        assert set(rig.versions().values()) == {"v1"}
+    play(script, tmp_path)
