--- a/brookhinge/standin/lending.py
+++ b/brookhinge/standin/lending.py
@@ -32,7 +32,7 @@
         for other in self.world.members.values():
             self.notice(other.n, ALIVE)
         self.limits = Limits(self.view, self.name, "z", 1, lambda: (self.world.count, self.world.count),
-                             lambda: [(*limit, part) for limit, part in self.demand.items()], self.clock())
+                             lambda: [(*limit, part, 1.0) for limit, part in self.demand.items()], self.clock())
         self.world.plan(self, self.world.now)
 
     def notice(self, n, state):
@@ -51,10 +51,10 @@
 
     # the writer
 
-    def lend(self, place, method, values, rows):
+    def post_to(self, place, method, values, rows):
         self.world.send(self, self.view.names[place], (self.uid, method, values, [(*r[:3], *r[3:]) for r in rows]))
 
-    def parts(self, rows):
+    def event_of(self, method, rows):
         for *limit, part in rows:
             if part is None:
                 self.used.pop(tuple(limit), None)
