--- a/brookhinge/rollout/coordinator.py
+++ b/brookhinge/rollout/coordinator.py
@@ -4,7 +4,8 @@
     inbox      ("report", router, version, state, process, crashes, totals, epoch, able), ("refused", router, epoch),
                ("asked", word) with word pause, resume, back or abort
     writer.record(**what)                     durable before any command of the same round goes out
-    writer.command(router, version, sure)     what a router should run, under this coordinator's epoch; sure: judged, it stays
+    writer.command(router, version, sure, serial)     what a router should run, under this coordinator's epoch; sure: judged,
+                                              it stays; serial rises: a late command does not undo a later one
     writer.say(event, **values)
 
 What should be is derived from the records alone, so a coordinator that is killed at any moment and started again on its journal
@@ -58,6 +59,7 @@
         self.places = dict(plan.routers)
         self.stage, self.phase, self.changed, self.sure, self.mode, self.end = 0, "before", [], [], RUNNING, None
         self.going_back, self.since, self.window_at, self.said_at, self.verdict = False, now, now + plan.window_s, {}, None
+        self.serial = 0
         self.judge, self.readied_at = None, now
         for record in records:
             self.recall(record)
@@ -258,7 +260,8 @@
             agrees = router.version == self.should(name) and now - router.heard_at <= SILENT_S
             if now - self.said_at.get(name, -1e9) >= (RATE if not agrees else 2.0 * RATE):
                 self.said_at[name] = now
-                writer.command(name, self.should(name), name not in self.changed)
+                self.serial += 1
+                writer.command(name, self.should(name), name not in self.changed, self.serial)
 
     def status(self):
         """(phase, stage, of how many, routers on the new one, verdict) for people."""
--- a/brookhinge/rollout/judge.py
+++ b/brookhinge/rollout/judge.py
@@ -33,8 +33,8 @@
     def add(self, value):
         self.values.append(value)
 
-    def bars(self):
-        """(mean, half width); no width is known of fewer than LEAST windows."""
+    def bars(self, ended=False):
+        """(mean, half width); no width is known of fewer than LEAST windows. ended: looked at once, after its last one."""
         n = len(self.values)
         if n < LEAST:
             return (sum(self.values) / n if n else 0.0), math.inf
@@ -47,6 +47,8 @@
         variance = sum((v - mean) ** 2 for v in kept) / (n - 1)
         follow = 2.0 * sum((a - mean) * (b - mean) for a, b in zip(kept, kept[1:])) / (n - 1)
         deviation = math.sqrt(max(variance, variance + follow, 1e-12))
+        if ended:
+            return mean, deviation * math.sqrt(2.0 * math.log(2.0 / self.alpha) / n)
         t = n * self.rho2
         return mean, deviation * math.sqrt(2.0 * (t + 1.0) / (n * t) * math.log(math.sqrt(t + 1.0) / self.alpha))
 
@@ -56,13 +58,13 @@
 
     def __init__(self, name, good, most_worse, alpha):
         self.name, self.good, self.most_worse = name, good, most_worse
-        self.before, self.after = Sequence(alpha / 2.0), Sequence(alpha / 2.0)
+        self.before, self.after = Sequence(alpha), Sequence(alpha)
 
     def verdict(self):
-        """What is known now. The difference before the change is known less and less badly; its bars count too."""
+        """What is known now. The difference before the change is unsure too: two independent errors add by squares."""
         mean, wide = self.after.bars()
-        usual, unsure = self.before.bars()
-        value, half = self.good * (mean - usual), wide + unsure
+        usual, unsure = self.before.bars(ended=True)
+        value, half = self.good * (mean - usual), math.hypot(wide, unsure)
         low, high, n = value - half, value + half, len(self.after.values)
         if high < 0.0 and value < -0.25 * self.most_worse:
             word = WORSE            # surely worse, and by more than a trifle
@@ -108,12 +110,13 @@
         self.crashes[new] += 1
 
     def verdict(self):
-        """The worst of all figures; a crash among the new ones alone is worse at once."""
+        """The worst of all figures, or what is open; better if one is and no other is worse. A crash among the new ones alone is
+        worse at once."""
         if self.crashes[True] > self.crashes[False]:
             return Verdict(WORSE, "crashes", float(-self.crashes[True]), -math.inf, 0.0, 0)
         told = [figure.verdict() for figure in self.figures.values()]
-        for word in (WORSE, UNTOLD, NO_WORSE):
+        for word in (WORSE, UNTOLD, BETTER):
             found = [one for one in told if one.word == word]
             if found:
                 return min(found, key=lambda one: one.value)
-        return max(told, key=lambda one: one.value)
+        return min(told, key=lambda one: one.value)
--- a/brookhinge/rollout/keeper.py
+++ b/brookhinge/rollout/keeper.py
@@ -290,7 +290,8 @@
         if told["epoch"] < self.place.epoch:
             writer.write(writer.link.write("refused", router=told["router"], epoch=self.place.epoch))
             return
-        self.events.append(("told", told["router"], told["version"], told["epoch"], bool(told["sure"])))
+        self.events.append(("told", told["router"], told["version"], told["epoch"], bool(told["sure"]),
+                            told["serial"]))
         self.turn()
 
     async def report(self):
--- a/brookhinge/rollout/place.py
+++ b/brookhinge/rollout/place.py
@@ -2,7 +2,7 @@
 goes to the writer.
 
     place.round(now, inbox, writer)
-    inbox    ("told", router, version, epoch, sure), ("ready", router, process), ("exited", router, process, code)
+    inbox    ("told", router, version, epoch, sure, serial), ("ready", router, process), ("exited", router, process, code)
     writer.start(router, version) -> process      a number of this keeper's own, never used again
     writer.drain(process), writer.end(process)    SIGTERM; SIGKILL after its time
     writer.record(**what)                         durable before anything of the same round is done
@@ -24,7 +24,7 @@
         self.wanted, self.sure_version, self.sure, self.heard_at = version, version, True, None
         self.process, self.version, self.ready = None, None, False      # the one that serves, or is to
         self.taking, self.taking_version, self.taking_at = None, None, None
-        self.draining = set()
+        self.draining, self.last = set(), (0, 0)        # the last word that counted: its epoch and serial
         self.crashes, self.row, self.again_at, self.started_at = 0, 0, 0.0, 0.0
 
 
@@ -60,17 +60,17 @@
         for name, slot in self.slots.items():
             self.keep(now, name, slot, writer)
 
-    def told(self, now, writer, name, version, epoch, sure):
-        """A coordinator's word. Whether it counts: one of an older epoch does not."""
+    def told(self, now, writer, name, version, epoch, sure, serial):
+        """A coordinator's word. One of an older epoch, or overtaken by a later one, does not count."""
         slot = self.slots.get(name)
-        if slot is None or epoch < self.epoch:
-            return False
+        if slot is None or epoch < self.epoch or (epoch, serial) <= slot.last:
+            return
+        slot.last = epoch, serial
         if epoch > self.epoch:
             self.note(writer, what="epoch", epoch=epoch)
         slot.heard_at = now
         if (version, sure) != (slot.wanted, slot.sure):
             self.note(writer, what="router", router=name, version=version, sure=sure)
-        return True
 
     def ready(self, now, writer, name, process):
         slot = self.slots[name]
--- a/brookhinge/rollout/plan.py
+++ b/brookhinge/rollout/plan.py
@@ -88,8 +88,8 @@
 
 ROLLOUT = {
     "old": (text, MUST), "to": (text, MUST), "stages": (parts, (0.1, 0.5, 1.0)), "key": (key, MUST),
-    "seed": (whole(0, 1 << 31), 1), "alpha": (number(1e-6, 0.2), 0.01), "window_s": (number(0.05, 60), 2.0),
-    "before_s": (number(0, 3600), 40.0), "warm_s": (number(0, 3600), 20.0), "least_s": (number(0, 3600), 30.0),
+    "seed": (whole(0, 1 << 31), 1), "alpha": (number(1e-6, 0.2), 0.01), "window_s": (number(0.05, 60), 1.0),
+    "before_s": (number(0, 3600), 60.0), "warm_s": (number(0, 3600), 20.0), "least_s": (number(0, 3600), 30.0),
     "most_s": (number(1, 86400), 300.0), "ready_s": (number(0.5, 600), 30.0), "alone_s": (number(1, 86400), 60.0),
     "untold": (one_of("pause", "back", "go"), "pause"),
 }
--- a/brookhinge/rollout/roll.py
+++ b/brookhinge/rollout/roll.py
@@ -60,8 +60,8 @@
             self.core.round(now, events, self)
             if self.noted:
                 self.journal.write(*self.noted)     # a disk that fails ends this coordinator before it acts
-            for name, version, sure in self.commands:
-                self.send(name, version, sure)
+            for what in self.commands:
+                self.send(*what)
             if now - told_at >= STATUS_S:
                 told_at = now
                 self.tell_status()
@@ -101,16 +101,16 @@
     def record(self, **what):
         self.noted.append(what)
 
-    def command(self, name, version, sure):
-        self.commands.append((name, version, sure))
+    def command(self, *what):
+        self.commands.append(what)
 
     # keepers
 
-    def send(self, name, version, sure):
+    def send(self, name, version, sure, serial):
         writer = self.links.get(self.core.places[name])
         if writer is not None and writer.link.theirs is not None:
             with contextlib.suppress(ConnectionError):
-                writer.write(writer.link.write("should", router=name, version=version, sure=sure, epoch=self.core.epoch,
+                writer.write(writer.link.write("should", router=name, version=version, sure=sure, epoch=self.core.epoch, serial=serial,
                                                plan=self.plan.digest))
 
     async def keep_up(self, keeper):
