--- a/brookhinge/verdicts/shared.py
+++ b/brookhinge/verdicts/shared.py
@@ -12,10 +12,11 @@
     def __init__(self, chance):
         super().__init__()
         self.chance, self.counts, self.how, self.used = chance, {}, {}, {}
+        self.slow = False       # the answer that is judged came, late beside the fellows': that is each router's own measure
 
     def judge(self, c, now, failed, weight, fellows):
         tries, bad = self.counts.get(c, (0, 0.0))
-        self.counts[c] = tries + 1, bad + (weight if failed else 0.0)
+        self.counts[c] = tries + 1, bad + (weight if failed and not self.slow else 0.0)
         if c in self.how:
             self.used[c] = self.how[c][1]       # one answer a turn
         return super().judge(c, now, failed, weight, fellows)
@@ -48,6 +49,10 @@
         self.health = SharedHealth(self.chance)
         self.figures += [figures for figures in vars(self.health).values() if isinstance(figures, dict)]
 
+    def learn(self, q, c, result, *rest):
+        self.health.slow = result == "satisfied"
+        super().learn(q, c, result, *rest)
+
     def verdicts(self, rows):
         """(server, how, seconds) each; how: rest, trial, ramp, alone, well."""
         for server, how, seconds in rows:
