--- a/brookhinge/limits/limits.py
+++ b/brookhinge/limits/limits.py
@@ -69,7 +69,7 @@
         if self.told_own != own:
             self.told_own = own
             rows.append(("own", "", 0, own))
-        known = self.asked.keys() | self.holder.given.keys() | self.holder.lent.keys()
+        known = {**self.asked, **self.holder.given, **self.holder.lent}
         for limit in known:
             part = self.part(limit, now)
             if self.told.get(limit) != part:
@@ -99,8 +99,8 @@
         self.pressed = {limit: lasting for limit, told in self.pressed.items()
                         if (lasting := {keeper: until for keeper, until in told.items() if until > now})}
         wanting = {}
-        for limit, demand in self.asked.items():
-            if demand * HEAD > self.part(limit, now) or limit in self.pressed:
+        for limit in {**self.asked, **self.pressed}:        # also what is lacking elsewhere and not asked of here
+            if self.asked.get(limit, 0.0) * HEAD > self.part(limit, now) or limit in self.pressed:
                 keeper = self.keeper_of(limit)
                 if keeper is not None:
                     wanting.setdefault(keeper, []).append(limit)
--- a/brookhinge/verdicts/verdicts.py
+++ b/brookhinge/verdicts/verdicts.py
@@ -72,7 +72,7 @@
         mine, self.number = self.counts(), self.number + 1
         self.evidence.hear(now, self.uid, self.number, now, [(server, *told) for server, told in mine.items()])
         self.evidence.forget(now)
-        seen = {server: self.evidence.of(server, now) for server in self.evidence.servers(now)}
+        seen = {server: self.evidence.of(server, now) for server in sorted(self.evidence.servers(now))}
         for server, witnesses in seen.items():
             if any(failed for _, failed in witnesses.values()):
                 self.asked[server] = now + T
@@ -170,7 +170,7 @@
                 ("trial", self.turns[server]) if server in self.turns else ("rest", now + T)
             rows.append((*server, how[0], round(how[1] - now, 3)))
         saying = {row[:2] for row in rows}
-        rows += [(*server, "alone" if server in alone else "well", 0.0) for server in self.told - saying]
+        rows += [(*server, "alone" if server in alone else "well", 0.0) for server in sorted(self.told - saying)]
         self.told = saying
         if rows:
             writer.event_of("verdicts", rows)
