--- a/brookhinge/membership/fellow.py
+++ b/brookhinge/membership/fellow.py
@@ -13,6 +13,7 @@
 
 NEWS, WORDS = 8, 6          # claims and words in one datagram: it stays under 1,400 bytes
 WORDS_KEPT, KEEP_S = 512, 30.0
+AGAIN = 2                   # words of late that ride on a probe though they were told often enough
 HELPERS, EAGER = 3, 4       # who are asked to probe for another; to whom a word goes on at once
 
 
@@ -308,7 +309,7 @@
         v = self.view
         first = [v.claim(k, self.last) for k in self.chance.sample(range(len(v.names)), min(NEWS // 2, len(v.names)))] \
             if v.version[i] != self.version else []
-        self.send(i, "ping", (nonce, 0 if anybody else v.uid[i], v.inc[i], v.state[i]), writer, first)
+        self.send(i, "ping", (nonce, 0 if anybody else v.uid[i], v.inc[i], v.state[i]), writer, first, AGAIN)
 
     def next_probed(self):
         """Each in turn, in an order drawn anew each time all were probed."""
@@ -338,8 +339,9 @@
         living = [i for i in v.living() if v.uid[i] != self.uid and (not alike or v.version[i] == self.version)]
         return self.chance.sample(living, min(count, len(living)))
 
-    def cargo(self, now, first=()):
-        """What rides along on a datagram: news and words told least often so far."""
+    def cargo(self, now, first=(), again=0):
+        """What rides along on a datagram: news and words told least often so far. again: so many words besides that have
+        been told often enough: who has not heard one by then would else never do."""
         claims, words = list(first), []
         for i in sorted(self.news, key=self.news.get, reverse=True)[:NEWS - len(claims)]:
             self.news[i] -= 1
@@ -350,10 +352,12 @@
             left, at, word = self.words[key]
             self.words[key] = left - 1, at, word
             words.append(word)
+        told = [word for left, _, word in self.words.values() if left <= 0]
+        words += self.chance.sample(told, min(again, len(told), WORDS - len(words)))
         return claims, words
 
-    def send(self, i, method, values, writer, first=()):
-        writer.send(self.view.address[i], method, values, *self.cargo(self.last, first))
+    def send(self, i, method, values, writer, first=(), again=0):
+        writer.send(self.view.address[i], method, values, *self.cargo(self.last, first, again))
 
     def gossip(self, now, writer):
         self.gossip_at = now + Pace.gossip
--- a/tests/membership/test_fellows.py
+++ b/tests/membership/test_fellows.py
@@ -203,6 +203,16 @@
     assert ("drain", "s-1", 5) in net.hosts[40].words and at < net.hosts[40].words[("drain", "s-1", 5)]
 
 
+def test_a_word_reaches_the_last_one_too():
+    """Told by each a bounded number of times it may miss somebody for good: then probes of the next seconds carry it."""
+    net = Net(9, loss=0.1)
+    for n in range(1, 65):
+        net.add(n)
+    net.run(15.0)
+    net.hosts[2].fellow.spread(net.now, "draining", ("s-1", 5), net.hosts[2])
+    assert net.run(10.0, lambda: sum(("draining", "s-1", 5) in h.words for h in net.hosts.values()) == 63)
+
+
 def test_datagrams_stay_few_in_a_large_fleet():
     sent = []
     for count in (8, 64):
