--- a/tests/rollout/test_rig.py
+++ b/tests/rollout/test_rig.py
@@ -32,6 +32,8 @@
         assert rig.text("roll").count('"event":"passed"') == 2
     kinds = play(script, tmp_path, stages="[0.5, 1.0]")
     assert sum(told.get("satisfied", 0) for told in kinds.values()) > 300
+    # a query on its way in the very moment in which its connection is closed is not taken: one at the most, by chance
+    assert lost(kinds) <= 1
 
 
 @pytest.mark.parametrize("version, worse", [
