--- a/brookhinge/cli/fleet.py
+++ b/brookhinge/cli/fleet.py
@@ -52,36 +52,27 @@
     table(rows, COLUMNS, False)
 
 
-@command.command("limits")
-@click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
-@click.option("--router", help="Whose parts; the first block's without.")
-@click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
-def limits(file, router, as_json):
-    """What a router may use of each shared limit, as parts of the whole: its own, given away, lent, for how long."""
-    from brookhinge.membership.look import LIMITS
-    block = block_of(file, router)
-    rows, _ = ask(block, LIMITS, PARTS)
-    if as_json:
-        return table([{"router": block.name, "limits": rows}], [], True)
-    click.echo(f"{block.name} may use" + ("" if rows else " its own part of each limit"))
-    if rows:
-        table(rows, PARTS, False)
-
-
-@command.command("verdicts")
-@click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
-@click.option("--router", help="Whose verdicts; the first block's without.")
-@click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
-def verdicts(file, router, as_json):
-    """Which servers are in question at a router, why one rests, by how many witnesses, and which is its own trouble."""
-    from brookhinge.membership.look import VERDICTS
-    block = block_of(file, router)
-    rows, _ = ask(block, VERDICTS, SAID)
-    if as_json:
-        return table([{"router": block.name, "verdicts": rows}], [], True)
-    click.echo(f"{block.name}: {len(rows)} servers in question")
-    if rows:
-        table(rows, SAID, False)
+def told(what, word, columns, line, text):
+    """A command that shows what one router says of something else than its members."""
+    @command.command(word, help=text)
+    @click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
+    @click.option("--router", help="Which one is asked; the first block's without.")
+    @click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
+    def show_told(file, router, as_json):
+        from brookhinge.membership import look
+        block = block_of(file, router)
+        rows, _ = ask(block, getattr(look, what), columns)
+        if as_json:
+            return table([{"router": block.name, word: rows}], [], True)
+        click.echo(line.format(name=block.name, count=len(rows)))
+        if rows:
+            table(rows, columns, False)
+
+
+told("LIMITS", "limits", PARTS, "{name} shares {count} limits now; of all others it has its own part",
+     "What a router may use of each shared limit, as parts of the whole: its own, given away, lent, for how long.")
+told("VERDICTS", "verdicts", SAID, "{name}: {count} servers in question",
+     "Which servers are in question at a router, why one rests, by how many witnesses, and which is its own trouble.")
 
 
 @command.command("watch")
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -232,10 +232,11 @@
     return Told(boxes, fleet, level, metrics)
 
 
-def read_file(name):
+def read_file(name, read=read_text):
+    """What `read` makes of a file's text."""
     try:
         with open(name, encoding="utf-8") as file:
-            return read_text(file.read())
+            return read(file.read())
     except UnicodeDecodeError:
         raise OperatorError(f"{name}: expected UTF-8 text") from None
     except OSError as fault:
--- a/brookhinge/rollout/plan.py
+++ b/brookhinge/rollout/plan.py
@@ -21,6 +21,7 @@
 import os
 from typing import NamedTuple
 
+from brookhinge.operator import schema
 from brookhinge.operator.hcl import OperatorError, parse
 from brookhinge.operator.schema import MUST, address, key, number, one_of, path, take, text, whole
 
@@ -168,13 +169,7 @@
 
 
 def read_file(name):
-    try:
-        with open(name, encoding="utf-8") as file:
-            return read(file.read())
-    except UnicodeDecodeError:
-        raise OperatorError(f"{name}: expected UTF-8 text") from None
-    except OSError as fault:
-        raise OperatorError(f"{name}: expected a file that can be read ({fault.strerror})") from None
+    return schema.read_file(name, read)
 
 
 def lacks(version, routers):
--- a/tests/rollout/test_rig.py
+++ b/tests/rollout/test_rig.py
@@ -41,7 +41,7 @@
         assert await rig.until(lambda: rig.status("one"), LONG)
         same = await rig.roll("one")                        # on the same journal: refused at once
         assert await rig.ended(same, LONG) == 1 and "in use by another process" in rig.text("one")
-        younger = await rig.roll("two")
+        await rig.roll("two")
         assert await rig.ended(older, LONG) == 1, rig.text("one")
         assert rig.status("one")["phase"] == "superseded"
         assert await rig.until(lambda: "v2" in rig.versions("two").values(), LONG), rig.text("two")
