--- a/tests/rollout/test_rig_worse.py
+++ b/tests/rollout/test_rig_worse.py
@@ -3,8 +3,10 @@
 
 import pytest
 
+from brookhinge.limits.terms import START
 from brookhinge.standin import rolling
 from brookhinge.standin.load import Load
+from tests.limits.test_rig import ROOM, WINDOW_S, WORK_S
 from tests.rollout.rolled import LONG, play
 
 
@@ -45,3 +47,23 @@
             assert await rig.ended(roll, LONG) == 0, rig.text("roll")
         assert set(rig.versions().values()) == {"v2"}
     play(script, tmp_path, stages="[0.5, 1.0]")
+
+
+def test_a_rollout_among_cold_boxes_passes_no_limit(tmp_path):
+    """Boxes start cold under several times what they bear while routers are changed one after another: an old and a new
+    process of one name never use two parts."""
+    async def script(rig, load):
+        await asyncio.sleep(START)
+        roll = await rig.roll()
+        assert await rig.until(lambda: "v2" in rig.versions().values(), LONG)
+        await rig.cold(*rig.box_names)
+        assert await rig.until(lambda: rig.text("k1").count("took over") + rig.text("k2").count("took over") > 5, LONG)
+        await asyncio.sleep(4.0)
+        for name, box in rig.boxes.items():
+            # as for the moment of the start, which is the least that it bears later
+            early = [at for at in box.came if at < box.came[0] + 4.0]
+            most = max(sum(at - WINDOW_S < other <= at for other in early) for at in early)
+            assert most <= ROOM and len(early) > 20, f"{name} got {most} of {len(early)} within {WINDOW_S} s"
+        roll.terminate()
+    play(script, tmp_path, rate=50.0, aim_s=WORK_S, flow_kb_s=500.0, warm_s=20.0, more="share_limits = true",
+         stages="[0.5, 1.0]")
