--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -10,6 +10,7 @@
 import math
 import random
 import statistics
+import subprocess
 import sys
 import tempfile
 import time
@@ -23,6 +24,7 @@
 ROUTERS, QUERIES, BEFORE, WINDOWS, STAGES = 10, 40, 60, 150, 3
 GROUPS = ((0,), (1, 2, 3, 4), (5, 6, 7, 8, 9))
 FIGURES = (("worth", 1.0, 0.02), ("failed", -1.0, 0.03))
+EARLIER = "447355d"    # the first build that takes its listening socket from a keeper
 FIXED = 60              # windows of the fixed test
 TROUBLES = {
     "none": lambda t, place: 0.0,
@@ -89,15 +91,20 @@
             "queries_hurt": round(statistics.mean(hurt for _, hurt in found)) if found else None}
 
 
-async def processes(routers, rate):
-    """A good change through real routers under load: what was refused or lost, and service during it against before."""
+async def processes(routers, rate, tree=None, back=False):
+    """A good change through real routers under load: what was refused or lost, and service during it against before.
+    tree: of the old program, if that is an earlier build; back: taken back in the middle of its second stage."""
     with tempfile.TemporaryDirectory(prefix="brookhinge-") as folder:
-        async with Rolling(folder, routers=routers, boxes=2, patience_s=2.0, stages="[0.1, 0.5, 1.0]") as rig:
+        async with Rolling(folder, routers=routers, boxes=2, patience_s=2.0, stages="[0.1, 0.5, 1.0]", tree=tree) as rig:
             async with Load(rig, dict.fromkeys(rig.names, rate), objects=200) as load:
                 await asyncio.sleep(4.0)
                 before = total(load.kinds)
                 began = time.monotonic()
-                code = await rig.ended(await rig.roll(), 400.0)
+                roll = await rig.roll()
+                if back:
+                    await rig.until(lambda: list(rig.versions().values()).count("v2") > 1, 200.0)
+                    rig.ask("back")
+                code = await rig.ended(roll, 400.0)
                 took = time.monotonic() - began
                 after = total(load.kinds)
     share = [told.get("satisfied", 0) / max(1, sum(told.values())) for told in
@@ -146,6 +153,14 @@
         figures["judged"][str(worse)] = {method: stopped(rows, method) for method in ("judge", "fixed", "threshold")}
         print(worse, figures["judged"][str(worse)], file=sys.stderr)
     figures["processes"] = asyncio.run(processes(*(3, 8.0) if given.short else (10, 8.0)))
+    if not given.short:
+        with tempfile.TemporaryDirectory(prefix="brookhinge-") as folder:
+            subprocess.run(["git", "worktree", "add", "--detach", f"{folder}/earlier", EARLIER], check=True, capture_output=True)
+            try:
+                figures["earlier build"] = {"to the present": asyncio.run(processes(6, 8.0, f"{folder}/earlier")),
+                                            "and back": asyncio.run(processes(6, 8.0, f"{folder}/earlier", True))}
+            finally:
+                subprocess.run(["git", "worktree", "remove", "--force", f"{folder}/earlier"], capture_output=True)
     kept.finish(figures, given.keep, chart)
 
 
--- a/brookhinge/rollout/keeper.py
+++ b/brookhinge/rollout/keeper.py
@@ -9,6 +9,7 @@
 import json
 import os
 import secrets
+import shutil
 import signal
 import socket
 import sys
@@ -21,6 +22,7 @@
 from brookhinge.rollout.place import Place
 
 REPORT_S, SCORES_S, LOOK_S = 0.5, 0.5, 0.1
+READ_AGAIN = {"channel", "known"}   # keys of a router's settings that SIGHUP changes in place; all else needs a restart
 DRAIN_S = 8.0           # after SIGTERM; then SIGKILL
 KEPT_LOGS = 6           # files of one router
 PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1e6
@@ -90,8 +92,9 @@
         self.place = Place(self.stand.routers, self.plan.old, [r for r in records if r["what"] in ("epoch", "router")],
                            self.plan.alone_s)
         self.number = max([r["number"] for r in records if r["what"] == "process"], default=0)
-        for record in records:
-            if record["what"] == "process" and record["router"] in self.stand.routers:
+        found = {record["number"]: record for record in records if record["what"] == "process"}     # the last word of each
+        for record in found.values():
+            if record["router"] in self.stand.routers:
                 self.find(record)
         for name, address in self.stand.routers.items():
             if not any(one.name == name for one in self.running.values()):
@@ -165,7 +168,9 @@
         if why is None:
             told = self.plan.versions[version]
             made = self.socket_of(name)
-            environ = {**os.environ, "BALANCER_CONFIG": told.config.format(router=name), "BROOKHINGE_LISTENER": str(made.fileno()),
+            settings = self.folder / f"{name}.{number}.json"        # its own: another version's is put there to be read again
+            shutil.copyfile(told.config.format(router=name), settings)
+            environ = {**os.environ, "BALANCER_CONFIG": str(settings), "BROOKHINGE_LISTENER": str(made.fileno()),
                        "BROOKHINGE_SCORES_S": str(SCORES_S)}
             environ.pop("BROOKHINGE_FLEET", None)
             if told.fleet:
@@ -194,8 +199,9 @@
         self.running[number] = one
         if number in self.unwanted:
             self.end(number)
-        for old in sorted(self.folder.glob(f"{name}.*.log"), key=lambda p: p.stat().st_mtime)[:-KEPT_LOGS]:
-            old.unlink()
+        for kind in ("log", "json"):
+            for old in sorted(self.folder.glob(f"{name}.*.{kind}"), key=lambda p: p.stat().st_mtime)[:-KEPT_LOGS]:
+                old.unlink()
 
     def socket_of(self, name):
         if name not in self.sockets:
@@ -215,6 +221,34 @@
         self.doing.append((self.begin, name, version, self.number))
         return self.number
 
+    def in_place(self, name, old, new):
+        """Whether two versions are one program, with settings that differ in nothing but what a router reads again."""
+        one, other = (self.plan.versions[version] for version in (old, new))
+        if one._replace(name="", config="") != other._replace(name="", config=""):
+            return False
+        try:
+            texts = [json.loads(Path(version.config.format(router=name)).read_text()) for version in (one, other)]
+        except (OSError, ValueError):
+            return False
+        return all(isinstance(text, dict) for text in texts) and texts[0] != texts[1] and \
+            {key: value for key, value in texts[0].items() if key not in READ_AGAIN} == \
+            {key: value for key, value in texts[1].items() if key not in READ_AGAIN}
+
+    def reread(self, number, version):
+        self.doing.append((self.put, number, version))
+
+    def put(self, number, version):
+        """The file is replaced whole, then the process is told (SIGHUP)."""
+        one = self.running[number]
+        settings = self.folder / f"{one.name}.{number}.json"
+        shutil.copyfile(self.plan.versions[version].config.format(router=one.name), f"{settings}.new")
+        os.replace(f"{settings}.new", settings)
+        one.version = version
+        self.signal(one, signal.SIGHUP)
+        with contextlib.suppress(OSError):
+            self.journal.write({"what": "process", "router": one.name, "number": number, "version": version, "pid": one.pid,
+                                "born": one.born, "log": one.log.name})
+
     def drain(self, number):
         self.end(number, signal.SIGTERM)
 
--- a/brookhinge/rollout/place.py
+++ b/brookhinge/rollout/place.py
@@ -5,6 +5,8 @@
     inbox    ("told", router, version, epoch, sure, serial), ("ready", router, process), ("exited", router, process, code)
     writer.start(router, version) -> process      a number of this keeper's own, never used again
     writer.drain(process), writer.end(process)    SIGTERM; SIGKILL after its time
+    writer.in_place(router, old, new) -> whether a running process can take the new version over as it runs: only settings
+                                      differ that it reads again; writer.reread(process, version) has it do so
     writer.record(**what)                         durable before anything of the same round is done
     writer.say(event, **values)
 
@@ -120,7 +122,11 @@
             return
         if now < slot.again_at or slot.draining:
             return
-        if slot.process is None or slot.version != slot.wanted:
+        if slot.ready and slot.version != slot.wanted and writer.in_place(name, slot.version, slot.wanted):
+            writer.reread(slot.process, slot.wanted)
+            slot.version = slot.wanted
+            writer.say("settings", router=name, version=slot.version)
+        elif slot.process is None or slot.version != slot.wanted:
             slot.taking, slot.taking_version, slot.taking_at = writer.start(name, slot.wanted), slot.wanted, now
             if slot.process is None:
                 slot.started_at = now
--- a/brookhinge/standin/rolling.py
+++ b/brookhinge/standin/rolling.py
@@ -42,8 +42,9 @@
     """version: a line of Python that the new program runs first; spoil(config) -> config of the new one."""
 
     def __init__(self, folder, routers=4, keepers=2, version="", spoil=lambda text: text, stages="[0.25, 0.5, 1.0]",
-                 untold="go", before_s=2.0, most_s=8.0, alone_s=30.0, worse="", **rig_):
+                 untold="go", same_program=False, tree=None, before_s=2.0, most_s=8.0, alone_s=30.0, worse="", **rig_):
         super().__init__(folder, routers=routers, **rig_)
+        self.same_program, self.tree = same_program, tree or os.getcwd()      # tree: of the old program
         self.version, self.spoil, self.told = version, spoil, dict(
             stages=stages, untold=untold, before_s=before_s, most_s=most_s, alone_s=alone_s,
             figures="".join(f'  figure "{name}" {{\n    most_worse = {most}\n  }}\n' for name, most in
@@ -65,9 +66,9 @@
         new.write_text(f"#!{sys.executable}\nimport sys; sys.path.insert(0, '')\n{self.version or 'pass'}{MAIN}\n")
         new.chmod(0o700)
         blocks = "".join(
-            f'  version "{version}" {{\n    tree   = "{os.getcwd()}"\n    python = "{python}"\n'
+            f'  version "{version}" {{\n    tree   = "{tree}"\n    python = "{python}"\n'
             f'    config = "{self.folder}/{version}/{{router}}.json"\n    fleet = "{self.folder}/fleet.hcl"\n  }}\n'
-            for version, python in (("v1", ""), ("v2", new)))
+            for version, tree, python in (("v1", self.tree, ""), ("v2", os.getcwd(), "" if self.same_program else new)))
         for place, names in self.places.items():
             self.keeper_ports[place] = free_port()
             routers = "".join(f'    router "{name}" {{\n      listen = "127.0.0.1:{self.ports[name]}"\n    }}\n' for name in names)
--- a/tests/rollout/test_model.py
+++ b/tests/rollout/test_model.py
@@ -64,6 +64,9 @@
         name = self.processes[number][0]
         self.round(dict(self.plan.routers)[name], (kind, name, number, *more))
 
+    def in_place(self, name, old, new):
+        return False
+
     def drain(self, number):
         if number in self.processes:
             self.processes[number][3] = True
--- a/tests/rollout/test_rig.py
+++ b/tests/rollout/test_rig.py
@@ -1,6 +1,8 @@
 """Rollouts among real processes: routers, their keepers and a coordinator, some of which are killed."""
 import asyncio
+import json
 
+from brookhinge.standin.channel import CommandChannel
 from tests.rollout.rolled import LONG, play
 
 
@@ -77,6 +79,23 @@
     play(script, tmp_path, most_s=60.0, alone_s=3.0, untold="pause")
 
 
+def test_settings_that_can_change_in_place_restart_nobody(tmp_path):
+    """Another command channel: read again by SIGHUP, in the same stages."""
+    async def script(rig, load):
+        other = CommandChannel([dict(row) for row in rig.channels["n1"].hosts.values()])
+        address = "%s:%d" % await other.listen()
+        for name in rig.names:
+            path = tmp_path / "v2" / f"{name}.json"
+            path.write_text(json.dumps({**json.loads(path.read_text()), "channel": address}))
+        roll = await rig.roll()
+        assert await rig.ended(roll, LONG) == 0, rig.text("roll")
+        assert set(rig.versions().values()) == {"v2"} and len(other.polls) > 0
+        said = rig.text("k1") + rig.text("k2")
+        assert said.count('"event":"settings"') == 4 and said.count('"event":"took over"') == 4     # those of the start
+        other.end()
+    play(script, tmp_path, stages="[0.5, 1.0]", same_program=True)
+
+
 def test_back_in_the_middle_of_a_stage_and_a_pause(tmp_path):
     async def script(rig, load):
         roll = await rig.roll()
