A router that starts is told by a fellow what that one knows; off unless share_memory

Need: a rolling change starts each router with nothing: first guesses of sending times, equal sub-ranges while its fellows' have moved (the same object at two homes), no holders.

--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -4,7 +4,7 @@
 its writer: decisions become effects. Times are seconds since the start. It knows nothing of any wire.
 
 Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected, among fellows
-also heard, fellows, parts and verdicts.
+also heard, fellows, parts, verdicts and remember.
 Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say; among fellows also spread.
 """
 import heapq
@@ -304,6 +304,11 @@
                 told.append((server, how, seconds))
         self.inbox.append(("verdicts", (told,)))
 
+    def remember(self, rows):
+        """What a fellow knows that has run for longer."""
+        self.inbox.append(("remember", (rows,)))
+        self.effects.append(("say", ("remembered", {"rows": len(rows)})))
+
     def seen(self):
         """{(server, start in ms): (tries, failed)} of caches, totals of this process."""
         return {(server, self.tight.stamp(born)): (tries, failed) for server, born, tries, failed in self.router.seen()}
--- a/brookhinge/membership/post.py
+++ b/brookhinge/membership/post.py
@@ -18,8 +18,9 @@
 VERSION = 1
 MOST_BYTES, MOST_TEXT, SENDERS, WINDOW = 1400, 64, 4096, 64
 METHODS = {"ping": 4, "ack": 1, "nack": 1, "ask": 4, "tell": 0, "rows": 0, "buckets": 64,
-           "look": 2, "seen": 2, "want": 2, "lend": 2, "evidence": 2, "table": 2}
-MAIL = ("want", "lend", "evidence", "table")     # of cores beside the fellow: rows stand in the place of words
+           "look": 2, "seen": 2, "want": 2, "lend": 2, "evidence": 2, "table": 2, "recall": 2,
+           "memory": 2}
+MAIL = ("want", "lend", "evidence", "table", "recall", "memory")     # of cores beside the fellow: rows stand in the place of words
 
 Claim = tuple[str, int, int, int, int, str, int, str, int, float]
 Head = tuple[int, str, int, Claim, int, list[int], list[Claim], bytes]
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -46,6 +46,9 @@
             if fleet.share_verdicts:
                 from brookhinge.verdicts.shared import Judging
                 kinds.append(Judging)
+            if fleet.share_memory:
+                from brookhinge.membership.memory import Memory, Remembering
+                kinds.append(Remembering)
         if site.storm:
             from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
@@ -80,6 +83,9 @@
                 from brookhinge.limits.limits import Limits
                 self.talk.add(lambda talk, now: Limits(talk.fellow.view, fleet.name, fleet.zone, talk.fellow.version,
                                                        lambda: talk.counted, self.reducer.demand, now))
+            if fleet.share_memory:
+                self.talk.add(lambda talk, now: Memory(talk.fellow.view, fleet.name, fleet.zone, talk.fellow.version,
+                                                       self.reducer.router.memory, now))
             if fleet.share_verdicts:
                 from brookhinge.verdicts.verdicts import Verdicts
                 own = self.reducer.router.fleet
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -46,6 +46,7 @@
     lease_s: float      # how long a router that was lost still counts
     metrics: tuple      # HOST:PORT on which its figures are served, or None
     share_limits: bool  # parts of limits move to where the queries are: see brookhinge/limits
+    share_memory: bool      # who starts is told by a fellow what that one knows: see brookhinge/membership/memory.py
     share_verdicts: bool    # what all saw of a server counts: see brookhinge/verdicts
 
 
@@ -146,7 +147,7 @@
     "listen": (address, MUST), "advertise": (address, None), "join": (addresses, MUST), "site": (text, MUST),
     "key": (key, MUST), "zone": (path, ""), "lease_s": (number(0, 3600), 10.0),
     "metrics": (address, None), "share_limits": (flag, False),
-    "share_verdicts": (flag, False),
+    "share_verdicts": (flag, False), "share_memory": (flag, False),
 }
 BLOCKS = {      # kind: (labels, keys, blocks within)
     "box": (1, BOX, {"store": (0, STORE, {}), "track": (1, TRACK, {})}),
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -23,6 +23,7 @@
 #   metrics = "127.0.0.1:9101"                       # figures of the fleet for Prometheus
 #   share_limits   = true                            # docs/operators/limits.md
 #   share_verdicts = true
+#   share_memory   = true                            # who starts is told what a fellow knows
 # }
 
 # A cache box: `brookhinge box --file deploy/operator.hcl --name s-1`. See docs/operators/store.md.
