Rollouts: long figures; a keeper out of reach holds a change up and condemns nobody

Seen: a keeper frozen while its router was changed: 'not ready', all taken back, for nobody could say that it was. The clock of readiness now stands while nothing is heard.

--- a/brookhinge/rollout/coordinator.py
+++ b/brookhinge/rollout/coordinator.py
@@ -192,6 +192,8 @@
                     self.change(now, left[0], writer)
                 elif not left:
                     self.phase, self.since = "warm", now
+            elif now - last.heard_at > plan.ready_s / 2.0:      # nobody says what it does: its keeper is out of reach
+                self.readied_at = now
             elif now - self.readied_at > plan.ready_s:
                 self.back(writer, f"{self.changed[-1]} was not ready within {plan.ready_s:g} s")
         elif self.phase == "warm":
--- a/tests/rollout/test_model.py
+++ b/tests/rollout/test_model.py
@@ -181,6 +181,7 @@
             world.keeper(k)
     if world.core is None or world.core.end == "superseded":
         world.coordinate()
+    world.inbox.append(("asked", "resume"))
     assert world.run(seconds, lambda: world.core.end is not None), world.core.status()
     version = "v2" if world.core.end == "done" else "v1"
     assert world.core.end in ("done", "back") and world.run(40.0, lambda: world.all_run(version))
@@ -216,7 +217,9 @@
             world.keeper(k)
         elif what < 0.75:
             world.cut ^= {k}
-        elif what < 0.82 and world.processes:
+        elif what < 0.79 and world.core is not None:
+            world.inbox.append(("asked", chance.choice(("pause", "resume", "resume"))))
+        elif what < 0.84 and world.processes:
             world.exit(chance.choice(sorted(world.processes)), -11)
         world.run(chance.choice((0.1, 0.5, 2.0, 5.0)))
     calm(world)
@@ -303,3 +306,15 @@
     assert stages == stages_of(told) and stages != stages_of(told._replace(seed=4))
 
 
+
+
+def test_aborted_in_the_middle_of_a_change_it_stays_where_it_is():
+    world = World(3)
+    assert world.run(200.0, lambda: sum(r["what"] == "change" for r in world.records) == 2)
+    world.inbox.append(("asked", "abort"))          # one is draining its old process just now
+    assert world.run(5.0, lambda: world.core.end == "left")
+    world.run(5.0)
+    changes = len(world.records)
+    world.coordinate()                              # one that is started again does nothing more either
+    world.run(30.0)
+    assert [r["what"] for r in world.records[changes:]] == ["epoch"] and world.core.end == "left"
--- a/tests/rollout/test_rig.py
+++ b/tests/rollout/test_rig.py
@@ -1,6 +1,7 @@
 """Rollouts among real processes: routers, their keepers and a coordinator, some of which are killed."""
 import asyncio
 import json
+import signal
 
 from brookhinge.standin.channel import CommandChannel
 from tests.rollout.rolled import LONG, play
@@ -106,3 +107,20 @@
         assert await rig.ended(roll, LONG) == 1, rig.text("roll")
         assert set(rig.versions().values()) == {"v1"}
     play(script, tmp_path)
+
+
+def test_a_keeper_that_sleeps_holds_the_change_up_and_nothing_else(tmp_path):
+    """Cut off from half of the keepers a coordinator changes nothing more; when they are back it goes on."""
+    async def script(rig, load):
+        roll = await rig.roll()
+        assert await rig.until(lambda: "v2" in rig.versions().values(), LONG)
+        rig.keepers["k2"].send_signal(signal.SIGSTOP)
+        await asyncio.sleep(8.0)
+        held = rig.text("roll").count('"event":"change"')
+        before = load.kinds["n2"].get("satisfied", 0)
+        await asyncio.sleep(3.0)
+        assert rig.text("roll").count('"event":"change"') == held and roll.returncode is None
+        assert load.kinds["n2"].get("satisfied", 0) > before        # its routers serve on
+        rig.keepers["k2"].send_signal(signal.SIGCONT)
+        assert await rig.ended(roll, LONG) == 0, rig.text("roll")
+    play(script, tmp_path, stages="[0.5, 1.0]", alone_s=60.0, most_s=30.0)
