--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -31,10 +31,17 @@
 """
 
 
+GIVEN = set()       # ports that were handed out: not bound yet, the system may name one again
+
+
 def free_port():
-    with socket.socket() as made:
-        made.bind(("127.0.0.1", 0))
-        return made.getsockname()[1]
+    while True:
+        with socket.socket() as made:
+            made.bind(("127.0.0.1", 0))
+            port = made.getsockname()[1]
+        if port not in GIVEN:
+            GIVEN.add(port)
+            return port
 
 
 def settings(aim_s=0.3, patience_s=3.0, warm_s=5.0, longest_hint_s=0.0, flow_kb_s=0.0):
