The mark of a referenced query goes on to the server: field replay as op

Checked: a scratch copy that prints what clients send shows that queries of the class whose repeats are dropped carry 'replay' (32 hex digits); all other fields went on unchanged, so body and tag are ruled out. real.json names it 'op' on the servers' side. Wrong: FIELDS in net/front.py left it out, cachewire.pull had no place for it. Without it no server knows a repeat: an effect could happen twice.

--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -19,12 +19,13 @@
 class Open:
     """A query that is owed its final answer; what goes on unchanged is kept as the bytes that came."""
     __slots__ = ("client", "number", "name", "kind", "key", "part", "tag", "body", "until", "pushes", "out",
-                 "server", "sent_at", "call", "beside", "seen")
+                 "server", "sent_at", "call", "beside", "seen", "mark")
 
-    def __init__(self, client, number, name, kind, key, part, tag, body, until):
+    def __init__(self, client, number, name, kind, key, part, tag, body, until, mark):
         self.seen = None        # (track, size in KB, when it came), where somebody counts what becomes of queries
         self.client, self.number, self.name, self.kind = client, number, name, kind
         self.key, self.part, self.tag, self.body, self.until = key, part, tag, body, until
+        self.mark = mark        # by which servers know a repeat of a referenced query, or None
         self.pushes, self.out, self.server, self.sent_at = 0, False, None, until
         self.call, self.beside = None, None     # what the decisions are told of it; the query whose answer it waits for
 
@@ -101,7 +102,8 @@
 
     # events
 
-    def query(self, client, number, name, kind, key, part, part_number, group, size_kb, allow, tag, body, came):
+    def query(self, client, number, name, kind, key, part, part_number, group, size_kb, allow, tag, body, came,
+              mark=None):
         track = self.tracks.get(kind)
         if track is None:
             return self.effects.append(("reject", (client, number, "service: no such class")))
@@ -120,7 +122,7 @@
             return self.effects.append(("reject", (client, number, "ref: used before")))
         query, self.serial = self.serial, self.serial + 1
         until = came + allow
-        self.queries[query] = Open(client, number, name, kind, key, part, tag, body, until)
+        self.queries[query] = Open(client, number, name, kind, key, part, tag, body, until, mark)
         self.names[name] = query
         self.clients.setdefault(client, {})[number] = query
         self.counts["queries"] += 1
@@ -406,7 +408,7 @@
         heapq.heappush(self.timers, (until, query, q.pushes))
         self.effects.append(("pull", (
             query, q.pushes, (cache, *self.dials[cache]), q.name, q.kind, q.key, q.part, until - self.now,
-            source if source != cache else None, rank, age_s, join, held_only, renew, q.tag, q.body)))
+            source if source != cache else None, rank, age_s, join, held_only, renew, q.tag, q.body, q.mark)))
 
     def nack(self, query, retry_after_s):
         q = self.queries[query]
--- a/brookhinge/net/cachewire.py
+++ b/brookhinge/net/cachewire.py
@@ -11,7 +11,8 @@
     """Bytes that can't be read as this protocol; the connection they came on is closed."""
 
 
-def pull(name, kind, key, part, patience_s, source, rank, age_s, join, held_only, renew, tag, body, skip=False):
+def pull(name, kind, key, part, patience_s, source, rank, age_s, join, held_only, renew, tag, body, mark=None,
+         skip=False):
     fields = [b"sort=" + kind, b"asset=" + key, b"slice=" + part, b"patience=%d" % max(1, int(patience_s * 1000))]
     if source:
         fields.append(b"parent=" + source.encode())
@@ -25,6 +26,8 @@
         fields.append(b"hints=" + b"+".join(hints))
     if tag:
         fields.append(b"got=" + tag)
+    if mark:
+        fields.append(b"op=" + mark)
     return b"PULL %b %b %d\r\n%b\r\n" % (name, b",".join(fields), len(body), body)
 
 
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -16,7 +16,7 @@
 AMOUNT = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?").fullmatch
 FIELDS = tuple((name, form, must) for must, rows in (
     (True, ((b"service", WORD), (b"ref", HEX), (b"allow", DIGITS), (b"lookup", HEX), (b"piece", DIGITS))),
-    (False, ((b"lot", DIGITS), (b"room", AMOUNT), (b"ver", WORD)))) for name, form in rows)
+    (False, ((b"lot", DIGITS), (b"room", AMOUNT), (b"ver", WORD), (b"replay", WORD)))) for name, form in rows)
 WANTED = {b"serve": {1: thrift.MAP, 2: thrift.STRING}, b"forget": {1: thrift.I32}, b"isWell": {}}
 FRAME_S = 2.2       # from the connect to the first query, and from a frame's first byte to its last
 IDLE_S = 10.0       # a connection that has asked and has nothing open; usual clients close theirs before
@@ -169,7 +169,7 @@
                 raise thrift.Unreadable("a frame that goes on after its message")
             if method == b"serve":
                 values = self.query(args.get(1) or {}, args.get(2, b""))
-                self.post("query", (client.number, number, *values, came))
+                self.post("query", (client.number, number, *values, came, args.get(1, {}).get(b"replay")))
             elif method == b"forget":
                 return self.post("forgotten", (client.number, args.get(1)))
             else:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -100,6 +100,8 @@
         b"hints=merge+local+revalidate,got=4be0 1\r\nx\r\n")
     assert cachewire.pull(b"9b1f", b"page", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b"") == (
         b"PULL 9b1f sort=page,asset=7f3a,slice=3,patience=1 0\r\n\r\n")
+    assert b",patience=1,op=1ff975 0\r\n" in cachewire.pull(
+        b"9b1f", b"order", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b"", b"1ff975")
     assert cachewire.kill(b"9b1f") + cachewire.echo(b"t") == b"KILL 9b1f\r\nECHO t\r\n"
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -175,6 +175,19 @@
     assert heard == [(n, "satisfied 3") for n in range(1, 6)] and said == ["cache connection"]
 
 
+def test_the_mark_of_a_referenced_query_goes_on_as_it_came(tmp_path):
+    """Without it no server knows a repeat, and the effect happens twice."""
+    lines = []
+
+    async def scene(t):
+        t.caller.ask(1, replay="1ff975b0a6ce2c84d2617523a0b82bf6")
+        t.caller.ask(2, replay="not a mark")
+        return [await t.caller.hear(), await t.caller.hear()], lines[0][2].split(",")[-1]
+    machines = caches(act=lambda line: lines.append(line) or "data")
+    assert played(scene, tmp_path, machines=machines) == (
+        [(2, "exception replay: missing or unusable"), (1, "satisfied 19")], "op=1ff975b0a6ce2c84d2617523a0b82bf6")
+
+
 def test_second_copies_and_unknown_ids_are_passed_over(tmp_path):
     """An answer that came twice must not end a later push of its query, which is then out unseen."""
     async def scene(t):
