Crossings on sockets: late connects, ends behind calls, closes over unread bytes, spoilt answers

What stands behind is read first; waiting calls are held and go with their client. - A stall of the loop: a push's time came before the client's end that lay there already (rounds.timed). - drop() closed over unread bytes (reset), also of a call read but not yet in a round, of one that lay unread, and of half a call when descriptors ran short; at the end of the process, too. Now the writing side is shut and the rest read for 0.2 s; what is read after the end began is refused at once. What was taken before unreadable bytes is answered first. - For room the longest idle go (never asked went first: new clients); the system's bound on descriptors counts as well. - A second answer, an unknown id, half a line, an answer that dribbles on: the connection was used again. - SIGHUP while a router starts ended it; SIGTERM before it was ready was lost; no TCP_NODELAY on the command channel.

--- a/brookhinge/__main__.py
+++ b/brookhinge/__main__.py
@@ -1,10 +1,13 @@
 """Without arguments the platform's router, one on sockets, configured by BALANCER_CONFIG; with arguments the command
 line. Each imports nothing of the other: the platform gives a router little memory."""
+import signal
 import sys
 
 
 def main():
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)        # it would end a router that has not read its file yet
     if len(sys.argv) > 1:
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
         from brookhinge.cli import main as command_line
         return command_line()
     from brookhinge.net.program import main as router
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -43,7 +43,7 @@
         self.dials = {}                  # of each server: its address and its start
         self.timers = []                 # (until, query, push)
         self.served, self.copies = {}, {}       # bodies that came in this pass, and those the decisions keep
-        self.serial, self.cursor, self.now = 0, 0, 0.0
+        self.serial, self.cursor, self.now, self.closed = 0, 0, 0.0, False
         self.effects, self.inbox, self.current = [], [], None
         self.counts = dict.fromkeys(("queries", "satisfied", "nacked", "errored", "left", "pushes", "timeouts",
                                      "own", "beside", "again"), 0)
@@ -120,6 +120,9 @@
             return self.effects.append(("reject", (client, number, "ref: still open")))
         if name in self.past:
             return self.effects.append(("reject", (client, number, "ref: used before")))
+        if self.closed:         # it was read after the end began: it never ran, nor will it
+            self.counts["queries"], self.counts["nacked"] = self.counts["queries"] + 1, self.counts["nacked"] + 1
+            return self.effects.append(("nack", (client, number, 0.0)))
         query, self.serial = self.serial, self.serial + 1
         until = came + allow
         self.queries[query] = Open(client, number, name, kind, key, part, tag, body, until, mark)
@@ -191,7 +194,8 @@
         self.effects.append(("shut", (client, why)))
 
     def closing(self):
-        """The process ends: what is open gets its error now, and nothing more is decided."""
+        """The process ends: what is open gets its error now, and nothing more is decided; what is read later is refused."""
+        self.closed = True
         self.inbox.clear()
         self.waiting.clear()        # each has its own error
         for query in list(self.queries):
@@ -408,7 +412,7 @@
         heapq.heappush(self.timers, (until, query, q.pushes))
         self.effects.append(("pull", (
             query, q.pushes, (cache, *self.dials[cache]), q.name, q.kind, q.key, q.part, until - self.now,
-            source if source != cache else None, rank, age_s, join, held_only, renew, q.tag, q.body, q.mark)))
+            source if source != cache else None, rank, age_s, join, held_only, renew, q.tag, q.body, False, q.mark)))
 
     def nack(self, query, retry_after_s):
         q = self.queries[query]
--- a/brookhinge/engine/rounds.py
+++ b/brookhinge/engine/rounds.py
@@ -2,6 +2,9 @@
 names of the effects that they take."""
 import asyncio
 
+PASSES = 3          # of the loop, until what can be read now has been handed on: select, read, wake the reader
+LATE_S = 0.02       # events that waited so long for their round: the loop stood still, and more may have come meanwhile
+
 
 class Rounds:
     """reducer: reduce(now, events) -> effects and next_at(); now(): seconds since the start; log(event, **values).
@@ -11,6 +14,7 @@
     def __init__(self, reducer, now, log):
         self.reducer, self.now, self.log = reducer, now, log
         self.events, self.takers, self.due, self.timer, self.timer_at, self.opened = [], {}, False, None, None, False
+        self.posted_at = 0.0    # when the first event of the next round was posted
         self.before = []        # called before each round: what they post goes before all else
 
     def join(self, part, *effects):
@@ -22,14 +26,28 @@
     def post(self, method, values):
         self.events.append((method, values))
         if self.opened and not self.due:
-            self.due = True
-            asyncio.get_running_loop().call_soon(self.round)
+            self.due, self.posted_at = True, self.now()
+            asyncio.get_running_loop().call_soon(self.look)
 
     def open(self):
         """The first round: what is known at the start comes before the first query."""
         self.opened = True
         self.round()
 
+    def look(self):
+        """Nothing is sent on what was known before the loop stood still: a client may have gone, a list changed."""
+        if self.now() - self.posted_at > LATE_S:
+            self.after(PASSES)
+        else:
+            self.round()
+
+    def after(self, passes):
+        """A round, once what has come by now on any socket is read: that takes its reader so many passes."""
+        if passes:
+            asyncio.get_running_loop().call_soon(self.after, passes - 1)
+        else:
+            self.round()
+
     def round(self):
         """One pass; an effect that fails is logged and costs its query or its client, never the router."""
         self.due, events, self.events = False, self.events, []
@@ -57,6 +75,8 @@
             self.timer = asyncio.get_running_loop().call_later(max(0.0, at - self.now()), self.timed)
 
     def timed(self):
+        """A push's time is over; an answer or its client's end that has come goes first."""
         self.timer = self.timer_at = None
         if not self.due:
-            self.round()
+            self.due = True
+            self.after(PASSES)
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -1,5 +1,6 @@
 """Connections to cache servers, parents and the origin: effects to bytes, bytes to events. Decides nothing."""
 import asyncio
+import math
 import socket
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -21,18 +22,26 @@
         self.server, self.stream, self.up, self.closed, self.retired = server, stream, False, False, False
         self.used_at, self.heard_at, self.asked_at = now, now, None
         self.out, self.spent, self.waiting, self.answers, self.looks = {}, set(), {}, cachewire.Answers(), 0
+        self.killed, self.stuck_at = set(), None    # ids given up whose answer may still come; since when it is stuck
 
     def load(self):
         return len(self.out) + len(self.waiting)
 
+    def stuck(self):
+        """Part of an answer has come that no push waits for: what follows it would wait for its rest."""
+        head = self.answers.head
+        return head[0] not in self.out if head is not None else bool(self.answers.held) and not self.out
+
 
 class Caches:
     """post(method, values) takes the events; say(event, ...) is the log."""
 
-    def __init__(self, post, say, now, start, columns, connect_s, idle_s, multiplex, sockets):
+    def __init__(self, post, say, now, start, columns, connect_s, idle_s, multiplex, sockets, late_s=math.inf):
+        """late_s: a push that waited longer for its connection is not written but ends as unsent, to be decided anew: what
+        was known when it was decided, drains, purges and what is cold, may hold no more."""
         self.post, self.say, self.now, self.start, self.columns = post, say, now, start, columns
         self.connect_s, self.idle_s, self.multiplex, self.sockets = connect_s, idle_s, max(1, multiplex), sockets
-        self.lines, self.where, self.all = {}, {}, set()
+        self.lines, self.where, self.all, self.late_s = {}, {}, set(), late_s
 
     # effects
 
@@ -42,22 +51,30 @@
         line = self.choose(server, name)
         if line is None:        # no descriptor left for one more: nothing was sent
             return self.end(query, push, "unreachable")
-        self.put(line, query, push, name, wire)
+        self.put(line, query, push, name, wire, self.now())
 
     def failed(self, effect, values):
         """A push that could not be written is over."""
         if effect == "pull":
             self.end(values[0], values[1], "broken")
 
-    def put(self, line, query, push, name, wire):
+    def put(self, line, query, push, name, wire, since):
         self.where[query, push] = line, name
         line.used_at = self.now()
         if not line.up:
-            line.waiting[name] = query, push, wire
+            line.waiting[name] = query, push, wire, since
             return
         line.out[name] = query, push, self.now()
         self.write(line, wire)
 
+    def put_late(self, line, query, push, name, wire, since):
+        """The same for a push that waited."""
+        if self.now() - since > self.late_s:
+            del self.where[query, push]
+            self.end(query, push, "unsent")
+        else:
+            self.put(line, query, push, name, wire, since)
+
     def kill(self, query, push):
         """Gives a push up. Its id is not used again on its connection: an answer may be under way and must not
         pass for that of a later push. A connection with an ECHO still to be answered then is suspect."""
@@ -67,6 +84,7 @@
         if line.waiting.pop(name, None) is None:
             del line.out[name]
             line.retired |= line.asked_at is not None
+            line.killed.add(name)
             self.spend(line, name)
             self.write(line, cachewire.kill(name))
             if line.stream.writing():       # it may not arrive: closing gives it up for sure
@@ -109,7 +127,7 @@
 
     def takes(self, line, name):
         return not (line.closed or line.retired or line.stream.closed()) and line.load() < self.multiplex \
-            and name not in line.out and name not in line.spent and name not in line.waiting
+            and name not in line.out and name not in line.spent and name not in line.waiting and not line.stuck()
 
     def connect(self, server):
         try:
@@ -131,8 +149,8 @@
             await asyncio.wait_for(line.stream.connect(line.server[1]), self.connect_s)
             line.up, line.heard_at = True, self.now()
             waiting, line.waiting = line.waiting, {}
-            for name, (query, push, wire) in waiting.items():
-                self.put(line, query, push, name, wire)
+            for name, (query, push, wire, since) in waiting.items():
+                self.put_late(line, query, push, name, wire, since)
             while True:
                 data = await line.stream.read_bytes(PIECE, partial=True)
                 came = line.heard_at = self.now()
@@ -160,8 +178,12 @@
     def answered(self, line, came, name, word, fields, body):
         if name == ECHO:
             line.asked_at = None
-        if name not in line.out:        # it crossed the KILL, is a second copy or of an id that nobody asked for
             return
+        if name in line.killed:         # it crossed the KILL
+            return line.killed.remove(name)
+        if name not in line.out:        # a second answer or of an id that nobody asked for: it is not to be trusted further
+            line.retired = True
+            return self.settle(line)
         result, note, waited, load, dated, digest, lot = cachewire.read_result(word, fields, self.columns)
         line.used_at = came
         query, push, _ = line.out.pop(name)
@@ -186,13 +208,13 @@
             del self.where[query, push]
             self.end(query, push, "broken")
         fellows = self.lines.get(line.server, ())
-        for name, (query, push, wire) in line.waiting.items():
-            del self.where[query, push]
+        for name, (query, push, wire, since) in line.waiting.items():
             other = next((n for n in fellows if n.up and self.takes(n, name)), None)
             if other is None:
+                del self.where[query, push]
                 self.end(query, push, "unreachable")
             else:
-                self.put(other, query, push, name, wire)
+                self.put_late(other, query, push, name, wire, since)
         line.out, line.waiting = {}, {}
 
     def end(self, query, push, result):
@@ -203,9 +225,15 @@
 
         A machine that vanished leaves its connections open, and so does noise that nothing readable follows: where
         something is out and nothing was heard for half the time that a connect may take, an ECHO asks whether the
-        connection works; it has as long again. An answer that stops short has that time to go on."""
+        connection works; it has as long again. An answer that stops short has that time to go on, one that nobody waits
+        for has it to end."""
         now, most = self.now(), self.connect_s / 2
         for line in [n for n in self.all if n.up and not n.closed]:
+            line.stuck_at = (line.stuck_at or now) if line.stuck() else None
+            if line.stuck_at is not None and now - line.stuck_at > most:
+                self.say("cache connection", server=line.server[0], why="an answer without end")
+                self.close(line)
+                continue
             since = next(iter(line.out.values()))[2] if line.out else now       # the push that waits longest
             quiet = now - max(line.heard_at, line.asked_at or since)
             if not line.out:
--- a/brookhinge/net/cachewire.py
+++ b/brookhinge/net/cachewire.py
@@ -11,8 +11,8 @@
     """Bytes that can't be read as this protocol; the connection they came on is closed."""
 
 
-def pull(name, kind, key, part, patience_s, source, rank, age_s, join, held_only, renew, tag, body, mark=None,
-         skip=False):
+def pull(name, kind, key, part, patience_s, source, rank, age_s, join, held_only, renew, tag, body, skip=False,
+         mark=None):
     fields = [b"sort=" + kind, b"asset=" + key, b"slice=" + part, b"patience=%d" % max(1, int(patience_s * 1000))]
     if source:
         fields.append(b"parent=" + source.encode())
--- a/brookhinge/net/channel.py
+++ b/brookhinge/net/channel.py
@@ -56,6 +56,7 @@
         if self.stream is None or self.stream.closed():
             self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM),
                                    max_buffer_size=2 * http.LONGEST_BODY)
+            self.stream.set_nodelay(True)
             await self.stream.connect(self.address)
         stream, answer = self.stream, http.Answer()
         await stream.write(http.request("%s:%d" % self.address, self.cursor, int(self.block_s * 1000)))
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -1,5 +1,6 @@
 """Clients' connections: bytes to events, effects to bytes. Decides nothing."""
 import asyncio
+import collections
 import errno
 import heapq
 import re
@@ -20,19 +21,34 @@
 WANTED = {b"serve": {1: thrift.MAP, 2: thrift.STRING}, b"forget": {1: thrift.I32}, b"isWell": {}}
 FRAME_S = 2.2       # from the connect to the first query, and from a frame's first byte to its last
 IDLE_S = 10.0       # a connection that has asked and has nothing open; usual clients close theirs before
-SPARE = 16          # given up at once when the share of descriptors is reached
+SPARE = 16          # closed at once when the share of descriptors is reached
+LINGER_S = 0.2      # a connection whose writing side is shut is read on for so long: a close over unread bytes resets it
+LINGERING = 8       # of those at most where others need descriptors
 REJECTS = 8         # calls on a connection that can't be taken, after which it is closed; and a pause after each:
-REJECTED_S = 0.05   # who asks the same again at once is not read from meanwhile
+REJECTED_S = 0.05   # who asks the same again at once waits for so long
 LONGEST_BODY = 240_000
 
 
 class Client:
-    """One connection of a client: how many bytes it has not read yet, and how many of a frame have come."""
+    """One connection of a client: how many bytes it has not read yet; the calls that have come and wait to be handed on,
+    and how many bytes of them and of an unfinished frame are held."""
 
     def __init__(self, number, stream, now):
-        self.number, self.stream, self.unread, self.partial = number, stream, 0, 0
+        self.number, self.stream, self.unread, self.held, self.coming = number, stream, 0, 0, None
         self.asked, self.used_at, self.part_at, self.rejects = False, now, None, 0
-        self.may_read, self.network = asyncio.Event(), None
+        self.broken = None      # why nothing more is taken of it: what was taken before is answered, then it is closed
+        self.calls, self.queued, self.waits, self.room, self.network = collections.deque(), 0, False, asyncio.Event(), None
+
+    def idle(self):
+        """Nothing of a call has come that is not handed on, nor is an answer on its way."""
+        return not (self.unread or self.calls or self.coming is not None and self.coming.done())
+
+    def silent(self):
+        """Nothing lies unread in the system: a call that crosses a close would be lost."""
+        try:
+            return not self.stream.socket.recv(1, socket.MSG_PEEK)
+        except (OSError, AttributeError):       # nothing there, or closed by the system
+            return True
 
 
 class Front:
@@ -42,7 +58,8 @@
     def __init__(self, post, say, well, busy, now, longest, sockets, held, gate=None):
         self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, now
         self.longest, self.sockets, self.most_held, self.paused = longest, sockets, held, False
-        self.clients, self.serial, self.unread, self.partial, self.listener = {}, 0, 0, 0, None
+        self.clients, self.serial, self.unread, self.held, self.listener = {}, 0, 0, 0, None
+        self.leaving = {}               # connections whose writing side is shut
         self.gate = gate                # storm/gate.py, where it is on: how many to take, and whose
 
     # accepting
@@ -60,9 +77,9 @@
         asyncio.get_running_loop().add_reader(self.listener, self.accept)
         return self.listener.getsockname()
 
-    def accept(self):
+    def accept(self, most=64):
         """Takes what has come; without descriptors it looks again in a moment, it never ends."""
-        for _ in range(64 if self.gate is None else self.gate.in_a_pass()):
+        for _ in range(most if self.gate is None else self.gate.in_a_pass()):
             if self.listener is None:
                 return
             if len(self.clients) >= self.sockets and not self.make_room():
@@ -81,6 +98,7 @@
                 if not kept:
                     made.close()
                     continue
+            made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = IOStream(made, max_buffer_size=2 * thrift.LONGEST, read_chunk_size=PIECE)
             self.paused = False
             self.serial += 1
@@ -91,19 +109,25 @@
             asyncio.ensure_future(self.run(client))
 
     def make_room(self):
-        """Usual clients must get in: those that never asked go first, then those idle longest; whether any went."""
-        idle = [c for c in self.clients.values() if not (c.unread or self.busy(c.number))]
-        for client in heapq.nsmallest(SPARE, idle, key=lambda c: (c.asked, c.used_at)):
-            self.drop(client)
-        return bool(idle)
+        """New clients must get in: those idle longest go, never one of which a call has come, whole or in part."""
+        idle = [c for c in self.clients.values() if c.part_at is None and c.idle() and not self.busy(c.number)]
+        before = len(self.clients)
+        for client in heapq.nsmallest(SPARE, idle, key=lambda c: c.used_at):
+            self.release(client)
+        while len(self.leaving) > LINGERING:
+            self.drop(next(iter(self.leaving.values())))
+        return len(self.clients) < before
 
     def sweep(self):
         """Closes who brings no whole frame in time, and who has nothing open long past usual clients' own close."""
         now = self.now()
         for client in list(self.clients.values()):
-            if now - client.used_at > (IDLE_S if client.asked else FRAME_S) and not client.unread \
-                    and not self.busy(client.number) or client.part_at is not None and now - client.part_at > FRAME_S:
-                self.drop(client)
+            slow = client.part_at is not None and now - client.part_at > FRAME_S
+            if slow or now - client.used_at > (IDLE_S if client.asked else FRAME_S) and client.part_at is None:
+                if client.idle() and not self.busy(client.number):
+                    self.release(client)
+                elif slow:
+                    self.drop(client)
 
     def pause(self, why):
         loop = asyncio.get_running_loop()
@@ -116,7 +140,7 @@
     def stop(self):
         """Accepts no more; what has come up before is still taken."""
         if self.listener is not None:
-            self.accept()
+            self.accept(1024)
             asyncio.get_running_loop().remove_reader(self.listener)
             self.listener.close()
             self.listener = None
@@ -126,28 +150,32 @@
     async def run(self, client):
         stream, frames, why = client.stream, thrift.Frames(), None
         try:
-            stream.set_nodelay(True)
-            while client.number in self.clients:
-                data = await stream.read_bytes(PIECE, partial=True)
-                came, rejects = self.now(), client.rejects
-                for frame in frames.feed(data):
-                    client.part_at = None
-                    self.call(client, frame, came)
-                    if client.number not in self.clients:
-                        return
-                self.partial += len(frames.held) - client.partial
-                client.partial = len(frames.held)
-                client.part_at = (client.part_at or came) if client.partial else None
-                self.keep_bound()
-                if client.unread > thrift.LONGEST:      # reads nothing: no more is taken of it meanwhile
-                    client.may_read.clear()
-                    await client.may_read.wait()
+            client.coming = stream.read_bytes(PIECE, partial=True)
+            while True:
+                data = await client.coming
+                client.coming = stream.read_bytes(PIECE, partial=True)
+                # what stands behind is read first: the client's end there ends all, no call of it is taken
+                while client.coming.done() and len(data) < thrift.LONGEST:
+                    data += client.coming.result()
+                    client.coming = stream.read_bytes(PIECE, partial=True)
+                if client.number in self.clients and not client.broken:     # else nothing more is taken of it
+                    came = self.now()
+                    calls = frames.feed(data)
+                    client.calls.extend((frame, came) for frame in calls)
+                    client.queued += sum(map(len, calls))
+                    client.part_at = (not calls and client.part_at or came) if frames.held else None
+                    self.hold(client, client.queued + len(frames.held))
+                    if frames.broken:
+                        client.broken = f"unreadable: {frames.broken}"
+                    self.hand_on(client)
+                    self.keep_bound()
+                    while client.queued > thrift.LONGEST:       # reads nothing: no more is taken of it meanwhile
+                        client.room.clear()
+                        await client.room.wait()
                 # others' turn: what comes without a pause would else be read without one
-                await asyncio.sleep(REJECTED_S if client.rejects > rejects else 0)
+                await asyncio.sleep(0)
         except (StreamClosedError, OSError):
             pass
-        except thrift.Unreadable as fault:
-            why = f"unreadable: {fault}"
         except Exception as fault:
             why = f"{type(fault).__name__}: {fault}"
         finally:
@@ -155,6 +183,31 @@
                 self.say("client connection", why=why)
             self.drop(client)
 
+    def hold(self, client, size):
+        self.held += size - client.held
+        client.held = size
+
+    def hand_on(self, client):
+        """Hands calls on, but of a client that reads no answers or is made to wait; those still held go with it."""
+        try:
+            while client.calls and client.unread <= thrift.LONGEST and not client.waits and client.number in self.clients:
+                frame, came = client.calls.popleft()
+                client.queued -= len(frame)
+                self.hold(client, client.held - len(frame))
+                self.call(client, frame, came)
+        except thrift.Unreadable as fault:
+            client.broken = f"unreadable: {fault}"
+            client.calls.clear()
+            client.queued = 0
+            self.hold(client, 0)
+        if client.queued <= thrift.LONGEST:
+            client.room.set()
+        self.end_broken(client)
+
+    def end_broken(self, client):
+        if client.broken and not client.calls and not self.busy(client.number):
+            self.shut(client.number, client.broken)
+
     def call(self, client, frame, came):
         reader = thrift.Reader(frame)
         method, kind, number = thrift.read_head(reader)
@@ -221,11 +274,18 @@
         self.write(client, wire)
         if client.rejects >= REJECTS:
             self.shut(client.number, f"{REJECTS} calls that cannot be taken")
+        elif not client.waits:
+            client.waits = True
+            asyncio.get_running_loop().call_later(REJECTED_S, self.waited, client)
+
+    def waited(self, client):
+        client.waits = False
+        self.hand_on(client)
 
     def shut(self, client, why):
         if client in self.clients:
             self.say("client connection", why=why)
-            self.drop(self.clients[client])
+            self.release(self.clients[client], True)
 
     def failed(self, effect, values):
         """An answer that could not be written costs its client's connection."""
@@ -234,8 +294,11 @@
 
     def reply(self, client, wire):
         if client in self.clients:
-            self.clients[client].used_at = self.now()
-            self.write(self.clients[client], wire)
+            client = self.clients[client]
+            client.used_at = self.now()
+            self.write(client, wire)
+            if client.broken:       # once the answers of this round are all written
+                asyncio.get_running_loop().call_soon(self.end_broken, client)
 
     def write(self, client, wire):
         """Never waits. Past the bound on all bytes held for clients the one with most of them is given up."""
@@ -251,27 +314,54 @@
         self.keep_bound()
 
     def keep_bound(self):
-        if self.unread + self.partial > self.most_held:
-            worst = max(self.clients.values(), key=lambda c: c.unread + c.partial, default=None)
+        if self.unread + self.held > self.most_held:
+            worst = max(self.clients.values(), key=lambda c: c.unread + c.held, default=None)
             if worst is not None:
-                self.shut(worst.number, f"{worst.unread} bytes not read, {worst.partial} of a frame held")
+                self.shut(worst.number, f"{worst.unread} bytes not read, {worst.held} of its calls held")
 
     def read(self, client, size, done):
         done.cancelled() or done.exception()
         client.unread -= size
         self.unread -= size
-        if client.unread <= thrift.LONGEST:
-            client.may_read.set()
+        self.hand_on(client)
 
-    def drop(self, client):
-        client.stream.close()
-        client.may_read.set()
+    def leave(self, client):
+        """Nothing more is taken of it, and what waited of it is forgotten."""
         if self.clients.pop(client.number, None) is not None:
-            self.partial -= client.partial
+            client.calls.clear()
+            client.queued = 0
+            self.hold(client, 0)
+            client.room.set()
             if client.network is not None:
                 self.gate.left(client.network)
             self.post("client_gone", (client.number,))
 
-    def end_all(self):
-        for client in list(self.clients.values()):
+    def drop(self, client):
+        self.leaving.pop(client.number, None)
+        client.stream.close()
+        self.leave(client)
+
+    def release(self, client, breach=False):
+        """A close of ours: the writing side is shut and the rest read for a while, or answers still on their way would go
+        with the reset. Not where a call lies unread, unless the client has broken the protocol."""
+        if not (breach or client.silent()):
+            return
+        self.leave(client)
+        try:
+            if client.unread:           # it reads nothing: its answers are given up
+                raise OSError
+            client.stream.socket.shutdown(socket.SHUT_WR)
+        except (OSError, AttributeError):       # the system has closed it already
+            return self.drop(client)
+        self.leaving[client.number] = client
+        asyncio.get_running_loop().call_later(LINGER_S, self.drop, client)
+
+    async def end(self, until):
+        """The last of it: what has come whole is answered, refused by now, then each connection is closed as by release."""
+        while (self.clients or self.leaving) and self.now() < until:
+            for client in list(self.clients.values()):
+                if client.idle() and not self.busy(client.number):
+                    self.release(client)
+            await asyncio.sleep(0.005)
+        for client in [*self.clients.values(), *self.leaving.values()]:
             self.drop(client)
--- a/brookhinge/net/program.py
+++ b/brookhinge/net/program.py
@@ -1,6 +1,7 @@
 """One router on sockets as a program, configured by the file that BALANCER_CONFIG names."""
 import asyncio
 import os
+import resource
 import signal
 import sys
 
@@ -41,23 +42,37 @@
                          f"{handed!r:.20}, {scores_s!r:.20}") from None
 
 
-async def serve(site, fleet, kept_):
+def bounded(site):
+    """With no more descriptors than the system gives: what clients, servers and channel may hold is shared out of it."""
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if most == resource.RLIM_INFINITY or most >= site.bounds.sockets:
+        return site
+    if most < 32:
+        raise StartError(f"limits.sockets: expected 32 descriptors at least, the system gives {most}")
+    return site._replace(bounds=site.bounds._replace(sockets=most))
+
+
+async def serve(site, fleet, kept_, told_again):
     service = Service(site, fleet=fleet, **kept_)
     for word in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(word, service.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, service)
+    if told_again:          # SIGHUP came after the file had been read
+        reread(service)
     await service.run()
 
 
 def main():
+    told_again = []
+    signal.signal(signal.SIGHUP, lambda *_: told_again.append(True))
     try:
-        site = read_site(os.environ)
+        site = bounded(read_site(os.environ))
         fleet, kept_ = fleet_of(site, os.environ), kept(os.environ)
     except StartError as fault:
         print(f"brookhinge: {fault}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(site, fleet, kept_))
+        asyncio.run(serve(site, fleet, kept_, told_again))
     except OSError as fault:
         where = [site.listen] + ([fleet.listen] if fleet else [])
         print(f"brookhinge: listen: expected an address that is free here, got {where} ({fault.strerror})",
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -12,13 +12,14 @@
 from brookhinge.engine.rounds import Rounds
 from brookhinge.net.caches import Caches
 from brookhinge.net.channel import Channel
-from brookhinge.net.front import Front
+from brookhinge.net.front import LINGER_S, Front
 
 LEAVE_S = 0.7       # after the word to end, new connections and queries are taken for so long
 LONGEST_S = 3.0     # and what is open then has its patience, but no more than this, less what the end itself takes:
 END_S = 0.25        # errors for what is still open, and their way out
 FIGURES_S = 10.0    # between two lines of figures
 SPARE = 24          # descriptors that neither clients nor cache servers take
+LATE_S = 0.05       # a push that waited longer for its connection is decided anew
 SWEEP_S = 0.05      # between two looks for idle and silent connections
 
 
@@ -64,11 +65,11 @@
         sockets = max(8, bounds.sockets - third - SPARE)
         if site.storm:
             self.gate = Gate(sockets)
-        self.front = Front(self.post, self.log, lambda: self.phases.well, self.reducer.clients.__contains__, self.now,
+        self.front = Front(self.post, self.log, lambda: self.phases.well, self.busy, self.now,
                            {t.name.encode(): t.patience_s for t in site.decisions["tracks"]},
                            sockets, bounds.memory_mb * 1024 * 1024 // 4, self.gate)
         self.caches = Caches(self.post, self.log, self.now, self.start, site.columns, lines.connect_s, lines.idle_s,
-                             lines.multiplex, third)
+                             lines.multiplex, third, LATE_S)
         cursor, commands = read_commands(site.known, self.start)
         self.channel = Channel(self.post, self.log, site.channel, cursor, self.start)
         self.rounds.join(self.front, "satisfy", "nack", "error", "reject", "shut")
@@ -95,11 +96,16 @@
             self.rounds.join(self.talk, "spread")
         for event in commands:
             self.post(*event)
-        self.ended = None
+        self.ended, self.stopped = None, False
 
     def now(self):
         return time.time() - self.start
 
+    def busy(self, client):
+        """Whether it has queries open, those included that the next round takes."""
+        return client in self.reducer.clients or any(
+            method == "query" and values[0] == client for method, values in self.rounds.events)
+
     def say(self, event, values):
         self.log(event, **values)
 
@@ -121,11 +127,13 @@
             + [self.join_late] * (self.talk is not None and self.handed is not None)
         tasks = [loop.create_task(part()) for part in parts]
         self.log("listening", address="%s:%d" % address)
+        if self.stopped:
+            self.stop()
         await self.ended.wait()
         for task in tasks:
             task.cancel()
         self.channel.close()
-        self.front.end_all()
+        await self.front.end(self.last_at())
         self.caches.end_all()
         if self.talk is not None:       # its share of what is limited was in use until here
             await self.talk.leave()
@@ -139,6 +147,7 @@
     def stop(self):
         """The word to end (SIGTERM): queries are taken for a while yet, then what is open is finished. The process
         may be killed when the longest patience and LEAVE_S are over: what is open then gets its error before."""
+        self.stopped = True         # also before it is ready: run() comes back to it
         if self.phases.now == "ready":
             self.phases.step("leaving")
             longest = min(LONGEST_S, max(t.patience_s for t in self.site.decisions["tracks"]))
@@ -152,13 +161,18 @@
 
     def look_for_end(self):
         open_ = self.rounds.events or self.reducer.queries
-        if open_ and self.now() >= self.until:
+        if not open_ or self.now() >= self.until:       # what is read from here on is refused at once
             self.post("closing", ())
         if (open_ or self.front.unread) and self.now() < self.until + END_S / 2:
             asyncio.get_running_loop().call_later(0.005, self.look_for_end)
         else:
             self.ended.set()
 
+    def last_at(self):
+        """Until when connections that the clients don't close are read on."""
+        at = self.now() + LINGER_S
+        return at if self.phases.now != "finishing" else max(self.now(), min(at, self.until + END_S - 0.02))
+
     def faulted(self, loop, context):
         self.log("fault", where=context.get("message"), why=repr(context.get("exception")))
 
--- a/brookhinge/net/thrift.py
+++ b/brookhinge/net/thrift.py
@@ -23,18 +23,21 @@
 
 
 class Frames:
-    """Cuts a stream of bytes, in any pieces, into frames."""
+    """Cuts a stream of bytes, in any pieces, into frames; `broken` says from where on it can't be read, and why."""
 
     def __init__(self):
-        self.held = bytearray()
+        self.held, self.broken = bytearray(), None
 
     def feed(self, data):
+        if self.broken:
+            return []
         self.held += data
         held, at, frames = self.held, 0, []
         while len(held) - at >= 4:
             size, = INT.unpack_from(held, at)
             if not 0 < size <= LONGEST:
-                raise Unreadable(f"a frame of {size} bytes")
+                self.broken, self.held = f"a frame of {size} bytes", bytearray()
+                return frames
             if len(held) - at - 4 < size:
                 break
             frames.append(bytes(held[at + 4:at + 4 + size]))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -50,8 +50,11 @@
 
 @pytest.mark.parametrize("size", [b"\0\0\0\0", b"\xff\xff\xff\xff", b"\0\x08\0\x01"])
 def test_a_frame_out_of_bounds(size):
-    with pytest.raises(thrift.Unreadable):
-        thrift.Frames().feed(size)
+    """What was whole before it comes out, nothing after it, and nothing of it is held."""
+    frames, whole = thrift.Frames(), thrift.INT.pack(len(SERVE)) + SERVE
+    assert frames.feed(whole + size + whole) == [SERVE]
+    assert frames.broken == f"a frame of {thrift.INT.unpack(size)[0]} bytes"
+    assert frames.feed(whole) == [] and not frames.held
 
 
 def test_what_a_client_is_answered():
@@ -101,7 +104,7 @@
     assert cachewire.pull(b"9b1f", b"page", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b"") == (
         b"PULL 9b1f sort=page,asset=7f3a,slice=3,patience=1 0\r\n\r\n")
     assert b",patience=1,op=1ff975 0\r\n" in cachewire.pull(
-        b"9b1f", b"order", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b"", b"1ff975")
+        b"9b1f", b"order", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b"", mark=b"1ff975")
     assert cachewire.kill(b"9b1f") + cachewire.echo(b"t") == b"KILL 9b1f\r\nECHO t\r\n"
 
 
