--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -332,6 +332,8 @@
 
 
 class Router:
+    BY_SIZE = 0.4       # at 1 the largest tenth got a third of its track's share in a crowd, at 0.4 over half
+
     def __init__(self, seed, tracks, place, allowed, supply, cold_cache, cold_parent, purge_gone_s, kinds,
                  reports, machine=None, returns=None):
         self.chance, self.returns, self.way = random.Random(seed), returns, Way()
@@ -677,9 +679,11 @@
         return max(1.0, total / max(over, now) * self.cold[role].routers)
 
     def fair_part(self, q):
-        """The part of a limit open to a query: the less utility for its sending time, the smaller."""
-        usual = sum(t.utility for t in self.tracks) / sum(self.sending)
-        density = q.worth * self.tracks[q.track].utility / (q.expect or q.doc.best or self.sending[q.track])
+        """The part of a limit open to a query: the less utility for its sending time, the smaller. Above its
+        track's mean size counts for less: the largest objects must not starve while small ones are served."""
+        usual, mean = sum(t.utility for t in self.tracks) / sum(self.sending), self.sending[q.track]
+        size = (q.expect or q.doc.best or mean) / mean
+        density = q.worth * self.tracks[q.track].utility / mean / min(size, size ** self.BY_SIZE)
         return 1.0 if q.invited else max(0.2, 0.85 * (density / usual) ** 0.5)
 
     def oldest(self, doc, track, ageing):
--- a/brookhinge/startup.py
+++ b/brookhinge/startup.py
@@ -1,6 +1,7 @@
 """The one place where configuration is read, checked and given defaults, for the router on sockets and for the
 simulator's wire. A fault is told by the key's path and what was expected there."""
 import json
+import math
 from typing import NamedTuple
 
 from brookhinge.engine.commands import read_commands
@@ -9,8 +10,9 @@
 NS = 1e-9
 EFFECTS = {"retryable": "replayable", "dedup": "referenced", "fragile": "single-use"}
 REPORT_FIELDS = {"cpu": "util", "active": "inflight", "waiting": "queue"}
-SIBLINGS = {"silent": "none", "none": "none", "": "none"}
-TELLS = {"silent": "none", "": "none"}
+GROUPS = {group: group for group in ("all", "zone", "cell")}
+SIBLINGS = {"silent": "none", "none": "none", "": "none", "location": "location", "any": "any"}
+TELLS = {"silent": "none", "none": "none", "": "none", "hit": "hit", "all": "all"}
 
 TEXT, NUMBER, WHOLE, FLAG, TABLE, ROWS = (
     ((str,), "a text"), ((int, float), "a number"), ((int,), "a whole number"), ((bool, int), "true or false"),
@@ -44,8 +46,24 @@
     def checked(name, value, kinds, what):
         if not isinstance(value, kinds) or isinstance(value, bool) and bool not in kinds:
             raise StartError(f"{name}: expected {what}, got {value!r:.60}")
+        if isinstance(value, float) and not math.isfinite(value):
+            raise StartError(f"{name}: expected {what}, got {value!r}")
         return value
 
+    def between(self, key, least, most, *default, form=NUMBER):
+        value = self.take(key, form, *default)
+        if not least <= value <= most:
+            bound = f"from {least} to {most}" if most < math.inf else f"of {least} or more"
+            raise StartError(f"{self.name(key)}: expected {form[1]} {bound}, got {value!r}")
+        return value
+
+    def word(self, key, words, default):
+        """The meaning of one of a few words."""
+        value = self.take(key, TEXT, default)
+        if value not in words:
+            raise StartError(f"{self.name(key)}: expected one of {', '.join(filter(None, words))}, got {value!r:.60}")
+        return words[value]
+
     def span(self, key, *default):
         """Nanoseconds as seconds."""
         value = self.take(key, NUMBER, *default)
@@ -77,37 +95,44 @@
     fam, report = settings.table("Specifics", {}), settings.table("Report", {})
     zones, kinds = settings.names("Zones"), settings.names("MachineTypes")
     here = settings.take("Az", TEXT, "")
-    zone = zones.index(here) if here in zones else 0
+    if here and here not in zones:
+        raise StartError(f"{settings.name('Az')}: expected one of Zones, got {here!r:.60}")
+    zone = zones.index(here) if here else 0
 
     def kind(key):
-        place = fam.take(key, WHOLE, -1)
-        return kinds[place] if 0 <= place < len(kinds) else ""
+        place = fam.between(key, -1, len(kinds) - 1, -1, form=WHOLE)
+        return kinds[place] if place >= 0 else ""
 
     tracks = [Track(
-        name=c.take("Name", TEXT), effect=EFFECTS.get(c.take("Effect", TEXT, ""), "single-use"),
-        group=c.take("Group", TEXT, "all"), window_s=c.span("WindowNs", 0), contract_s=c.span("AimNs"),
-        stretch=c.take("AimStretch", NUMBER, 0.0), patience_s=c.span("DeadlineNs"),
-        utility=c.take("Value", NUMBER, 1.0), late_share=c.take("LateWorth", NUMBER, 0.0),
+        name=c.take("Name", TEXT), effect=c.word("Effect", EFFECTS, "fragile"),
+        group=c.word("Group", GROUPS, "all"), window_s=c.span("WindowNs", 0), contract_s=c.span("AimNs"),
+        stretch=c.between("AimStretch", 0, math.inf, 0.0), patience_s=more_than(0, c, "DeadlineNs", NUMBER) * NS,
+        utility=c.between("Value", 0, math.inf, 1.0), late_share=c.between("LateWorth", 0, 1, 0.0),
         fresh_s=fam.each("GoodForNs", i, NUMBER, 0) * NS, stale_s=fam.each("OlderByNs", i, NUMBER, 0) * NS,
         stale_share=fam.each("WorthWhenOld", i, NUMBER, 0.0), through=bool(fam.each("GoesThrough", i, FLAG, False)))
         for i, c in enumerate(settings.tables("Classes"))]
-    routers = max(1, settings.take("Instances", WHOLE, 1))
+    for i, t in enumerate(tracks):
+        if t.name in [other.name for other in tracks[:i]]:
+            raise StartError(f"{settings.name('Classes')}[{i}].Name: expected another name, {t.name!r:.60} stands there twice")
+    routers = settings.between("Instances", 1, math.inf, 1, form=WHOLE)
     advice = limits.span("MaxRetryAfterNs", 0) if limits.take("RetryAfter", FLAG, False) else 0.0
-    siblings, tells = fam.take("PeersFill", TEXT, "none"), fam.take("Says", TEXT, "none")
+    cold_cache = ColdStart(rules.between("ColdFrom", 0, 1, 1.0), rules.span("WarmUpNs", 0),
+                           rules.between("FallMultiple", 0, math.inf, 0.0), rules.span("FallNs", 0))
+    cold_parent = ColdStart(fam.between("ParentColdFrom", 0, 1, 1.0), fam.span("UpperColdNs", 0),
+                            fam.between("ParentBreaksAt", 0, math.inf, 0.0), rules.span("FallNs", 0))
+    if max(cold_cache.multiple, cold_parent.multiple) > 0 and not cold_cache.window_s:
+        raise StartError(f"{rules.name('FallNs')}: expected more than 0 where cold servers fall at a multiple, got 0")
     return {
         "tracks": tracks,
         "place": Place(zone, max(1, fam.each("ZoneBalancers", zone, WHOLE, routers)), routers,
                        settings.take("MyNumber", WHOLE, 0),
                        settings.take("WeightSource", TEXT, "silent") in ("nominal", "rough", "live")),
-        "allowed": Allowed(max(1, limits.take("MaxAttempts", WHOLE, 1)), bool(limits.take("Probes", FLAG, False)),
+        "allowed": Allowed(limits.between("MaxAttempts", 1, math.inf, 1, form=WHOLE), bool(limits.take("Probes", FLAG, False)),
                            bool(limits.take("Cancel", FLAG, False)), advice),
-        "supply": Supply(SIBLINGS.get(siblings, siblings), bool(fam.take("Straight", FLAG, False)),
-                         bool(fam.take("SharesFills", FLAG, False)), TELLS.get(tells, tells),
+        "supply": Supply(fam.word("PeersFill", SIBLINGS, "none"), bool(fam.take("Straight", FLAG, False)),
+                         bool(fam.take("SharesFills", FLAG, False)), fam.word("Says", TELLS, "none"),
                          fam.take("OneFlowKbPerS", NUMBER, 0.0), fam.each("InletKbPerS", zone, NUMBER, 0.0)),
-        "cold_cache": ColdStart(rules.take("ColdFrom", NUMBER, 1.0), rules.span("WarmUpNs", 0),
-                                rules.take("FallMultiple", NUMBER, 0.0), rules.span("FallNs", 0)),
-        "cold_parent": ColdStart(fam.take("ParentColdFrom", NUMBER, 1.0), fam.span("UpperColdNs", 0),
-                                 fam.take("ParentBreaksAt", NUMBER, 0.0), rules.span("FallNs", 0)),
+        "cold_cache": cold_cache, "cold_parent": cold_parent,
         "purge_gone_s": fam.span("GoneEverywhereNs", 0),
         "kinds": (kind("UpperKind"), kind("MasterKind")),
         "reports": [REPORT_FIELDS.get(c, c) for c in report.names("Columns")],
@@ -190,7 +215,7 @@
         top.take("name", TEXT), address(top, "listen"), address(top, "channel"), seed, known.values,
         Bounds(more_than(0, limits, "memory_mb", NUMBER, 192), more_than(31, limits, "sockets", WHOLE, 1024),
                *(top.take(key, NUMBER, 0) for key in ("flow_bytes_per_s", "link_bytes_per_s"))),
-        Lines(calls.span("ConnectTimeoutNs", 1e9), calls.span("IdleCloseNs", 30e9),
+        Lines(more_than(0, calls, "ConnectTimeoutNs", NUMBER, 1e9) * NS, calls.span("IdleCloseNs", 30e9),
               more_than(0, calls, "Multiplex", WHOLE, 32)),
         settings.names("Zones"), [c.encode() for c in decisions["reports"]], decisions,
         bool(top.take("storm", FLAG, False)))
