A size that clients don't tell is not made up as 1 KB

Checked with a scratch copy: all nacks come from 'if not room' in Router.place with 1 to 6 in flight under a limit of 8, so not the limit; the line of times shows every answer held against a shortest time of 0.0001 s. Wrong: Front.query took 1.0 for a missing 'room', so each query was expected to take 1 KB over the pace of a transfer. 0 says it is not known; the decisions then go by what an object took. Sites that tell sizes (all others here) are not touched.

--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -245,8 +245,9 @@
         longest = self.longest.get(get(b"service"))
         if longest is None:
             raise thrift.Unusable(thrift.PROTOCOL, "service: no such class")
-        lot, allow, room = int(get(b"lot", 0)), int(get(b"allow")) / 1000.0, float(get(b"room", 1.0))
-        for name, good in (("lot", lot <= 255), ("allow", 0.0 < allow <= longest + 0.001), ("room", room > 0.0),
+        lot, allow, room = int(get(b"lot", 0)), int(get(b"allow")) / 1000.0, float(get(b"room", 0.0))     # 0: not told
+        for name, good in (("lot", lot <= 255), ("allow", 0.0 < allow <= longest + 0.001),
+                           ("room", room or b"room" not in fields),
                            ("body", len(body) <= LONGEST_BODY)):
             if not good:
                 raise thrift.Unusable(thrift.PROTOCOL, f"{name}: out of range")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -188,6 +188,21 @@
         [(2, "exception replay: missing or unusable"), (1, "satisfied 19")], "op=1ff975b0a6ce2c84d2617523a0b82bf6")
 
 
+def test_a_size_that_is_not_told_is_not_made_up(tmp_path):
+    """market-tiles tells none: each query passed for 1 KB, every answer for thousands of times too slow, and a quarter of
+    a calm day was nacked."""
+    async def scene(t):
+        router, sizes = t.service.reducer.router, []
+        query = router.query
+        router.query = lambda *values: sizes.append(values[5]) or query(*values)
+        t.caller.ask(1, room=None)
+        t.caller.ask(2, room="0")
+        t.caller.ask(3)
+        return sorted([await t.caller.hear() for _ in range(3)]), sizes
+    assert played(scene, tmp_path) == (
+        [(1, "satisfied 19"), (2, "exception room: out of range"), (3, "satisfied 19")], [0.0, 100.0])
+
+
 def test_second_copies_and_unknown_ids_are_passed_over(tmp_path):
     """An answer that came twice must not end a later push of its query, which is then out unseen."""
     async def scene(t):
