--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -207,9 +207,9 @@
         for query, push, _ in line.out.values():
             del self.where[query, push]
             self.end(query, push, "broken")
-        fellows = self.lines.get(line.server, ())
+        peers = self.lines.get(line.server, ())
         for name, (query, push, wire, since) in line.waiting.items():
-            other = next((n for n in fellows if n.up and self.takes(n, name)), None)
+            other = next((n for n in peers if n.up and self.takes(n, name)), None)
             if other is None:
                 del self.where[query, push]
                 self.end(query, push, "unreachable")
