The command line leaves SIGHUP as it found it, so nohup holds

Found on reading the change again: __main__ ignored SIGHUP for the router and set it to its default for the command line, which took nohup's word away from brookhinge box and keep. Now it is set behind the command line's branch; the router's path does the same as before. The new test fails on the text before.

--- a/brookhinge/__main__.py
+++ b/brookhinge/__main__.py
@@ -5,11 +5,10 @@
 
 
 def main():
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)        # it would end a router that has not read its file yet
     if len(sys.argv) > 1:
-        signal.signal(signal.SIGHUP, signal.SIG_DFL)
         from brookhinge.cli import main as command_line
         return command_line()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)        # it would end a router that has not read its file yet
     from brookhinge.net.program import main as router
     return router()
 
--- a/tests/crossings/test_sockets.py
+++ b/tests/crossings/test_sockets.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import struct
+import subprocess
 import sys
 import time
 
@@ -485,3 +486,12 @@
         finally:
             gc.enable()
     assert played(scene, tmp_path) == 1
+
+
+def test_the_command_line_leaves_the_word_to_hang_up_as_it_found_it():
+    """Under nohup it is ignored: `brookhinge box` must outlive its terminal."""
+    script = ("import signal, sys\nsignal.signal(signal.SIGHUP, signal.SIG_IGN)\nsys.argv = ['brookhinge', '--help']\n"
+              "from brookhinge.__main__ import main\ntry:\n    main()\nexcept SystemExit:\n    pass\n"
+              "print(signal.getsignal(signal.SIGHUP) == signal.SIG_IGN)")
+    done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True)
+    assert done.stdout.splitlines()[-1] == "True", done.stderr
