--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -5,6 +5,7 @@
 In virtual time (simulated): the daemon's own fellows on a network that loses datagrams, 2 ms apart; beside them all-to-all
 heartbeats on the same network. Then real routers as processes on loopback, the same figures. Seconds, bytes a member a
 second; a fleet knows when 99% of those who live do. Last line: one JSON object."""
+
 import asyncio
 import json
 import random
@@ -48,7 +49,9 @@
 
 def first_and_most(net, holds, most):
     first = until(net, lambda: most_of(net, holds, 1e-9), most)
-    return first, round(first + (until(net, lambda: most_of(net, holds), most) if not most_of(net, holds) else 0.0), 3)
+    return first, round(
+        first + (until(net, lambda: most_of(net, holds), most) if not most_of(net, holds) else 0.0), 3
+    )
 
 
 def fleet(seed, count, loss):
@@ -68,13 +71,13 @@
     told["bytes_s"] = (sum(h.bytes for h in net.hosts.values()) - before) / count / 10.0
     net.hosts[2].fellow.spread(net.now, "draining", ("s-1", 5), net.hosts[2])
     word = ("draining", "s-1", 5)
-    told["drain_first"], told["drain_most"] = first_and_most(
-        net, lambda h: h.n == 2 or word in h.words, 10.0)
+    told["drain_first"], told["drain_most"] = first_and_most(net, lambda h: h.n == 2 or word in h.words, 10.0)
     net.kill(5)
     told["crash_first"], told["crash_most"] = first_and_most(net, lambda h: state_of(h, "n5") == LOST, 60.0)
     net.add(count + 1)
     told["join_first"], told["join_most"] = first_and_most(
-        net, lambda h: state_of(h, f"n{count + 1}") in (ALIVE, SUSPECTED), 30.0)
+        net, lambda h: state_of(h, f"n{count + 1}") in (ALIVE, SUSPECTED), 30.0
+    )
     if cut:
         half = count // 2
         net.cut = lambda a, b: (a <= half) != (b <= half)
@@ -100,9 +103,13 @@
             net.thaw(n)
         net.run(0.5)
     lost = [(name, at) for h in net.hosts.values() for at, change, name, _ in h.log if change == "lost"]
-    return {"members_taken_for_lost": len({name for name, _ in lost}), "seconds": seconds,
-            "suspicions": len({(name, round(at)) for h in net.hosts.values() for at, c, name, _ in h.log
-                               if c == "suspected"})}
+    return {
+        "members_taken_for_lost": len({name for name, _ in lost}),
+        "seconds": seconds,
+        "suspicions": len(
+            {(name, round(at)) for h in net.hosts.values() for at, c, name, _ in h.log if c == "suspected"}
+        ),
+    }
 
 
 class Timed:
@@ -113,7 +120,9 @@
 
     def send(self, address, method, values, news, words):
         v = self.host.fellow.view
-        self.post.write(v.claim(v.index[self.host.name], self.host.net.now), v.digest(), method, values, news, words)
+        self.post.write(
+            v.claim(v.index[self.host.name], self.host.net.now), v.digest(), method, values, news, words
+        )
         self.host.send(address, method, values, news, words)
 
     def __getattr__(self, name):
@@ -129,11 +138,14 @@
     round_ = fellow.round
 
     def timed(now, inbox, writer):
-        wires = [posts.setdefault(m[0][1], Post("s", key)).write(m[0], m[1], m[4], m[5], list(m[2]), list(m[3]))
-                 for m in inbox]
+        wires = [
+            posts.setdefault(m[0][1], Post("s", key)).write(m[0], m[1], m[4], m[5], list(m[2]), list(m[3]))
+            for m in inbox
+        ]
         began = time.process_time()
         round_(now, [m for m in map(mine.post.read, wires) if m is not None], mine)
         total[0] += time.process_time() - began
+
     fellow.round = timed
     net.run(seconds)
     del fellow.round
@@ -171,8 +183,11 @@
                     else:
                         false += 1
                 out[b][a] = gone
-    return {"crash_most": round(sorted(took)[int(0.99 * (len(took) - 1))], 2), "bytes_s": round(count / every * 120),
-            "false_lost_an_hour": round(false * 3600 / seconds)}
+    return {
+        "crash_most": round(sorted(took)[int(0.99 * (len(took) - 1))], 2),
+        "bytes_s": round(count / every * 120),
+        "false_lost_an_hour": round(false * 3600 / seconds),
+    }
 
 
 async def processes(count, cut_s):
@@ -185,16 +200,25 @@
             rig.channels["n2"].list("s-1", health="draining")
             began = time.time()
             await asyncio.sleep(2.0)
-            took = sorted(line["at"] - began for name in rig.names if name != "n2" for line in rig.log(name, "heard"))
-            told["drain_first"], told["drain_most"] = (took[0], took[int(0.99 * (len(took) - 1))]) if took else (9, 9)
+            took = sorted(
+                line["at"] - began for name in rig.names if name != "n2" for line in rig.log(name, "heard")
+            )
+            told["drain_first"], told["drain_most"] = (
+                (took[0], took[int(0.99 * (len(took) - 1))]) if took else (9, 9)
+            )
             told["drain_heard_by"] = len(took)
             began = time.time()
             await rig.kill("n3")
             await rig.until(rig.one_view, 60.0)
-            took = sorted(line["at"] - began for name in rig.names if name != "n3" for line in rig.log(name, "fleet")
-                          if line["change"] == "lost" and line["member"] == "n3")
+            took = sorted(
+                line["at"] - began
+                for name in rig.names
+                if name != "n3"
+                for line in rig.log(name, "fleet")
+                if line["change"] == "lost" and line["member"] == "n3"
+            )
             told["crash_first"], told["crash_most"] = took[0], took[int(0.99 * (len(took) - 1))]
-            half = set(rig.names[:count // 2])
+            half = set(rig.names[: count // 2])
             rig.wires.cut = lambda a, b: (a in half) != (b in half)
             await asyncio.sleep(cut_s)
             rig.wires.cut = lambda a, b: False
@@ -204,24 +228,42 @@
 
 def summed(rows):
     """Median and worst over seeds of each figure."""
-    return {key: {"median": round(statistics.median(row[key] for row in rows), 3),
-                  "worst": round(max(row[key] for row in rows), 3)} for key in rows[0]}
+    return {
+        key: {
+            "median": round(statistics.median(row[key] for row in rows), 3),
+            "worst": round(max(row[key] for row in rows), 3),
+        }
+        for key in rows[0]
+    }
 
 
 def chart(figures, path):
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     board, places = pyplot.subplots(1, 3, figsize=(15, 4.2))
-    for place, key, title in zip(places, ("drain_most", "crash_most", "bytes_s"), (
-            "seconds till 99% know a drain", "seconds till 99% know a crash", "bytes a member a second")):
+    for place, key, title in zip(
+        places,
+        ("drain_most", "crash_most", "bytes_s"),
+        ("seconds till 99% know a drain", "seconds till 99% know a crash", "bytes a member a second"),
+    ):
         for loss in sorted({row["loss"] for row in figures["virtual"]}):
             rows = [row for row in figures["virtual"] if row["loss"] == loss]
-            place.plot([row["members"] for row in rows], [row[key]["median"] for row in rows], "o-",
-                       label=f"{loss:.0%} lost")
+            place.plot(
+                [row["members"] for row in rows],
+                [row[key]["median"] for row in rows],
+                "o-",
+                label=f"{loss:.0%} lost",
+            )
         if key != "drain_most":
-            place.plot([row["members"] for row in figures["heartbeats"]], [row[key] for row in figures["heartbeats"]], "k--",
-                       label="all to all, 10%")
+            place.plot(
+                [row["members"] for row in figures["heartbeats"]],
+                [row[key] for row in figures["heartbeats"]],
+                "k--",
+                label="all to all, 10%",
+            )
         place.set_xscale("log")
         place.set_title(title + " (simulated)")
         place.legend()
@@ -231,10 +273,22 @@
 
 def main():
     given = kept.given()
-    sizes = ((16, 2, (0.0, 0.1)), (64, 2, (0.1,))) if given.short else \
-        ((16, 20, (0.0, 0.1, 0.3)), (64, 20, (0.0, 0.1, 0.3)), (200, 4, (0.0, 0.1, 0.3)), (1000, 1, (0.1,)))
-    jobs = [(seed, count, loss, count <= 200) for count, seeds, losses in sizes for loss in losses
-            for seed in range(1, seeds + 1)]
+    sizes = (
+        ((16, 2, (0.0, 0.1)), (64, 2, (0.1,)))
+        if given.short
+        else (
+            (16, 20, (0.0, 0.1, 0.3)),
+            (64, 20, (0.0, 0.1, 0.3)),
+            (200, 4, (0.0, 0.1, 0.3)),
+            (1000, 1, (0.1,)),
+        )
+    )
+    jobs = [
+        (seed, count, loss, count <= 200)
+        for count, seeds, losses in sizes
+        for loss in losses
+        for seed in range(1, seeds + 1)
+    ]
     jobs.sort(key=lambda job: -job[1])
     figures = {"virtual": []}
     with ProcessPoolExecutor() as pool:
@@ -246,8 +300,10 @@
             rows = [done[job] for job in done if job[1] == count and job[2] == loss]
             figures["virtual"].append({"members": count, "loss": loss, "seeds": seeds, **summed(rows)})
             print(json.dumps(figures["virtual"][-1]), file=sys.stderr)
-    figures["heartbeats"] = [{"members": count, **heartbeats(1, count, 0.1)} for count in
-                             ((16, 64) if given.short else (16, 64, 200))]
+    figures["heartbeats"] = [
+        {"members": count, **heartbeats(1, count, 0.1)}
+        for count in ((16, 64) if given.short else (16, 64, 200))
+    ]
     figures["cost"] = cost(*(64, 20.0) if given.short else (200, 120.0))
     figures["processes"] = asyncio.run(processes(*(6, 8.0) if given.short else (16, 30.0)))
     kept.finish(figures, given.keep, chart)
--- a/benchmarks/kept.py
+++ b/benchmarks/kept.py
@@ -1,4 +1,5 @@
 """What benchmarks share: their options, and keeping figures and chart."""
+
 import argparse
 import json
 from pathlib import Path
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -6,6 +6,7 @@
 sharing on and off. Days: all boxes restart cold; the same with the fleet's talk cut in halves; one box fails one answer in
 three; one router's pushes break on the way, and every box fails one in fifty. Then real routers as processes. Last line: one
 JSON object."""
+
 import asyncio
 import json
 import statistics
@@ -20,7 +21,7 @@
 from brookhinge.standin.rig import Rig
 from brookhinge.standin.sharing import COLD, Fleet
 
-CALM, SPAN = 8.0, 10.0      # seconds before anything happens, and of what is measured after
+CALM, SPAN = 8.0, 10.0  # seconds before anything happens, and of what is measured after
 
 
 def used(fleet, begin, end):
@@ -29,8 +30,13 @@
     for box in fleet.boxes.values():
         at = begin
         while at < end:
-            may += min(budget.whole(at, box.born, float(box.cores), fleet.work),
-                       fleet.rate * fleet.work / len(fleet.boxes)) * step
+            may += (
+                min(
+                    budget.whole(at, box.born, float(box.cores), fleet.work),
+                    fleet.rate * fleet.work / len(fleet.boxes),
+                )
+                * step
+            )
             at += step
     return fleet.sent_cold / may
 
@@ -59,10 +65,13 @@
         fleet.cut = lambda a, b: fleet.now > CALM - 3.0 and (a % 2 != b % 2)
     fleet.at(CALM, fleet.restart)
     fleet.run(CALM + SPAN + 4.0)
-    return {"service": fleet.worth(CALM, CALM + SPAN), "used": used(fleet, CALM, CALM + SPAN),
-            "peak": max(box.peak for box in fleet.boxes.values()) / COLD.multiple,
-            "fallen": sum(box.fallen for box in fleet.boxes.values()),
-            "datagrams_s": fleet.datagrams / len(fleet.routers) / fleet.now}
+    return {
+        "service": fleet.worth(CALM, CALM + SPAN),
+        "used": used(fleet, CALM, CALM + SPAN),
+        "peak": max(box.peak for box in fleet.boxes.values()) / COLD.multiple,
+        "fallen": sum(box.fallen for box in fleet.boxes.values()),
+        "datagrams_s": fleet.datagrams / len(fleet.routers) / fleet.now,
+    }
 
 
 def failing(seed, routers, share):
@@ -72,12 +81,22 @@
     fleet.at(CALM, fleet.fail, "s-1", 1.0 / 3.0)
     fleet.run(CALM + SPAN + 4.0)
     calm.run(CALM + SPAN + 4.0)
-    before = 10.0 * boxes / boxes               # its queries a second while it is well
-    left = next((at for at in (CALM + 0.5 * k for k in range(1, int(2 * SPAN)))
-                 if sum(at <= t < at + 1.0 for t in fleet.sent_bad) <= 0.2 * before), CALM + SPAN)
+    before = 10.0 * boxes / boxes  # its queries a second while it is well
+    left = next(
+        (
+            at
+            for at in (CALM + 0.5 * k for k in range(1, int(2 * SPAN)))
+            if sum(at <= t < at + 1.0 for t in fleet.sent_bad) <= 0.2 * before
+        ),
+        CALM + SPAN,
+    )
     lost = sum(how != "satisfied" for at, _, how in fleet.asked if CALM <= at < CALM + SPAN)
-    return {"worth_lost": calm.worth(CALM, CALM + SPAN) - fleet.worth(CALM, CALM + SPAN), "left_s": left - CALM,
-            "queries_lost": lost, "pushes_to_it": sum(CALM <= t < CALM + SPAN for t in fleet.sent_bad)}
+    return {
+        "worth_lost": calm.worth(CALM, CALM + SPAN) - fleet.worth(CALM, CALM + SPAN),
+        "left_s": left - CALM,
+        "queries_lost": lost,
+        "pushes_to_it": sum(CALM <= t < CALM + SPAN for t in fleet.sent_bad),
+    }
 
 
 def noise(seed, routers, share):
@@ -94,9 +113,13 @@
         fleet.play(k + 1.0)
         for reducer in fleet.routers[1:]:
             health = reducer.router.health
-            resting += sum(until > fleet.now for until in health.rest_until.values()) \
-                + sum(how in ("rest", "trial") for how, _ in getattr(health, "how", {}).values())
-    return {"resting_share": resting / seconds / (routers - 1) / boxes, "service": fleet.worth(2.0, seconds - 3.0)}
+            resting += sum(until > fleet.now for until in health.rest_until.values()) + sum(
+                how in ("rest", "trial") for how, _ in getattr(health, "how", {}).values()
+            )
+    return {
+        "resting_share": resting / seconds / (routers - 1) / boxes,
+        "service": fleet.worth(2.0, seconds - 3.0),
+    }
 
 
 async def processes(share, routers=16, seconds=8.0):
@@ -104,8 +127,16 @@
     takes till nine in ten routers leave a box that fails two answers in five."""
     flags = f"share_limits = {str(share).lower()}\nshare_verdicts = {str(share).lower()}"
     with tempfile.TemporaryDirectory(prefix="brookhinge-") as folder:
-        async with Rig(folder, routers=routers, boxes=3, aim_s=0.1, flow_kb_s=500.0, warm_s=20.0, patience_s=2.0,
-                       more=flags) as rig:
+        async with Rig(
+            folder,
+            routers=routers,
+            boxes=3,
+            aim_s=0.1,
+            flow_kb_s=500.0,
+            warm_s=20.0,
+            patience_s=2.0,
+            more=flags,
+        ) as rig:
             await rig.until(rig.one_view, 60.0)
             async with Load(rig, uneven(rig, 40.0, 1.0)):
                 await asyncio.sleep(START + 1.0)
@@ -120,27 +151,43 @@
                 began, before = time.monotonic(), len(rig.boxes["s-1"].came)
                 await asyncio.sleep(seconds)
                 failed = len(rig.boxes["s-1"].came) - before
-    return {"came_to_cold_a_second": round(came / seconds, 2), "most_within_a_second": peak,
-            "asked_of_the_failing_a_second": round(failed / seconds, 2), "lost": sum(told.get("lost", 0) for told in load.kinds.values())}
+    return {
+        "came_to_cold_a_second": round(came / seconds, 2),
+        "most_within_a_second": peak,
+        "asked_of_the_failing_a_second": round(failed / seconds, 2),
+        "lost": sum(told.get("lost", 0) for told in load.kinds.values()),
+    }
 
 
 def one(job):
     day, seed, routers, share = job
-    play = {"cold": cold, "cold, talk cut": lambda *given: cold(*given, cut=True), "failing": failing, "noise": noise}[day]
+    play = {
+        "cold": cold,
+        "cold, talk cut": lambda *given: cold(*given, cut=True),
+        "failing": failing,
+        "noise": noise,
+    }[day]
     return play(seed, routers, share)
 
 
 def chart(figures, path):
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     board, places = pyplot.subplots(1, 4, figsize=(17, 4.0))
     wanted = (("cold", "used"), ("cold", "service"), ("cold, talk cut", "service"), ("failing", "worth_lost"))
     for place, (day, key) in zip(places, wanted):
         sizes = list(figures[day])
         for shift, kind in ((-0.2, "alone"), (0.2, "shared")):
-            place.bar([i + shift for i in range(len(sizes))], [figures[day][size][kind][key]["mean"] for size in sizes], 0.38,
-                      yerr=[figures[day][size][kind][key]["deviation"] for size in sizes], label=kind)
+            place.bar(
+                [i + shift for i in range(len(sizes))],
+                [figures[day][size][kind][key]["mean"] for size in sizes],
+                0.38,
+                yerr=[figures[day][size][kind][key]["deviation"] for size in sizes],
+                label=kind,
+            )
         place.set_xticks(range(len(sizes)), [f"{size} routers" for size in sizes])
         place.set_title(f"{day}: {key.replace('_', ' ')} (simulated)")
         place.legend()
@@ -152,8 +199,13 @@
     given = kept.given()
     sizes = ((8, 2),) if given.short else ((8, 20), (64, 20), (200, 4))
     days = ("cold", "cold, talk cut", "failing", "noise")
-    jobs = [(day, seed, size, share) for size, seeds in reversed(sizes) for day in days for seed in range(1, seeds + 1)
-            for share in (False, True)]
+    jobs = [
+        (day, seed, size, share)
+        for size, seeds in reversed(sizes)
+        for day in days
+        for seed in range(1, seeds + 1)
+        for share in (False, True)
+    ]
     with ProcessPoolExecutor() as pool:
         played = dict(zip(jobs, pool.map(one, jobs)))
     figures = {day: {} for day in days}
@@ -163,12 +215,18 @@
             for share in (False, True):
                 rows = [played[day, seed, size, share] for seed in range(1, seeds + 1)]
                 figures[day][size]["shared" if share else "alone"] = {
-                    key: {"mean": round(statistics.mean(row[key] for row in rows), 4),
-                          "deviation": round(statistics.pstdev(row[key] for row in rows), 4),
-                          "worst": round(max(row[key] for row in rows), 4)} for key in rows[0]}
+                    key: {
+                        "mean": round(statistics.mean(row[key] for row in rows), 4),
+                        "deviation": round(statistics.pstdev(row[key] for row in rows), 4),
+                        "worst": round(max(row[key] for row in rows), 4),
+                    }
+                    for key in rows[0]
+                }
             print(json.dumps({day: {size: figures[day][size]}}), file=sys.stderr)
-    figures["processes"] = {kind: asyncio.run(processes(share, *((4, 3.0) if given.short else (16, 8.0))))
-                            for kind, share in (("alone", False), ("shared", True))}
+    figures["processes"] = {
+        kind: asyncio.run(processes(share, *((4, 3.0) if given.short else (16, 8.0))))
+        for kind, share in (("alone", False), ("shared", True))
+    }
     kept.finish(figures, given.keep, chart)
 
 
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -4,6 +4,7 @@
     python -m benchmarks.store --keep benchmarks/results/store
 
 Last line: one JSON object. Everything is on this machine's disk and loopback; callers and traffic are generated."""
+
 import array
 import asyncio
 import os
@@ -50,16 +51,28 @@
 
     def __init__(self, path):
         self.base = sqlite3.connect(path, isolation_level=None)
-        for pragma in ("journal_mode=WAL", "synchronous=NORMAL", "page_size=8192", "cache_size=-65536", "mmap_size=1073741824"):
+        for pragma in (
+            "journal_mode=WAL",
+            "synchronous=NORMAL",
+            "page_size=8192",
+            "cache_size=-65536",
+            "mmap_size=1073741824",
+        ):
             self.base.execute(f"PRAGMA {pragma}")
-        self.base.execute("CREATE TABLE parts (name BLOB, part INT, tag BLOB, dated REAL, body BLOB, "
-                          "PRIMARY KEY (name, part)) WITHOUT ROWID")
+        self.base.execute(
+            "CREATE TABLE parts (name BLOB, part INT, tag BLOB, dated REAL, body BLOB, "
+            "PRIMARY KEY (name, part)) WITHOUT ROWID"
+        )
 
     def put(self, n, body):
-        self.base.execute("INSERT OR REPLACE INTO parts VALUES (?, ?, ?, ?, ?)", (b"%016x" % n, 0, b"t", 1.0, body))
+        self.base.execute(
+            "INSERT OR REPLACE INTO parts VALUES (?, ?, ?, ?, ?)", (b"%016x" % n, 0, b"t", 1.0, body)
+        )
 
     def get(self, n):
-        return self.base.execute("SELECT body FROM parts WHERE name = ? AND part = 0", (b"%016x" % n,)).fetchone()[0]
+        return self.base.execute(
+            "SELECT body FROM parts WHERE name = ? AND part = 0", (b"%016x" % n,)
+        ).fetchone()[0]
 
 
 def tier_in(folder, disk_mb, segment_mb=16, admit=None):
@@ -76,7 +89,7 @@
     """Turn about in the same run: appends, then random reads, of both stores. A sync each 64 appends for both."""
     chance = random.Random(1)
     body = chance.randbytes(BODY + count)
-    bodies = [body[n:n + BODY] for n in range(count)]
+    bodies = [body[n : n + BODY] for n in range(count)]
     tier, plain = tier_in(folder / "tier", 4 * count * BODY // MB + 256), Plain(folder / "plain.db")
 
     def append(n):
@@ -88,6 +101,7 @@
         plain.put(n, bodies[n])
         if n % 64 == 63:
             plain.base.execute("PRAGMA wal_checkpoint(PASSIVE)")
+
     figures = {}
     figures["appends_s"], figures["append_p99_ms"] = timed(append, range(count))
     figures["plain_appends_s"], figures["plain_append_p99_ms"] = timed(put, range(count))
@@ -123,12 +137,12 @@
         tier = tier_in(place, size * 2 + 256)
         body = random.Random(2).randbytes(32768 + 4096)
         for n in range(size * MB // 33000):
-            tier.write(copy_of(n, body[n % 4096:n % 4096 + 32768]), surely=True)
+            tier.write(copy_of(n, body[n % 4096 : n % 4096 + 32768]), surely=True)
         parts, segments = tier.index.parts, [s.number for s in tier.segments.values()]
         tier.close()
         forget(place)
         began = time.perf_counter()
-        for number in segments:     # the files as they are read without a store
+        for number in segments:  # the files as they are read without a store
             with open(place / f"s-{number:08d}.seg", "rb") as file:
                 while file.read(4 * MB):
                     pass
@@ -154,8 +168,19 @@
     """What a dict of objects would keep of a part."""
 
     def __init__(self, *values):
-        (self.version, self.segment, self.place, self.length, self.size, self.dated, self.epoch, self.first, self.count,
-         self.group, self.rank) = values
+        (
+            self.version,
+            self.segment,
+            self.place,
+            self.length,
+            self.size,
+            self.dated,
+            self.epoch,
+            self.first,
+            self.count,
+            self.group,
+            self.rank,
+        ) = values
 
 
 def memory(count):
@@ -174,11 +199,18 @@
     tracemalloc.start()
     plain = OrderedDict()
     for n in range(few):
-        plain[mixed(n)] = Row(7 + n, n >> 12, n & 4095, 33000 + n, 32768 + n, 1.0 + n, 1, 0, 1, n & 255, n & 3)
+        plain[mixed(n)] = Row(
+            7 + n, n >> 12, n & 4095, 33000 + n, 32768 + n, 1.0 + n, 1, 0, 1, n & 255, n & 3
+        )
     held = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    return {"entries": count, "bytes_an_entry": round(max(size, spare) / count, 1),
-            "dict_of_objects_bytes_an_entry": round(held / few, 1), "adds_s": round(count / filled_s), "finds_s": finds}
+    return {
+        "entries": count,
+        "bytes_an_entry": round(max(size, spare) / count, 1),
+        "dict_of_objects_bytes_an_entry": round(held / few, 1),
+        "adds_s": round(count / filled_s),
+        "finds_s": finds,
+    }
 
 
 OBJECTS = 6000
@@ -195,7 +227,11 @@
         serial += 1000
         parts = chance.randint(3, 15) if chance.random() < 0.3 else 1
         middle = 11.2 if parts > 1 else 9.4
-        return [(serial + i, int(min(240_000, max(800, chance.lognormvariate(middle, 0.8))))) for i in range(parts)]
+        return [
+            (serial + i, int(min(240_000, max(800, chance.lognormvariate(middle, 0.8)))))
+            for i in range(parts)
+        ]
+
     objects = [new() for _ in range(OBJECTS)]
     ranks = [1.0 / (rank + 1) for rank in range(OBJECTS)]
     order = iter(())
@@ -283,6 +319,7 @@
         good = not kept and (code in known or size <= 0.5 * (disk.limit - disk.bytes))
         known.add(code)
         return good
+
     return lets_in
 
 
@@ -291,15 +328,23 @@
 
     def lets_in(code, size, disk, kept):
         decides.used(code)
-        return not kept and decides.admit(code, size, disk.limit - disk.bytes, ((mixed(k), s) for k, s in disk.held.items()))
+        return not kept and decides.admit(
+            code, size, disk.limit - disk.bytes, ((mixed(k), s) for k, s in disk.held.items())
+        )
+
     return lets_in
 
 
 def hit_shares(seed, count, limit):
     """Hit shares by objects and bytes, and bytes written to disk for each byte served, of each way on one trace."""
-    ways = {"memory_alone": Way(limit, nothing), "admit_all": Way(limit, everything), "seen_before": Way(limit, seen_before()),
-            "admission": Way(limit, admission(limit)), "bend_0": Way(limit, admission(limit, 0.0)),
-            "bend_1": Way(limit, admission(limit, 1.0))}
+    ways = {
+        "memory_alone": Way(limit, nothing),
+        "admit_all": Way(limit, everything),
+        "seen_before": Way(limit, seen_before()),
+        "admission": Way(limit, admission(limit)),
+        "bend_0": Way(limit, admission(limit, 0.0)),
+        "bend_1": Way(limit, admission(limit, 1.0)),
+    }
     asked = served = 0
     for n, (key, size) in enumerate(week(seed, count)):
         if n == count * 2 // 3:
@@ -308,8 +353,14 @@
         asked, served = asked + 1, served + size
         for way in ways.values():
             way.ask(key, size)
-    return {name: {"objects": round(way.hits / asked, 4), "bytes": round(way.hit_bytes / served, 4),
-                   "written_a_byte_served": round(way.written / served, 4)} for name, way in ways.items()}
+    return {
+        name: {
+            "objects": round(way.hits / asked, 4),
+            "bytes": round(way.hit_bytes / served, 4),
+            "written_a_byte_served": round(way.written / served, 4),
+        }
+        for name, way in ways.items()
+    }
 
 
 def written_by_cleaning(folder, rounds):
@@ -317,12 +368,20 @@
     tier, chance = tier_in(folder / "w", 64, 2), random.Random(4)
     body = chance.randbytes(60000)
     for n in range(rounds):
-        tier.write(copy_of(int(chance.paretovariate(0.5)) % 3000, body[:chance.randrange(2000, 60000)])._replace(
-            tag=b"%d" % n, dated=float(n)), surely=True)
+        tier.write(
+            copy_of(int(chance.paretovariate(0.5)) % 3000, body[: chance.randrange(2000, 60000)])._replace(
+                tag=b"%d" % n, dated=float(n)
+            ),
+            surely=True,
+        )
     counts = tier.counts
     tier.abandon()
-    return {"amplification": round((counts["written_bytes"] + counts["copied_bytes"]) / counts["written_bytes"], 2),
-            "cleaned": counts["cleaned"]}
+    return {
+        "amplification": round(
+            (counts["written_bytes"] + counts["copied_bytes"]) / counts["written_bytes"], 2
+        ),
+        "cleaned": counts["cleaned"],
+    }
 
 
 async def town_after_a_kill(folder, disk, seed, seconds):
@@ -330,10 +389,20 @@
     the objects, so that what it lacks comes from the origin, which is too late for the contract time."""
     from brookhinge.standin.origin import body_of, group_of
     from brookhinge.standin.town import Town
+
     chance = random.Random(seed)
     objects = [f"{chance.getrandbits(64):016x}" for _ in range(200)]
-    async with Town(folder, boxes=3, disk=disk, memory_mb=16, origin_delay_s=0.15, aim_s=0.1, sizes=(2_000, 30_000),
-                    parent_here=True, parent_mb=1) as town:
+    async with Town(
+        folder,
+        boxes=3,
+        disk=disk,
+        memory_mb=16,
+        origin_delay_s=0.15,
+        aim_s=0.1,
+        sizes=(2_000, 30_000),
+        parent_here=True,
+        parent_mb=1,
+    ) as town:
         callers = [await town.caller() for _ in range(4)]
         figures, took_s = dict(asked=0, in_time=0, satisfied=0, wrong=0), []
 
@@ -355,9 +424,12 @@
                 tasks.append(asyncio.ensure_future(ask(chance.choice(callers), counted)))
                 await asyncio.sleep(chance.expovariate(60.0))
             await asyncio.gather(*tasks)
-        for _ in range(2):      # all of it once or twice, four at a time
+
+        for _ in range(2):  # all of it once or twice, four at a time
             for at in range(0, len(objects), 4):
-                await asyncio.gather(*(c.ask(o, lot=group_of(o), size_kb=20) for c, o in zip(callers, objects[at:at + 4])))
+                await asyncio.gather(
+                    *(c.ask(o, lot=group_of(o), size_kb=20) for c, o in zip(callers, objects[at : at + 4]))
+                )
         await load(seconds * 0.8, False)
         await asyncio.sleep(0.6)
         await town.kill("s-2")
@@ -376,17 +448,26 @@
 
 def chart(figures, path):
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     board, (left, middle, right) = pyplot.subplots(1, 3, figsize=(15, 4.2))
     names = ["reads", "appends"]
     left.bar([0, 1], [figures["io"]["reads_s"], figures["io"]["appends_s"]], 0.38, label="store")
-    left.bar([0.4, 1.4], [figures["io"]["plain_reads_s"], figures["io"]["plain_appends_s"]], 0.38, label="sqlite3")
+    left.bar(
+        [0.4, 1.4], [figures["io"]["plain_reads_s"], figures["io"]["plain_appends_s"]], 0.38, label="sqlite3"
+    )
     left.set_xticks([0.2, 1.2], names)
     left.set_title("64 KB a second")
     left.legend()
     for key in ("picture_s", "scan_s", "sequential_s"):
-        middle.plot([r["mb"] for r in figures["recovery"]], [r[key] for r in figures["recovery"]], "o-", label=key[:-2])
+        middle.plot(
+            [r["mb"] for r in figures["recovery"]],
+            [r[key] for r in figures["recovery"]],
+            "o-",
+            label=key[:-2],
+        )
     middle.set_title("seconds to open a store of so many MB")
     middle.legend()
     shares = figures["hits"]
@@ -411,8 +492,10 @@
         figures["hits"] = hit_shares(5, 60_000 if short else 600_000, (60 if short else 150) * MB)
         figures["cleaning"] = written_by_cleaning(folder, 4000 if short else 20000)
         seconds = 4.0 if short else 10.0
-        figures["town"] = {kind: asyncio.run(town_after_a_kill(folder / kind, kind == "with_disk", 6, seconds))
-                           for kind in ("with_disk", "memory_alone")}
+        figures["town"] = {
+            kind: asyncio.run(town_after_a_kill(folder / kind, kind == "with_disk", 6, seconds))
+            for kind in ("with_disk", "memory_alone")
+        }
     kept.finish(figures, given.keep, chart)
 
 
--- a/benchmarks/store_kills.py
+++ b/benchmarks/store_kills.py
@@ -4,6 +4,7 @@
 
 Simulated callers on loopback, a real box process. Last line: one JSON object. Wanted: no wrong byte, no copy from before
 a purge that was told longer ago than the grace, no acknowledged purge that is not in the ledger."""
+
 import argparse
 import asyncio
 import json
@@ -30,19 +31,26 @@
     def __init__(self, town, chance):
         self.town, self.chance = town, chance
         self.objects = [f"{chance.getrandbits(64):016x}" for _ in range(OBJECTS)]
-        self.told = []      # (at, object or None, group or None, number in the channel)
-        self.counts = dict.fromkeys(("answers", "checked_bytes", "hits", "unanswered", "wrong_bytes", "purged_copies"), 0)
+        self.told = []  # (at, object or None, group or None, number in the channel)
+        self.counts = dict.fromkeys(
+            ("answers", "checked_bytes", "hits", "unanswered", "wrong_bytes", "purged_copies"), 0
+        )
         self.stopped = False
 
     def least_version(self, object_, at):
         """The version that every copy given out at a time must have: purges told before the grace."""
-        return sum(1 for when, name, group, _ in self.told
-                   if when + GRACE_S < at and (name == object_ or group is not None and group == group_of(object_)))
+        return sum(
+            1
+            for when, name, group, _ in self.told
+            if when + GRACE_S < at and (name == object_ or group is not None and group == group_of(object_))
+        )
 
     async def ask(self, caller):
         object_ = self.objects[min(OBJECTS - 1, int(self.chance.paretovariate(0.7)) - 1)]
         part, sent = self.chance.randrange(PARTS), time.time()
-        answer = await caller.ask(object_, part, parent="origin", hints="merge", shelf=self.chance.randrange(3))
+        answer = await caller.ask(
+            object_, part, parent="origin", hints="merge", shelf=self.chance.randrange(3)
+        )
         if answer is None or answer[0] != "data":
             self.counts["unanswered"] += 1
             return
@@ -90,16 +98,30 @@
     heard = [number for number in polls if number]
     first, last = min(heard, default=0), max(heard, default=0)
     ledger = Ledger()
-    ledger.replay((folder / "purges.log").read_bytes()[FILE_HEAD.size:])
+    ledger.replay((folder / "purges.log").read_bytes()[FILE_HEAD.size :])
     known = {**{name.decode(): when for name, when in ledger.objects.items()}, **ledger.groups}
-    acknowledged = [(when, group if name is None else name) for when, name, group, number in told if first < number <= last]
+    acknowledged = [
+        (when, group if name is None else name)
+        for when, name, group, number in told
+        if first < number <= last
+    ]
     return len(acknowledged), sum(known.get(name, ledger.floor) < when - 0.1 for when, name in acknowledged)
 
 
 async def play(folder, kills, seed, slowest_s=0.8):
     chance = random.Random(seed)
-    async with Town(folder, boxes=1, router=False, parent=False, memory_mb=2, disk_mb=24, segment_mb=1, snapshot_s=0.3,
-                    origin_delay_s=0.002, sizes=(2_000, 120_000)) as town:
+    async with Town(
+        folder,
+        boxes=1,
+        router=False,
+        parent=False,
+        memory_mb=2,
+        disk_mb=24,
+        segment_mb=1,
+        snapshot_s=0.3,
+        origin_delay_s=0.002,
+        sizes=(2_000, 120_000),
+    ) as town:
         load, taken, lost, starts = Load(town, chance), 0, 0, []
         tasks = [asyncio.ensure_future(load.run()) for _ in range(6)] + [asyncio.ensure_future(load.purges())]
         for _ in range(kills):
@@ -121,9 +143,18 @@
         log = (Path(folder) / "s-1.log").read_text()
         faults = [line for line in log.splitlines() if '"event":"fault"' in line or "Traceback" in line]
         recovered = [json.loads(line)["parts"] for line in log.splitlines() if '"event":"disk on"' in line]
-        return dict(kills=kills, seed=seed, purges=len(load.told), acknowledged_purges=taken, acknowledged_purges_lost=lost, **load.counts,
-                    faults=len(faults), parts_found_mean=round(sum(recovered[1:]) / max(1, len(recovered) - 1), 1),
-                    damaged_found=log.count('"event":"damaged"'), start_s_median=round(sorted(starts)[len(starts) // 2], 3))
+        return dict(
+            kills=kills,
+            seed=seed,
+            purges=len(load.told),
+            acknowledged_purges=taken,
+            acknowledged_purges_lost=lost,
+            **load.counts,
+            faults=len(faults),
+            parts_found_mean=round(sum(recovered[1:]) / max(1, len(recovered) - 1), 1),
+            damaged_found=log.count('"event":"damaged"'),
+            start_s_median=round(sorted(starts)[len(starts) // 2], 3),
+        )
 
 
 def main():
@@ -135,11 +166,28 @@
     given = options.parse_args()
     if given.jobs > 1:
         each = -(-given.kills // given.jobs)
-        running = [subprocess.Popen([sys.executable, "-m", "benchmarks.store_kills", "--kills", str(each), "--seed",
-                                     str(given.seed + n)], stdout=subprocess.PIPE, text=True) for n in range(given.jobs)]
+        running = [
+            subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "benchmarks.store_kills",
+                    "--kills",
+                    str(each),
+                    "--seed",
+                    str(given.seed + n),
+                ],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            for n in range(given.jobs)
+        ]
         rows = [json.loads(process.communicate()[0].splitlines()[-1]) for process in running]
-        figures = {key: sum(row[key] for row in rows) for key in rows[0] if key not in
-                   ("seed", "parts_found_mean", "start_s_median")}
+        figures = {
+            key: sum(row[key] for row in rows)
+            for key in rows[0]
+            if key not in ("seed", "parts_found_mean", "start_s_median")
+        }
         figures["runs"] = rows
     else:
         with tempfile.TemporaryDirectory(prefix="kills-") as folder:
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -8,6 +8,7 @@
 clients retry at once, a quarter after a short wait over and over, half heed the time that they are told; all who failed
 during the cut come back together at its end. The same seed plays the same clients with and without `storm`. One run has
 no sockets and no real time; figures are simulated. Last line: one JSON object."""
+
 import random
 import time
 from concurrent.futures import ProcessPoolExecutor
@@ -23,18 +24,41 @@
 ROUTERS, BOXES, CORES, WORK, OBJECTS = 3, 6, 4, 0.1, 400
 COLD = ColdStart(0.3, 6.0, 3.0, 1.0)
 CONTRACT_S, PATIENCE_S, LONGEST_HINT_S = 0.5, 3.0, 2.0
-TRACKS = (Track("docs", "replayable", "all", 0.0, CONTRACT_S, 0.0, PATIENCE_S, 2.0, 0.2, 0.0, 0.0, 0.0, False),
-          Track("pages", "replayable", "all", 0.0, CONTRACT_S, 0.0, PATIENCE_S, 1.0, 0.2, 0.0, 0.0, 0.0, False))
+TRACKS = (
+    Track("docs", "replayable", "all", 0.0, CONTRACT_S, 0.0, PATIENCE_S, 2.0, 0.2, 0.0, 0.0, 0.0, False),
+    Track("pages", "replayable", "all", 0.0, CONTRACT_S, 0.0, PATIENCE_S, 1.0, 0.2, 0.0, 0.0, 0.0, False),
+)
 
 
 class Need:
     """What somebody wants: its tries count under the first."""
-    __slots__ = ("router", "at", "kind", "track", "object", "address", "tries", "served_at", "told", "came", "herd", "out")
+
+    __slots__ = (
+        "router",
+        "at",
+        "kind",
+        "track",
+        "object",
+        "address",
+        "tries",
+        "served_at",
+        "told",
+        "came",
+        "herd",
+        "out",
+    )
 
     def __init__(self, at, kind, track, object_, address):
         self.at, self.kind, self.track, self.object, self.address = at, kind, track, object_, address
         self.router = None
-        self.tries, self.served_at, self.told, self.came, self.herd, self.out = 0, None, None, None, False, False
+        self.tries, self.served_at, self.told, self.came, self.herd, self.out = (
+            0,
+            None,
+            None,
+            None,
+            False,
+            False,
+        )
 
 
 class World(Model):
@@ -51,12 +75,22 @@
 
     def router(self, number, seed):
         returns = Returns(LONGEST_HINT_S) if self.storm else None
-        router = Router(seed + number, tracks=TRACKS, place=Place(1, ROUTERS, ROUTERS, number, True),
-                        allowed=Allowed(4, False, True, LONGEST_HINT_S),
-                        supply=Supply("any", False, True, "all", 1000.0, 0.0), cold_cache=COLD,
-                        cold_parent=ColdStart(1.0, 0.0, 0.0, 1.0), purge_gone_s=6.0, kinds=("parent", "origin"),
-                        reports=[], returns=returns)
-        return Reducer(router, [t.name.encode() for t in TRACKS], ["hub", "edge"], Lineage() if self.storm else None)
+        router = Router(
+            seed + number,
+            tracks=TRACKS,
+            place=Place(1, ROUTERS, ROUTERS, number, True),
+            allowed=Allowed(4, False, True, LONGEST_HINT_S),
+            supply=Supply("any", False, True, "all", 1000.0, 0.0),
+            cold_cache=COLD,
+            cold_parent=ColdStart(1.0, 0.0, 0.0, 1.0),
+            purge_gone_s=6.0,
+            kinds=("parent", "origin"),
+            reports=[],
+            returns=returns,
+        )
+        return Reducer(
+            router, [t.name.encode() for t in TRACKS], ["hub", "edge"], Lineage() if self.storm else None
+        )
 
     # clients
 
@@ -82,9 +116,28 @@
         need.came = need.told is not None and need.told - 0.06 <= self.now <= need.told + 0.5
         need.told = None
         self.open[n, client] = need
-        self.hear(n, *((("connected", (client, need.address)),) if self.storm else ()),
-                  ("query", (client, 1, b"%x" % client, TRACKS[need.track].name.encode(), b"%016x" % need.object, b"0", 0, 1,
-                             1000.0 * WORK, PATIENCE_S, None, b"", self.now)))
+        self.hear(
+            n,
+            *((("connected", (client, need.address)),) if self.storm else ()),
+            (
+                "query",
+                (
+                    client,
+                    1,
+                    b"%x" % client,
+                    TRACKS[need.track].name.encode(),
+                    b"%016x" % need.object,
+                    b"0",
+                    0,
+                    1,
+                    1000.0 * WORK,
+                    PATIENCE_S,
+                    None,
+                    b"",
+                    self.now,
+                ),
+            ),
+        )
         self.at(self.now + PATIENCE_S * 0.7, self.tire, n, client, need)
 
     def tire(self, n, client, need):
@@ -170,39 +223,69 @@
         """Utility answered within the contract time over utility asked for, retries under their first try."""
         rows = [n for n in self.needs if begin <= n.at < end]
         asked = sum(TRACKS[n.track].utility for n in rows)
-        good = sum(TRACKS[n.track].utility * (1.0 if n.served_at - n.at <= CONTRACT_S else 0.2)
-                   for n in rows if n.served_at is not None and n.served_at - n.at <= PATIENCE_S)
+        good = sum(
+            TRACKS[n.track].utility * (1.0 if n.served_at - n.at <= CONTRACT_S else 0.2)
+            for n in rows
+            if n.served_at is not None and n.served_at - n.at <= PATIENCE_S
+        )
         return good / asked if asked else 0.0
 
     def figures(self):
         back = self.calm_s + self.cut_s
         calm, step = self.service(self.calm_s * 0.4, self.calm_s - 0.5), 0.5
-        slots = [(at, self.service(at, at + step)) for at in
-                 (back + step * i for i in range(int((self.end - back - 3.0) / step)))]
-        well = next((at for i, (at, s) in enumerate(slots) if all(x >= 0.9 * calm for _, x in slots[i:i + 3])), None)
+        slots = [
+            (at, self.service(at, at + step))
+            for at in (back + step * i for i in range(int((self.end - back - 3.0) / step)))
+        ]
+        well = next(
+            (at for i, (at, s) in enumerate(slots) if all(x >= 0.9 * calm for _, x in slots[i : i + 3])), None
+        )
         herd = [n for n in self.needs if n.herd]
-        plans = [{key: r.router.returns.counts[key] - before[key] for key in before}
-                 for r, before in zip(self.routers, self.plans_before)] if self.storm else []
-        return dict(calm=round(calm, 4), service_after=round(self.service(back, back + 8.0), 4),
-                    to_calm_s=None if well is None else round(well - back, 2),
-                    herd=len(herd), herd_served=round(sum(n.served_at is not None for n in herd) / max(1, len(herd)), 4),
-                    peak_over_present=round(max(b.peak for b in self.boxes.values()), 2),
-                    fallen=sum(b.fallen for b in self.boxes.values()),
-                    places_kept_served=round(sum(c["served"] for c in plans) / max(1, sum(c["kept"] for c in plans)), 4),
-                    places_came=round(sum(c["kept"] for c in plans) / max(1, sum(c["given"] for c in plans)), 4),
-                    places=sum(c["given"] for c in plans),
-                    kept_share_served=round(self.counts["served_when_told"] / max(1, self.counts["came_when_told"]), 4),
-                    told_came=round(self.counts["came_when_told"] / max(1, self.counts["told"]), 4),
-                    tries=self.counts["tries"], first_tries=len(self.needs), pushes=self.pushes,
-                    beside=sum(r.counts["beside"] for r in self.routers), again=sum(r.counts["again"] for r in self.routers))
+        plans = (
+            [
+                {key: r.router.returns.counts[key] - before[key] for key in before}
+                for r, before in zip(self.routers, self.plans_before)
+            ]
+            if self.storm
+            else []
+        )
+        return dict(
+            calm=round(calm, 4),
+            service_after=round(self.service(back, back + 8.0), 4),
+            to_calm_s=None if well is None else round(well - back, 2),
+            herd=len(herd),
+            herd_served=round(sum(n.served_at is not None for n in herd) / max(1, len(herd)), 4),
+            peak_over_present=round(max(b.peak for b in self.boxes.values()), 2),
+            fallen=sum(b.fallen for b in self.boxes.values()),
+            places_kept_served=round(
+                sum(c["served"] for c in plans) / max(1, sum(c["kept"] for c in plans)), 4
+            ),
+            places_came=round(sum(c["kept"] for c in plans) / max(1, sum(c["given"] for c in plans)), 4),
+            places=sum(c["given"] for c in plans),
+            kept_share_served=round(
+                self.counts["served_when_told"] / max(1, self.counts["came_when_told"]), 4
+            ),
+            told_came=round(self.counts["came_when_told"] / max(1, self.counts["told"]), 4),
+            tries=self.counts["tries"],
+            first_tries=len(self.needs),
+            pushes=self.pushes,
+            beside=sum(r.counts["beside"] for r in self.routers),
+            again=sum(r.counts["again"] for r in self.routers),
+        )
 
 
 def play(seed, storm, scale=1.0, rate=140.0, **other):
     return World(seed, storm, rate, 8.0 * scale, 6.0 * scale, 14.0 * scale, **other).run()
 
 
-DAYS = {"usual": {}, "no hints heeded": {"heed": 0.0}, "all heed": {"heed": 1.0}, "busy": {"rate": 190.0},
-        "clients change routers": {"sticks": 0.5}, "all behind proxies": {"proxies": 1.0}}
+DAYS = {
+    "usual": {},
+    "no hints heeded": {"heed": 0.0},
+    "all heed": {"heed": 1.0},
+    "busy": {"rate": 190.0},
+    "clients change routers": {"sticks": 0.5},
+    "all behind proxies": {"proxies": 1.0},
+}
 
 
 def one(job):
@@ -221,20 +304,33 @@
             world.run()
             took = (time.process_time() - began) / max(1, len(world.needs)) * 1e6
             best[kind] = min(took, best.get(kind, took))
-    return {"without_us": round(best[False], 1), "storm_us": round(best[True], 1),
-            "more": round(best[True] / best[False] - 1.0, 4)}
+    return {
+        "without_us": round(best[False], 1),
+        "storm_us": round(best[True], 1),
+        "more": round(best[True] / best[False] - 1.0, 4),
+    }
 
 
 def chart(figures, path):
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     board, places = pyplot.subplots(1, 2, figsize=(13, 4.2))
     names = list(DAYS)
-    for place, key, title in zip(places, ("service_after", "to_calm_s"),
-                                 ("service over 8 s after the cut", "seconds to 0.9 of calm service")):
+    for place, key, title in zip(
+        places,
+        ("service_after", "to_calm_s"),
+        ("service over 8 s after the cut", "seconds to 0.9 of calm service"),
+    ):
         for shift, kind in ((-0.2, "without"), (0.2, "storm")):
-            place.bar([i + shift for i in range(len(names))], [figures[name][kind][key] for name in names], 0.38, label=kind)
+            place.bar(
+                [i + shift for i in range(len(names))],
+                [figures[name][kind][key] for name in names],
+                0.38,
+                label=kind,
+            )
         place.set_xticks(range(len(names)), [name.replace(" ", "\n") for name in names], fontsize=7)
         place.set_title(title + " (simulated)")
         place.legend()
@@ -254,7 +350,9 @@
         for kind in (False, True):
             rows = [played[name, kind, seed] for seed in seeds]
             figures[name]["storm" if kind else "without"] = {
-                key: round(sum(14.0 if row[key] is None else row[key] for row in rows) / len(rows), 4) for key in rows[0]}
+                key: round(sum(14.0 if row[key] is None else row[key] for row in rows) / len(rows), 4)
+                for key in rows[0]
+            }
     kept.finish(figures, given.keep, chart)
 
 
--- a/benchmarks/structures.py
+++ b/benchmarks/structures.py
@@ -2,6 +2,7 @@
 
 Places in time: a hashed wheel of slots against heapq with lazy deletion: half of what is put in is taken back. Tries:
 the bounded table of storm/lineage.py against a dict that is swept each second. Last line: one JSON object."""
+
 import argparse
 import heapq
 import json
@@ -113,8 +114,12 @@
     options.add_argument("--keep")
     given = options.parse_args()
     counts = (1000, 10_000, 100_000) if given.short else (1000, 10_000, 100_000, 1_000_000)
-    figures = {"places_ns": {kind.__name__: {str(count): min(places(kind, count) for _ in range(3)) for count in counts}
-                             for kind in (Wheel, Heap)}}
+    figures = {
+        "places_ns": {
+            kind.__name__: {str(count): min(places(kind, count) for _ in range(3)) for count in counts}
+            for kind in (Wheel, Heap)
+        }
+    }
     count = 60_000 if given.short else 300_000
     figures["tries_us_longest_ms_held"] = {"bounded": tries(Lineage(), count), "swept": tries(Swept(), count)}
     entry = sys.getsizeof(OrderedDict.fromkeys(range(1000))) / 1000
--- a/brookhinge/__main__.py
+++ b/brookhinge/__main__.py
@@ -1,5 +1,6 @@
 """Without arguments the platform's router, one on sockets, configured by BALANCER_CONFIG; with arguments the command
 line. Each imports nothing of the other: the platform gives a router little memory."""
+
 import signal
 import sys
 
@@ -7,9 +8,11 @@
 def main():
     if len(sys.argv) > 1:
         from brookhinge.cli import main as command_line
+
         return command_line()
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)        # it would end a router that has not read its file yet
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it would end a router that has not read its file yet
     from brookhinge.net.program import main as router
+
     return router()
 
 
--- a/brookhinge/box/judge.py
+++ b/brookhinge/box/judge.py
@@ -3,6 +3,7 @@
 Kept here because the rules hold at a box as well: a fill source that drains or has gone is asked for nothing new (rule
 3), a copy from before a known purge is not served (rule 5; the store sees to it), and what was set aside after a restart
 goes out only when its source has said that it is unchanged."""
+
 from typing import NamedTuple
 
 SERVE, RENEW, FILL, JOIN, ABSENT, FULL = "serve", "renew", "fill", "join", "absent", "full"
@@ -11,6 +12,7 @@
 
 class Track(NamedTuple):
     """Seconds; fresh_s 0: good until purged."""
+
     fresh_s: float = 0.0
     stale_s: float = 0.0
 
--- a/brookhinge/box/lines.py
+++ b/brookhinge/box/lines.py
@@ -1,4 +1,5 @@
 """Connections of routers and boxes to a server of lines: bytes to commands, answers to bytes. Decides nothing."""
+
 import asyncio
 import socket
 
@@ -9,8 +10,8 @@
 from brookhinge.net.cachewire import Unreadable
 
 PIECE = 64 * 1024
-MOST_UNREAD = 8 * 1024 * 1024       # past it a peer that does not read is not read from
-MOST_OPEN = 512                     # queries on one connection
+MOST_UNREAD = 8 * 1024 * 1024  # past it a peer that does not read is not read from
+MOST_OPEN = 512  # queries on one connection
 SWEEP_S = 0.2
 
 
@@ -99,7 +100,7 @@
             data = wire.answer(name, b"failed")
         except asyncio.CancelledError:
             return
-        except Exception as fault:      # one query, not the box
+        except Exception as fault:  # one query, not the box
             self.say("fault", where="query", why=f"{type(fault).__name__}: {fault}")
             data = wire.answer(name, b"failed")
         if peer.open.get(name) is me:
--- a/brookhinge/box/orders.py
+++ b/brookhinge/box/orders.py
@@ -1,11 +1,12 @@
 """The command channel as a box hears it. The number in a poll says what was taken for good: it stays below the first
 purge that is not durable yet, and what is told again meanwhile is passed over, so that a disk that stalls holds up no
 drain and no purge. A channel that tells less than it told before has lost something."""
+
 import asyncio
 
 from brookhinge.net.channel import Channel
 
-AGAIN_S = 0.05      # between polls while the number in them can't rise: the channel answers those at once
+AGAIN_S = 0.05  # between polls while the number in them can't rise: the channel answers those at once
 
 
 class Orders(Channel):
@@ -35,6 +36,6 @@
         if why is None:
             self.met, self.taken = True, max(self.taken, cursor)
             self.heard()
-        else:       # all of it from the start, as at our own
+        else:  # all of it from the start, as at our own
             self.met, self.taken = False, 0
             self.gap(why)
--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -1,4 +1,5 @@
 """A cache box as one object: lines in front, the store behind, fills over connections to other servers."""
+
 import asyncio
 import time
 
@@ -15,11 +16,12 @@
 MB = 1024 * 1024
 SOCKETS, MULTIPLEX = 256, 64
 FIGURES_S, SWEEP_S = 10.0, 0.05
-STEP_S = 0.25           # of a clock set back: less is the clock being kept in time
+STEP_S = 0.25  # of a clock set back: less is the clock being kept in time
 
 
 class Fill:
     """One fill under way: who waits for it, and the bound it was asked with."""
+
     __slots__ = ("key", "bound_s", "began", "done", "held", "keep", "rank", "origin", "purged")
 
     def __init__(self, key, bound_s, began, done, held, keep, rank, origin):
@@ -30,25 +32,51 @@
 class Box:
     """stand: a Stand of the operator's file; files: a file layer in place of the folder named there."""
 
-    def __init__(self, stand, say=lambda event, **values: None, files=None, now=time.time, steady=time.monotonic):
+    def __init__(
+        self, stand, say=lambda event, **values: None, files=None, now=time.time, steady=time.monotonic
+    ):
         self.stand, self.say, self.clock, self.start_at, self.steady = stand, say, now, now(), steady
         self.tracks = {name.encode(): j.Track(*ages) for name, ages in stand.tracks.items()}
         self.kinds, self.reports = (stand.parent_kind, stand.origin_kind), stand.reports
-        self.apart = now() - steady()       # of the two clocks: it falls when the one that people set steps back
+        self.apart = now() - steady()  # of the two clocks: it falls when the one that people set steps back
         tier = stand.store
-        disk = DiskTier(files or Files(tier.dir), tier.disk_mb * MB, tier.segment_mb * MB, say=say) if tier.dir or files \
+        disk = (
+            DiskTier(files or Files(tier.dir), tier.disk_mb * MB, tier.segment_mb * MB, say=say)
+            if tier.dir or files
             else None
-        self.store = Store(int(tier.memory_mb * MB), disk, say, tier.stall_s, tier.sync_s, tier.snapshot_s, now=now)
+        )
+        self.store = Store(
+            int(tier.memory_mb * MB), disk, say, tier.stall_s, tier.sync_s, tier.snapshot_s, now=now
+        )
         self.lines = LineServer(self.serve, say, self.now, stand.idle_s)
-        self.caches = Caches(self.ended, say, self.now, self.start_at, [], stand.connect_s, stand.idle_s, MULTIPLEX,
-                             SOCKETS)
+        self.caches = Caches(
+            self.ended, say, self.now, self.start_at, [], stand.connect_s, stand.idle_s, MULTIPLEX, SOCKETS
+        )
         self.orders = Orders(self.told, say, stand.channel, self.start_at, self.safe, self.missed, self.heard)
         self.servers, self.origin, self.role = {}, None, "cache"
         self.fills, self.joinable, self.serial = {}, {}, 0
-        self.pending = {}           # numbers of purges that are not durable yet, in the order in which they came
-        self.told_at = None         # since when nothing that was told can have been missed
-        self.counts = dict.fromkeys(("queries", "hit", "stale", "filled", "via_origin", "joined", "absent", "full", "failed",
-                                     "unchanged", "renewed", "sent_bytes", "filled_bytes", "purges", "gaps"), 0)
+        self.pending = {}  # numbers of purges that are not durable yet, in the order in which they came
+        self.told_at = None  # since when nothing that was told can have been missed
+        self.counts = dict.fromkeys(
+            (
+                "queries",
+                "hit",
+                "stale",
+                "filled",
+                "via_origin",
+                "joined",
+                "absent",
+                "full",
+                "failed",
+                "unchanged",
+                "renewed",
+                "sent_bytes",
+                "filled_bytes",
+                "purges",
+                "gaps",
+            ),
+            0,
+        )
         self.tasks, self.lately = [], 0.5
 
     def now(self):
@@ -100,7 +128,13 @@
     async def figures(self):
         while True:
             await asyncio.sleep(FIGURES_S)
-            self.say("figures", **self.counts, **self.store.figures(), open=self.lines.open(), fills=len(self.fills))
+            self.say(
+                "figures",
+                **self.counts,
+                **self.store.figures(),
+                open=self.lines.open(),
+                fills=len(self.fills),
+            )
 
     # the command channel
 
@@ -126,8 +160,14 @@
             else:
                 self.servers[server] = address, health, born, kind
         parent, origin = self.kinds
-        self.origin = next((s for s, (_, health, _, kind) in sorted(self.servers.items())
-                            if kind == origin and health == j.UP), None)
+        self.origin = next(
+            (
+                s
+                for s, (_, health, _, kind) in sorted(self.servers.items())
+                if kind == origin and health == j.UP
+            ),
+            None,
+        )
         mine = self.servers.get(self.stand.name)
         self.role = "parent" if mine and mine[3] == parent else "cache"
 
@@ -136,7 +176,7 @@
         if kind == GROUP and not 0 <= name <= 255 or kind == OBJECT and len(name) > 255:
             return self.say("command skipped", why=f"a purge of {name!r:.80}")
         self.counts["purges"] += 1
-        for fill in self.fills.values():        # what is on its way may be from before
+        for fill in self.fills.values():  # what is on its way may be from before
             if kind == GROUP or fill.key[0] == name:
                 fill.purged = max(fill.purged, when)
         done = self.store.purge(kind, name, when)
@@ -157,7 +197,7 @@
         self.say("channel gap", why=why)
         self.told_at = None
         self.servers = {}
-        self.pending.clear()        # their numbers are of an earlier count
+        self.pending.clear()  # their numbers are of an earlier count
         self.store.aside_all()
 
     # queries
@@ -169,14 +209,23 @@
         came, key = self.now(), (pull.object, pull.part)
         track = self.tracks.get(pull.sort, j.Track())
         found = await self.store.get(pull.object, pull.part, pull.patience_s)
-        if self.told_at is None and found is not None:      # what was purged before we were told anything is not known
+        if (
+            self.told_at is None and found is not None
+        ):  # what was purged before we were told anything is not known
             found = found._replace(aside=True)
         age = None if found is None else max(0.0, self.now() + self.start_at - found.dated)
         fill = self.joinable.get(key)
         bound = self.bound(pull, track, found)
-        verdict, note = j.judge(pull, track, age, found is not None and found.aside, self.state(pull.source),
-                                fill is not None and (not bound or fill.bound_s and fill.bound_s <= bound),
-                                len(self.fills), self.stand.fills)
+        verdict, note = j.judge(
+            pull,
+            track,
+            age,
+            found is not None and found.aside,
+            self.state(pull.source),
+            fill is not None and (not bound or fill.bound_s and fill.bound_s <= bound),
+            len(self.fills),
+            self.stand.fills,
+        )
         if verdict == j.RENEW:
             self.counts["renewed"] += 1
             self.fill(pull, found, bound=track.fresh_s)
@@ -189,9 +238,13 @@
             fill = self.fill(pull, found, bound)
         result, got, source_note = await asyncio.shield(fill.done)
         if result == "satisfied" and self.store.purges.purged(pull.object, got.group, got.dated):
-            result = "errored"          # it was purged while it was under way
-        word, filled = j.after_fill(result, source_note, fill.origin, got is not None and fill.held is not None
-                                    and got.body is fill.held.body)
+            result = "errored"  # it was purged while it was under way
+        word, filled = j.after_fill(
+            result,
+            source_note,
+            fill.origin,
+            got is not None and fill.held is not None and got.body is fill.held.body,
+        )
         if word != "data":
             return self.bad(name, word, filled)
         return self.good(name, pull, got, "joined" if verdict == j.JOIN else filled, self.now() - came)
@@ -201,9 +254,12 @@
         return known[1] if known else None
 
     def bound(self, pull, track, found):
-        purges = self.store.purges      # the group of an object is known by a copy of it alone
-        purged = purges.objects.get(pull.object, float("-inf")) if found is None else \
-            purges.purged_at(pull.object, found.group)
+        purges = self.store.purges  # the group of an object is known by a copy of it alone
+        purged = (
+            purges.objects.get(pull.object, float("-inf"))
+            if found is None
+            else purges.purged_at(pull.object, found.group)
+        )
         now = self.now()
         since_purge = max(0.001, now + self.start_at - purged) if purged > float("-inf") else None
         since_told = None if self.told_at is None else max(0.001, now - self.told_at)
@@ -212,7 +268,11 @@
     def good(self, name, pull, found, note, waited):
         self.counts[note] += 1
         self.lately += 0.05 * ((note in ("hit", "stale")) - self.lately)
-        fields = [(b"n", note.encode()), (b"digest", found.tag or b"-"), (b"dated", b"%d" % round(found.dated * 1000))]
+        fields = [
+            (b"n", note.encode()),
+            (b"digest", found.tag or b"-"),
+            (b"dated", b"%d" % round(found.dated * 1000)),
+        ]
         if found.group != ANY_GROUP:
             fields.append((b"lot", b"%d" % found.group))
         if waited:
@@ -232,8 +292,13 @@
 
     def report(self, fields):
         if self.reports:
-            told = {"util": len(self.fills) / self.stand.fills, "inflight": self.lines.open(), "x0": self.lately,
-                    "queue": 0 if self.store.readers is None else self.store.readers.waiting(), "x1": len(self.fills)}
+            told = {
+                "util": len(self.fills) / self.stand.fills,
+                "inflight": self.lines.open(),
+                "x0": self.lately,
+                "queue": 0 if self.store.readers is None else self.store.readers.waiting(),
+                "x1": len(self.fills),
+            }
             fields.append((b"l", b";".join(b"%b:%.3g" % (r.encode(), told.get(r, 0)) for r in self.reports)))
 
     # fills
@@ -246,15 +311,39 @@
         address, _, born, kind = self.servers[source]
         origin = kind == self.kinds[1]
         keep = not (pull.skip and self.role == "parent")
-        fill = Fill((pull.object, pull.part), bound, self.now(), asyncio.get_running_loop().create_future(), held, keep,
-                    pull.rank, origin)
+        fill = Fill(
+            (pull.object, pull.part),
+            bound,
+            self.now(),
+            asyncio.get_running_loop().create_future(),
+            held,
+            keep,
+            pull.rank,
+            origin,
+        )
         self.fills[number] = fill
         self.joinable[fill.key] = fill
         beyond = "" if origin or pull.local or source == self.origin else self.origin
         tag = held.tag if held is not None and held.tag else None
-        self.caches.pull(number, 1, (source, address, born), b"%016x" % number, pull.sort, pull.object,
-                         b"%d" % pull.part, min(pull.patience_s, self.stand.fill_s), beyond, pull.rank, bound, pull.merge,
-                         pull.local, False, tag, b"", pull.skip)
+        self.caches.pull(
+            number,
+            1,
+            (source, address, born),
+            b"%016x" % number,
+            pull.sort,
+            pull.object,
+            b"%d" % pull.part,
+            min(pull.patience_s, self.stand.fill_s),
+            beyond,
+            pull.rank,
+            bound,
+            pull.merge,
+            pull.local,
+            False,
+            tag,
+            b"",
+            pull.skip,
+        )
         return fill
 
     def ended(self, _, values):
@@ -285,9 +374,20 @@
         """New bytes from the source; kept unless the query said otherwise."""
         self.counts["filled_bytes"] += len(body)
         group = int(lot) if lot and lot.isdigit() and int(lot) <= 255 else ANY_GROUP
-        copy = Copy(*fill.key, b"" if tag in (None, b"-") else tag, self.clock() if when is None else when, group,
-                    fill.rank, len(body), body)
-        if when is not None and when <= fill.purged and self.store.purges.purged(copy.object, group, copy.dated):
+        copy = Copy(
+            *fill.key,
+            b"" if tag in (None, b"-") else tag,
+            self.clock() if when is None else when,
+            group,
+            fill.rank,
+            len(body),
+            body,
+        )
+        if (
+            when is not None
+            and when <= fill.purged
+            and self.store.purges.purged(copy.object, group, copy.dated)
+        ):
             return None
         if body and fill.keep:
             self.store.put(copy)
--- a/brookhinge/box/wire.py
+++ b/brookhinge/box/wire.py
@@ -1,4 +1,5 @@
 """Routers' lines as a cache server reads and writes them. Parses and encodes bytes, no I/O."""
+
 from typing import NamedTuple
 
 from brookhinge.net.cachewire import LONGEST_BODY, Pieces, Unreadable, read_fields
@@ -13,18 +14,19 @@
 
 class Pull(NamedTuple):
     """One query for a part. Times are seconds."""
-    sort: bytes         # the track
+
+    sort: bytes  # the track
     object: bytes
     part: int
     patience_s: float
-    source: str         # "" : no fill
+    source: str  # "" : no fill
     rank: int
-    accept_s: float     # the oldest copy that will do; 0: the track's fresh time
+    accept_s: float  # the oldest copy that will do; 0: the track's fresh time
     merge: bool
     local: bool
     skip: bool
     renew: bool
-    got: bytes          # tag of the client's copy, or b""
+    got: bytes  # tag of the client's copy, or b""
 
 
 class Commands(Pieces):
@@ -35,8 +37,14 @@
         words = line.split(b" ")
         if len(words) == 2 and words[0] in (b"KILL", b"ECHO") and words[1]:
             return (words[0].decode().lower(), words[1]), None
-        if len(words) != 4 or words[0] != b"PULL" or not words[1] or not words[3].isdigit() or len(words[3]) > 7 \
-                or int(words[3]) > LONGEST_BODY:
+        if (
+            len(words) != 4
+            or words[0] != b"PULL"
+            or not words[1]
+            or not words[3].isdigit()
+            or len(words[3]) > 7
+            or int(words[3]) > LONGEST_BODY
+        ):
             raise Unreadable(f"the line {line[:80]!r}")
         return ("pull", words[1], words[2]), int(words[3])
 
@@ -66,10 +74,20 @@
     source, got = fields.get(b"parent", b""), fields.get(b"got", b"")
     if len(source) > 255 or len(got) > 255:
         raise Unusable("parent or got: too long")
-    return Pull(sort, object_, whole(fields, b"slice", None, 0, (1 << 32) - 1),
-                whole(fields, b"patience", None, 1, 86_400_000) / 1000.0, source.decode("latin-1"),
-                whole(fields, b"shelf", 0, 0, 3), whole(fields, b"accept", 0, 0, 10 ** 13) / 1000.0, b"merge" in hints,
-                b"local" in hints, b"skip" in hints, b"revalidate" in hints, got)
+    return Pull(
+        sort,
+        object_,
+        whole(fields, b"slice", None, 0, (1 << 32) - 1),
+        whole(fields, b"patience", None, 1, 86_400_000) / 1000.0,
+        source.decode("latin-1"),
+        whole(fields, b"shelf", 0, 0, 3),
+        whole(fields, b"accept", 0, 0, 10**13) / 1000.0,
+        b"merge" in hints,
+        b"local" in hints,
+        b"skip" in hints,
+        b"revalidate" in hints,
+        got,
+    )
 
 
 def answer(name, word, fields=(), body=b""):
--- a/brookhinge/cli/__init__.py
+++ b/brookhinge/cli/__init__.py
@@ -1,19 +1,26 @@
 """The command line: `brookhinge COMMAND`, or `python -m brookhinge COMMAND`. Exit 0 when done, 1 when something was
 found wrong, 2 with one line when an option, key or file can't be used. Commands import their subsystem when called."""
+
 import sys
 
 import click
 
-COMMANDS = {        # command: (module, its one line); the module is imported when the command is called
+COMMANDS = {  # command: (module, its one line); the module is imported when the command is called
     "check": ("brookhinge.cli.check", "Reads an operator's file and says what is wrong with it."),
     "box": ("brookhinge.cli.box", "A cache server on the two-tier store."),
     "ask": ("brookhinge.cli.ask", "Asks a router for an object, and comes back when told."),
     "explain": ("brookhinge.cli.explain", "Tells the storms in a router's log as a story."),
     "fleet": ("brookhinge.cli.fleet", "What a router believes of its fellows: show, watch."),
     "keep": ("brookhinge.cli.keep", "Keeps one place's routers running, and changes them when told."),
-    "roll": ("brookhinge.cli.roll", "A change through a fleet in stages that are judged: check, start, status, back."),
+    "roll": (
+        "brookhinge.cli.roll",
+        "A change through a fleet in stages that are judged: check, start, status, back.",
+    ),
     "store": ("brookhinge.cli.store", "Looks into a store that no process uses: inspect, verify, compact."),
-    "demo": ("brookhinge.cli.demo", "Origin, parent, three boxes, channel and a router on loopback, for a minute."),
+    "demo": (
+        "brookhinge.cli.demo",
+        "Origin, parent, three boxes, channel and a router on loopback, for a minute.",
+    ),
     "standin": ("brookhinge.cli.standin", "Scripted peers for trying things out."),
 }
 
@@ -52,6 +59,7 @@
     """Prints rows (dicts) as JSON or as aligned columns, uncoloured."""
     if as_json:
         import orjson
+
         click.echo(orjson.dumps(rows, option=orjson.OPT_INDENT_2).decode())
         return
     cells = [columns] + [[str(row.get(column, "")) for column in columns] for row in rows]
--- a/brookhinge/cli/ask.py
+++ b/brookhinge/cli/ask.py
@@ -1,4 +1,5 @@
 """brookhinge ask"""
+
 import sys
 
 import click
@@ -21,16 +22,21 @@
     import asyncio
 
     from brookhinge.client import Client
+
     if len(object) != 16 or set(object) - set("0123456789abcdef"):
         refuse(f"OBJECT: expected 16 hex digits, got {object!r:.40}")
 
     async def run():
         async with Client(router, tries) as client:
             return await client.fetch(object, part, track, patience, group)
+
     answer = asyncio.run(run())
     if answer.kind == "satisfied" and out:
         out.write(answer.body)
-    click.echo(f"{answer.kind} after {answer.tries} tries, {len(answer.body)} bytes"
-               + (f", told to come back in {answer.wait_s:g} s" if answer.wait_s else "")
-               + (f": {answer.why}" if answer.why else ""), err=True)
+    click.echo(
+        f"{answer.kind} after {answer.tries} tries, {len(answer.body)} bytes"
+        + (f", told to come back in {answer.wait_s:g} s" if answer.wait_s else "")
+        + (f": {answer.why}" if answer.why else ""),
+        err=True,
+    )
     sys.exit(0 if answer.kind == "satisfied" else 1)
--- a/brookhinge/cli/box.py
+++ b/brookhinge/cli/box.py
@@ -1,4 +1,5 @@
 """brookhinge box"""
+
 import asyncio
 import signal
 import time
@@ -22,6 +23,7 @@
 
 async def serve(stand, log, metrics):
     from brookhinge.box import Box
+
     ended = asyncio.Event()
     for word in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(word, ended.set)
@@ -30,13 +32,18 @@
     if metrics:
         from brookhinge.box.metrics import Figures
         from brookhinge.metrics import publish
+
         publish(Figures(box), metrics)
     await ended.wait()
     await box.stop()
 
 
 @click.command("box")
-@click.option("--file", type=click.Path(), help="An operator's file with the box's block; options below do not go with it.")
+@click.option(
+    "--file",
+    type=click.Path(),
+    help="An operator's file with the box's block; options below do not go with it.",
+)
 @click.option("--name", required=True, help="The box's name, as the command channel lists it.")
 @click.option("--listen", help="HOST:PORT for routers and other boxes.")
 @click.option("--channel", help="HOST:PORT of the command channel.")
@@ -46,7 +53,14 @@
 @click.option("--segment-mb", type=float, help="Size of a segment file (16).")
 def command(file, name, listen, channel, folder, memory_mb, disk_mb, segment_mb):
     """A cache server on the two-tier store, until SIGTERM."""
-    given = dict(listen=listen, channel=channel, store=folder, memory_mb=memory_mb, disk_mb=disk_mb, segment_mb=segment_mb)
+    given = dict(
+        listen=listen,
+        channel=channel,
+        store=folder,
+        memory_mb=memory_mb,
+        disk_mb=disk_mb,
+        segment_mb=segment_mb,
+    )
     try:
         if file:
             wrong = [key for key, value in given.items() if value is not None]
@@ -54,14 +68,24 @@
                 refuse(f"--{wrong[0].replace('_', '-')}: does not go with --file")
             told = read_file(file)
         else:
-            told = from_options(name, {
-                "box": {"listen": quoted(listen), "channel": quoted(channel)},
-                "store": {"dir": quoted(folder), "memory_mb": memory_mb, "disk_mb": disk_mb, "segment_mb": segment_mb}})
+            told = from_options(
+                name,
+                {
+                    "box": {"listen": quoted(listen), "channel": quoted(channel)},
+                    "store": {
+                        "dir": quoted(folder),
+                        "memory_mb": memory_mb,
+                        "disk_mb": disk_mb,
+                        "segment_mb": segment_mb,
+                    },
+                },
+            )
     except OperatorError as fault:
         refuse(f"{file}: {fault}" if file else str(fault).partition(": ")[2])
     if name not in told.box:
         refuse(f'{file}: no block box "{name}"')
     from brookhinge.logs import make
+
     stand = told.box[name]
     began = time.time()
     try:
--- a/brookhinge/cli/check.py
+++ b/brookhinge/cli/check.py
@@ -1,4 +1,5 @@
 """brookhinge check FILE"""
+
 import click
 
 from brookhinge.cli import refuse, table
@@ -14,10 +15,19 @@
         told = read_file(file)
     except OperatorError as fault:
         refuse(f"{file}: {fault}")
-    rows = [{"block": "box", "name": name, "listen": "%s:%d" % stand.listen, "store": stand.store.dir or "memory alone"}
-            for name, stand in told.box.items()]
-    rows += [{"block": "fleet", "name": name, "listen": "%s:%d" % fleet.listen, "store": ""}
-             for name, fleet in told.fleet.items()]
+    rows = [
+        {
+            "block": "box",
+            "name": name,
+            "listen": "%s:%d" % stand.listen,
+            "store": stand.store.dir or "memory alone",
+        }
+        for name, stand in told.box.items()
+    ]
+    rows += [
+        {"block": "fleet", "name": name, "listen": "%s:%d" % fleet.listen, "store": ""}
+        for name, fleet in told.fleet.items()
+    ]
     if told.metrics:
         rows.append({"block": "metrics", "name": "", "listen": "%s:%d" % told.metrics, "store": ""})
     table(rows, ["block", "name", "listen", "store"], as_json)
--- a/brookhinge/cli/demo.py
+++ b/brookhinge/cli/demo.py
@@ -1,4 +1,5 @@
 """brookhinge demo: a newcomer's first minute."""
+
 import asyncio
 import tempfile
 import time
@@ -8,7 +9,7 @@
 from brookhinge.cli import refuse
 
 
-PACE_S = 0.015      # between two queries: a caller in a hurry would be told to come back
+PACE_S = 0.015  # between two queries: a caller in a hurry would be told to come back
 
 
 async def after(pause_s, asking):
@@ -19,10 +20,13 @@
 async def play():
     from brookhinge.standin.origin import body_of, group_of
     from brookhinge.standin.town import Town
+
     with tempfile.TemporaryDirectory(prefix="brookhinge-") as folder:
         async with Town(folder) as town:
-            click.echo(f"up: origin, parent, boxes {', '.join(town.names)}, command channel, router at "
-                       f"{town.router_address[0]}:{town.router_address[1]}")
+            click.echo(
+                f"up: origin, parent, boxes {', '.join(town.names)}, command channel, router at "
+                f"{town.router_address[0]}:{town.router_address[1]}"
+            )
             caller = await town.caller()
             objects = [f"{7919 * n + 5:016x}" for n in range(40)]
             wrong = 0
@@ -30,12 +34,18 @@
             async def round_(what):
                 nonlocal wrong
                 began, asked, filled = time.monotonic(), len(objects), town.origin.counts["queries"]
-                answers = await asyncio.gather(*(after(n * PACE_S, caller.ask(o, lot=group_of(o)))
-                                                 for n, o in enumerate(objects)))
+                answers = await asyncio.gather(
+                    *(after(n * PACE_S, caller.ask(o, lot=group_of(o))) for n, o in enumerate(objects))
+                )
                 good = [(o, body) for o, (word, body) in zip(objects, answers) if word == "satisfied"]
-                wrong += sum(body != body_of(o, 0, town.origin.version(o), town.origin.sizes) for o, body in good)
-                click.echo(f"{what}: {len(good)} of {asked} answered in {time.monotonic() - began:.2f} s, "
-                           f"{town.origin.counts['queries'] - filled} asked of the origin")
+                wrong += sum(
+                    body != body_of(o, 0, town.origin.version(o), town.origin.sizes) for o, body in good
+                )
+                click.echo(
+                    f"{what}: {len(good)} of {asked} answered in {time.monotonic() - began:.2f} s, "
+                    f"{town.origin.counts['queries'] - filled} asked of the origin"
+                )
+
             await round_("first time")
             await round_("again")
             await asyncio.sleep(1.5)
--- a/brookhinge/cli/fleet.py
+++ b/brookhinge/cli/fleet.py
@@ -1,4 +1,5 @@
 """brookhinge fleet show|watch"""
+
 import asyncio
 import time
 
@@ -27,9 +28,12 @@
 def ask(block, what=0, columns=COLUMNS):
     """Rows of one router's view and its digest; ends the command if nothing answers."""
     from brookhinge.membership.look import look
+
     seen = asyncio.run(look(block.listen, block.site, block.key, what))
     if seen is None:
-        refuse(f"{block.name}: no answer from {'%s:%d' % block.listen}: not up, another key, or another site", 1)
+        refuse(
+            f"{block.name}: no answer from {'%s:%d' % block.listen}: not up, another key, or another site", 1
+        )
     return [dict(zip(columns, row)) for row in seen[0]], f"{seen[1]:016x}"
 
 
@@ -54,12 +58,16 @@
 
 def told(what, word, columns, line, text):
     """A command that shows what one router says of something else than its members."""
+
     @command.command(word, help=text)
-    @click.option("--file", required=True, type=click.Path(), help="The operator's file with the block fleet.")
+    @click.option(
+        "--file", required=True, type=click.Path(), help="The operator's file with the block fleet."
+    )
     @click.option("--router", help="Which one is asked; the first block's without.")
     @click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
     def show_told(file, router, as_json):
         from brookhinge.membership import look
+
         block = block_of(file, router)
         rows, _ = ask(block, getattr(look, what), columns)
         if as_json:
@@ -69,10 +77,20 @@
             table(rows, columns, False)
 
 
-told("LIMITS", "limits", PARTS, "{name} shares {count} limits now; of all others it has its own part",
-     "What a router may use of each shared limit, as parts of the whole: its own, given away, lent, for how long.")
-told("VERDICTS", "verdicts", SAID, "{name}: {count} servers in question",
-     "Which servers are in question at a router, why one rests, by how many witnesses, and which is its own trouble.")
+told(
+    "LIMITS",
+    "limits",
+    PARTS,
+    "{name} shares {count} limits now; of all others it has its own part",
+    "What a router may use of each shared limit, as parts of the whole: its own, given away, lent, for how long.",
+)
+told(
+    "VERDICTS",
+    "verdicts",
+    SAID,
+    "{name}: {count} servers in question",
+    "Which servers are in question at a router, why one rests, by how many witnesses, and which is its own trouble.",
+)
 
 
 @command.command("watch")
@@ -85,6 +103,7 @@
     from rich.console import Console
     from rich.live import Live
     from rich.table import Table
+
     block, done = block_of(file, router), 0
 
     def drawn():
@@ -96,6 +115,7 @@
             style = {"alive": "green", "suspected": "yellow", "lost": "red"}.get(row["state"], "dim")
             grid.add_row(*(str(row[column]) for column in COLUMNS), style=style)
         return grid
+
     with Live(drawn(), console=Console(), refresh_per_second=4) as live:
         while not rounds or (done := done + 1) < rounds:
             time.sleep(every)
--- a/brookhinge/cli/keep.py
+++ b/brookhinge/cli/keep.py
@@ -1,4 +1,5 @@
 """brookhinge keep PLAN --place NAME"""
+
 import asyncio
 import signal
 
@@ -27,6 +28,7 @@
     from brookhinge.rollout import plan as plans
     from brookhinge.rollout.journal import Damaged
     from brookhinge.rollout.keeper import Keeper
+
     try:
         told = plans.read_file(plan)
     except OperatorError as fault:
--- a/brookhinge/cli/roll.py
+++ b/brookhinge/cli/roll.py
@@ -1,4 +1,5 @@
 """brookhinge roll check|start|status|pause|resume|abort|back PLAN"""
+
 import asyncio
 import signal
 import sys
@@ -14,6 +15,7 @@
 def read(plan):
     from brookhinge.operator import OperatorError
     from brookhinge.rollout import plan as plans
+
     try:
         return plans.read_file(plan)
     except OperatorError as fault:
@@ -35,8 +37,12 @@
     """Reads a plan and says what is wrong with it, and who would be changed in which stage."""
     from brookhinge.rollout import plan as plans
     from brookhinge.rollout.coordinator import stages_of
+
     told = read(plan)
-    rows = [{"stage": k + 1, "routers": len(stage), "names": " ".join(stage)} for k, stage in enumerate(stages_of(told))]
+    rows = [
+        {"stage": k + 1, "routers": len(stage), "names": " ".join(stage)}
+        for k, stage in enumerate(stages_of(told))
+    ]
     table(rows, ["stage", "routers", "names"], False)
     for version in (told.old, told.to):
         why = plans.lacks(told.versions[version], [name for name, _ in told.routers])
@@ -54,13 +60,17 @@
 
     from brookhinge.rollout.journal import Damaged
     from brookhinge.rollout.roll import Roll
+
     told, began = read(plan), time.monotonic()
 
     def say(event, **values):
         if as_json:
             click.echo(orjson.dumps({"event": event, **values}).decode())
         else:
-            click.echo(f"{time.monotonic() - began:8.1f} s  {event:9} " + "  ".join(f"{k} {v}" for k, v in values.items()))
+            click.echo(
+                f"{time.monotonic() - began:8.1f} s  {event:9} "
+                + "  ".join(f"{k} {v}" for k, v in values.items())
+            )
         sys.stdout.flush()
 
     async def run():
@@ -68,6 +78,7 @@
         for word in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(word, roll.stop)
         return await roll.run()
+
     try:
         end = asyncio.run(run())
     except Damaged as fault:
@@ -84,17 +95,22 @@
 def status(plan, journal, as_json):
     """Where a rollout stands, with a bar of the routers that are changed."""
     from brookhinge.rollout.roll import status as of
+
     told = of(journal_of(plan, journal))
     if told is None:
         refuse(f"{journal_of(plan, journal)}: no rollout has begun on it", 1)
     if as_json:
         return table([told], [], True)
     width = 40 * told["new"] // max(1, told["routers"])
-    click.echo(f"{told['plan']}: {told['phase']}, stage {told['stage']} of {told['stages']}  [{'#' * width}{'.' * (40 - width)}] "
-               f"{told['new']} of {told['routers']} on the new one")
+    click.echo(
+        f"{told['plan']}: {told['phase']}, stage {told['stage']} of {told['stages']}  [{'#' * width}{'.' * (40 - width)}] "
+        f"{told['new']} of {told['routers']} on the new one"
+    )
     verdict = told["verdict"]
     if verdict:
-        click.echo(f"verdict: {verdict['word']} ({verdict['figure']} {verdict['value']:+.4g} after {verdict['windows']} windows)")
+        click.echo(
+            f"verdict: {verdict['word']} ({verdict['figure']} {verdict['value']:+.4g} after {verdict['windows']} windows)"
+        )
     table(told["members"], ["router", "version", "should", "state", "crashes"], False)
 
 
@@ -104,12 +120,15 @@
     @click.option("--journal", help="As with start.")
     def say(plan, journal):
         from brookhinge.rollout.roll import ask
+
         read(plan)
         try:
             ask(journal_of(plan, journal), name)
         except OSError as fault:
             refuse(f"{journal_of(plan, journal)}: {fault.strerror}", 1)
-        click.echo(f"{name}: said; the coordinator on this journal takes it up, or the next one that is started")
+        click.echo(
+            f"{name}: said; the coordinator on this journal takes it up, or the next one that is started"
+        )
 
 
 word("pause", "Changes nothing more until resumed; what runs goes on.")
--- a/brookhinge/cli/standin.py
+++ b/brookhinge/cli/standin.py
@@ -1,4 +1,5 @@
 """brookhinge standin origin|channel|fleet"""
+
 import asyncio
 import json
 import sys
@@ -23,8 +24,12 @@
 
 @command.command("origin")
 @click.option("--listen", required=True, callback=place, help="HOST:PORT.")
-@click.option("--delay-ms", type=click.FloatRange(0, 60000), default=20.0, show_default=True, help="Before each answer.")
-@click.option("--largest", type=click.IntRange(2000, 240000), default=60000, show_default=True, help="Bytes of a part.")
+@click.option(
+    "--delay-ms", type=click.FloatRange(0, 60000), default=20.0, show_default=True, help="Before each answer."
+)
+@click.option(
+    "--largest", type=click.IntRange(2000, 240000), default=60000, show_default=True, help="Bytes of a part."
+)
 def origin(listen, delay_ms, largest):
     """An origin whose bytes follow from object, part and version. On standard input: `change OBJECT`, `change-group N`."""
     from brookhinge.standin.origin import Origin
@@ -38,16 +43,22 @@
             elif words[0] == "change-group" and len(words) == 2 and words[1].isdigit():
                 peer.change(group=int(words[1]))
             else:
-                click.echo(f"cannot do {' '.join(words)!r}: expected change OBJECT or change-group N", err=True)
+                click.echo(
+                    f"cannot do {' '.join(words)!r}: expected change OBJECT or change-group N", err=True
+                )
+
     started(run)
 
 
 @command.command("channel")
 @click.option("--listen", required=True, callback=place, help="HOST:PORT.")
-@click.option("--hosts", "hosts_file", type=click.Path(), help="JSON list of servers, as in the protocol's `hosts`.")
+@click.option(
+    "--hosts", "hosts_file", type=click.Path(), help="JSON list of servers, as in the protocol's `hosts`."
+)
 def channel(listen, hosts_file):
     """A command channel. On standard input: `drain NAME`, `remove NAME`, `purge OBJECT`, `purge-group N`."""
     from brookhinge.standin.channel import CommandChannel
+
     hosts = []
     if hosts_file:
         try:
@@ -72,6 +83,7 @@
                 peer.drop(group=int(name))
             else:
                 click.echo(f"cannot do {' '.join(words)!r}", err=True)
+
     started(run)
 
 
@@ -84,8 +96,12 @@
 
     from brookhinge.operator import OperatorError
     from brookhinge.standin.script import play
+
     try:
-        with open(script, encoding="utf-8") as file, tempfile.TemporaryDirectory(prefix="brookhinge-") as folder:
+        with (
+            open(script, encoding="utf-8") as file,
+            tempfile.TemporaryDirectory(prefix="brookhinge-") as folder,
+        ):
             rows, good = asyncio.run(play(file.read(), folder, lambda line: click.echo(line, err=as_json)))
     except (OSError, UnicodeDecodeError) as fault:
         refuse(f"{script}: {fault}")
@@ -99,7 +115,9 @@
 async def spoken():
     """Lines of standard input as words; waits for good after its end."""
     reader = asyncio.StreamReader()
-    await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
     while line := await reader.readline():
         if words := line.decode("utf-8", "replace").split():
             yield words
--- a/brookhinge/cli/store.py
+++ b/brookhinge/cli/store.py
@@ -1,4 +1,5 @@
 """brookhinge store inspect|verify|compact DIR"""
+
 import os
 
 import click
@@ -11,6 +12,7 @@
     from brookhinge.store import DiskTier, StoreUnusable
     from brookhinge.store.files import Files
     from brookhinge.store.records import FILE_HEAD, SEGMENT, Damaged, OtherVersion, read_file_head
+
     if not os.path.isfile(os.path.join(folder, "store")):
         refuse(f"{folder}: expected a folder with a store in it")
     sizes, heads = [], []
@@ -25,7 +27,9 @@
                 heads.append((name, str(fault)))
     said = []
     segment = max([4 << 20, *sizes])
-    tier = DiskTier(Files(folder), sum(sizes) + 16 * segment, segment, say=lambda event, **v: said.append((event, v)))
+    tier = DiskTier(
+        Files(folder), sum(sizes) + 16 * segment, segment, say=lambda event, **v: said.append((event, v))
+    )
     tier.head_faults = heads
     try:
         return tier, tier.open(), said
@@ -44,10 +48,23 @@
 def inspect(folder, as_json):
     """Segments, what lives in them, purges."""
     tier, _, _ = opened(folder)
-    rows = [{"segment": n, "bytes": s.size, "alive": tier.index.live.get(n, 0),
-             "share": round(tier.index.live.get(n, 0) / max(1, s.size), 3)} for n, s in sorted(tier.segments.items())]
-    rows.append({"segment": "all", "bytes": sum(r["bytes"] for r in rows), "alive": sum(r["alive"] for r in rows),
-                 "share": ""})
+    rows = [
+        {
+            "segment": n,
+            "bytes": s.size,
+            "alive": tier.index.live.get(n, 0),
+            "share": round(tier.index.live.get(n, 0) / max(1, s.size), 3),
+        }
+        for n, s in sorted(tier.segments.items())
+    ]
+    rows.append(
+        {
+            "segment": "all",
+            "bytes": sum(r["bytes"] for r in rows),
+            "alive": sum(r["alive"] for r in rows),
+            "share": "",
+        }
+    )
     parts, purges = tier.index.parts, len(tier.ledger.objects) + len(tier.ledger.groups)
     tier.abandon()
     table(rows, ["segment", "bytes", "alive", "share"], as_json)
@@ -61,8 +78,13 @@
 def verify(folder, as_json):
     """Reads every byte and names every place that is not what was written. Exit 1 if there is one."""
     from brookhinge.store.check import check_folder
+
     tier, _, said = opened(folder)
-    bar = None if as_json else click.progressbar(length=sum(s.size for s in tier.segments.values()), label="reading")
+    bar = (
+        None
+        if as_json
+        else click.progressbar(length=sum(s.size for s in tier.segments.values()), label="reading")
+    )
     if bar is not None:
         with bar:
             found, rows = check_folder(tier, said, bar.update)
--- a/brookhinge/client/__init__.py
+++ b/brookhinge/client/__init__.py
@@ -6,6 +6,7 @@
 or, without a loop, `brookhinge.client.fetch(address, ...)`. An Answer is `satisfied` with its bytes, `refused`, `failed` or
 `gone` (the connection ended first). Retries have new ids, go out only when nothing of the query is out any more, and keep
 within the time of the first try; when they go out is decided in returns.py. Times are float seconds."""
+
 from brookhinge.client.client import Answer, Client, fetch
 
 __all__ = ["Answer", "Client", "fetch"]
--- a/brookhinge/client/client.py
+++ b/brookhinge/client/client.py
@@ -1,4 +1,5 @@
 """Connections to one router and the queries on them."""
+
 import asyncio
 import itertools
 import random
@@ -8,16 +9,16 @@
 from brookhinge.client import returns
 from brookhinge.net import thrift
 
-MOST_OPEN = 30          # the router takes 32 on a connection
-SLACK_S = 0.2           # after a query's time, until its connection is taken for dead
+MOST_OPEN = 30  # the router takes 32 on a connection
+SLACK_S = 0.2  # after a query's time, until its connection is taken for dead
 
 
 class Answer(NamedTuple):
-    kind: str           # 'satisfied', 'refused', 'failed' or 'gone'
+    kind: str  # 'satisfied', 'refused', 'failed' or 'gone'
     body: bytes
-    unchanged: bool     # the copy that was named is the one: no bytes
-    wait_s: float       # refused: when to come back, 0 if that was not told
-    why: str            # failed: what the router says, if anything
+    unchanged: bool  # the copy that was named is the one: no bytes
+    wait_s: float  # refused: when to come back, 0 if that was not told
+    why: str  # failed: what the router says, if anything
     tries: int = 1
 
 
@@ -25,7 +26,13 @@
     """One connection: up to 30 queries at once, answers in any order."""
 
     def __init__(self, address):
-        self.address, self.waiting, self.numbers, self.writer, self.reading = address, {}, itertools.count(1), None, None
+        self.address, self.waiting, self.numbers, self.writer, self.reading = (
+            address,
+            {},
+            itertools.count(1),
+            None,
+            None,
+        )
         self.places = asyncio.Semaphore(MOST_OPEN)
 
     async def connect(self):
@@ -40,7 +47,7 @@
     async def read(self, reader):
         try:
             while True:
-                size, = thrift.INT.unpack(await reader.readexactly(4))
+                (size,) = thrift.INT.unpack(await reader.readexactly(4))
                 if not 0 < size <= 1 << 20:
                     raise thrift.Unreadable(f"a frame of {size} bytes")
                 frame = thrift.Reader(await reader.readexactly(size))
@@ -48,7 +55,13 @@
                 future = self.waiting.pop(number, None)
                 if future is not None and not future.done():
                     future.set_result(read_answer(frame, kind))
-        except (ConnectionError, asyncio.IncompleteReadError, thrift.Unreadable, thrift.Unusable, StopIteration):
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            thrift.Unreadable,
+            thrift.Unusable,
+            StopIteration,
+        ):
             pass
         finally:
             self.writer.close()
@@ -77,12 +90,22 @@
     def forget(self, number):
         self.waiting.pop(number, None)
         if self.open:
-            self.writer.write(thrift.message(b"forget", thrift.ONEWAY, number, thrift.HEAD.pack(thrift.I32, 1),
-                                             thrift.INT.pack(number), b"\0"))
+            self.writer.write(
+                thrift.message(
+                    b"forget",
+                    thrift.ONEWAY,
+                    number,
+                    thrift.HEAD.pack(thrift.I32, 1),
+                    thrift.INT.pack(number),
+                    b"\0",
+                )
+            )
 
     async def ask(self, fields, within_s):
         told = {key.encode(): str(value).encode() for key, value in fields.items()}
-        return await self.call(b"serve", thrift.HEAD.pack(thrift.MAP, 1), thrift.words(told), within_s=within_s)
+        return await self.call(
+            b"serve", thrift.HEAD.pack(thrift.MAP, 1), thrift.words(told), within_s=within_s
+        )
 
     async def well(self):
         return (await self.call(b"isWell", within_s=2.0)).kind == "satisfied"
@@ -140,15 +163,26 @@
             tries += 1
             answer = await self.one(object_, part, track, left, group, size_kb, tag)
             left = patience_s - (time.monotonic() - first)
-            wait = returns.pause(left, tries, self.tries, answer.wait_s, self.chance) \
-                if returns.may_repeat(answer.kind, self.replayable) else None
+            wait = (
+                returns.pause(left, tries, self.tries, answer.wait_s, self.chance)
+                if returns.may_repeat(answer.kind, self.replayable)
+                else None
+            )
             if wait is None:
                 return answer._replace(tries=tries)
             await asyncio.sleep(wait)
 
     async def one(self, object_, part, track, left, group, size_kb, tag):
-        fields = {"service": track, "ref": f"{self.chance.getrandbits(64):016x}", "allow": max(1, int(left * 1000)),
-                  "lookup": object_, "piece": part, "lot": group, "room": size_kb, **({"ver": tag} if tag else {})}
+        fields = {
+            "service": track,
+            "ref": f"{self.chance.getrandbits(64):016x}",
+            "allow": max(1, int(left * 1000)),
+            "lookup": object_,
+            "piece": part,
+            "lot": group,
+            "room": size_kb,
+            **({"ver": tag} if tag else {}),
+        }
         try:
             connection = await asyncio.wait_for(self.connected(), left)
         except (OSError, asyncio.TimeoutError) as fault:
@@ -158,7 +192,9 @@
 
 def fetch(address, object_, **asked):
     """The same without a loop: one query over one connection."""
+
     async def run():
         async with Client(address) as client:
             return await client.fetch(object_, **asked)
+
     return asyncio.run(run())
--- a/brookhinge/client/returns.py
+++ b/brookhinge/client/returns.py
@@ -4,9 +4,9 @@
 off. Without one the pause doubles, with full jitter (Brooker, "Exponential Backoff and Jitter", 2015), because nobody
 else spreads those who come back. What can't be answered in the time that is left is not asked for again."""
 
-BREATH_S = 0.02         # after a told time: the clocks of both ends are not one
+BREATH_S = 0.02  # after a told time: the clocks of both ends are not one
 FIRST_S, LONGEST_S = 0.05, 1.0
-LEAST_S = 0.05          # of the time left, under which another try is of no use
+LEAST_S = 0.05  # of the time left, under which another try is of no use
 
 
 def pause(left_s, tries, most_tries, told_s, chance):
--- a/brookhinge/engine/commands.py
+++ b/brookhinge/engine/commands.py
@@ -1,4 +1,5 @@
 """The commands of the command channel, as events of the reducer. No I/O."""
+
 import json
 
 STATES = {"up": "ready", "draining": "draining", "removed": "gone"}
@@ -32,10 +33,18 @@
     try:
         if "nodes" in row:
             nodes = row["nodes"]
-            return "listed", (number, bool(nodes.get("whole")), [read_host(host, start) for host in nodes["hosts"]])
+            return "listed", (
+                number,
+                bool(nodes.get("whole")),
+                [read_host(host, start) for host in nodes["hosts"]],
+            )
         drop = row["drop"]
-        return "purged", (number, int(drop.get("family", 0)), float(drop["when"]) / 1000.0 - start,
-                          str(drop.get("id", "")))
+        return "purged", (
+            number,
+            int(drop.get("family", 0)),
+            float(drop["when"]) / 1000.0 - start,
+            str(drop.get("id", "")),
+        )
     except (KeyError, ValueError, TypeError, AttributeError) as fault:
         return "skipped", (number, f"{type(fault).__name__} {fault}: {row!r:.120}")
 
@@ -44,5 +53,13 @@
     """(id, address, zone, kind, cell, health, weight, a late start or None)"""
     place, _, port = host["dial"].rpartition(":")
     born = float(host.get("born_ms") or 0)
-    return (host["host"], (place, int(port)), host.get("site", ""), host.get("class", ""), int(host.get("block", 0)),
-            STATES[host["health"]], float(host.get("share", 0.0)), born / 1000.0 - start if born else None)
+    return (
+        host["host"],
+        (place, int(port)),
+        host.get("site", ""),
+        host.get("class", ""),
+        int(host.get("block", 0)),
+        STATES[host["health"]],
+        float(host.get("share", 0.0)),
+        born / 1000.0 - start if born else None,
+    )
--- a/brookhinge/engine/log.py
+++ b/brookhinge/engine/log.py
@@ -1,11 +1,12 @@
 """The log: one JSON line an event on standard output."""
+
 import sys
 import time
 
 import orjson
 
 
-MOST = 20       # lines of one event in a second; of the rest the next one tells how many there were
+MOST = 20  # lines of one event in a second; of the rest the next one tells how many there were
 
 
 class Log:
@@ -26,10 +27,10 @@
             line["unsaid"] = unsaid
         try:
             text = orjson.dumps(line, default=repr, option=orjson.OPT_APPEND_NEWLINE)
-        except TypeError:       # a text that is no Unicode: ids of servers come as they were told
+        except TypeError:  # a text that is no Unicode: ids of servers come as they were told
             text = ascii(line).encode() + b"\n"
         try:
             self.sink.write(text)
             self.sink.flush()
-        except OSError:         # nobody reads it any more: no reason to end
+        except OSError:  # nobody reads it any more: no reason to end
             pass
--- a/brookhinge/engine/phases.py
+++ b/brookhinge/engine/phases.py
@@ -1,10 +1,10 @@
 """The phases of the program, from start to exit."""
 
 STEPS = {
-    "starting": ("ready", "ended"),         # what is known is taken in, nothing listens yet
+    "starting": ("ready", "ended"),  # what is known is taken in, nothing listens yet
     "ready": ("leaving", "ended"),
-    "leaving": ("finishing", "ended"),      # told to end: still accepts and answers
-    "finishing": ("ended",),                # accepts no more, ends when nothing is open
+    "leaving": ("finishing", "ended"),  # told to end: still accepts and answers
+    "finishing": ("ended",),  # accepts no more, ends when nothing is open
     "ended": (),
 }
 
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -7,46 +7,88 @@
 also heard, fellows, parts, verdicts and remember.
 Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say; among fellows also spread.
 """
+
 import heapq
 import traceback
 
 
-OPEN = 32       # queries on one connection, by the protocol
-WAIT_END_S = 0.02       # who waits beside a query is told that nothing came so long before its time is over
-PAST = 1024     # ids remembered of queries that are over: each query has a new one
+OPEN = 32  # queries on one connection, by the protocol
+WAIT_END_S = 0.02  # who waits beside a query is told that nothing came so long before its time is over
+PAST = 1024  # ids remembered of queries that are over: each query has a new one
 
 
 class Open:
     """A query that is owed its final answer; what goes on unchanged is kept as the bytes that came."""
-    __slots__ = ("client", "number", "name", "kind", "key", "part", "tag", "body", "until", "pushes", "out",
-                 "server", "sent_at", "call", "beside", "seen", "mark")
+
+    __slots__ = (
+        "client",
+        "number",
+        "name",
+        "kind",
+        "key",
+        "part",
+        "tag",
+        "body",
+        "until",
+        "pushes",
+        "out",
+        "server",
+        "sent_at",
+        "call",
+        "beside",
+        "seen",
+        "mark",
+    )
 
     def __init__(self, client, number, name, kind, key, part, tag, body, until, mark):
-        self.seen = None        # (track, size in KB, when it came), where somebody counts what becomes of queries
+        self.seen = None  # (track, size in KB, when it came), where somebody counts what becomes of queries
         self.client, self.number, self.name, self.kind = client, number, name, kind
         self.key, self.part, self.tag, self.body, self.until = key, part, tag, body, until
-        self.mark = mark        # by which servers know a repeat of a referenced query, or None
+        self.mark = mark  # by which servers know a repeat of a referenced query, or None
         self.pushes, self.out, self.server, self.sent_at = 0, False, None, until
-        self.call, self.beside = None, None     # what the decisions are told of it; the query whose answer it waits for
+        self.call, self.beside = (
+            None,
+            None,
+        )  # what the decisions are told of it; the query whose answer it waits for
 
 
 class Reducer:
     def __init__(self, router, tracks, zones, lineage=None, tight=None, scores=None):
         self.scores = scores
         self.router, self.lineage, self.tight = router, lineage, tight
-        self.addresses, self.waiting, self.ends = {}, {}, []    # of clients; who waits beside a query; and until when
+        self.addresses, self.waiting, self.ends = (
+            {},
+            {},
+            [],
+        )  # of clients; who waits beside a query; and until when
         self.tracks = {name: i for i, name in enumerate(tracks)}
         self.zones = {name: i for i, name in enumerate(zones)}
         self.queries, self.names, self.clients = {}, {}, {}
-        self.numbers, self.withdrawn = {}, {}   # of each client: the last number, and queries withdrawn in a row
-        self.past, self.shut = {}, set()        # ids of the last queries that are over; clients closed in this pass
-        self.dials = {}                  # of each server: its address and its start
-        self.timers = []                 # (until, query, push)
-        self.served, self.copies = {}, {}       # bodies that came in this pass, and those the decisions keep
+        self.numbers, self.withdrawn = (
+            {},
+            {},
+        )  # of each client: the last number, and queries withdrawn in a row
+        self.past, self.shut = {}, set()  # ids of the last queries that are over; clients closed in this pass
+        self.dials = {}  # of each server: its address and its start
+        self.timers = []  # (until, query, push)
+        self.served, self.copies = {}, {}  # bodies that came in this pass, and those the decisions keep
         self.serial, self.cursor, self.now, self.closed = 0, 0, 0.0, False
         self.effects, self.inbox, self.current = [], [], None
-        self.counts = dict.fromkeys(("queries", "satisfied", "nacked", "errored", "left", "pushes", "timeouts",
-                                     "own", "beside", "again"), 0)
+        self.counts = dict.fromkeys(
+            (
+                "queries",
+                "satisfied",
+                "nacked",
+                "errored",
+                "left",
+                "pushes",
+                "timeouts",
+                "own",
+                "beside",
+                "again",
+            ),
+            0,
+        )
 
     def reduce(self, now, events):
         """One pass: the events, then the pushes whose time is over, then one round."""
@@ -59,7 +101,7 @@
         self.expire()
         self.expire_waiting()
         inbox = iter(self.inbox)
-        while True:     # a fault of the decisions costs the query that it came up with, not the router
+        while True:  # a fault of the decisions costs the query that it came up with, not the router
             try:
                 self.router.round(now, self.handed(inbox), self)
                 break
@@ -80,7 +122,7 @@
         self.say(f"{type(fault).__name__}: {fault} ({where.name}, line {where.lineno}) in {method}")
         query = values[0] if method in ("query", "ended", "left") else None
         if query in self.queries:
-            if not self.end_out(query):     # else the decisions still have to count what was out
+            if not self.end_out(query):  # else the decisions still have to count what was out
                 self.router.queries.pop(query, None)
             self.error(query)
 
@@ -102,14 +144,31 @@
 
     # events
 
-    def query(self, client, number, name, kind, key, part, part_number, group, size_kb, allow, tag, body, came,
-              mark=None):
+    def query(
+        self,
+        client,
+        number,
+        name,
+        kind,
+        key,
+        part,
+        part_number,
+        group,
+        size_kb,
+        allow,
+        tag,
+        body,
+        came,
+        mark=None,
+    ):
         track = self.tracks.get(kind)
         if track is None:
             return self.effects.append(("reject", (client, number, "service: no such class")))
         if client in self.shut:
             return
-        if number <= self.numbers.get(client, 0):   # two answers under one number: neither could be told from the other
+        if number <= self.numbers.get(
+            client, 0
+        ):  # two answers under one number: neither could be told from the other
             return self.close(client, f"the number {number} again")
         self.numbers[client] = number
         if len(self.clients.get(client, ())) >= OPEN:
@@ -120,8 +179,11 @@
             return self.effects.append(("reject", (client, number, "ref: still open")))
         if name in self.past:
             return self.effects.append(("reject", (client, number, "ref: used before")))
-        if self.closed:         # it was read after the end began: it never ran, nor will it
-            self.counts["queries"], self.counts["nacked"] = self.counts["queries"] + 1, self.counts["nacked"] + 1
+        if self.closed:  # it was read after the end began: it never ran, nor will it
+            self.counts["queries"], self.counts["nacked"] = (
+                self.counts["queries"] + 1,
+                self.counts["nacked"] + 1,
+            )
             return self.effects.append(("nack", (client, number, 0.0)))
         query, self.serial = self.serial, self.serial + 1
         until = came + allow
@@ -132,7 +194,9 @@
         if self.scores is not None:
             self.queries[query].seen = track, size_kb, came
         call = track, key.decode("ascii"), part_number, group, size_kb, False, False
-        if self.lineage is None or self.router.tracks[track].effect != "replayable":    # an effect is asked for anew
+        if (
+            self.lineage is None or self.router.tracks[track].effect != "replayable"
+        ):  # an effect is asked for anew
             self.inbox.append(("query", (query, *call, until - self.now)))
         else:
             self.known_again(query, call)
@@ -152,9 +216,13 @@
             heapq.heappush(self.ends, (q.until - WAIT_END_S, query))
         else:
             self.counts["again"] += seen.kind == "again"
-            who = self.lineage.who(address, q.client)       # a place is told to who can be known when they come
-            self.inbox.append(("query", (query, *call, q.until - self.now, seen.since,
-                                         who if who[0] == "address" else None)))
+            who = self.lineage.who(address, q.client)  # a place is told to who can be known when they come
+            self.inbox.append(
+                (
+                    "query",
+                    (query, *call, q.until - self.now, seen.since, who if who[0] == "address" else None),
+                )
+            )
 
     def on_its_own(self, query):
         """What a query waited for has ended without an answer for it: it is the decisions' now, or waits beside another
@@ -175,7 +243,7 @@
         if query is not None:
             self.leave(query)
             times = self.withdrawn[client] = self.withdrawn.get(client, 0) + 1
-            if times > OPEN and client not in self.clients:     # in mass, and nothing that it would cost
+            if times > OPEN and client not in self.clients:  # in mass, and nothing that it would cost
                 self.close(client, f"{times} queries withdrawn and none satisfied")
 
     def client_gone(self, client):
@@ -197,21 +265,25 @@
         """The process ends: what is open gets its error now, and nothing more is decided; what is read later is refused."""
         self.closed = True
         self.inbox.clear()
-        self.waiting.clear()        # each has its own error
+        self.waiting.clear()  # each has its own error
         for query in list(self.queries):
             self.end_out(query)
             self.error(query)
 
-    def ended(self, query, push, result, note, waited, load, body, same, came, dated=None, tag=None, lot=None):
+    def ended(
+        self, query, push, result, note, waited, load, body, same, came, dated=None, tag=None, lot=None
+    ):
         """What a cache server answered, or what became of a push; one that is out no more counts no more."""
         if not self.is_out(query, push):
             return
         q = self.queries[query]
-        if same and not q.tag:      # it names a copy that the client does not hold
+        if same and not q.tag:  # it names a copy that the client does not hold
             result = "errored"
         q.out, over = False, result == "satisfied"
         copy = None if dated is None or not over or same else (dated, len(body))
-        self.inbox.append(("ended", (query, push, q.server, result, came - q.sent_at, over, note, waited, load, copy)))
+        self.inbox.append(
+            ("ended", (query, push, q.server, result, came - q.sent_at, over, note, waited, load, copy))
+        )
         if over:
             self.served[query] = body, tag
             self.counts["satisfied"] += 1
@@ -275,7 +347,9 @@
         if kind == "purge":
             group, key, stamp = values
             if self.tight.purge_is_new(group, key, stamp):
-                self.inbox.append(("purged", (group, max(0.0, self.now - stamp / 1000.0 + self.tight.start), key)))
+                self.inbox.append(
+                    ("purged", (group, max(0.0, self.now - stamp / 1000.0 + self.tight.start), key))
+                )
             return
         row = self.tight.hear((kind, *values))
         if row is not None:
@@ -299,7 +373,10 @@
 
     def demand(self):
         """What was asked of limits that the fleet shares, starts in ms; it begins anew."""
-        return [(kind, server, self.tight.stamp(born), *told) for kind, server, born, *told in self.router.demand(self.now)]
+        return [
+            (kind, server, self.tight.stamp(born), *told)
+            for kind, server, born, *told in self.router.demand(self.now)
+        ]
 
     def verdicts(self, rows):
         """What follows from what all routers saw of servers: (server, start in ms, how, seconds) each."""
@@ -317,7 +394,10 @@
 
     def seen(self):
         """{(server, start in ms): (tries, failed)} of caches, totals of this process."""
-        return {(server, self.tight.stamp(born)): (tries, failed) for server, born, tries, failed in self.router.seen()}
+        return {
+            (server, self.tight.stamp(born)): (tries, failed)
+            for server, born, tries, failed in self.router.seen()
+        }
 
     def skipped(self, number, why):
         self.cursor = max(self.cursor, number)
@@ -335,8 +415,9 @@
             q = self.queries[query]
             self.give_up(query)
             self.counts["timeouts"] += 1
-            self.inbox.append(("ended", (query, push, q.server, "timeout", self.now - q.sent_at, False, 0, 0.0,
-                                         None)))
+            self.inbox.append(
+                ("ended", (query, push, q.server, "timeout", self.now - q.sent_at, False, 0, 0.0, None))
+            )
 
     def expire_waiting(self):
         """Who waits beside a query has its own time all the same."""
@@ -357,15 +438,23 @@
         if not q.out:
             return False
         self.give_up(query)
-        self.inbox += [("left", (query,)), ("ended", (query, q.pushes, q.server, "cancelled", self.now - q.sent_at,
-                                                      True, 0, 0.0, None))]
+        self.inbox += [
+            ("left", (query,)),
+            ("ended", (query, q.pushes, q.server, "cancelled", self.now - q.sent_at, True, 0, 0.0, None)),
+        ]
         return True
 
     def leave(self, query):
         """No answer is owed: what is out is given up, the decisions are told. What they were to hear of it in
         this very pass is taken back or ends it, or they would send for a query that is over."""
-        at = next((i for i, (method, values) in enumerate(self.inbox)
-                   if method in ("query", "ended") and values[0] == query), None)
+        at = next(
+            (
+                i
+                for i, (method, values) in enumerate(self.inbox)
+                if method in ("query", "ended") and values[0] == query
+            ),
+            None,
+        )
         if at is not None:
             method, values = self.inbox.pop(at)
             if method == "ended":
@@ -410,15 +499,37 @@
         q.out, q.server, q.sent_at = True, cache, self.now
         self.counts["pushes"] += 1
         heapq.heappush(self.timers, (until, query, q.pushes))
-        self.effects.append(("pull", (
-            query, q.pushes, (cache, *self.dials[cache]), q.name, q.kind, q.key, q.part, until - self.now,
-            source if source != cache else None, rank, age_s, join, held_only, renew, q.tag, q.body, False, q.mark)))
+        self.effects.append(
+            (
+                "pull",
+                (
+                    query,
+                    q.pushes,
+                    (cache, *self.dials[cache]),
+                    q.name,
+                    q.kind,
+                    q.key,
+                    q.part,
+                    until - self.now,
+                    source if source != cache else None,
+                    rank,
+                    age_s,
+                    join,
+                    held_only,
+                    renew,
+                    q.tag,
+                    q.body,
+                    False,
+                    q.mark,
+                ),
+            )
+        )
 
     def nack(self, query, retry_after_s):
         q = self.queries[query]
         self.counts["nacked"] += 1
         self.effects.append(("nack", (q.client, q.number, retry_after_s)))
-        for other in self.waiting.pop(query, ()):       # the same answer, and the same time to come back
+        for other in self.waiting.pop(query, ()):  # the same answer, and the same time to come back
             self.nack(other, retry_after_s)
         self.settle(query, "refused")
 
--- a/brookhinge/engine/rounds.py
+++ b/brookhinge/engine/rounds.py
@@ -1,9 +1,12 @@
 """Rounds of the reducer on an asyncio loop: sources post events, takers carry effects out. Knows none of them but by the
 names of the effects that they take."""
+
 import asyncio
 
-PASSES = 3          # of the loop, until what can be read now has been handed on: select, read, wake the reader
-LATE_S = 0.02       # events that waited so long for their round: the loop stood still, and more may have come meanwhile
+PASSES = 3  # of the loop, until what can be read now has been handed on: select, read, wake the reader
+LATE_S = (
+    0.02  # events that waited so long for their round: the loop stood still, and more may have come meanwhile
+)
 
 
 class Rounds:
@@ -13,9 +16,16 @@
 
     def __init__(self, reducer, now, log):
         self.reducer, self.now, self.log = reducer, now, log
-        self.events, self.takers, self.due, self.timer, self.timer_at, self.opened = [], {}, False, None, None, False
-        self.posted_at = 0.0    # when the first event of the next round was posted
-        self.before = []        # called before each round: what they post goes before all else
+        self.events, self.takers, self.due, self.timer, self.timer_at, self.opened = (
+            [],
+            {},
+            False,
+            None,
+            None,
+            False,
+        )
+        self.posted_at = 0.0  # when the first event of the next round was posted
+        self.before = []  # called before each round: what they post goes before all else
 
     def join(self, part, *effects):
         """A taker has a method for each effect; failed(effect, values) says what became of one that it could not carry
--- a/brookhinge/engine/scores.py
+++ b/brookhinge/engine/scores.py
@@ -17,8 +17,13 @@
         aim = t.contract_s + t.stretch * (size_kb / self.flow if self.flow else 0.0)
         good = how == "satisfied"
         worth = 0.0 if not good else 1.0 if took <= aim else t.late_share
-        for figure, value in (("worth", worth), (f"worth {t.name}", worth), ("failed", how == "failed"),
-                              ("nacked", how == "refused"), ("late", good and took > aim)):
+        for figure, value in (
+            ("worth", worth),
+            (f"worth {t.name}", worth),
+            ("failed", how == "failed"),
+            ("nacked", how == "refused"),
+            ("late", good and took > aim),
+        ):
             queries, total = self.totals.get(figure, (0, 0.0))
             self.totals[figure] = queries + 1, total + value
         if good:
--- a/brookhinge/limits/holder.py
+++ b/brookhinge/limits/holder.py
@@ -3,17 +3,21 @@
 Its part of a limit is its own part, one of N, less what it gave to keepers, plus what keepers lent it. Each gift and each
 loan ends by itself. Nothing is subtracted late or added early: a gift counts from before its word goes out, a loan ends
 counted from before it was asked for."""
+
 from brookhinge.limits.terms import HEAD, LEAST, LEND, SILENT, START, TERM
 
-KEPT = 16           # words to a keeper whose moments are remembered: a loan that answers an older one is over
+KEPT = 16  # words to a keeper whose moments are remembered: a loan that answers an older one is over
 
 
 class Holder:
     def __init__(self, now, alone=False):
         """alone: the settings tell of no other router."""
         self.began = now if not alone else now - START
-        self.given, self.lent = {}, {}      # limit -> {keeper: [(amount, until)]}; limit -> {keeper: (number, amount, until)}
-        self.said, self.number = {}, 0      # keeper -> {number: when}
+        self.given, self.lent = (
+            {},
+            {},
+        )  # limit -> {keeper: [(amount, until)]}; limit -> {keeper: (number, amount, until)}
+        self.said, self.number = {}, 0  # keeper -> {number: when}
 
     def part(self, limit, base, now):
         """base: this router's own part, one of N."""
@@ -27,16 +31,21 @@
 
     def gave(self, limit, now, but=None):
         """Of several words to one keeper that have not ended the largest counts: it may have heard that one alone."""
-        return sum(max((amount for amount, until in gifts if until > now), default=0.0)
-                   for keeper, gifts in self.given.get(limit, {}).items() if keeper != but)
+        return sum(
+            max((amount for amount, until in gifts if until > now), default=0.0)
+            for keeper, gifts in self.given.get(limit, {}).items()
+            if keeper != but
+        )
 
     def has(self, limit, now):
         return sum(amount for _, amount, until in self.lent.get(limit, {}).values() if until > now)
 
     def changes_at(self, now):
         """When the next loan ends: until then no part shrinks by itself."""
-        return min((until for loans in self.lent.values() for _, _, until in loans.values() if until > now),
-                   default=float("inf"))
+        return min(
+            (until for loans in self.lent.values() for _, _, until in loans.values() if until > now),
+            default=float("inf"),
+        )
 
     def word(self, now, keeper, wants, pressed):
         """The rows for a keeper, and their number: (limit, need, gift) each.
@@ -51,7 +60,11 @@
         rows = []
         for limit, (base, demand) in wants.items():
             keep = max(LEAST * base, HEAD * demand)
-            need = max(0.0, HEAD * demand - base) if now - self.began >= START else max(0.0, HEAD * demand - LEAST * base)
+            need = (
+                max(0.0, HEAD * demand - base)
+                if now - self.began >= START
+                else max(0.0, HEAD * demand - LEAST * base)
+            )
             gift = 0.0
             if not need and limit in pressed and now - self.began >= START:
                 gift = max(0.0, base - keep - self.gave(limit, now, but=keeper))
@@ -77,8 +90,11 @@
         """Drops what has ended."""
         for kept in (self.given, self.lent):
             for limit in list(kept):
-                kept[limit] = {keeper: told for keeper, told in kept[limit].items()
-                               if (told[-1][1] if kept is self.given else told[2]) > now}
+                kept[limit] = {
+                    keeper: told
+                    for keeper, told in kept[limit].items()
+                    if (told[-1][1] if kept is self.given else told[2]) > now
+                }
                 if not kept[limit]:
                     del kept[limit]
         self.said = {keeper: said for keeper, said in self.said.items() if now - max(said.values()) < TERM}
--- a/brookhinge/limits/keeper.py
+++ b/brookhinge/limits/keeper.py
@@ -1,12 +1,14 @@
 """Lends what was given to it, never more. No I/O, no clock. Any number of keepers of one limit may act at once, know
 nothing of one another, or forget all: each lends only gifts made to itself, so together they lend no more than was given."""
+
 from brookhinge.limits.terms import BEAT, DRIFT, LEND, TERM
 
-HEARD_S = 4.0 * BEAT    # a need that is not said again is over
+HEARD_S = 4.0 * BEAT  # a need that is not said again is over
 
 
 class Desk:
     """What a keeper knows of one holder's words: the last one heard, and when its own went out."""
+
     __slots__ = ("heard", "heard_at", "sent", "number")
 
     def __init__(self):
@@ -20,12 +22,12 @@
     def hear(self, now, holder, number, answers, rows):
         """A holder's word; answers: the number of the last word from here that it had heard."""
         desk = self.desks.setdefault(holder, Desk())
-        began = desk.sent.get(answers)      # its word is younger than this: the gift lasts from here on at least
+        began = desk.sent.get(answers)  # its word is younger than this: the gift lasts from here on at least
         if number > desk.heard:
             desk.heard, desk.heard_at = number, now
         for limit, need, gift in rows:
             if self.last.setdefault(limit, {}).get(holder, 0) >= number:
-                continue                    # older than one that came before it
+                continue  # older than one that came before it
             self.last[limit][holder] = number
             self.needs.setdefault(limit, {})[holder] = need, now + HEARD_S
             if gift > 0.0 and began is not None and began + TERM * (1.0 - DRIFT) > now:
@@ -36,8 +38,11 @@
 
     def wanting(self, now):
         """Limits of which somebody lacks some, and how much in all."""
-        return {limit: total for limit, needs in self.needs.items()
-                if (total := sum(need for need, until in needs.values() if until > now)) > 0.0}
+        return {
+            limit: total
+            for limit, needs in self.needs.items()
+            if (total := sum(need for need, until in needs.values() if until > now)) > 0.0
+        }
 
     def lend(self, now):
         """limit -> {holder: amount} for all that lack some. What is out counts until the last moment it may be held, and
@@ -47,19 +52,29 @@
         for limit in self.wanting(now):
             loans = self.loans.setdefault(limit, {})
             moments = sorted({until for told in loans.values() for _, until in told} | {ends})
-            out = {holder: [max((amount for amount, until in told if until >= at), default=0.0) for at in moments]
-                   for holder, told in loans.items()}
+            out = {
+                holder: [
+                    max((amount for amount, until in told if until >= at), default=0.0) for at in moments
+                ]
+                for holder, told in loans.items()
+            }
             given = [self.holds(limit, at) for at in moments]
             free = [given[k] - sum(row[k] for row in out.values()) for k in range(len(moments))]
-            needs = {holder: need for holder, (need, until) in self.needs[limit].items() if until > now and need > 0.0}
+            needs = {
+                holder: need
+                for holder, (need, until) in self.needs[limit].items()
+                if until > now and need > 0.0
+            }
             parts = filled(needs, given[-1])
             rest = max(0.0, given[-1] - sum(parts.values()))
-            sharing = self.needs[limit]         # what nobody lacks goes back to all alike: nothing that was given lies idle
+            sharing = self.needs[
+                limit
+            ]  # what nobody lacks goes back to all alike: nothing that was given lies idle
             for holder in sorted(sharing, key=lambda holder: (holder not in needs, holder)):
                 amount = parts.get(holder, 0.0) + rest / len(sharing)
                 has = out.get(holder, [0.0] * len(moments))
                 amount = min(amount, *(part + more for part, more in zip(has, free)))
-                if amount > 0.0:        # what others still hold of it comes to it as that ends
+                if amount > 0.0:  # what others still hold of it comes to it as that ends
                     free = [more - max(0.0, amount - part) for part, more in zip(has, free)]
                     lent.setdefault(limit, {})[holder] = amount
                     loans.setdefault(holder, []).append((amount, ends))
@@ -67,8 +82,10 @@
 
     def holds(self, limit, at):
         """What was given and is still given at a time ahead."""
-        return sum(max((amount for amount, until in gifts if until >= at), default=0.0)
-                   for gifts in self.gifts.get(limit, {}).values())
+        return sum(
+            max((amount for amount, until in gifts if until >= at), default=0.0)
+            for gifts in self.gifts.get(limit, {}).values()
+        )
 
     def number(self, now, holder):
         """The number of a word that goes to a holder now, and the number of its last one."""
@@ -82,8 +99,11 @@
     def forget(self, now):
         for kept in (self.gifts, self.loans):
             for limit in list(kept):
-                kept[limit] = {holder: lasting for holder, told in kept[limit].items()
-                               if (lasting := [one for one in told if one[1] > now])}
+                kept[limit] = {
+                    holder: lasting
+                    for holder, told in kept[limit].items()
+                    if (lasting := [one for one in told if one[1] > now])
+                }
                 if not kept[limit]:
                     del kept[limit]
         for limit in list(self.needs):
@@ -91,8 +111,11 @@
             if not self.needs[limit] and limit not in self.gifts and limit not in self.loans:
                 del self.needs[limit]
                 self.last.pop(limit, None)
-        self.desks = {holder: desk for holder, desk in self.desks.items()
-                      if now - desk.heard_at < 2 * TERM or desk.sent and now - max(desk.sent.values()) < 2 * TERM}
+        self.desks = {
+            holder: desk
+            for holder, desk in self.desks.items()
+            if now - desk.heard_at < 2 * TERM or desk.sent and now - max(desk.sent.values()) < 2 * TERM
+        }
 
 
 def filled(needs, pool):
--- a/brookhinge/limits/shared.py
+++ b/brookhinge/limits/shared.py
@@ -1,6 +1,7 @@
 """The decisions where limits are shared: the same budgets, with parts that are told and demand that is counted. No I/O,
 no clock. A part that was told belongs to one start of a server; of another start, or of a limit that nothing was told
 of, a router has its own part, one of N."""
+
 from brookhinge.decide import ColdBudget, Crowding
 
 
@@ -15,7 +16,9 @@
 
     def take(self, c, now, born, power, work, lump, chance, spare=0.0):
         went = super().take(c, now, born, power, work, lump, chance, spare)
-        if went or self.refused_at != now:      # what a server refuses is wanting there, not at those asked in its place
+        if (
+            went or self.refused_at != now
+        ):  # what a server refuses is wanting there, not at those asked in its place
             self.asked[c] = self.asked.get(c, 0.0) + work
         self.refused_at = None if went else now
         return went
@@ -49,8 +52,12 @@
         cold = self.cold
         self.cold = {role: SharedBudget(old.start, old.routers) for role, old in cold.items()}
         self.crowding, self.counted_at = SharedCrowding(place.routers_here), 0.0
-        self.figures += [figures for limit in (self.crowding, *self.cold.values()) for figures in vars(limit).values()
-                         if isinstance(figures, dict)]
+        self.figures += [
+            figures
+            for limit in (self.crowding, *self.cold.values())
+            for figures in vars(limit).values()
+            if isinstance(figures, dict)
+        ]
 
     def parts(self, rows):
         """(kind, server, born, part) each; part None: its own again. Kind "own": the part that it has by itself of all
@@ -75,12 +82,23 @@
         elapsed = max(0.05, now - self.counted_at)
         for role, budget in self.cold.items():
             for c, work in budget.asked.items():
-                whole = budget.whole(now, fleet.born[c], self.power(c), max(self.sending)) \
-                    if budget.cold(now, fleet.born[c]) and budget.start.multiple > 0 else 0.0
+                whole = (
+                    budget.whole(now, fleet.born[c], self.power(c), max(self.sending))
+                    if budget.cold(now, fleet.born[c]) and budget.start.multiple > 0
+                    else 0.0
+                )
                 rows.append((role, fleet.ids[c], fleet.born[c], work / elapsed, whole))
-            rows += [(role, fleet.ids[c], fleet.born[c], 0.0, budget.whole(
-                now, fleet.born[c], self.power(c), max(self.sending))) for c in (fleet.own if role == "cache" else fleet.parents)
-                if c not in budget.asked and budget.cold(now, fleet.born[c]) and budget.start.multiple > 0]
+            rows += [
+                (
+                    role,
+                    fleet.ids[c],
+                    fleet.born[c],
+                    0.0,
+                    budget.whole(now, fleet.born[c], self.power(c), max(self.sending)),
+                )
+                for c in (fleet.own if role == "cache" else fleet.parents)
+                if c not in budget.asked and budget.cold(now, fleet.born[c]) and budget.start.multiple > 0
+            ]
             budget.asked.clear()
         for c, peak in self.crowding.peaks.items():
             if fleet.state[c] == "ready" and peak > 0.0:
--- a/brookhinge/logs.py
+++ b/brookhinge/logs.py
@@ -1,5 +1,6 @@
 """Logs of all programs but the platform's router: structlog rendered by orjson, one JSON line an event in the form
 that the router writes. The router keeps its own small writer (engine/log.py): structlog would take 4.2 MB of its 32."""
+
 import logging
 import sys
 import time
@@ -25,6 +26,12 @@
 def make(name, level="info", sink=None):
     """A logger for one process: log.info("event", key=value)."""
     return structlog.wrap_logger(
-        structlog.BytesLogger(sink or sys.stdout.buffer), wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        processors=[structlog.processors.format_exc_info, stamp, structlog.processors.JSONRenderer(serializer=render)],
-        cache_logger_on_first_use=True).bind(router=name)
+        structlog.BytesLogger(sink or sys.stdout.buffer),
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        processors=[
+            structlog.processors.format_exc_info,
+            stamp,
+            structlog.processors.JSONRenderer(serializer=render),
+        ],
+        cache_logger_on_first_use=True,
+    ).bind(router=name)
--- a/brookhinge/membership/counting.py
+++ b/brookhinge/membership/counting.py
@@ -1,5 +1,6 @@
 """By how many a limit of the whole fleet is divided. Counting too few routers lets all together push over a cold server
 (rule 4), so whoever may still be alive counts. No I/O, no clock."""
+
 from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED
 
 
--- a/brookhinge/membership/fellow.py
+++ b/brookhinge/membership/fellow.py
@@ -7,28 +7,31 @@
     fellow.next_at()                     when a round is due though nothing came
 
 No I/O and no clock; chance is the caller's. Times are seconds of the caller's monotonic clock."""
+
 import math
 
 from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED, View
 
-NEWS, WORDS = 8, 6          # claims and words in one datagram: it stays under 1,400 bytes
+NEWS, WORDS = 8, 6  # claims and words in one datagram: it stays under 1,400 bytes
 WORDS_KEPT, KEEP_S = 512, 30.0
-AGAIN = 2                   # words of late that ride on a probe though they were told often enough
-HELPERS, EAGER = 3, 4       # who are asked to probe for another; to whom a word goes on at once
+AGAIN = 2  # words of late that ride on a probe though they were told often enough
+HELPERS, EAGER = 3, 4  # who are asked to probe for another; to whom a word goes on at once
 
 
 class Pace:
     """The protocol's own times, in seconds; each is stretched by local health where that stands."""
-    probe, timeout = 0.5, 0.15      # between two probes; for a direct answer
-    gossip = 0.1                    # between two sendings of what is news, as long as any is
-    retry = 2.0                     # between two tries of one that is lost
-    exchange = 5.0                  # least time between two exchanges that this router begins
-    remember = 600.0                # how long the lost are tried and the gone remembered
-    seek = 1.0                      # between two tries of the addresses to join by, while alone
+
+    probe, timeout = 0.5, 0.15  # between two probes; for a direct answer
+    gossip = 0.1  # between two sendings of what is news, as long as any is
+    retry = 2.0  # between two tries of one that is lost
+    exchange = 5.0  # least time between two exchanges that this router begins
+    remember = 600.0  # how long the lost are tried and the gone remembered
+    seek = 1.0  # between two tries of the addresses to join by, while alone
 
 
 class Suspicion:
     """Lifeguard: the deadline shortens as independent witnesses confirm."""
+
     __slots__ = ("since", "witnesses", "longest", "shortest")
     CONFIRM = 3
 
@@ -55,8 +58,8 @@
         self.probe_at = now + Pace.probe * chance.random()
         self.retry_at = now + Pace.retry * chance.random()
         self.exchange_at, self.seek_at, self.gossip_at, self.forget_at = now, now, now, now + 10.0
-        self.out = False        # the name is another's: this process stays out
-        self.contest = None     # (nonce, until, claim): asking whether an older holder of the name lives
+        self.out = False  # the name is another's: this process stays out
+        self.contest = None  # (nonce, until, claim): asking whether an older holder of the name lives
 
     # what others call
 
@@ -116,14 +119,19 @@
 
     def forget(self, now):
         """Who has been gone for long is dropped; places close up, and what is kept by place moves with them."""
-        named = [(kept, {self.view.names[i]: value for i, value in kept.items()})
-                 for kept in (self.news, self.suspicions)]
+        named = [
+            (kept, {self.view.names[i]: value for i, value in kept.items()})
+            for kept in (self.news, self.suspicions)
+        ]
         if self.view.forget(now):
             self.probing, self.helping = None, {}
             for kept, by_name in named:
                 kept.clear()
-                kept.update((self.view.index[name], value) for name, value in by_name.items()
-                            if name in self.view.index)
+                kept.update(
+                    (self.view.index[name], value)
+                    for name, value in by_name.items()
+                    if name in self.view.index
+                )
 
     def woke(self, now, gap):
         """Frozen or starved: what ran out meanwhile ran out unwatched. Nobody is condemned for it."""
@@ -147,16 +155,18 @@
         if self.out:
             return
         i = self.view.index.get(claim[0])
-        if i is None or self.view.uid[i] != claim[1]:       # another holds that name: it is told so
-            if method == "ping" and values[1] == self.uid:      # it asks whether this process lives
+        if i is None or self.view.uid[i] != claim[1]:  # another holds that name: it is told so
+            if method == "ping" and values[1] == self.uid:  # it asks whether this process lives
                 writer.send(claim[5:7], "ack", values[:1], [], [])
             elif method == "ack":
                 self.acked(values[0], writer)
-            elif i is not None and method != "tell":        # a tell is never answered by one: two would go on for good
+            elif (
+                i is not None and method != "tell"
+            ):  # a tell is never answered by one: two would go on for good
                 writer.send(claim[5:7], "tell", (), [self.view.claim(i, now)], [])
             return
-        foreign = self.view.version[i] != self.version      # claims and probes it can read, and no more
-        if self.view.state[i] != ALIVE and foreign:         # it lives, and is told what is said of it
+        foreign = self.view.version[i] != self.version  # claims and probes it can read, and no more
+        if self.view.state[i] != ALIVE and foreign:  # it lives, and is told what is said of it
             self.ping(i, 0, writer)
         elif self.view.state[i] != ALIVE and method != "tell":
             self.send(i, "tell", (), writer, [self.view.claim(i, now)])
@@ -190,13 +200,19 @@
         if name == self.name:
             if uid != self.uid:
                 self.rival(now, claim, writer)
-            elif state != ALIVE and inc >= self.view.inc[me]:      # not so: said with a higher incarnation
+            elif state != ALIVE and inc >= self.view.inc[me]:  # not so: said with a higher incarnation
                 self.denied(now, inc, state)
             return None
         i = self.view.index.get(name)
-        if i is not None and state == SUSPECTED and i in self.suspicions and self.view.uid[i] == uid \
-                and self.view.inc[i] == inc and by not in self.suspicions[i].witnesses \
-                and len(self.suspicions[i].witnesses) <= Suspicion.CONFIRM:
+        if (
+            i is not None
+            and state == SUSPECTED
+            and i in self.suspicions
+            and self.view.uid[i] == uid
+            and self.view.inc[i] == inc
+            and by not in self.suspicions[i].witnesses
+            and len(self.suspicions[i].witnesses) <= Suspicion.CONFIRM
+        ):
             self.suspicions[i].witnesses.add(by)
             self.news[i] = self.repeats()
         change = self.view.take(now, claim, by)
@@ -234,8 +250,11 @@
         it lives; whether it does, it alone can say."""
         me = self.view.index[self.name]
         _, uid, born, inc, state, host, port = claim[:7]
-        if state in (LOST, LEFT) or (host, port) == self.view.address[me] \
-                or (born, uid) > (self.view.born[me], self.uid):
+        if (
+            state in (LOST, LEFT)
+            or (host, port) == self.view.address[me]
+            or (born, uid) > (self.view.born[me], self.uid)
+        ):
             self.assert_self(now, inc)
         elif self.contest is None:
             self.nonce += 1
@@ -243,7 +262,7 @@
             writer.send((host, port), "ping", (self.nonce, uid, 0, ALIVE), *self.cargo(now))
 
     def contested(self, now, writer):
-        if self.contest and now >= self.contest[1]:         # it does not answer: a process of the past
+        if self.contest and now >= self.contest[1]:  # it does not answer: a process of the past
             claim, self.contest = self.contest[2], None
             self.assert_self(now, claim[3])
 
@@ -277,12 +296,19 @@
                 helpers = [h for h in self.some(HELPERS + 1, True) if h != i][:HELPERS]
                 for h in helpers:
                     self.send(h, "ask", (nonce, *v.address[i], v.uid[i]), writer)
-                self.ping(i, nonce, writer)         # a datagram lost is no silence
-                self.probing = (i, nonce, 1, now + (Pace.probe - Pace.timeout) * self.stretch(), set(), len(helpers),
-                                uid)
+                self.ping(i, nonce, writer)  # a datagram lost is no silence
+                self.probing = (
+                    i,
+                    nonce,
+                    1,
+                    now + (Pace.probe - Pace.timeout) * self.stretch(),
+                    set(),
+                    len(helpers),
+                    uid,
+                )
             else:
                 self.probing = None
-                silent = asked - len(nacks)     # helpers that did not even say that they failed: is it us?
+                silent = asked - len(nacks)  # helpers that did not even say that they failed: is it us?
                 self.health = min(8, max(0, self.health + (silent if asked else 1)))
                 if v.state[i] == ALIVE:
                     self.call(now, i, SUSPECTED, writer)
@@ -307,15 +333,23 @@
         another process at its address may answer. With one of another version no digests are compared: some claims
         at random ride along instead."""
         v = self.view
-        first = [v.claim(k, self.last) for k in self.chance.sample(range(len(v.names)), min(NEWS // 2, len(v.names)))] \
-            if v.version[i] != self.version else []
+        first = (
+            [
+                v.claim(k, self.last)
+                for k in self.chance.sample(range(len(v.names)), min(NEWS // 2, len(v.names)))
+            ]
+            if v.version[i] != self.version
+            else []
+        )
         self.send(i, "ping", (nonce, 0 if anybody else v.uid[i], v.inc[i], v.state[i]), writer, first, AGAIN)
 
     def next_probed(self):
         """Each in turn, in an order drawn anew each time all were probed."""
         while True:
             if not self.order:
-                self.order = [self.view.names[i] for i in self.view.living() if self.view.names[i] != self.name]
+                self.order = [
+                    self.view.names[i] for i in self.view.living() if self.view.names[i] != self.name
+                ]
                 self.chance.shuffle(self.order)
                 if not self.order:
                     return None
@@ -336,19 +370,23 @@
     def some(self, count, alike=False):
         """That many of the living at random, but not itself; alike: who read all that this one writes."""
         v = self.view
-        living = [i for i in v.living() if v.uid[i] != self.uid and (not alike or v.version[i] == self.version)]
+        living = [
+            i for i in v.living() if v.uid[i] != self.uid and (not alike or v.version[i] == self.version)
+        ]
         return self.chance.sample(living, min(count, len(living)))
 
     def cargo(self, now, first=(), again=0):
         """What rides along on a datagram: news and words told least often so far. again: so many words besides that have
         been told often enough: who has not heard one by then would else never do."""
         claims, words = list(first), []
-        for i in sorted(self.news, key=self.news.get, reverse=True)[:NEWS - len(claims)]:
+        for i in sorted(self.news, key=self.news.get, reverse=True)[: NEWS - len(claims)]:
             self.news[i] -= 1
             if self.news[i] <= 0:
                 del self.news[i]
             claims.append(self.view.claim(i, now))
-        for key in sorted((k for k, w in self.words.items() if w[0] > 0), key=lambda k: -self.words[k][0])[:WORDS]:
+        for key in sorted((k for k, w in self.words.items() if w[0] > 0), key=lambda k: -self.words[k][0])[
+            :WORDS
+        ]:
             left, at, word = self.words[key]
             self.words[key] = left - 1, at, word
             words.append(word)
@@ -389,7 +427,7 @@
             return
         words = [word for _, _, word in self.words.values()]
         for at in range(0, len(words), WORDS):
-            writer.send(self.view.address[i], "tell", (), [], words[at:at + WORDS])
+            writer.send(self.view.address[i], "tell", (), [], words[at : at + WORDS])
 
     # exchange
 
@@ -402,7 +440,9 @@
     def answer_buckets(self, now, i, theirs, writer):
         """Rows of the buckets that differ; at times the own digests too, for the rows that are lacking here."""
         v = self.view
-        self.rows(now, i, [k for k in range(len(v.names)) if theirs[v.bucket(k)] != v.digests[v.bucket(k)]], writer)
+        self.rows(
+            now, i, [k for k in range(len(v.names)) if theirs[v.bucket(k)] != v.digests[v.bucket(k)]], writer
+        )
         if now >= self.exchange_at:
             self.exchange_at = now + Pace.exchange
             self.send(i, "buckets", tuple(v.digests), writer)
@@ -410,7 +450,7 @@
     def rows(self, now, i, places, writer):
         v = self.view
         for at in range(0, len(places), NEWS):
-            writer.send(v.address[i], "rows", (), [v.claim(k, now) for k in places[at:at + NEWS]], [])
+            writer.send(v.address[i], "rows", (), [v.claim(k, now) for k in places[at : at + NEWS]], [])
 
     # joining
 
--- a/brookhinge/membership/look.py
+++ b/brookhinge/membership/look.py
@@ -1,4 +1,5 @@
 """An onlooker's question to one router: what it believes of its fleet. The onlooker joins nothing."""
+
 import asyncio
 import random
 import time
@@ -6,7 +7,7 @@
 from brookhinge.membership.post import Post
 
 TRIES, WAIT_S = 4, 0.4
-MEMBERS, LIMITS, VERDICTS = range(3)        # what can be asked for
+MEMBERS, LIMITS, VERDICTS = range(3)  # what can be asked for
 
 
 class Onlooker(asyncio.DatagramProtocol):
@@ -26,7 +27,8 @@
     uid = random.getrandbits(62)
     post = Post(site, key)
     transport, onlooker = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: Onlooker(post), remote_addr=address)
+        lambda: Onlooker(post), remote_addr=address
+    )
     me = ("?", uid, 0, 0, 0, *transport.get_extra_info("sockname")[:2], "", 1, 0.0)
     rows, tries, digest = [], 0, None
     try:
@@ -35,7 +37,8 @@
             end = time.monotonic() + WAIT_S
             try:
                 _, seen, _, words, _, (at, total) = await asyncio.wait_for(
-                    onlooker.answers.get(), max(0.01, end - time.monotonic()))
+                    onlooker.answers.get(), max(0.01, end - time.monotonic())
+                )
             except asyncio.TimeoutError:
                 tries += 1
                 continue
--- a/brookhinge/membership/memory.py
+++ b/brookhinge/membership/memory.py
@@ -5,13 +5,14 @@
     memory.round(now, inbox, writer)
     known()                             rows of what this router knows: (kind, text, number, text, number, number) each
     writer.event_of("remember", rows)   what a fellow knows, in pieces"""
+
 import xxhash
 
 from brookhinge.decide import Doc
 from brookhinge.membership.view import ALIVE
 
 AGAIN_S, TRIES = 0.5, 6
-ROWS, MOST = 10, 200        # in one datagram; in all
+ROWS, MOST = 10, 200  # in one datagram; in all
 
 
 class Memory:
@@ -30,7 +31,7 @@
             if method == "recall" and place is not None and self.done:
                 told = self.known()[:MOST]
                 for at in range(0, len(told), ROWS):
-                    writer.post_to(place, "memory", (at, len(told)), told[at:at + ROWS])
+                    writer.post_to(place, "memory", (at, len(told)), told[at : at + ROWS])
             elif method == "memory" and self.tries and rows:
                 self.done = True
                 writer.event_of("remember", [tuple(row) for row in rows])
@@ -41,13 +42,21 @@
         """One fellow after another, until one answers; whoever has nobody to ask has begun with the others."""
         self.at = now + AGAIN_S
         v = self.view
-        fellows = [i for i in range(len(v.names)) if v.state[i] == ALIVE and v.zone[i] == self.zone
-                   and v.version[i] == self.version and v.names[i] != self.name]
+        fellows = [
+            i
+            for i in range(len(v.names))
+            if v.state[i] == ALIVE
+            and v.zone[i] == self.zone
+            and v.version[i] == self.version
+            and v.names[i] != self.name
+        ]
         self.tries += 1
         if self.tries > TRIES:
             self.done = True
         elif fellows:
-            order = sorted(fellows, key=lambda i: xxhash.xxh64_intdigest(f"{self.name} {v.names[i]}".encode()))
+            order = sorted(
+                fellows, key=lambda i: xxhash.xxh64_intdigest(f"{self.name} {v.names[i]}".encode())
+            )
             writer.post_to(order[self.tries % len(order)], "recall", (0, 0), [])
 
     def tell(self, now, writer):
@@ -58,22 +67,36 @@
     """Goes before Router: beside its calls it takes `remember`, and `memory()` tells what a fellow may want."""
 
     def memory(self):
-        rows = [("ring", self.fleet.ids[points[0]], len(points), "", ends[0], ends[1]) for points, ends, _ in self.rings.rings
-                if len(points) in (2, 3)]
-        rows += [("takes", track.name, 0, "", mean, count) for track, mean, count in
-                 zip(self.tracks, self.sending, self.known)]
-        hot = sorted((doc for doc in self.docs.values() if self.holders(doc) and len(doc.key) <= 64),
-                     key=lambda doc: -doc.count)
-        return rows + [("holder", doc.key, doc.part, self.fleet.ids[c], doc.group, doc.count)
-                       for doc in hot[:MOST] for c in doc.holders]
+        rows = [
+            ("ring", self.fleet.ids[points[0]], len(points), "", ends[0], ends[1])
+            for points, ends, _ in self.rings.rings
+            if len(points) in (2, 3)
+        ]
+        rows += [
+            ("takes", track.name, 0, "", mean, count)
+            for track, mean, count in zip(self.tracks, self.sending, self.known)
+        ]
+        hot = sorted(
+            (doc for doc in self.docs.values() if self.holders(doc) and len(doc.key) <= 64),
+            key=lambda doc: -doc.count,
+        )
+        return rows + [
+            ("holder", doc.key, doc.part, self.fleet.ids[c], doc.group, doc.count)
+            for doc in hot[:MOST]
+            for c in doc.holders
+        ]
 
     def remember(self, rows):
         """What it has learnt itself by now goes before what it is told."""
         for kind, name, number, other, one, two in rows:
             if kind == "ring":
                 for points, ends, _ in self.rings.rings:
-                    if self.fleet.ids[points[0]] == name and len(points) == number and 0 < one <= two <= ends[-1]:
-                        ends[:-1] = [one, two][:number - 1]
+                    if (
+                        self.fleet.ids[points[0]] == name
+                        and len(points) == number
+                        and 0 < one <= two <= ends[-1]
+                    ):
+                        ends[:-1] = [one, two][: number - 1]
             elif kind == "takes":
                 for t, track in enumerate(self.tracks):
                     if track.name == name and two > self.known[t] and one > 0.0:
@@ -81,7 +104,9 @@
             elif kind == "holder":
                 c = self.fleet.index.get(other)
                 if c in self.fleet.own and len(self.docs) < self.most and not self.purged_lately(name, one):
-                    doc = self.docs.get((name, number)) or self.docs.setdefault((name, number), Doc(name, number, one))
+                    doc = self.docs.get((name, number)) or self.docs.setdefault(
+                        (name, number), Doc(name, number, one)
+                    )
                     doc.holders.setdefault(c, self.now)
                     doc.count = max(doc.count, two / 2.0)
 
--- a/brookhinge/membership/metrics.py
+++ b/brookhinge/membership/metrics.py
@@ -1,4 +1,5 @@
 """A router's figures of its fleet, read from the thread that serves them: whole lists are copied, nothing is changed."""
+
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from brookhinge.membership.view import STATES
@@ -10,19 +11,30 @@
 
     def collect(self):
         talk, states = self.talk, list(self.talk.fellow.view.state)
-        members = GaugeMetricFamily("brookhinge_fleet_members", "routers by what is believed of them", labels=["state"])
+        members = GaugeMetricFamily(
+            "brookhinge_fleet_members", "routers by what is believed of them", labels=["state"]
+        )
         for k, state in enumerate(STATES):
             members.add_metric([state], states.count(k))
         yield members
-        sharers = GaugeMetricFamily("brookhinge_fleet_sharers", "by how many limits are divided", labels=["where"])
+        sharers = GaugeMetricFamily(
+            "brookhinge_fleet_sharers", "by how many limits are divided", labels=["where"]
+        )
         for where, count in zip(("here", "all"), talk.counted):
             sharers.add_metric([where], count)
         yield sharers
-        yield GaugeMetricFamily("brookhinge_fleet_local_health", "0: probes come back; up to 8: this router is slow or its "
-                                "link is", talk.fellow.health)
-        yield GaugeMetricFamily("brookhinge_fleet_out", "1: an older process holds this router's name", int(talk.fellow.out))
-        for name, told, help_ in (("datagrams", talk.post.counts, "sent, taken, or why one was dropped"),
-                                  ("changes", talk.changes, "of members, as in the log")):
+        yield GaugeMetricFamily(
+            "brookhinge_fleet_local_health",
+            "0: probes come back; up to 8: this router is slow or its link is",
+            talk.fellow.health,
+        )
+        yield GaugeMetricFamily(
+            "brookhinge_fleet_out", "1: an older process holds this router's name", int(talk.fellow.out)
+        )
+        for name, told, help_ in (
+            ("datagrams", talk.post.counts, "sent, taken, or why one was dropped"),
+            ("changes", talk.changes, "of members, as in the log"),
+        ):
             counts = CounterMetricFamily(f"brookhinge_fleet_{name}", help_, labels=["kind"])
             for kind, count in list(told.items()):
                 counts.add_metric([kind], count)
--- a/brookhinge/membership/post.py
+++ b/brookhinge/membership/post.py
@@ -10,6 +10,7 @@
 answers its probes; so routers of two versions hold one view and don't take each other for dead. Lengths are bounded
 before anything is read, texts and counts after. What can't be read is counted and dropped, and tells nothing.
 A datagram is taken once: of each process the highest sequence is kept and which of the 64 before it came."""
+
 import hashlib
 import hmac
 
@@ -17,14 +18,35 @@
 
 VERSION = 1
 MOST_BYTES, MOST_TEXT, SENDERS, WINDOW = 1400, 64, 4096, 64
-METHODS = {"ping": 4, "ack": 1, "nack": 1, "ask": 4, "tell": 0, "rows": 0, "buckets": 64,
-           "look": 2, "seen": 2, "want": 2, "lend": 2, "evidence": 2, "table": 2, "recall": 2,
-           "memory": 2}
-MAIL = ("want", "lend", "evidence", "table", "recall", "memory")     # of cores beside the fellow: rows stand in the place of words
+METHODS = {
+    "ping": 4,
+    "ack": 1,
+    "nack": 1,
+    "ask": 4,
+    "tell": 0,
+    "rows": 0,
+    "buckets": 64,
+    "look": 2,
+    "seen": 2,
+    "want": 2,
+    "lend": 2,
+    "evidence": 2,
+    "table": 2,
+    "recall": 2,
+    "memory": 2,
+}
+MAIL = (
+    "want",
+    "lend",
+    "evidence",
+    "table",
+    "recall",
+    "memory",
+)  # of cores beside the fellow: rows stand in the place of words
 
 Claim = tuple[str, int, int, int, int, str, int, str, int, float]
 Head = tuple[int, str, int, Claim, int, list[int], list[Claim], bytes]
-PROBES = {"ping": 1, "ack": 2}      # methods that any version reads
+PROBES = {"ping": 1, "ack": 2}  # methods that any version reads
 Rest = tuple[int, list[tuple], str, list]
 head, rest, pack = msgspec.msgpack.Decoder(Head), msgspec.msgpack.Decoder(Rest), msgspec.msgpack.Encoder()
 
@@ -33,7 +55,7 @@
     """Which datagrams of each process have come."""
 
     def __init__(self):
-        self.came = {}      # uid: (highest sequence, bits of those before it)
+        self.came = {}  # uid: (highest sequence, bits of those before it)
 
     def fresh(self, uid, number):
         top, bits = self.came.pop(uid, (0, 0))
@@ -56,16 +78,26 @@
 
     def __init__(self, site, key):
         self.site, self.key, self.sequence, self.guard = site, key, 0, Guard()
-        self.counts = dict.fromkeys(("sent", "taken", "torn", "forged", "again", "other_site", "unread", "foreign",
-                                     "too_long"), 0)
+        self.counts = dict.fromkeys(
+            ("sent", "taken", "torn", "forged", "again", "other_site", "unread", "foreign", "too_long"), 0
+        )
 
     def write(self, claim, digest, method, values, news, words):
         """One datagram, or None if it would be too long (news are left out before it is given up)."""
         while True:
             probe = method in PROBES
-            body = pack.encode((1, self.site, self.sequence + 1, claim, VERSION,
-                                (PROBES[method], *values) if probe else (0,), news,
-                                pack.encode((digest, words, method, () if probe else values))))
+            body = pack.encode(
+                (
+                    1,
+                    self.site,
+                    self.sequence + 1,
+                    claim,
+                    VERSION,
+                    (PROBES[method], *values) if probe else (0,),
+                    news,
+                    pack.encode((digest, words, method, () if probe else values)),
+                )
+            )
             if len(body) + 16 <= MOST_BYTES:
                 break
             if not news and not words:
@@ -106,24 +138,42 @@
                 method, values = probe, call[1:]
         except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
             return "unread", None
-        if METHODS.get(method) != len(values) or not all(simple(word) for word in words) \
-                or not fits(method, values):
+        if (
+            METHODS.get(method) != len(values)
+            or not all(simple(word) for word in words)
+            or not fits(method, values)
+        ):
             return "unread", None
         return "taken", (claim, digest, tuple(news), tuple(words), method, tuple(values))
 
 
 def sound(claim):
     name, uid, born, inc, state, host, port, zone, version, age = claim
-    return 0 < len(name) <= MOST_TEXT and len(host) <= MOST_TEXT and len(zone) <= MOST_TEXT and 0 <= state <= 3 \
-        and 0 < port < 65536 and age >= 0.0 and min(uid, born, inc, version) >= 0
+    return (
+        0 < len(name) <= MOST_TEXT
+        and len(host) <= MOST_TEXT
+        and len(zone) <= MOST_TEXT
+        and 0 <= state <= 3
+        and 0 < port < 65536
+        and age >= 0.0
+        and min(uid, born, inc, version) >= 0
+    )
 
 
 def simple(word):
     """A word is a short row of texts and numbers."""
-    return 0 < len(word) <= 8 and isinstance(word[0], str) and all(
-        isinstance(part, (int, float)) or isinstance(part, str) and len(part) <= MOST_TEXT for part in word)
+    return (
+        0 < len(word) <= 8
+        and isinstance(word[0], str)
+        and all(
+            isinstance(part, (int, float)) or isinstance(part, str) and len(part) <= MOST_TEXT
+            for part in word
+        )
+    )
 
 
 def fits(method, values):
     texts = (1,) if method == "ask" else ()
-    return all(isinstance(value, str) if i in texts else isinstance(value, int) for i, value in enumerate(values))
+    return all(
+        isinstance(value, str) if i in texts else isinstance(value, int) for i, value in enumerate(values)
+    )
--- a/brookhinge/membership/talk.py
+++ b/brookhinge/membership/talk.py
@@ -1,4 +1,5 @@
 """Joins a fellow to UDP on an asyncio loop. Decides nothing: datagrams in, rounds, datagrams out, changes to the log."""
+
 import asyncio
 import collections
 import math
@@ -12,8 +13,8 @@
 from brookhinge.membership.post import MAIL, VERSION, Post
 from brookhinge.membership.view import STATES
 
-READ = 256          # datagrams of one pass of the loop that go into one round; the rest is the next one's
-LEAVING_S = 0.05    # after the word of leaving, so that it is out before the socket closes
+READ = 256  # datagrams of one pass of the loop that go into one round; the rest is the next one's
+LEAVING_S = 0.05  # after the word of leaving, so that it is out before the socket closes
 
 
 def steady():
@@ -34,7 +35,13 @@
 
     def __init__(self, block, seed, sharers_told, event, log):
         self.block, self.event, self.log, self.seed = block, event, log, seed
-        self.post, self.inbox, self.due, self.timer, self.transport = Post(block.site, block.key), [], False, None, None
+        self.post, self.inbox, self.due, self.timer, self.transport = (
+            Post(block.site, block.key),
+            [],
+            False,
+            None,
+            None,
+        )
         self.makers, self.cores, self.mail = [], [], {}
         self.changes, self.server = collections.Counter(), None
         self.told_of, self.counted, self.count_at = sharers_told, sharers_told, 0.0
@@ -43,15 +50,28 @@
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.block.listen)
         address = self.block.advertise or self.transport.get_extra_info("sockname")[:2]
-        born = round(time.time() * 1000)        # two starts with one seed are two processes all the same
-        self.fellow = Fellow(self.block.name, address, self.block.zone, VERSION, born, list(self.block.join),
-                             random.Random(f"{self.seed} {born} {os.getpid()}"), time.monotonic())
+        born = round(time.time() * 1000)  # two starts with one seed are two processes all the same
+        self.fellow = Fellow(
+            self.block.name,
+            address,
+            self.block.zone,
+            VERSION,
+            born,
+            list(self.block.join),
+            random.Random(f"{self.seed} {born} {os.getpid()}"),
+            time.monotonic(),
+        )
         if self.block.metrics:
             from brookhinge.membership.metrics import Figures
             from brookhinge.metrics import publish
+
             self.server, _ = publish(Figures(self), self.block.metrics)
-        self.log("fleet", change="listening", address="%s:%d" % address,
-                 **({"metrics": self.server.server_port} if self.server else {}))
+        self.log(
+            "fleet",
+            change="listening",
+            address="%s:%d" % address,
+            **({"metrics": self.server.server_port} if self.server else {}),
+        )
         self.cores = [make(self, steady()) for make in self.makers]
         self.mail = {method: core for core in self.cores for method in core.methods}
         self.letters = {id(core): [] for core in self.cores}
@@ -66,7 +86,7 @@
             return self.shown(message, address)
         if len(self.inbox) < READ:
             claim, digest, news, rows, method, values = message
-            if method in MAIL:              # its sender is a member as any other, the rest is not the fellow's
+            if method in MAIL:  # its sender is a member as any other, the rest is not the fellow's
                 if method in self.mail:
                     self.letters[id(self.mail[method])].append((claim[1], method, values, rows))
                 message = claim, digest, news, (), "tell", ()
@@ -76,7 +96,7 @@
             asyncio.get_running_loop().call_soon(self.turn)
 
     def error_received(self, fault):
-        pass        # nobody there: silence says the same
+        pass  # nobody there: silence says the same
 
     def turn(self):
         """One round: what came since the last one, and what is due."""
@@ -95,7 +115,9 @@
             wait = min(wait, core.next_at() - at)
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = None if wait == math.inf else asyncio.get_running_loop().call_later(max(0.001, wait), self.turn)
+        self.timer = (
+            None if wait == math.inf else asyncio.get_running_loop().call_later(max(0.001, wait), self.turn)
+        )
 
     def before(self):
         """Before a round of the decisions: nothing that ends by itself is used after its end."""
@@ -107,8 +129,10 @@
         """How many share the limits, looked at after each change and each second."""
         self.count_at = now + 1.0
         view, lease = self.fellow.view, self.block.lease_s
-        counted = (sharers(view, now, lease, self.told_of[0], self.block.zone),
-                   sharers(view, now, lease, self.told_of[1]))
+        counted = (
+            sharers(view, now, lease, self.told_of[0], self.block.zone),
+            sharers(view, now, lease, self.told_of[1]),
+        )
         if counted != self.counted:
             self.counted = counted
             self.log("fleet", change="sharers", here=counted[0], all=counted[1])
@@ -119,7 +143,7 @@
 
     async def leave(self):
         """Tells the fellows that this router goes, and closes."""
-        if self.transport is None:      # it never got to join
+        if self.transport is None:  # it never got to join
             return
         self.fellow.leave(time.monotonic(), self)
         await asyncio.sleep(LEAVING_S)
@@ -136,12 +160,27 @@
             return
         v, now, (at, what) = self.fellow.view, time.monotonic(), values
         if what == MEMBERS:
-            rows = [(v.names[i], STATES[v.state[i]], round(now - v.since[i], 1), v.by[i], v.zone[i],
-                     "%s:%d" % v.address[i]) for i in range(len(v.names))]
+            rows = [
+                (
+                    v.names[i],
+                    STATES[v.state[i]],
+                    round(now - v.since[i], 1),
+                    v.by[i],
+                    v.zone[i],
+                    "%s:%d" % v.address[i],
+                )
+                for i in range(len(v.names))
+            ]
         else:
             rows = next((core.shown(steady()) for core in self.cores if core.look == what), [])
-        data = self.post.write(v.claim(v.index[self.fellow.name], now), v.digest(), "seen", (at, len(rows)), [],
-                               rows[at:at + 6])
+        data = self.post.write(
+            v.claim(v.index[self.fellow.name], now),
+            v.digest(),
+            "seen",
+            (at, len(rows)),
+            [],
+            rows[at : at + 6],
+        )
         if data is not None:
             self.transport.sendto(data, address)
 
@@ -149,8 +188,9 @@
 
     def send(self, address, method, values, news, words):
         v = self.fellow.view
-        data = self.post.write(v.claim(v.index[self.fellow.name], time.monotonic()), v.digest(), method, values, news,
-                               words)
+        data = self.post.write(
+            v.claim(v.index[self.fellow.name], time.monotonic()), v.digest(), method, values, news, words
+        )
         if data is not None:
             self.transport.sendto(data, address)
 
@@ -158,8 +198,13 @@
         self.count_at = 0.0
         self.changes[change] += 1
         if change == "taken":
-            self.log("fleet", change=change, member=name, by=by,
-                     why="an older process holds this name: this one stays out of the fleet")
+            self.log(
+                "fleet",
+                change=change,
+                member=name,
+                by=by,
+                why="an older process holds this name: this one stays out of the fleet",
+            )
         else:
             self.log("fleet", change=change, member=name, by=by, members=len(self.fellow.view.living()))
 
--- a/brookhinge/membership/tight.py
+++ b/brookhinge/membership/tight.py
@@ -15,7 +15,10 @@
 
     def __init__(self, start):
         self.start, self.rows, self.heard, self.purges = start, {}, {}, {}
-        self.own, self.passed = {}, {}      # what the own channel said last; starts that it took back from a drain
+        self.own, self.passed = (
+            {},
+            {},
+        )  # what the own channel said last; starts that it took back from a drain
 
     def stamp(self, born):
         return round((born + self.start) * 1000) if born is not None else 0
@@ -24,7 +27,7 @@
         """A row of the own channel: as it is to be used, and the word for the fellows, if it tightens."""
         server, health, born = row[0], row[1], self.stamp(row[3])
         before, heard = self.rows.get(server), self.heard.get(server)
-        if heard and (heard[0] != born or WORSE[heard[1]] <= WORSE[health]):     # caught up, or another start
+        if heard and (heard[0] != born or WORSE[heard[1]] <= WORSE[health]):  # caught up, or another start
             heard = self.heard.pop(server) and None
         if (born, "draining") == self.own.get(server) and health == "ready":
             self.passed[server] = born
@@ -38,7 +41,11 @@
 
     def absent(self, present):
         """Servers that a whole list of the own channel leaves out: their words."""
-        out = [(server, self.stamp(self.rows.pop(server)[3])) for server in list(self.rows) if server not in present]
+        out = [
+            (server, self.stamp(self.rows.pop(server)[3]))
+            for server in list(self.rows)
+            if server not in present
+        ]
         for server, _ in out:
             self.own.pop(server, None), self.passed.pop(server, None)
         return [("gone", server, born) for server, born in out]
@@ -49,7 +56,9 @@
         if kind not in ("draining", "gone") or not isinstance(server, str):
             return None
         if kind == "draining" and self.passed.get(server) == born:
-            return None     # a drain that the own channel saw begin and end: a late word of it would hold for good
+            return (
+                None  # a drain that the own channel saw begin and end: a late word of it would hold for good
+            )
         heard = self.heard.get(server)
         if heard is None or heard[0] == born and WORSE[heard[1]] < WORSE[kind] or heard[0] < born:
             self.heard[server] = born, kind
--- a/brookhinge/membership/view.py
+++ b/brookhinge/membership/view.py
@@ -5,13 +5,14 @@
     inc      raised by the process itself alone, over all it has heard under its name: the newer word about it wins
     age      seconds since it left or was lost; 0.0 else
 Claims merge in any order and any number to the same view: the properties in tests/membership hold it to that."""
+
 import zlib
 
 import xxhash
 
 ALIVE, SUSPECTED, LOST, LEFT = range(4)
 STATES = ("alive", "suspected", "lost", "left")
-BUCKETS = 64        # parts in which views are compared
+BUCKETS = 64  # parts in which views are compared
 
 
 class View:
@@ -20,15 +21,34 @@
     def __init__(self, remember_s):
         self.remember_s, self.index = remember_s, {}
         self.arrays = [[] for _ in range(10)]
-        (self.names, self.uid, self.born, self.inc, self.state, self.address, self.zone, self.version, self.since,
-         self.by) = self.arrays
+        (
+            self.names,
+            self.uid,
+            self.born,
+            self.inc,
+            self.state,
+            self.address,
+            self.zone,
+            self.version,
+            self.since,
+            self.by,
+        ) = self.arrays
         self.digests = [0] * BUCKETS
-        self.ghosts = []        # (when its process was last believed alive, its zone): replaced under its name unheard
+        self.ghosts = []  # (when its process was last believed alive, its zone): replaced under its name unheard
 
     def claim(self, i, now):
         gone = self.state[i] in (LOST, LEFT)
-        return (self.names[i], self.uid[i], self.born[i], self.inc[i], self.state[i], *self.address[i], self.zone[i],
-                self.version[i], max(0.0, now - self.since[i]) if gone else 0.0)
+        return (
+            self.names[i],
+            self.uid[i],
+            self.born[i],
+            self.inc[i],
+            self.state[i],
+            *self.address[i],
+            self.zone[i],
+            self.version[i],
+            max(0.0, now - self.since[i]) if gone else 0.0,
+        )
 
     def holds(self, i, uid, inc, state):
         """Whether a claim under the name of place i goes before what is known: the higher incarnation, which only the
@@ -43,15 +63,16 @@
         i = self.index.get(name)
         if i is None:
             i = self.index[name] = len(self.names)
-            for array, value in zip(self.arrays, (name, uid, born, inc, state, (host, port), zone, version, now - age,
-                                                  by)):
+            for array, value in zip(
+                self.arrays, (name, uid, born, inc, state, (host, port), zone, version, now - age, by)
+            ):
                 array.append(value)
             self.mix(i)
             return "heard of as " + STATES[state] if state in (LOST, LEFT) else "joined"
         if not self.holds(i, uid, inc, state):
             return None
         old, other, moved = self.state[i], uid != self.uid[i], (host, port) != self.address[i]
-        if other and old in (ALIVE, SUSPECTED):         # nobody heard it leave: what it was lent may still be out
+        if other and old in (ALIVE, SUSPECTED):  # nobody heard it leave: what it was lent may still be out
             self.ghosts.append((now, self.zone[i]))
         elif other and old == LOST:
             self.ghosts.append((self.since[i], self.zone[i]))
@@ -89,8 +110,11 @@
 
     def forget(self, now):
         """Drops who has been gone for longer than is remembered; places close up. Whether any did."""
-        old = {i for i, state in enumerate(self.state) if state in (LOST, LEFT)
-               and now - self.since[i] > self.remember_s}
+        old = {
+            i
+            for i, state in enumerate(self.state)
+            if state in (LOST, LEFT) and now - self.since[i] > self.remember_s
+        }
         self.ghosts = [(at, zone) for at, zone in self.ghosts if now - at <= self.remember_s]
         if not old:
             return False
--- a/brookhinge/metrics.py
+++ b/brookhinge/metrics.py
@@ -1,4 +1,5 @@
 """Figures for Prometheus, served from a thread of the library's own."""
+
 from prometheus_client import CollectorRegistry, start_http_server
 
 
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -1,4 +1,5 @@
 """Connections to cache servers, parents and the origin: effects to bytes, bytes to events. Decides nothing."""
+
 import asyncio
 import math
 import socket
@@ -9,10 +10,10 @@
 
 PIECE = 64 * 1024
 BUFFER = 4 * 1024 * 1024
-CONNECTIONS = 8             # to one server at most, as far as the share of descriptors reaches
-ECHO = b"echo"              # no query's id: those are hex digits
-SPENT = 200                 # ids that a connection must not carry again, after which it takes no more at all
-LOOKS = 3                   # sweeps at least between an ECHO and the end of a connection: our own lag is not silence
+CONNECTIONS = 8  # to one server at most, as far as the share of descriptors reaches
+ECHO = b"echo"  # no query's id: those are hex digits
+SPENT = 200  # ids that a connection must not carry again, after which it takes no more at all
+LOOKS = 3  # sweeps at least between an ECHO and the end of a connection: our own lag is not silence
 
 
 class Line:
@@ -22,7 +23,10 @@
         self.server, self.stream, self.up, self.closed, self.retired = server, stream, False, False, False
         self.used_at, self.heard_at, self.asked_at = now, now, None
         self.out, self.spent, self.waiting, self.answers, self.looks = {}, set(), {}, cachewire.Answers(), 0
-        self.killed, self.stuck_at = set(), None    # ids given up whose answer may still come; since when it is stuck
+        self.killed, self.stuck_at = (
+            set(),
+            None,
+        )  # ids given up whose answer may still come; since when it is stuck
 
     def load(self):
         return len(self.out) + len(self.waiting)
@@ -36,11 +40,18 @@
 class Caches:
     """post(method, values) takes the events; say(event, ...) is the log."""
 
-    def __init__(self, post, say, now, start, columns, connect_s, idle_s, multiplex, sockets, late_s=math.inf):
+    def __init__(
+        self, post, say, now, start, columns, connect_s, idle_s, multiplex, sockets, late_s=math.inf
+    ):
         """late_s: a push that waited longer for its connection is not written but ends as unsent, to be decided anew: what
         was known when it was decided, drains, purges and what is cold, may hold no more."""
         self.post, self.say, self.now, self.start, self.columns = post, say, now, start, columns
-        self.connect_s, self.idle_s, self.multiplex, self.sockets = connect_s, idle_s, max(1, multiplex), sockets
+        self.connect_s, self.idle_s, self.multiplex, self.sockets = (
+            connect_s,
+            idle_s,
+            max(1, multiplex),
+            sockets,
+        )
         self.lines, self.where, self.all, self.late_s = {}, {}, set(), late_s
 
     # effects
@@ -49,7 +60,7 @@
         """Writes a push, on a connection that has not carried its id before, or opens one for it."""
         wire = cachewire.pull(name, *request)
         line = self.choose(server, name)
-        if line is None:        # no descriptor left for one more: nothing was sent
+        if line is None:  # no descriptor left for one more: nothing was sent
             return self.end(query, push, "unreachable")
         self.put(line, query, push, name, wire, self.now())
 
@@ -87,7 +98,7 @@
             line.killed.add(name)
             self.spend(line, name)
             self.write(line, cachewire.kill(name))
-            if line.stream.writing():       # it may not arrive: closing gives it up for sure
+            if line.stream.writing():  # it may not arrive: closing gives it up for sure
                 self.close(line)
         self.settle(line)
 
@@ -114,7 +125,11 @@
         usable = [n for n in lines if self.takes(n, name)]
         if not usable and len(self.all) >= self.sockets:
             self.make_room()
-        if sum(not n.load() for n in usable) < 2 and len(lines) < CONNECTIONS and len(self.all) < self.sockets:
+        if (
+            sum(not n.load() for n in usable) < 2
+            and len(lines) < CONNECTIONS
+            and len(self.all) < self.sockets
+        ):
             fresh = self.connect(server)
             usable += [fresh] if fresh else []
         return min(usable, key=lambda n: (n.load(), not n.up), default=None)
@@ -126,16 +141,25 @@
             self.close(max(idle, key=lambda n: (len(self.lines.get(n.server, ())), -n.used_at)))
 
     def takes(self, line, name):
-        return not (line.closed or line.retired or line.stream.closed()) and line.load() < self.multiplex \
-            and name not in line.out and name not in line.spent and name not in line.waiting and not line.stuck()
+        return (
+            not (line.closed or line.retired or line.stream.closed())
+            and line.load() < self.multiplex
+            and name not in line.out
+            and name not in line.spent
+            and name not in line.waiting
+            and not line.stuck()
+        )
 
     def connect(self, server):
         try:
             made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        except OSError as fault:        # no descriptor
+        except OSError as fault:  # no descriptor
             return self.say("cache connection", server=server[0], why=f"{fault.strerror}")
-        line = Line(server, IOStream(made, max_buffer_size=BUFFER, read_chunk_size=PIECE, max_write_buffer_size=BUFFER),
-                    self.now())
+        line = Line(
+            server,
+            IOStream(made, max_buffer_size=BUFFER, read_chunk_size=PIECE, max_write_buffer_size=BUFFER),
+            self.now(),
+        )
         line.stream.set_nodelay(True)
         self.lines[server].append(line)
         self.all.add(line)
@@ -172,26 +196,43 @@
     def write(self, line, wire):
         try:
             line.stream.write(wire)
-        except Exception:       # closed, or its buffer is full: what is out on it is broken
+        except Exception:  # closed, or its buffer is full: what is out on it is broken
             self.close(line)
 
     def answered(self, line, came, name, word, fields, body):
         if name == ECHO:
             line.asked_at = None
             return
-        if name in line.killed:         # it crossed the KILL
+        if name in line.killed:  # it crossed the KILL
             return line.killed.remove(name)
-        if name not in line.out:        # a second answer or of an id that nobody asked for: it is not to be trusted further
+        if (
+            name not in line.out
+        ):  # a second answer or of an id that nobody asked for: it is not to be trusted further
             line.retired = True
             return self.settle(line)
         result, note, waited, load, dated, digest, lot = cachewire.read_result(word, fields, self.columns)
         line.used_at = came
         query, push, _ = line.out.pop(name)
-        if result != "satisfied":       # a further push may follow, and a second copy of this answer
+        if result != "satisfied":  # a further push may follow, and a second copy of this answer
             self.spend(line, name)
         del self.where[query, push]
-        self.post("ended", (query, push, result, note, waited, load, body, word == b"unchanged", came,
-                            None if dated is None else dated - self.start, digest, lot))
+        self.post(
+            "ended",
+            (
+                query,
+                push,
+                result,
+                note,
+                waited,
+                load,
+                body,
+                word == b"unchanged",
+                came,
+                None if dated is None else dated - self.start,
+                digest,
+                lot,
+            ),
+        )
         self.settle(line)
 
     def close(self, line):
@@ -234,7 +275,7 @@
                 self.say("cache connection", server=line.server[0], why="an answer without end")
                 self.close(line)
                 continue
-            since = next(iter(line.out.values()))[2] if line.out else now       # the push that waits longest
+            since = next(iter(line.out.values()))[2] if line.out else now  # the push that waits longest
             quiet = now - max(line.heard_at, line.asked_at or since)
             if not line.out:
                 line.asked_at = None
--- a/brookhinge/net/cachewire.py
+++ b/brookhinge/net/cachewire.py
@@ -1,27 +1,71 @@
 """Cache servers' wire: lines of words, bodies by length. Parses and encodes bytes, no I/O."""
+
 LONGEST_LINE, LONGEST_BODY = 4096, 240_000
-RESULTS = {b"data": "satisfied", b"unchanged": "satisfied", b"absent": "miss", b"full": "full",
-           b"failed": "errored", b"moot": "moot"}
-NOTES = {note: i + 1 for i, note in enumerate(
-    (b"hit", b"filled", b"via_origin", b"joined", b"stale", b"src_refused", b"src_broke", b"src_lacks",
-     b"no_slot", b"origin_failed"))}
+RESULTS = {
+    b"data": "satisfied",
+    b"unchanged": "satisfied",
+    b"absent": "miss",
+    b"full": "full",
+    b"failed": "errored",
+    b"moot": "moot",
+}
+NOTES = {
+    note: i + 1
+    for i, note in enumerate(
+        (
+            b"hit",
+            b"filled",
+            b"via_origin",
+            b"joined",
+            b"stale",
+            b"src_refused",
+            b"src_broke",
+            b"src_lacks",
+            b"no_slot",
+            b"origin_failed",
+        )
+    )
+}
 
 
 class Unreadable(Exception):
     """Bytes that can't be read as this protocol; the connection they came on is closed."""
 
 
-def pull(name, kind, key, part, patience_s, source, rank, age_s, join, held_only, renew, tag, body, skip=False,
-         mark=None):
-    fields = [b"sort=" + kind, b"asset=" + key, b"slice=" + part, b"patience=%d" % max(1, int(patience_s * 1000))]
+def pull(
+    name,
+    kind,
+    key,
+    part,
+    patience_s,
+    source,
+    rank,
+    age_s,
+    join,
+    held_only,
+    renew,
+    tag,
+    body,
+    skip=False,
+    mark=None,
+):
+    fields = [
+        b"sort=" + kind,
+        b"asset=" + key,
+        b"slice=" + part,
+        b"patience=%d" % max(1, int(patience_s * 1000)),
+    ]
     if source:
         fields.append(b"parent=" + source.encode())
     if rank:
         fields.append(b"shelf=%d" % rank)
     if age_s > 0:
         fields.append(b"accept=%d" % max(1, int(age_s * 1000)))
-    hints = [word for word, on in ((b"merge", join), (b"local", held_only), (b"skip", skip),
-                                (b"revalidate", renew)) if on]
+    hints = [
+        word
+        for word, on in ((b"merge", join), (b"local", held_only), (b"skip", skip), (b"revalidate", renew))
+        if on
+    ]
     if hints:
         fields.append(b"hints=" + b"+".join(hints))
     if tag:
@@ -65,7 +109,7 @@
             end = at + self.size
             if len(held) < end + 2:
                 break
-            if held[end:end + 2] != b"\r\n":
+            if held[end : end + 2] != b"\r\n":
                 raise Unreadable("a body that does not end with its length")
             items.append((*self.head, bytes(held[at:end])))
             self.head, at = None, end + 2
@@ -104,7 +148,14 @@
             told = dict(pair.partition(b":")[::2] for pair in fields[b"l"].split(b";"))
             load = [float(told.get(name, 0.0)) for name in columns]
         dated = float(fields[b"dated"]) / 1000.0 if b"dated" in fields else None
-        return (RESULTS[word], NOTES.get(fields.get(b"n"), 0), float(fields.get(b"first", 0.0)) / 1000.0, load, dated,
-                fields.get(b"digest"), fields.get(b"lot"))
+        return (
+            RESULTS[word],
+            NOTES.get(fields.get(b"n"), 0),
+            float(fields.get(b"first", 0.0)) / 1000.0,
+            load,
+            dated,
+            fields.get(b"digest"),
+            fields.get(b"lot"),
+        )
     except (KeyError, ValueError):
         raise Unreadable(f"the answer {word!r} {fields!r:.80}") from None
--- a/brookhinge/net/channel.py
+++ b/brookhinge/net/channel.py
@@ -1,4 +1,5 @@
 """The command channel: long polls, answers to events. Decides nothing."""
+
 import asyncio
 import contextlib
 import random
@@ -9,7 +10,7 @@
 from brookhinge.engine.commands import NoCommands, read_commands
 from brookhinge.net import http
 
-BLOCK_S, SLACK_S = 1.0, 0.5     # a poll waits so long; past the slack as well the connection is taken for dead
+BLOCK_S, SLACK_S = 1.0, 0.5  # a poll waits so long; past the slack as well the connection is taken for dead
 FIRST_S, LONGEST_S = 0.05, 1.0  # pauses after failures
 
 
@@ -54,8 +55,9 @@
 
     async def ask(self):
         if self.stream is None or self.stream.closed():
-            self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM),
-                                   max_buffer_size=2 * http.LONGEST_BODY)
+            self.stream = IOStream(
+                socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=2 * http.LONGEST_BODY
+            )
             self.stream.set_nodelay(True)
             await self.stream.connect(self.address)
         stream, answer = self.stream, http.Answer()
