--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -1,4 +1,5 @@
 """Clients' connections: bytes to events, effects to bytes. Decides nothing."""
+
 import asyncio
 import collections
 import errno
@@ -15,17 +16,24 @@
 WORD = re.compile(rb"[\w.:-]{1,80}").fullmatch
 DIGITS = re.compile(rb"[0-9]{1,9}").fullmatch
 AMOUNT = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?").fullmatch
-FIELDS = tuple((name, form, must) for must, rows in (
-    (True, ((b"service", WORD), (b"ref", HEX), (b"allow", DIGITS), (b"lookup", HEX), (b"piece", DIGITS))),
-    (False, ((b"lot", DIGITS), (b"room", AMOUNT), (b"ver", WORD), (b"replay", WORD)))) for name, form in rows)
+FIELDS = tuple(
+    (name, form, must)
+    for must, rows in (
+        (True, ((b"service", WORD), (b"ref", HEX), (b"allow", DIGITS), (b"lookup", HEX), (b"piece", DIGITS))),
+        (False, ((b"lot", DIGITS), (b"room", AMOUNT), (b"ver", WORD), (b"replay", WORD))),
+    )
+    for name, form in rows
+)
 WANTED = {b"serve": {1: thrift.MAP, 2: thrift.STRING}, b"forget": {1: thrift.I32}, b"isWell": {}}
-FRAME_S = 2.2       # from the connect to the first query, and from a frame's first byte to its last
-IDLE_S = 10.0       # a connection that has asked and has nothing open; usual clients close theirs before
-SPARE = 16          # closed at once when the share of descriptors is reached
-LINGER_S = 0.2      # a connection whose writing side is shut is read on for so long: a close over unread bytes resets it
-LINGERING = 8       # of those at most where others need descriptors
-REJECTS = 8         # calls on a connection that can't be taken, after which it is closed; and a pause after each:
-REJECTED_S = 0.05   # who asks the same again at once waits for so long
+FRAME_S = 2.2  # from the connect to the first query, and from a frame's first byte to its last
+IDLE_S = 10.0  # a connection that has asked and has nothing open; usual clients close theirs before
+SPARE = 16  # closed at once when the share of descriptors is reached
+LINGER_S = (
+    0.2  # a connection whose writing side is shut is read on for so long: a close over unread bytes resets it
+)
+LINGERING = 8  # of those at most where others need descriptors
+REJECTS = 8  # calls on a connection that can't be taken, after which it is closed; and a pause after each:
+REJECTED_S = 0.05  # who asks the same again at once waits for so long
 LONGEST_BODY = 240_000
 
 
@@ -36,8 +44,16 @@
     def __init__(self, number, stream, now):
         self.number, self.stream, self.unread, self.held, self.coming = number, stream, 0, 0, None
         self.asked, self.used_at, self.part_at, self.rejects = False, now, None, 0
-        self.broken = None      # why nothing more is taken of it: what was taken before is answered, then it is closed
-        self.calls, self.queued, self.waits, self.room, self.network = collections.deque(), 0, False, asyncio.Event(), None
+        self.broken = (
+            None  # why nothing more is taken of it: what was taken before is answered, then it is closed
+        )
+        self.calls, self.queued, self.waits, self.room, self.network = (
+            collections.deque(),
+            0,
+            False,
+            asyncio.Event(),
+            None,
+        )
 
     def idle(self):
         """Nothing of a call has come that is not handed on, nor is an answer on its way."""
@@ -47,7 +63,7 @@
         """Nothing lies unread in the system: a call that crosses a close would be lost."""
         try:
             return not self.stream.socket.recv(1, socket.MSG_PEEK)
-        except (OSError, AttributeError):       # nothing there, or closed by the system
+        except (OSError, AttributeError):  # nothing there, or closed by the system
             return True
 
 
@@ -59,8 +75,8 @@
         self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, now
         self.longest, self.sockets, self.most_held, self.paused = longest, sockets, held, False
         self.clients, self.serial, self.unread, self.held, self.listener = {}, 0, 0, 0, None
-        self.leaving = {}               # connections whose writing side is shut
-        self.gate = gate                # storm/gate.py, where it is on: how many to take, and whose
+        self.leaving = {}  # connections whose writing side is shut
+        self.gate = gate  # storm/gate.py, where it is on: how many to take, and whose
 
     # accepting
 
@@ -91,7 +107,7 @@
             except OSError as fault:
                 if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     return self.pause(f"no descriptor: {fault.strerror}")
-                continue            # that connection ended before it was taken
+                continue  # that connection ended before it was taken
             network = None
             if self.gate is not None:
                 network, kept = self.gate.came(self.now(), place[0])
@@ -110,7 +126,9 @@
 
     def make_room(self):
         """New clients must get in: those idle longest go, never one of which a call has come, whole or in part."""
-        idle = [c for c in self.clients.values() if c.part_at is None and c.idle() and not self.busy(c.number)]
+        idle = [
+            c for c in self.clients.values() if c.part_at is None and c.idle() and not self.busy(c.number)
+        ]
         before = len(self.clients)
         for client in heapq.nsmallest(SPARE, idle, key=lambda c: c.used_at):
             self.release(client)
@@ -123,7 +141,11 @@
         now = self.now()
         for client in list(self.clients.values()):
             slow = client.part_at is not None and now - client.part_at > FRAME_S
-            if slow or now - client.used_at > (IDLE_S if client.asked else FRAME_S) and client.part_at is None:
+            if (
+                slow
+                or now - client.used_at > (IDLE_S if client.asked else FRAME_S)
+                and client.part_at is None
+            ):
                 if client.idle() and not self.busy(client.number):
                     self.release(client)
                 elif slow:
@@ -132,7 +154,7 @@
     def pause(self, why):
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.listener)
-        if not self.paused:         # once, not at each look
+        if not self.paused:  # once, not at each look
             self.say("not accepting", why=why)
         self.paused = True
         loop.call_later(0.05, lambda: self.listener and loop.add_reader(self.listener, self.accept))
@@ -158,7 +180,7 @@
                 while client.coming.done() and len(data) < thrift.LONGEST:
                     data += client.coming.result()
                     client.coming = stream.read_bytes(PIECE, partial=True)
-                if client.number in self.clients and not client.broken:     # else nothing more is taken of it
+                if client.number in self.clients and not client.broken:  # else nothing more is taken of it
                     came = self.now()
                     calls = frames.feed(data)
                     client.calls.extend((frame, came) for frame in calls)
@@ -169,7 +191,7 @@
                         client.broken = f"unreadable: {frames.broken}"
                     self.hand_on(client)
                     self.keep_bound()
-                    while client.queued > thrift.LONGEST:       # reads nothing: no more is taken of it meanwhile
+                    while client.queued > thrift.LONGEST:  # reads nothing: no more is taken of it meanwhile
                         client.room.clear()
                         await client.room.wait()
                 # others' turn: what comes without a pause would else be read without one
@@ -179,7 +201,7 @@
         except Exception as fault:
             why = f"{type(fault).__name__}: {fault}"
         finally:
-            client.coming = None        # its fault holds this frame, which holds the client
+            client.coming = None  # its fault holds this frame, which holds the client
             if why:
                 self.say("client connection", why=why)
             self.drop(client)
@@ -191,7 +213,12 @@
     def hand_on(self, client):
         """Hands calls on, but of a client that reads no answers or is made to wait; those still held go with it."""
         try:
-            while client.calls and client.unread <= thrift.LONGEST and not client.waits and client.number in self.clients:
+            while (
+                client.calls
+                and client.unread <= thrift.LONGEST
+                and not client.waits
+                and client.number in self.clients
+            ):
                 frame, came = client.calls.popleft()
                 client.queued -= len(frame)
                 self.hold(client, client.held - len(frame))
@@ -230,7 +257,7 @@
                 self.write(client, thrift.answer(method, number, b"", {}, self.well()))
             client.asked, client.used_at = True, came
         except thrift.Unusable as fault:
-            if kind == thrift.ONEWAY:       # nothing can be answered
+            if kind == thrift.ONEWAY:  # nothing can be answered
                 raise thrift.Unreadable(str(fault)) from None
             self.refuse(client, thrift.exception(method, number, fault.code, str(fault)))
 
@@ -245,14 +272,31 @@
         longest = self.longest.get(get(b"service"))
         if longest is None:
             raise thrift.Unusable(thrift.PROTOCOL, "service: no such class")
-        lot, allow, room = int(get(b"lot", 0)), int(get(b"allow")) / 1000.0, float(get(b"room", 0.0))     # 0: not told
-        for name, good in (("lot", lot <= 255), ("allow", 0.0 < allow <= longest + 0.001),
-                           ("room", room or b"room" not in fields),
-                           ("body", len(body) <= LONGEST_BODY)):
+        lot, allow, room = (
+            int(get(b"lot", 0)),
+            int(get(b"allow")) / 1000.0,
+            float(get(b"room", 0.0)),
+        )  # 0: not told
+        for name, good in (
+            ("lot", lot <= 255),
+            ("allow", 0.0 < allow <= longest + 0.001),
+            ("room", room or b"room" not in fields),
+            ("body", len(body) <= LONGEST_BODY),
+        ):
             if not good:
                 raise thrift.Unusable(thrift.PROTOCOL, f"{name}: out of range")
-        return (get(b"ref"), get(b"service"), get(b"lookup"), get(b"piece"), int(get(b"piece")), lot, room, allow,
-                get(b"ver"), body)
+        return (
+            get(b"ref"),
+            get(b"service"),
+            get(b"lookup"),
+            get(b"piece"),
+            int(get(b"piece")),
+            lot,
+            room,
+            allow,
+            get(b"ver"),
+            body,
+        )
 
     # effects
 
@@ -299,7 +343,7 @@
             client = self.clients[client]
             client.used_at = self.now()
             self.write(client, wire)
-            if client.broken:       # once the answers of this round are all written
+            if client.broken:  # once the answers of this round are all written
                 asyncio.get_running_loop().call_soon(self.end_broken, client)
 
     def write(self, client, wire):
@@ -350,10 +394,10 @@
             return
         self.leave(client)
         try:
-            if client.unread:           # it reads nothing: its answers are given up
+            if client.unread:  # it reads nothing: its answers are given up
                 raise OSError
             client.stream.socket.shutdown(socket.SHUT_WR)
-        except (OSError, AttributeError):       # the system has closed it already
+        except (OSError, AttributeError):  # the system has closed it already
             return self.drop(client)
         self.leaving[client.number] = client
         asyncio.get_running_loop().call_later(LINGER_S, self.drop, client)
--- a/brookhinge/net/http.py
+++ b/brookhinge/net/http.py
@@ -1,4 +1,5 @@
 """The command channel's wire: HTTP/1.1 requests and answers. No I/O."""
+
 LONGEST_HEAD, LONGEST_BODY = 16 * 1024, 4 * 1024 * 1024
 
 
@@ -7,8 +8,10 @@
 
 
 def request(host, resume, block_ms):
-    return (f"GET /cmd/next?resume={resume}&block={block_ms} HTTP/1.1\r\nHost: {host}\r\n"
-            "Accept: application/json\r\n\r\n").encode()
+    return (
+        f"GET /cmd/next?resume={resume}&block={block_ms} HTTP/1.1\r\nHost: {host}\r\n"
+        "Accept: application/json\r\n\r\n"
+    ).encode()
 
 
 class Answer:
@@ -27,14 +30,14 @@
                     raise Unreadable("a head that is too long")
                 return None
             self.head(bytes(self.held[:end]))
-            del self.held[:end + 4]
+            del self.held[: end + 4]
         if self.chunked:
             return self.chunks()
         if len(self.held) > LONGEST_BODY:
             raise Unreadable("a body that is too long")
-        if self.left is None or len(self.held) < self.left:     # without a length it ends with its connection
+        if self.left is None or len(self.held) < self.left:  # without a length it ends with its connection
             return None
-        return self.status, bytes(self.held[:self.left]), self.kept
+        return self.status, bytes(self.held[: self.left]), self.kept
 
     def head(self, text):
         first, *lines = text.decode("latin-1").split("\r\n")
@@ -42,7 +45,7 @@
         if not version.startswith("HTTP/1.") or not rest[:3].isdigit():
             raise Unreadable(f"the status line {first[:80]!r}")
         status = int(rest[:3])
-        if 100 <= status < 200:     # something else follows
+        if 100 <= status < 200:  # something else follows
             return
         fields = {}
         for line in lines:
@@ -75,17 +78,17 @@
                 raise Unreadable(f"the chunk length {size[:40]!r}") from None
             if size < 0 or len(self.body) + size > LONGEST_BODY:
                 raise Unreadable(f"a chunk of {size} bytes")
-            if not size:            # trailers end with an empty line
-                if self.held[end:end + 4] == b"\r\n\r\n":
+            if not size:  # trailers end with an empty line
+                if self.held[end : end + 4] == b"\r\n\r\n":
                     return self.status, bytes(self.body), self.kept
                 done = self.held.find(b"\r\n\r\n", end) >= 0
                 return (self.status, bytes(self.body), False) if done else None
             if len(self.held) < end + 2 + size + 2:
                 return None
-            if self.held[end + 2 + size:end + 4 + size] != b"\r\n":
+            if self.held[end + 2 + size : end + 4 + size] != b"\r\n":
                 raise Unreadable("a chunk that does not end with its length")
-            self.body += self.held[end + 2:end + 2 + size]
-            del self.held[:end + 4 + size]
+            self.body += self.held[end + 2 : end + 2 + size]
+            del self.held[: end + 4 + size]
 
     def ended(self):
         """What the end of the connection makes of an answer without a length."""
--- a/brookhinge/net/program.py
+++ b/brookhinge/net/program.py
@@ -1,4 +1,5 @@
 """One router on sockets as a program, configured by the file that BALANCER_CONFIG names."""
+
 import asyncio
 import os
 import resource
@@ -23,6 +24,7 @@
     if not path:
         return None
     from brookhinge.operator import OperatorError, read_file
+
     try:
         told = read_file(path)
     except OperatorError as fault:
@@ -38,8 +40,10 @@
     try:
         return {"handed": int(handed) if handed else None, "scores_s": float(scores_s) if scores_s else 0.0}
     except ValueError:
-        raise StartError("BROOKHINGE_LISTENER, BROOKHINGE_SCORES_S: expected numbers, got "
-                         f"{handed!r:.20}, {scores_s!r:.20}") from None
+        raise StartError(
+            "BROOKHINGE_LISTENER, BROOKHINGE_SCORES_S: expected numbers, got "
+            f"{handed!r:.20}, {scores_s!r:.20}"
+        ) from None
 
 
 def bounded(site):
@@ -57,7 +61,7 @@
     for word in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(word, service.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, service)
-    if told_again:          # SIGHUP came after the file had been read
+    if told_again:  # SIGHUP came after the file had been read
         reread(service)
     await service.run()
 
@@ -75,7 +79,9 @@
         asyncio.run(serve(site, fleet, kept_, told_again))
     except OSError as fault:
         where = [site.listen] + ([fleet.listen] if fleet else [])
-        print(f"brookhinge: listen: expected an address that is free here, got {where} ({fault.strerror})",
-              file=sys.stderr)
+        print(
+            f"brookhinge: listen: expected an address that is free here, got {where} ({fault.strerror})",
+            file=sys.stderr,
+        )
         return 2
     return 0
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -1,4 +1,5 @@
 """The router on sockets as one object that others can embed: `await Service(...).run()`, `stop()` to end it."""
+
 import asyncio
 import errno
 import gc
@@ -14,13 +15,15 @@
 from brookhinge.net.channel import Channel
 from brookhinge.net.front import LINGER_S, Front
 
-LEAVE_S = 0.7       # after the word to end, new connections and queries are taken for so long
-LONGEST_S = 3.0     # and what is open then has its patience, but no more than this, less what the end itself takes:
-END_S = 0.25        # errors for what is still open, and their way out
-FIGURES_S = 10.0    # between two lines of figures
-SPARE = 24          # descriptors that neither clients nor cache servers take
-LATE_S = 0.05       # a push that waited longer for its connection is decided anew
-SWEEP_S = 0.05      # between two looks for idle and silent connections
+LEAVE_S = 0.7  # after the word to end, new connections and queries are taken for so long
+LONGEST_S = (
+    3.0  # and what is open then has its patience, but no more than this, less what the end itself takes:
+)
+END_S = 0.25  # errors for what is still open, and their way out
+FIGURES_S = 10.0  # between two lines of figures
+SPARE = 24  # descriptors that neither clients nor cache servers take
+LATE_S = 0.05  # a push that waited longer for its connection is decided anew
+SWEEP_S = 0.05  # between two looks for idle and silent connections
 
 
 class Service:
@@ -32,32 +35,44 @@
         self.handed, self.scores_s, scores = handed, scores_s, None
         if scores_s:
             from brookhinge.engine.scores import Scores
+
             scores = Scores(site.decisions["tracks"], site.decisions["supply"].flow_kb_s)
         self.site, self.log = site, log or Log(site.name)
         self.start = time.time()
         self.phases = Phases(self.log)
-        kinds, lineage = [], None       # what goes before Router where limits or verdicts are shared
+        kinds, lineage = [], None  # what goes before Router where limits or verdicts are shared
         returns = self.gate = self.talk = tight = None
         if fleet is not None:
             from brookhinge.membership.tight import Tight
+
             tight = Tight(self.start)
             if fleet.share_limits:
                 from brookhinge.limits.shared import Sharing
+
                 kinds.append(Sharing)
             if fleet.share_verdicts:
                 from brookhinge.verdicts.shared import Judging
+
                 kinds.append(Judging)
             if fleet.share_memory:
                 from brookhinge.membership.memory import Memory, Remembering
+
                 kinds.append(Remembering)
         if site.storm:
             from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
             from brookhinge.storm.plan import Returns
+
             lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
         router = type("Router", (*kinds, Router), {}) if kinds else Router
-        self.reducer = Reducer(router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
-                               [t.name.encode() for t in site.decisions["tracks"]], site.zones, lineage, tight, scores)
+        self.reducer = Reducer(
+            router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
+            [t.name.encode() for t in site.decisions["tracks"]],
+            site.zones,
+            lineage,
+            tight,
+            scores,
+        )
         self.rounds = Rounds(self.reducer, self.now, self.log)
         self.post = self.rounds.post
         bounds, lines = site.bounds, site.lines
@@ -65,11 +80,29 @@
         sockets = max(8, bounds.sockets - third - SPARE)
         if site.storm:
             self.gate = Gate(sockets)
-        self.front = Front(self.post, self.log, lambda: self.phases.well, self.busy, self.now,
-                           {t.name.encode(): t.patience_s for t in site.decisions["tracks"]},
-                           sockets, bounds.memory_mb * 1024 * 1024 // 4, self.gate)
-        self.caches = Caches(self.post, self.log, self.now, self.start, site.columns, lines.connect_s, lines.idle_s,
-                             lines.multiplex, third, LATE_S)
+        self.front = Front(
+            self.post,
+            self.log,
+            lambda: self.phases.well,
+            self.busy,
+            self.now,
+            {t.name.encode(): t.patience_s for t in site.decisions["tracks"]},
+            sockets,
+            bounds.memory_mb * 1024 * 1024 // 4,
+            self.gate,
+        )
+        self.caches = Caches(
+            self.post,
+            self.log,
+            self.now,
+            self.start,
+            site.columns,
+            lines.connect_s,
+            lines.idle_s,
+            lines.multiplex,
+            third,
+            LATE_S,
+        )
         cursor, commands = read_commands(site.known, self.start)
         self.channel = Channel(self.post, self.log, site.channel, cursor, self.start)
         self.rounds.join(self.front, "satisfy", "nack", "error", "reject", "shut")
@@ -77,22 +110,51 @@
         self.rounds.join(self, "say")
         if fleet is not None:
             from brookhinge.membership.talk import Talk
+
             place = site.decisions["place"]
             self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log)
             self.rounds.before.append(self.talk.before)
             if fleet.share_limits:
                 from brookhinge.limits.limits import Limits
-                self.talk.add(lambda talk, now: Limits(talk.fellow.view, fleet.name, fleet.zone, talk.fellow.version,
-                                                       lambda: talk.counted, self.reducer.demand, now))
+
+                self.talk.add(
+                    lambda talk, now: Limits(
+                        talk.fellow.view,
+                        fleet.name,
+                        fleet.zone,
+                        talk.fellow.version,
+                        lambda: talk.counted,
+                        self.reducer.demand,
+                        now,
+                    )
+                )
             if fleet.share_memory:
-                self.talk.add(lambda talk, now: Memory(talk.fellow.view, fleet.name, fleet.zone, talk.fellow.version,
-                                                       self.reducer.router.memory, now))
+                self.talk.add(
+                    lambda talk, now: Memory(
+                        talk.fellow.view,
+                        fleet.name,
+                        fleet.zone,
+                        talk.fellow.version,
+                        self.reducer.router.memory,
+                        now,
+                    )
+                )
             if fleet.share_verdicts:
                 from brookhinge.verdicts.verdicts import Verdicts
+
                 own = self.reducer.router.fleet
-                self.talk.add(lambda talk, now: Verdicts(talk.fellow.view, fleet.name, fleet.zone, talk.fellow.version,
-                                                         lambda: talk.counted[0], self.reducer.seen, lambda: len(own.own),
-                                                         now))
+                self.talk.add(
+                    lambda talk, now: Verdicts(
+                        talk.fellow.view,
+                        fleet.name,
+                        fleet.zone,
+                        talk.fellow.version,
+                        lambda: talk.counted[0],
+                        self.reducer.seen,
+                        lambda: len(own.own),
+                        now,
+                    )
+                )
             self.rounds.join(self.talk, "spread")
         for event in commands:
             self.post(*event)
@@ -104,7 +166,8 @@
     def busy(self, client):
         """Whether it has queries open, those included that the next round takes."""
         return client in self.reducer.clients or any(
-            method == "query" and values[0] == client for method, values in self.rounds.events)
+            method == "query" and values[0] == client for method, values in self.rounds.events
+        )
 
     def say(self, event, values):
         self.log(event, **values)
@@ -116,15 +179,18 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self.faulted)
         self.ended = asyncio.Event()
-        self.rounds.open()          # what is known at the start comes before the first query
+        self.rounds.open()  # what is known at the start comes before the first query
         address = self.front.listen(*self.site.listen, self.handed)
         if self.talk is not None and self.handed is None:
             await self.talk.start()
         self.phases.step("ready")
         gc.collect()
         gc.freeze()
-        parts = [self.channel.run, self.figures, self.sweep] + [self.scored] * bool(self.scores_s) \
+        parts = (
+            [self.channel.run, self.figures, self.sweep]
+            + [self.scored] * bool(self.scores_s)
             + [self.join_late] * (self.talk is not None and self.handed is not None)
+        )
         tasks = [loop.create_task(part()) for part in parts]
         self.log("listening", address="%s:%d" % address)
         if self.stopped:
@@ -135,7 +201,7 @@
         self.channel.close()
         await self.front.end(self.last_at())
         self.caches.end_all()
-        if self.talk is not None:       # its share of what is limited was in use until here
+        if self.talk is not None:  # its share of what is limited was in use until here
             await self.talk.leave()
         self.phases.step("ended")
 
@@ -147,7 +213,7 @@
     def stop(self):
         """The word to end (SIGTERM): queries are taken for a while yet, then what is open is finished. The process
         may be killed when the longest patience and LEAVE_S are over: what is open then gets its error before."""
-        self.stopped = True         # also before it is ready: run() comes back to it
+        self.stopped = True  # also before it is ready: run() comes back to it
         if self.phases.now == "ready":
             self.phases.step("leaving")
             longest = min(LONGEST_S, max(t.patience_s for t in self.site.decisions["tracks"]))
@@ -161,7 +227,7 @@
 
     def look_for_end(self):
         open_ = self.rounds.events or self.reducer.queries
-        if not open_ or self.now() >= self.until:       # what is read from here on is refused at once
+        if not open_ or self.now() >= self.until:  # what is read from here on is refused at once
             self.post("closing", ())
         if (open_ or self.front.unread) and self.now() < self.until + END_S / 2:
             asyncio.get_running_loop().call_later(0.005, self.look_for_end)
@@ -211,7 +277,13 @@
             due = self.now() + FIGURES_S
             await asyncio.sleep(FIGURES_S)
             counts = dict(self.reducer.counts)
-            self.log("figures", **{name: counts[name] - said[name] for name in counts},
-                     open=len(self.reducer.queries), clients=len(self.front.clients), caches=len(self.caches.all),
-                     unread=self.front.unread, late_s=round(self.now() - due, 4))
+            self.log(
+                "figures",
+                **{name: counts[name] - said[name] for name in counts},
+                open=len(self.reducer.queries),
+                clients=len(self.front.clients),
+                caches=len(self.caches.all),
+                unread=self.front.unread,
+                late_s=round(self.now() - due, 4),
+            )
             said = counts
--- a/brookhinge/net/thrift.py
+++ b/brookhinge/net/thrift.py
@@ -1,10 +1,24 @@
 """Clients' wire: Thrift, framed transport, strict binary protocol. Parses and encodes bytes, no I/O."""
+
 import struct
 
-LONGEST = 256 * 1024            # of a client's frame
+LONGEST = 256 * 1024  # of a client's frame
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
 UNKNOWN_METHOD, WRONG_KIND, INTERNAL, PROTOCOL = 1, 2, 6, 7
-STOP, BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 0, 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
+STOP, BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = (
+    0,
+    2,
+    3,
+    4,
+    6,
+    8,
+    10,
+    11,
+    12,
+    13,
+    14,
+    15,
+)
 FIXED = {BOOL: 1, BYTE: 1, DOUBLE: 8, I16: 2, I32: 4, I64: 8}
 DEEPEST = 8
 INT, HEAD = struct.Struct(">i"), struct.Struct(">Bh")
@@ -34,13 +48,13 @@
         self.held += data
         held, at, frames = self.held, 0, []
         while len(held) - at >= 4:
-            size, = INT.unpack_from(held, at)
+            (size,) = INT.unpack_from(held, at)
             if not 0 < size <= LONGEST:
                 self.broken, self.held = f"a frame of {size} bytes", bytearray()
                 return frames
             if len(held) - at - 4 < size:
                 break
-            frames.append(bytes(held[at + 4:at + 4 + size]))
+            frames.append(bytes(held[at + 4 : at + 4 + size]))
             at += 4 + size
         del held[:at]
         return frames
@@ -56,7 +70,7 @@
         start, self.at = self.at, self.at + count
         if count < 0 or self.at > len(self.frame):
             raise Unreadable("a frame that is cut off")
-        return self.frame[start:self.at]
+        return self.frame[start : self.at]
 
     def int(self):
         return INT.unpack(self.take(4))[0]
@@ -84,7 +98,7 @@
 
     def count(self):
         count = self.int()
-        if not 0 <= count <= len(self.frame):       # an entry has a byte at least
+        if not 0 <= count <= len(self.frame):  # an entry has a byte at least
             raise Unreadable(f"a count of {count}")
         return count
 
@@ -106,10 +120,10 @@
 
 def read_head(reader):
     """(method, kind, sequence number) of a message."""
-    version = reader.int() & 0xffffffff
+    version = reader.int() & 0xFFFFFFFF
     if version >> 16 != 0x8001:
         raise Unreadable("a message that is not strict binary")
-    return reader.text(), version & 0xff, reader.int()
+    return reader.text(), version & 0xFF, reader.int()
 
 
 def read_args(reader, wanted):
@@ -136,26 +150,54 @@
 
 
 def words(fields):
-    return b"".join([bytes((STRING, STRING)), INT.pack(len(fields))]
-                    + [text(part) for pair in fields.items() for part in pair])
+    return b"".join(
+        [bytes((STRING, STRING)), INT.pack(len(fields))]
+        + [text(part) for pair in fields.items() for part in pair]
+    )
 
 
 def message(method, kind, number, *body):
-    head = INT.pack(-0x7fff0000 | kind) + text(method) + INT.pack(number)
+    head = INT.pack(-0x7FFF0000 | kind) + text(method) + INT.pack(number)
     return b"".join((INT.pack(len(head) + sum(map(len, body))), head) + body)
 
 
 def answer(method, number, body, fields, good):
-    return message(method, REPLY, number, HEAD.pack(STRUCT, 0), HEAD.pack(STRING, 1), INT.pack(len(body)), body,
-                   HEAD.pack(MAP, 2), words(fields), HEAD.pack(BOOL, 3), bytes((good, STOP, STOP)))
+    return message(
+        method,
+        REPLY,
+        number,
+        HEAD.pack(STRUCT, 0),
+        HEAD.pack(STRING, 1),
+        INT.pack(len(body)),
+        body,
+        HEAD.pack(MAP, 2),
+        words(fields),
+        HEAD.pack(BOOL, 3),
+        bytes((good, STOP, STOP)),
+    )
 
 
 def thrown(number, place, fields):
     """One of the declared exceptions of `serve`: 1 refused, 2 failed."""
-    return message(b"serve", REPLY, number, HEAD.pack(STRUCT, place), HEAD.pack(MAP, 1), words(fields),
-                   bytes((STOP, STOP)))
+    return message(
+        b"serve",
+        REPLY,
+        number,
+        HEAD.pack(STRUCT, place),
+        HEAD.pack(MAP, 1),
+        words(fields),
+        bytes((STOP, STOP)),
+    )
 
 
 def exception(method, number, code, why):
-    return message(method, EXCEPTION, number, HEAD.pack(STRING, 1), text(why.encode()), HEAD.pack(I32, 2),
-                   INT.pack(code), bytes((STOP,)))
+    return message(
+        method,
+        EXCEPTION,
+        number,
+        HEAD.pack(STRING, 1),
+        text(why.encode()),
+        HEAD.pack(I32, 2),
+        INT.pack(code),
+        bytes((STOP,)),
+    )
--- a/brookhinge/operator/__init__.py
+++ b/brookhinge/operator/__init__.py
@@ -6,6 +6,7 @@
 
 `OperatorError` names block, key, line and what was expected. A block that is not there is not on, and nothing of its
 subsystem is imported. Sizes are MB, times seconds, addresses (host, port)."""
+
 from brookhinge.operator.hcl import OperatorError
 from brookhinge.operator.schema import Told, read_file, read_text
 
--- a/brookhinge/operator/hcl.py
+++ b/brookhinge/operator/hcl.py
@@ -1,4 +1,5 @@
 """HCL text as blocks that know their lines. Reads with python-hcl2, decides nothing of what the blocks mean."""
+
 import hcl2
 from lark.exceptions import UnexpectedCharacters, UnexpectedInput
 
@@ -27,8 +28,10 @@
         values = hcl2.loads(text, serialization_options=READ)
     except UnexpectedInput as fault:
         seen = fault.char if isinstance(fault, UnexpectedCharacters) else getattr(fault, "token", "")
-        raise OperatorError(f"line {fault.line}: expected HCL, cannot read {str(seen).strip()!r:.40}") from None
-    except Exception as fault:      # a parser's own failure must not pass for a fault of ours
+        raise OperatorError(
+            f"line {fault.line}: expected HCL, cannot read {str(seen).strip()!r:.40}"
+        ) from None
+    except Exception as fault:  # a parser's own failure must not pass for a fault of ours
         raise OperatorError(f"expected HCL ({type(fault).__name__}: {fault!s:.80})") from None
     return body(tree.children[0], values, Block("", [], 1))
 
@@ -40,7 +43,9 @@
         if getattr(child, "data", None) == "attribute":
             key = str(child.children[0].children[0])
             if key in block.lines:
-                raise OperatorError(f"line {child.meta.line}: {key} stands twice, first in line {block.lines[key]}")
+                raise OperatorError(
+                    f"line {child.meta.line}: {key} stands twice, first in line {block.lines[key]}"
+                )
             block.values[key], block.lines[key] = values[key], child.meta.line
         elif getattr(child, "data", None) == "block":
             kind, labels, inner = head(child)
@@ -61,8 +66,13 @@
         if data == "identifier":
             words.append(str(child.children[0]))
         elif data == "string":
-            words.append("".join(str(part.children[0]) for part in child.children
-                                 if getattr(part, "data", None) == "string_part"))
+            words.append(
+                "".join(
+                    str(part.children[0])
+                    for part in child.children
+                    if getattr(part, "data", None) == "string_part"
+                )
+            )
         elif data == "body":
             inner = child
     return words[0], words[1:], inner
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -1,61 +1,70 @@
 """The one schema of the operator's file: which blocks there are, their keys, what each may be and its default."""
+
 from typing import NamedTuple
 
 from brookhinge.operator.hcl import OperatorError, parse
 
-MUST = object()     # no default
+MUST = object()  # no default
 
 
 class Tier(NamedTuple):
     """A two-tier store: see brookhinge/store."""
-    dir: str            # "" : memory alone
+
+    dir: str  # "" : memory alone
     memory_mb: float
     disk_mb: float
     segment_mb: float
-    sync_s: float       # between two syncs of what was appended
-    snapshot_s: float   # between two pictures of the index
-    stall_s: float      # a read that takes longer is a miss, and the disk suspect
+    sync_s: float  # between two syncs of what was appended
+    snapshot_s: float  # between two pictures of the index
+    stall_s: float  # a read that takes longer is a miss, and the disk suspect
 
 
 class Stand(NamedTuple):
     """A cache box: see brookhinge/box."""
+
     name: str
     listen: tuple
     channel: tuple
-    fills: int          # at once
-    fill_s: float       # a fill is given up if nothing has come after so long
-    idle_s: float       # an idle connection is closed after so long
+    fills: int  # at once
+    fill_s: float  # a fill is given up if nothing has come after so long
+    idle_s: float  # an idle connection is closed after so long
     connect_s: float
-    drain_s: float      # what is open at the word to end has so long
-    parent_kind: str    # `class` of parents and of the origin in the list
+    drain_s: float  # what is open at the word to end has so long
+    parent_kind: str  # `class` of parents and of the origin in the list
     origin_kind: str
-    reports: tuple      # fields of the load report in answers
-    tracks: dict        # name -> (seconds a copy is fresh, how much older it may be); of others it is good until purged
+    reports: tuple  # fields of the load report in answers
+    tracks: (
+        dict  # name -> (seconds a copy is fresh, how much older it may be); of others it is good until purged
+    )
     store: Tier
 
 
 class Fleet(NamedTuple):
     """One router among its fellows: see brookhinge/membership."""
+
     name: str
-    listen: tuple       # UDP
-    advertise: tuple    # where fellows reach it, if that is elsewhere; else None
-    join: tuple         # addresses of fellows, any of which will do
-    site: str           # fellows of another site are not listened to
-    key: bytes          # of the checksums of all datagrams; the same for the whole fleet
-    zone: str           # where it stands
-    lease_s: float      # how long a router that was lost still counts
-    metrics: tuple      # HOST:PORT on which its figures are served, or None
+    listen: tuple  # UDP
+    advertise: tuple  # where fellows reach it, if that is elsewhere; else None
+    join: tuple  # addresses of fellows, any of which will do
+    site: str  # fellows of another site are not listened to
+    key: bytes  # of the checksums of all datagrams; the same for the whole fleet
+    zone: str  # where it stands
+    lease_s: float  # how long a router that was lost still counts
+    metrics: tuple  # HOST:PORT on which its figures are served, or None
     share_limits: bool  # parts of limits move to where the queries are: see brookhinge/limits
-    share_memory: bool      # who starts is told by a fellow what that one knows: see brookhinge/membership/memory.py
-    share_verdicts: bool    # what all saw of a server counts: see brookhinge/verdicts
+    share_memory: (
+        bool  # who starts is told by a fellow what that one knows: see brookhinge/membership/memory.py
+    )
+    share_verdicts: bool  # what all saw of a server counts: see brookhinge/verdicts
 
 
 class Told(NamedTuple):
     """What a file turns on."""
-    box: dict           # name -> Stand
-    fleet: dict         # name -> Fleet
-    log: str            # least level that is logged
-    metrics: tuple      # HOST:PORT on which figures are served, or None
+
+    box: dict  # name -> Stand
+    fleet: dict  # name -> Fleet
+    log: str  # least level that is logged
+    metrics: tuple  # HOST:PORT on which figures are served, or None
 
 
 def number(least, most):
@@ -63,6 +72,7 @@
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value <= most:
             raise ValueError(f"a number from {least:g} to {most:g}")
         return value
+
     return check
 
 
@@ -71,6 +81,7 @@
         if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
             raise ValueError(f"a whole number from {least} to {most}")
         return value
+
     return check
 
 
@@ -97,6 +108,7 @@
         if value not in words:
             raise ValueError("one of " + ", ".join(words))
         return value
+
     return check
 
 
@@ -105,6 +117,7 @@
         if not isinstance(value, list) or not all(one in words for one in value):
             raise ValueError("a list of " + ", ".join(words))
         return tuple(value)
+
     return check
 
 
@@ -125,31 +138,52 @@
 
 
 def key(value):
-    if not isinstance(value, str) or not 32 <= len(value) <= 128 or len(value) % 2 or set(value) - set("0123456789abcdef"):
+    if (
+        not isinstance(value, str)
+        or not 32 <= len(value) <= 128
+        or len(value) % 2
+        or set(value) - set("0123456789abcdef")
+    ):
         raise ValueError("32 to 128 hex digits")
     return bytes.fromhex(value)
 
 
 STORE = {
-    "dir": (path, ""), "memory_mb": (number(1, 1 << 20), 64), "disk_mb": (number(1, 1 << 24), 1024),
-    "segment_mb": (number(0.25, 1024), 16), "sync_s": (number(0, 3600), 0.5),
-    "snapshot_s": (number(0.1, 86400), 30.0), "stall_s": (number(0.001, 60), 0.25),
+    "dir": (path, ""),
+    "memory_mb": (number(1, 1 << 20), 64),
+    "disk_mb": (number(1, 1 << 24), 1024),
+    "segment_mb": (number(0.25, 1024), 16),
+    "sync_s": (number(0, 3600), 0.5),
+    "snapshot_s": (number(0.1, 86400), 30.0),
+    "stall_s": (number(0.001, 60), 0.25),
 }
 BOX = {
-    "listen": (address, MUST), "channel": (address, MUST), "fills": (whole(1, 10000), 32),
-    "fill_s": (number(0.01, 600), 2.0), "idle_s": (number(0.1, 86400), 30.0), "connect_s": (number(0.01, 60), 0.4),
+    "listen": (address, MUST),
+    "channel": (address, MUST),
+    "fills": (whole(1, 10000), 32),
+    "fill_s": (number(0.01, 600), 2.0),
+    "idle_s": (number(0.1, 86400), 30.0),
+    "connect_s": (number(0.01, 60), 0.4),
     "drain_s": (number(0, 3600), 5.0),
-    "parent_kind": (text, "parent"), "origin_kind": (text, "origin"),
+    "parent_kind": (text, "parent"),
+    "origin_kind": (text, "origin"),
     "reports": (texts("util", "inflight", "queue", "x0", "x1"), ()),
 }
 TRACK = {"fresh_s": (number(0, 1e9), 0.0), "stale_s": (number(0, 1e9), 0.0)}
 FLEET = {
-    "listen": (address, MUST), "advertise": (address, None), "join": (addresses, MUST), "site": (text, MUST),
-    "key": (key, MUST), "zone": (path, ""), "lease_s": (number(0, 3600), 10.0),
-    "metrics": (address, None), "share_limits": (flag, False),
-    "share_verdicts": (flag, False), "share_memory": (flag, False),
+    "listen": (address, MUST),
+    "advertise": (address, None),
+    "join": (addresses, MUST),
+    "site": (text, MUST),
+    "key": (key, MUST),
+    "zone": (path, ""),
+    "lease_s": (number(0, 3600), 10.0),
+    "metrics": (address, None),
+    "share_limits": (flag, False),
+    "share_verdicts": (flag, False),
+    "share_memory": (flag, False),
 }
-BLOCKS = {      # kind: (labels, keys, blocks within)
+BLOCKS = {  # kind: (labels, keys, blocks within)
     "box": (1, BOX, {"store": (0, STORE, {}), "track": (1, TRACK, {})}),
     "fleet": (1, FLEET, {}),
     "log": (0, {"level": (one_of("debug", "info", "warning", "error"), "info")}, {}),
@@ -161,8 +195,9 @@
     """The checked values of a block, defaults filled in."""
     for key, line in block.lines.items():
         if key not in keys:
-            raise OperatorError(f"line {line}: {block.title()}: {key}: no such key, expected one of "
-                                f"{', '.join(sorted(keys))}")
+            raise OperatorError(
+                f"line {line}: {block.title()}: {key}: no such key, expected one of {', '.join(sorted(keys))}"
+            )
     values = {}
     for key, (check, default) in keys.items():
         if key not in block.values:
@@ -173,8 +208,10 @@
         try:
             values[key] = check(block.values[key])
         except ValueError as fault:
-            raise OperatorError(f"line {block.lines[key]}: {block.title()}: {key}: expected {fault}, got "
-                                f"{block.values[key]!r:.60}") from None
+            raise OperatorError(
+                f"line {block.lines[key]}: {block.title()}: {key}: expected {fault}, got "
+                f"{block.values[key]!r:.60}"
+            ) from None
     return values
 
 
@@ -183,12 +220,16 @@
     seen = set()
     for inner in block.blocks:
         if inner.kind not in known:
-            raise OperatorError(f"line {inner.line}: {inner.kind}: no such block, expected one of "
-                                f"{', '.join(sorted(known)) or 'none'}")
+            raise OperatorError(
+                f"line {inner.line}: {inner.kind}: no such block, expected one of "
+                f"{', '.join(sorted(known)) or 'none'}"
+            )
         labels, _, within = known[inner.kind]
         if len(inner.labels) != labels:
-            raise OperatorError(f"line {inner.line}: {inner.kind}: expected {labels} label"
-                                f"{'' if labels == 1 else 's'}, got {len(inner.labels)}")
+            raise OperatorError(
+                f"line {inner.line}: {inner.kind}: expected {labels} label"
+                f"{'' if labels == 1 else 's'}, got {len(inner.labels)}"
+            )
         if inner.title() in seen:
             raise OperatorError(f"line {inner.line}: {inner.title()} stands twice")
         seen.add(inner.title())
@@ -199,7 +240,9 @@
     """A router's name, short enough for a datagram and not that of an onlooker."""
     name = block.labels[0]
     if not 0 < len(name) <= 64 or name.startswith("?") or not name.isprintable():
-        raise OperatorError(f"line {block.line}: {block.title()}: expected a name of 1 to 64 letters, got {name!r:.80}")
+        raise OperatorError(
+            f"line {block.line}: {block.title()}: expected a name of 1 to 64 letters, got {name!r:.80}"
+        )
     return name
 
 
@@ -216,9 +259,13 @@
             tracks = {b.labels[0]: tuple(take(b, TRACK).values()) for b in block.blocks if b.kind == "track"}
             store = take(inner, STORE) if inner else {key: default for key, (_, default) in STORE.items()}
             if store["dir"] and store["disk_mb"] < 8 * store["segment_mb"]:
-                raise OperatorError(f"line {inner.line}: {block.title()}: store: disk_mb: expected 8 times segment_mb "
-                                    f"({store['segment_mb']:g}) at least, got {store['disk_mb']:g}")
-            boxes[block.labels[0]] = Stand(name=text(block.labels[0]), store=Tier(**store), tracks=tracks, **values)
+                raise OperatorError(
+                    f"line {inner.line}: {block.title()}: store: disk_mb: expected 8 times segment_mb "
+                    f"({store['segment_mb']:g}) at least, got {store['disk_mb']:g}"
+                )
+            boxes[block.labels[0]] = Stand(
+                name=text(block.labels[0]), store=Tier(**store), tracks=tracks, **values
+            )
         elif block.kind == "fleet":
             fleet[block.labels[0]] = Fleet(name=short(block), **values)
         elif block.kind == "log":
@@ -228,8 +275,9 @@
     dirs = {}
     for name, stand in boxes.items():
         if stand.store.dir and dirs.setdefault(stand.store.dir, name) != name:
-            raise OperatorError(f'box "{name}": store: dir: {stand.store.dir!r} is that of box '
-                                f'"{dirs[stand.store.dir]}" too')
+            raise OperatorError(
+                f'box "{name}": store: dir: {stand.store.dir!r} is that of box "{dirs[stand.store.dir]}" too'
+            )
     return Told(boxes, fleet, level, metrics)
 
 
--- a/brookhinge/rollout/coordinator.py
+++ b/brookhinge/rollout/coordinator.py
@@ -12,17 +12,19 @@
 goes on from where it stood: commands are what should be, and may be said again at any time. A higher epoch ends this one.
 Phases of a stage: before (the difference of the groups as they are), change (one router after another), warm, judge. Ends: done
 (all run the new one), back (all run the old one), left (stopped where it stands), superseded."""
+
 import random
 
 from brookhinge.rollout.judge import BETTER, NO_WORSE, WORSE, Judge
 
 RUNNING, PAUSED = "running", "paused"
-SILENT_S = 6.0          # a router that was not heard of for so long is not judged, nor is anything changed meanwhile
-RATE = 1.0              # commands are said again so often while what is does not agree with what should be
+SILENT_S = 6.0  # a router that was not heard of for so long is not judged, nor is anything changed meanwhile
+RATE = 1.0  # commands are said again so often while what is does not agree with what should be
 
 
 class Router:
     """What was last heard of one router."""
+
     __slots__ = ("version", "state", "process", "crashes", "totals", "heard_at", "window", "able")
 
     def __init__(self):
@@ -57,8 +59,21 @@
         self.plan, self.epoch, self.stages = plan, epoch, stages_of(plan)
         self.routers = {name: Router() for name, _ in plan.routers}
         self.places = dict(plan.routers)
-        self.stage, self.phase, self.changed, self.sure, self.mode, self.end = 0, "before", [], [], RUNNING, None
-        self.going_back, self.since, self.window_at, self.said_at, self.verdict = False, now, now + plan.window_s, {}, None
+        self.stage, self.phase, self.changed, self.sure, self.mode, self.end = (
+            0,
+            "before",
+            [],
+            [],
+            RUNNING,
+            None,
+        )
+        self.going_back, self.since, self.window_at, self.said_at, self.verdict = (
+            False,
+            now,
+            now + plan.window_s,
+            {},
+            None,
+        )
         self.serial = 0
         self.judge, self.readied_at = None, now
         for record in records:
@@ -140,7 +155,7 @@
 
     def refused(self, now, writer, name, epoch):
         if self.end != "superseded":
-            self.end = "superseded"     # not recorded: the journal is the other's now
+            self.end = "superseded"  # not recorded: the journal is the other's now
             writer.say("superseded", by=epoch, at=name)
 
     def asked(self, now, writer, word):
@@ -162,9 +177,14 @@
             router.window = router.process, router.totals
             if before is None or before[0] != router.process or router.process is None:
                 continue
-            grew = {key: (told[0] - before[1][key][0], told[1] - before[1][key][1])
-                    for key, told in router.totals.items() if key in before[1]}
-            rows.append((self.places[name], name in group, {key: told for key, told in grew.items() if told[0] > 0}))
+            grew = {
+                key: (told[0] - before[1][key][0], told[1] - before[1][key][1])
+                for key, told in router.totals.items()
+                if key in before[1]
+            }
+            rows.append(
+                (self.places[name], name in group, {key: told for key, told in grew.items() if told[0] > 0})
+            )
         if self.phase in ("before", "judge"):
             self.judge.window(self.phase == "before", rows)
 
@@ -180,7 +200,7 @@
         if self.phase == "before":
             unable = [name for name in group if not self.routers[name].able]
             if unable and not self.silent(now):
-                self.note(writer, what="mode", mode=PAUSED)     # the old one may have to come back
+                self.note(writer, what="mode", mode=PAUSED)  # the old one may have to come back
                 return writer.say("paused", why=f"{unable[0]} lacks the old or the new program on its disk")
             if now - self.since >= plan.before_s and not self.silent(now) and self.settled():
                 self.change(now, group[0], writer)
@@ -192,7 +212,9 @@
                     self.change(now, left[0], writer)
                 elif not left:
                     self.phase, self.since = "warm", now
-            elif now - last.heard_at > plan.ready_s / 2.0:      # nobody says what it does: its keeper is out of reach
+            elif (
+                now - last.heard_at > plan.ready_s / 2.0
+            ):  # nobody says what it does: its keeper is out of reach
                 self.readied_at = now
             elif now - self.readied_at > plan.ready_s:
                 self.back(writer, f"{self.changed[-1]} was not ready within {plan.ready_s:g} s")
@@ -203,8 +225,10 @@
 
     def settled(self):
         """Whether all is as it should be: nothing is changed on top of what is still changing."""
-        return all(router.version == self.should(name) and router.state == "ready"
-                   for name, router in self.routers.items())
+        return all(
+            router.version == self.should(name) and router.state == "ready"
+            for name, router in self.routers.items()
+        )
 
     def change(self, now, name, writer):
         self.note(writer, what="change", router=name)
@@ -217,7 +241,9 @@
             return
         self.verdict = verdict = self.judge.verdict()
         if verdict.word == WORSE:
-            return self.back(writer, f"{verdict.figure} {verdict.value:+.4g} ({verdict.low:+.4g} to {verdict.high:+.4g})")
+            return self.back(
+                writer, f"{verdict.figure} {verdict.value:+.4g} ({verdict.low:+.4g} to {verdict.high:+.4g})"
+            )
         if self.phase != "judge" or now - self.since < self.plan.least_s or self.silent(now):
             return
         if verdict.word in (BETTER, NO_WORSE):
@@ -233,8 +259,16 @@
                 self.since = now
 
     def passed(self, now, verdict, writer):
-        writer.say("passed", stage=self.stage + 1, of=len(self.stages), verdict=verdict.word, figure=verdict.figure,
-                   value=round(verdict.value, 5), low=round(verdict.low, 5), high=round(verdict.high, 5))
+        writer.say(
+            "passed",
+            stage=self.stage + 1,
+            of=len(self.stages),
+            verdict=verdict.word,
+            figure=verdict.figure,
+            value=round(verdict.value, 5),
+            low=round(verdict.low, 5),
+            high=round(verdict.high, 5),
+        )
         self.note(writer, what="passed", stage=self.stage, verdict=verdict.word)
         self.begin(now)
 
@@ -245,8 +279,10 @@
     def return_one(self, now, writer):
         """The old one again, router by router, the latest changed first; nothing is judged any more."""
         if now - self.since < 0.0 or not all(
-                router.version == self.should(name) and router.state == "ready" for name, router in self.routers.items()
-                if now - router.heard_at <= SILENT_S and name not in self.changed + self.sure):
+            router.version == self.should(name) and router.state == "ready"
+            for name, router in self.routers.items()
+            if now - router.heard_at <= SILENT_S and name not in self.changed + self.sure
+        ):
             return
         left = self.changed or self.sure
         if left:
@@ -267,5 +303,13 @@
 
     def status(self):
         """(phase, stage, of how many, routers on the new one, verdict) for people."""
-        phase = self.end or ("going back" if self.going_back else self.phase if self.mode == RUNNING else PAUSED)
-        return phase, min(self.stage + 1, len(self.stages)), len(self.stages), len(self.sure) + len(self.changed), self.verdict
+        phase = self.end or (
+            "going back" if self.going_back else self.phase if self.mode == RUNNING else PAUSED
+        )
+        return (
+            phase,
+            min(self.stage + 1, len(self.stages)),
+            len(self.stages),
+            len(self.sure) + len(self.changed),
+            self.verdict,
+        )
--- a/brookhinge/rollout/journal.py
+++ b/brookhinge/rollout/journal.py
@@ -5,6 +5,7 @@
 
 The first record names the form and the plan. A start reads what is whole; what follows a torn or wrong line was never acted on,
 for a record is synced before what it says is done, and is cut off. A wrong line with whole ones behind it is damage: refused."""
+
 import os
 
 import msgspec
@@ -78,6 +79,7 @@
 
     def lock(self):
         import fcntl
+
         try:
             fcntl.flock(self.file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
@@ -87,7 +89,9 @@
         """All of them with one sync. A disk that fails leaves the journal as it was: nothing of it is acted on."""
         kept = self.file.seek(0, os.SEEK_END)
         try:
-            self.file.write(b"".join(line_of(len(self.records) + k, record) for k, record in enumerate(records)))
+            self.file.write(
+                b"".join(line_of(len(self.records) + k, record) for k, record in enumerate(records))
+            )
             self.file.flush()
             self.sync(self.file.fileno())
         except OSError:
--- a/brookhinge/rollout/judge.py
+++ b/brookhinge/rollout/judge.py
@@ -5,19 +5,20 @@
 taken off by the same difference before the change. Of the differences an asymptotic confidence sequence is kept (normal
 mixture: Robbins 1970; Waudby-Smith, Arbour, Sinha, Kennedy, Ramdas 2021), so looking at each window does not raise the
 chance of a false alarm, which is alpha over a whole rollout."""
+
 import math
 from typing import NamedTuple
 
 BETTER, NO_WORSE, WORSE, UNTOLD = "better", "no worse", "worse", "can't tell yet"
-TUNED_FOR = 40.0        # windows at which the sequence is tightest
-LEAST = 8               # windows before anything but a crash is said
-CLIP = 6.0              # a window further than so many usual deviations from the rest counts as that far
+TUNED_FOR = 40.0  # windows at which the sequence is tightest
+LEAST = 8  # windows before anything but a crash is said
+CLIP = 6.0  # a window further than so many usual deviations from the rest counts as that far
 
 
 class Verdict(NamedTuple):
     word: str
-    figure: str         # the figure that decided, or the widest open one
-    value: float        # new less old, corrected
+    figure: str  # the figure that decided, or the widest open one
+    value: float  # new less old, corrected
     low: float
     high: float
     windows: int
@@ -41,7 +42,11 @@
         ordered = sorted(self.values)
         middle = ordered[n // 2]
         usual = sorted(abs(v - middle) for v in ordered)[n // 2] * 1.4826
-        kept = [max(middle - CLIP * usual, min(middle + CLIP * usual, v)) for v in self.values] if usual else self.values
+        kept = (
+            [max(middle - CLIP * usual, min(middle + CLIP * usual, v)) for v in self.values]
+            if usual
+            else self.values
+        )
         mean = sum(kept) / n
         # neighbouring windows are alike (a queue lasts): their covariance counts too
         variance = sum((v - mean) ** 2 for v in kept) / (n - 1)
@@ -50,7 +55,9 @@
         if ended:
             return mean, deviation * math.sqrt(2.0 * math.log(2.0 / self.alpha) / n)
         t = n * self.rho2
-        return mean, deviation * math.sqrt(2.0 * (t + 1.0) / (n * t) * math.log(math.sqrt(t + 1.0) / self.alpha))
+        return mean, deviation * math.sqrt(
+            2.0 * (t + 1.0) / (n * t) * math.log(math.sqrt(t + 1.0) / self.alpha)
+        )
 
 
 class Figure:
@@ -67,7 +74,7 @@
         value, half = self.good * (mean - usual), math.hypot(wide, unsure)
         low, high, n = value - half, value + half, len(self.after.values)
         if high < 0.0 and value < -0.25 * self.most_worse:
-            word = WORSE            # surely worse, and by more than a trifle
+            word = WORSE  # surely worse, and by more than a trifle
         elif low > 0.0:
             word = BETTER
         elif low > -self.most_worse:
@@ -87,7 +94,7 @@
     weight = value = 0.0
     for n_new, s_new, n_old, s_old in places.values():
         if n_new and n_old:
-            part = 1.0 / (1.0 / n_new + 1.0 / n_old)        # as surely as both are known
+            part = 1.0 / (1.0 / n_new + 1.0 / n_old)  # as surely as both are known
             weight, value = weight + part, value + part * (s_new / n_new - s_old / n_old)
     return value / weight if weight else None
 
--- a/brookhinge/rollout/keeper.py
+++ b/brookhinge/rollout/keeper.py
@@ -4,6 +4,7 @@
 from another. Processes write their logs to files in the keeper's folder and outlive it: a keeper that was killed and comes
 back finds them by number and start, reads their logs on, and opens a socket of its own beside theirs when one is to be
 replaced. It ends only what it started."""
+
 import asyncio
 import contextlib
 import json
@@ -22,9 +23,12 @@
 from brookhinge.rollout.place import Place
 
 REPORT_S, SCORES_S, LOOK_S = 0.5, 0.5, 0.1
-READ_AGAIN = {"channel", "known"}   # keys of a router's settings that SIGHUP changes in place; all else needs a restart
-DRAIN_S = 8.0           # after SIGTERM; then SIGKILL
-KEPT_LOGS = 6           # files of one router
+READ_AGAIN = {
+    "channel",
+    "known",
+}  # keys of a router's settings that SIGHUP changes in place; all else needs a restart
+DRAIN_S = 8.0  # after SIGTERM; then SIGKILL
+KEPT_LOGS = 6  # files of one router
 PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1e6
 TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
 
@@ -44,7 +48,14 @@
     """One process of a router: where its log has been read to, and totals of what it did."""
 
     def __init__(self, name, number, version, pid, born, log):
-        self.name, self.number, self.version, self.pid, self.born, self.log = name, number, version, pid, born, log
+        self.name, self.number, self.version, self.pid, self.born, self.log = (
+            name,
+            number,
+            version,
+            pid,
+            born,
+            log,
+        )
         self.child, self.at, self.held, self.totals, self.ready, self.end_at = None, 0, b"", {}, False, None
         self.samples, self.before, self.own = 0, None, {}
 
@@ -89,32 +100,48 @@
         if not self.journal.records:
             self.journal.write({"form": FORM, "what": "form", "keeper": self.stand.name})
         records = self.journal.records
-        self.place = Place(self.stand.routers, self.plan.old, [r for r in records if r["what"] in ("epoch", "router")],
-                           self.plan.alone_s)
+        self.place = Place(
+            self.stand.routers,
+            self.plan.old,
+            [r for r in records if r["what"] in ("epoch", "router")],
+            self.plan.alone_s,
+        )
         self.number = max([r["number"] for r in records if r["what"] == "process"], default=0)
-        found = {record["number"]: record for record in records if record["what"] == "process"}     # the last word of each
+        found = {
+            record["number"]: record for record in records if record["what"] == "process"
+        }  # the last word of each
         for record in found.values():
             if record["router"] in self.stand.routers:
                 self.find(record)
         for name, address in self.stand.routers.items():
             if not any(one.name == name for one in self.running.values()):
-                self.socket_of(name)            # an address that is not free is said now, not at the first start
+                self.socket_of(name)  # an address that is not free is said now, not at the first start
         self.server = await asyncio.start_server(self.serve, *self.stand.listen)
         self.turn()
         self.tasks = [asyncio.ensure_future(part()) for part in (self.look, self.report)]
-        self.say("keeping", place=self.stand.name, routers=len(self.stand.routers),
-                 address="%s:%d" % self.server.sockets[0].getsockname()[:2])
+        self.say(
+            "keeping",
+            place=self.stand.name,
+            routers=len(self.stand.routers),
+            address="%s:%d" % self.server.sockets[0].getsockname()[:2],
+        )
 
     def find(self, record):
         """A process that a keeper before this one started, if it lives."""
         stat = stat_of(record["pid"])
         if stat is None or stat[0] != record["born"]:
             return
-        one = Running(record["router"], record["number"], record["version"], record["pid"], record["born"],
-                      self.folder / record["log"])
+        one = Running(
+            record["router"],
+            record["number"],
+            record["version"],
+            record["pid"],
+            record["born"],
+            self.folder / record["log"],
+        )
         self.running[one.number] = one
         old = self.place.slots[one.name].process
-        if old is not None:                     # the younger one serves, the other one drains
+        if old is not None:  # the younger one serves, the other one drains
             self.place.slots[one.name].draining.add(old)
             self.drain(old)
         self.place.adopt(one.name, one.number, one.version, False)
@@ -153,7 +180,7 @@
         try:
             if self.noted:
                 self.journal.write(*self.noted)
-        except OSError as fault:        # nothing of it is done; it is tried again with the next word
+        except OSError as fault:  # nothing of it is done; it is tried again with the next word
             self.say("disk", why=str(fault))
             return
         for work, *values in self.doing:
@@ -163,15 +190,25 @@
         self.noted.append(what)
 
     def begin(self, name, version, number):
-        why = plans.lacks(self.plan.versions[version], [name]) if version in self.plan.versions else f"no version {version}"
+        why = (
+            plans.lacks(self.plan.versions[version], [name])
+            if version in self.plan.versions
+            else f"no version {version}"
+        )
         log = self.folder / f"{name}.{number}.log"
         if why is None:
             told = self.plan.versions[version]
             made = self.socket_of(name)
-            settings = self.folder / f"{name}.{number}.json"        # its own: another version's is put there to be read again
+            settings = (
+                self.folder / f"{name}.{number}.json"
+            )  # its own: another version's is put there to be read again
             shutil.copyfile(told.config.format(router=name), settings)
-            environ = {**os.environ, "BALANCER_CONFIG": str(settings), "BROOKHINGE_LISTENER": str(made.fileno()),
-                       "BROOKHINGE_SCORES_S": str(SCORES_S)}
+            environ = {
+                **os.environ,
+                "BALANCER_CONFIG": str(settings),
+                "BROOKHINGE_LISTENER": str(made.fileno()),
+                "BROOKHINGE_SCORES_S": str(SCORES_S),
+            }
             environ.pop("BROOKHINGE_FLEET", None)
             if told.fleet:
                 environ["BROOKHINGE_FLEET"] = told.fleet.format(router=name)
@@ -184,8 +221,17 @@
         try:
             with open(log, "ab") as out:
                 child = await asyncio.create_subprocess_exec(
-                    told.python or sys.executable, "-m", "brookhinge", cwd=told.tree, env=environ, stdout=out, stderr=out,
-                    stdin=asyncio.subprocess.DEVNULL, pass_fds=(made.fileno(),), start_new_session=True)
+                    told.python or sys.executable,
+                    "-m",
+                    "brookhinge",
+                    cwd=told.tree,
+                    env=environ,
+                    stdout=out,
+                    stderr=out,
+                    stdin=asyncio.subprocess.DEVNULL,
+                    pass_fds=(made.fileno(),),
+                    start_new_session=True,
+                )
         except OSError as fault:
             self.say("cannot start", router=name, why=str(fault))
             self.events.append(("exited", name, number, str(fault)))
@@ -193,14 +239,27 @@
         stat = stat_of(child.pid)
         one = Running(name, number, version, child.pid, stat[0] if stat else 0, log)
         one.child = child
-        with contextlib.suppress(OSError):      # a keeper that comes back would not find it: said, and it serves on
-            self.journal.write({"what": "process", "router": name, "number": number, "version": version, "pid": child.pid,
-                                "born": one.born, "log": log.name})
+        with contextlib.suppress(
+            OSError
+        ):  # a keeper that comes back would not find it: said, and it serves on
+            self.journal.write(
+                {
+                    "what": "process",
+                    "router": name,
+                    "number": number,
+                    "version": version,
+                    "pid": child.pid,
+                    "born": one.born,
+                    "log": log.name,
+                }
+            )
         self.running[number] = one
         if number in self.unwanted:
             self.end(number)
         for kind in ("log", "json"):
-            for old in sorted(self.folder.glob(f"{name}.*.{kind}"), key=lambda p: p.stat().st_mtime)[:-KEPT_LOGS]:
+            for old in sorted(self.folder.glob(f"{name}.*.{kind}"), key=lambda p: p.stat().st_mtime)[
+                :-KEPT_LOGS
+            ]:
                 old.unlink()
 
     def socket_of(self, name):
@@ -227,12 +286,17 @@
         if one._replace(name="", config="") != other._replace(name="", config=""):
             return False
         try:
-            texts = [json.loads(Path(version.config.format(router=name)).read_text()) for version in (one, other)]
+            texts = [
+                json.loads(Path(version.config.format(router=name)).read_text()) for version in (one, other)
+            ]
         except (OSError, ValueError):
             return False
-        return all(isinstance(text, dict) for text in texts) and texts[0] != texts[1] and \
-            {key: value for key, value in texts[0].items() if key not in READ_AGAIN} == \
-            {key: value for key, value in texts[1].items() if key not in READ_AGAIN}
+        return (
+            all(isinstance(text, dict) for text in texts)
+            and texts[0] != texts[1]
+            and {key: value for key, value in texts[0].items() if key not in READ_AGAIN}
+            == {key: value for key, value in texts[1].items() if key not in READ_AGAIN}
+        )
 
     def reread(self, number, version):
         self.doing.append((self.put, number, version))
@@ -246,8 +310,17 @@
         one.version = version
         self.signal(one, signal.SIGHUP)
         with contextlib.suppress(OSError):
-            self.journal.write({"what": "process", "router": one.name, "number": number, "version": version, "pid": one.pid,
-                                "born": one.born, "log": one.log.name})
+            self.journal.write(
+                {
+                    "what": "process",
+                    "router": one.name,
+                    "number": number,
+                    "version": version,
+                    "pid": one.pid,
+                    "born": one.born,
+                    "log": one.log.name,
+                }
+            )
 
     def drain(self, number):
         self.end(number, signal.SIGTERM)
@@ -262,7 +335,7 @@
 
     def signal(self, one, how):
         stat = stat_of(one.pid)
-        if stat is not None and stat[0] == one.born:        # by number and start: never a stranger's
+        if stat is not None and stat[0] == one.born:  # by number and start: never a stranger's
             with contextlib.suppress(ProcessLookupError):
                 os.kill(one.pid, how)
 
@@ -324,15 +397,21 @@
         if told["epoch"] < self.place.epoch:
             writer.write(writer.link.write("refused", router=told["router"], epoch=self.place.epoch))
             return
-        self.events.append(("told", told["router"], told["version"], told["epoch"], bool(told["sure"]),
-                            told["serial"]))
+        self.events.append(
+            ("told", told["router"], told["version"], told["epoch"], bool(told["sure"]), told["serial"])
+        )
         self.turn()
 
     async def report(self):
         while True:
             await asyncio.sleep(REPORT_S)
-            able = {name: all(plans.lacks(self.plan.versions[version], [name]) is None
-                              for version in (self.plan.old, self.plan.to)) for name in self.place.slots}
+            able = {
+                name: all(
+                    plans.lacks(self.plan.versions[version], [name]) is None
+                    for version in (self.plan.old, self.plan.to)
+                )
+                for name in self.place.slots
+            }
             for writer in list(self.writers):
                 if writer.link.theirs is None:
                     continue
@@ -340,5 +419,16 @@
                     version, state, process, crashes = self.place.state(name)
                     one = self.running.get(process)
                     totals = {**one.totals, **one.own} if one else {}
-                    writer.write(writer.link.write("report", router=name, version=version, state=state, process=process,
-                                                   crashes=crashes, totals=totals, epoch=self.place.epoch, able=able[name]))
+                    writer.write(
+                        writer.link.write(
+                            "report",
+                            router=name,
+                            version=version,
+                            state=state,
+                            process=process,
+                            crashes=crashes,
+                            totals=totals,
+                            epoch=self.place.epoch,
+                            able=able[name],
+                        )
+                    )
--- a/brookhinge/rollout/link.py
+++ b/brookhinge/rollout/link.py
@@ -5,6 +5,7 @@
 
 Each side draws a session at random when a connection comes up, and both are part of every checksum: a line of another connection,
 doubled or overtaken is not taken. Without the key nothing is believed; no secrecy."""
+
 import hashlib
 import hmac
 
@@ -22,11 +23,23 @@
     """One end of a connection. The first line of each end says its session; all others are bound to both."""
 
     def __init__(self, key, session):
-        self.key, self.mine, self.theirs, self.sent, self.came, self.held = key, session, None, 0, 0, bytearray()
+        self.key, self.mine, self.theirs, self.sent, self.came, self.held = (
+            key,
+            session,
+            None,
+            0,
+            0,
+            bytearray(),
+        )
 
     def checksum(self, text, sender, reader):
-        return hashlib.blake2b(text, digest_size=16, key=self.key, person=b"roll",
-                               salt=hashlib.blake2b(f"{sender} {reader}".encode(), digest_size=16).digest()).hexdigest()
+        return hashlib.blake2b(
+            text,
+            digest_size=16,
+            key=self.key,
+            person=b"roll",
+            salt=hashlib.blake2b(f"{sender} {reader}".encode(), digest_size=16).digest(),
+        ).hexdigest()
 
     def hello(self):
         return self.line({"kind": "hello", "session": self.mine}, "")
@@ -47,7 +60,7 @@
         out = []
         while (end := self.held.find(b"\n")) >= 0:
             line = bytes(self.held[:end])
-            del self.held[:end + 1]
+            del self.held[: end + 1]
             values = self.read(line)
             if values is not None:
                 out.append(values)
--- a/brookhinge/rollout/place.py
+++ b/brookhinge/rollout/place.py
@@ -14,9 +14,13 @@
 is ready the old one drains. Whoever crashes is started again, ever later; one that crashes over and over is said to loop. What a
 coordinator has not judged (`sure` is false) goes back by itself to what ran before, if no word comes for `alone_s`."""
 
-FIRST_S, LONGEST_S, CALM_S = 0.2, 10.0, 20.0     # pauses before a start again; after so long without a crash it is the first
-READY_S = 30.0          # a process that is not ready by then is ended, and counts as crashed
-LOOPS = 4               # crashes in a row that are a loop
+FIRST_S, LONGEST_S, CALM_S = (
+    0.2,
+    10.0,
+    20.0,
+)  # pauses before a start again; after so long without a crash it is the first
+READY_S = 30.0  # a process that is not ready by then is ended, and counts as crashed
+LOOPS = 4  # crashes in a row that are a loop
 
 
 class Slot:
@@ -24,9 +28,9 @@
 
     def __init__(self, version):
         self.wanted, self.sure_version, self.sure, self.heard_at = version, version, True, None
-        self.process, self.version, self.ready = None, None, False      # the one that serves, or is to
+        self.process, self.version, self.ready = None, None, False  # the one that serves, or is to
         self.taking, self.taking_version, self.taking_at = None, None, None
-        self.draining, self.last = set(), (0, 0)        # the last word that counted: its epoch and serial
+        self.draining, self.last = set(), (0, 0)  # the last word that counted: its epoch and serial
         self.crashes, self.row, self.again_at, self.started_at = 0, 0, 0.0, 0.0
 
 
@@ -98,8 +102,13 @@
             slot.row = 0
         slot.crashes, slot.row = slot.crashes + 1, slot.row + 1
         slot.again_at = now + min(LONGEST_S, FIRST_S * 2 ** (slot.row - 1))
-        writer.say("crash loop" if slot.row >= LOOPS else "crashed", router=name, code=code, times=slot.row,
-                   version=slot.taking_version if process == slot.taking else slot.version)
+        writer.say(
+            "crash loop" if slot.row >= LOOPS else "crashed",
+            router=name,
+            code=code,
+            times=slot.row,
+            version=slot.taking_version if process == slot.taking else slot.version,
+        )
         if process == slot.taking:
             slot.taking = None
         else:
@@ -109,7 +118,7 @@
         if not slot.sure and slot.heard_at is not None and now - slot.heard_at > self.alone_s:
             self.note(writer, what="router", router=name, version=slot.sure_version, sure=True)
             writer.say("alone", router=name, back_to=slot.wanted)
-        if slot.heard_at is None:       # this keeper has just begun: it waits as long for a word as it would else
+        if slot.heard_at is None:  # this keeper has just begun: it waits as long for a word as it would else
             slot.heard_at = now
         if slot.taking is not None:
             late = now - slot.taking_at > READY_S
@@ -127,19 +136,36 @@
             slot.version = slot.wanted
             writer.say("settings", router=name, version=slot.version)
         elif slot.process is None or slot.version != slot.wanted:
-            slot.taking, slot.taking_version, slot.taking_at = writer.start(name, slot.wanted), slot.wanted, now
+            slot.taking, slot.taking_version, slot.taking_at = (
+                writer.start(name, slot.wanted),
+                slot.wanted,
+                now,
+            )
             if slot.process is None:
                 slot.started_at = now
 
     def next_at(self):
-        times = [slot.again_at for slot in self.slots.values() if slot.process is None and slot.taking is None]
+        times = [
+            slot.again_at for slot in self.slots.values() if slot.process is None and slot.taking is None
+        ]
         times += [slot.taking_at + READY_S for slot in self.slots.values() if slot.taking is not None]
-        times += [slot.heard_at + self.alone_s for slot in self.slots.values() if not slot.sure and slot.heard_at is not None]
+        times += [
+            slot.heard_at + self.alone_s
+            for slot in self.slots.values()
+            if not slot.sure and slot.heard_at is not None
+        ]
         return min(times, default=None)
 
     def state(self, name):
         """(version, state, process, crashes) as a report says it."""
         slot = self.slots[name]
-        state = "down" if slot.process is None else "ready" if slot.ready and slot.taking is None and not slot.draining \
-            else "changing" if slot.taking is not None or slot.draining else "starting"
+        state = (
+            "down"
+            if slot.process is None
+            else "ready"
+            if slot.ready and slot.taking is None and not slot.draining
+            else "changing"
+            if slot.taking is not None or slot.draining
+            else "starting"
+        )
         return slot.version, state, slot.process, slot.crashes
--- a/brookhinge/rollout/roll.py
+++ b/brookhinge/rollout/roll.py
@@ -1,4 +1,5 @@
 """Joins a coordinator to its keepers, its journal and whoever asks: `brookhinge roll start PLAN`. Decides nothing."""
+
 import asyncio
 import contextlib
 import json
@@ -26,14 +27,20 @@
         try:
             records = self.journal.records
             if not records:
-                self.journal.write({"form": FORM, "what": "form", "plan": self.plan.digest, "name": self.plan.name})
+                self.journal.write(
+                    {"form": FORM, "what": "form", "plan": self.plan.digest, "name": self.plan.name}
+                )
             elif records[0]["plan"] != self.plan.digest:
                 raise Damaged("it is of another plan: the plan's file has changed since")
             # rises over all starts on this journal also if the wall clock is set back, and over other journals else
-            epoch = max([round(self.clock() * 1000), *(r["epoch"] + 1 for r in records if r["what"] == "epoch")])
+            epoch = max(
+                [round(self.clock() * 1000), *(r["epoch"] + 1 for r in records if r["what"] == "epoch")]
+            )
             self.journal.write({"what": "epoch", "epoch": epoch})
             self.core = Coordinator(self.plan, self.journal.records, epoch, time.monotonic())
-            self.say("rolling", plan=self.plan.name, epoch=epoch, stages=[len(stage) for stage in self.core.stages])
+            self.say(
+                "rolling", plan=self.plan.name, epoch=epoch, stages=[len(stage) for stage in self.core.stages]
+            )
             tasks = [asyncio.ensure_future(self.keep_up(keeper)) for keeper in self.plan.keepers.values()]
             try:
                 await self.turns()
@@ -59,7 +66,7 @@
             self.noted, self.commands = [], []
             self.core.round(now, events, self)
             if self.noted:
-                self.journal.write(*self.noted)     # a disk that fails ends this coordinator before it acts
+                self.journal.write(*self.noted)  # a disk that fails ends this coordinator before it acts
             for what in self.commands:
                 self.send(*what)
             if now - told_at >= STATUS_S:
@@ -85,12 +92,32 @@
 
     def tell_status(self):
         phase, stage, stages, new, verdict = self.core.status()
-        told = {"plan": self.plan.name, "epoch": self.core.epoch, "phase": phase, "stage": stage, "stages": stages, "new": new,
-                "routers": len(self.core.routers), "at": round(self.clock(), 1), "pid": os.getpid(),
-                "verdict": verdict and {key: value if isinstance(value, str) or abs(value) < 1e300 else None
-                                        for key, value in verdict._asdict().items()},
-                "members": [{"router": name, "version": r.version, "state": r.state, "crashes": r.crashes,
-                             "should": self.core.should(name)} for name, r in self.core.routers.items()]}
+        told = {
+            "plan": self.plan.name,
+            "epoch": self.core.epoch,
+            "phase": phase,
+            "stage": stage,
+            "stages": stages,
+            "new": new,
+            "routers": len(self.core.routers),
+            "at": round(self.clock(), 1),
+            "pid": os.getpid(),
+            "verdict": verdict
+            and {
+                key: value if isinstance(value, str) or abs(value) < 1e300 else None
+                for key, value in verdict._asdict().items()
+            },
+            "members": [
+                {
+                    "router": name,
+                    "version": r.version,
+                    "state": r.state,
+                    "crashes": r.crashes,
+                    "should": self.core.should(name),
+                }
+                for name, r in self.core.routers.items()
+            ],
+        }
         with contextlib.suppress(OSError):
             with open(self.path + ".status.new", "w", encoding="utf-8") as file:
                 json.dump(told, file)
@@ -110,8 +137,17 @@
         writer = self.links.get(self.core.places[name])
         if writer is not None and writer.link.theirs is not None:
             with contextlib.suppress(ConnectionError):
-                writer.write(writer.link.write("should", router=name, version=version, sure=sure, epoch=self.core.epoch, serial=serial,
-                                               plan=self.plan.digest))
+                writer.write(
+                    writer.link.write(
+                        "should",
+                        router=name,
+                        version=version,
+                        sure=sure,
+                        epoch=self.core.epoch,
+                        serial=serial,
+                        plan=self.plan.digest,
+                    )
+                )
 
     async def keep_up(self, keeper):
         """A connection to one keeper, again and again."""
@@ -136,8 +172,24 @@
 
     def heard(self, keeper, told):
         if told["kind"] == "report" and told["router"] in keeper.routers:
-            self.events.append(("report", *(told[key] for key in ("router", "version", "state", "process", "crashes", "totals",
-                                                                 "epoch", "able"))))
+            self.events.append(
+                (
+                    "report",
+                    *(
+                        told[key]
+                        for key in (
+                            "router",
+                            "version",
+                            "state",
+                            "process",
+                            "crashes",
+                            "totals",
+                            "epoch",
+                            "able",
+                        )
+                    ),
+                )
+            )
         elif told["kind"] == "refused":
             self.events.append(("refused", told["router"], told["epoch"]))
         elif told["kind"] == "other plan":
--- a/brookhinge/standin/caller.py
+++ b/brookhinge/standin/caller.py
@@ -1,4 +1,5 @@
 """Callers: one that asks a cache server in lines, one that asks a router in Thrift. Each carries many queries at once."""
+
 import asyncio
 import itertools
 import random
@@ -38,7 +39,9 @@
         self.waiting[name] = future = asyncio.get_running_loop().create_future()
         if self.reading.done():
             return None
-        self.writer.write(b"PULL %b %b 0\r\n\r\n" % (name, ",".join(f"{k}={v}" for k, v in told.items()).encode()))
+        self.writer.write(
+            b"PULL %b %b 0\r\n\r\n" % (name, ",".join(f"{k}={v}" for k, v in told.items()).encode())
+        )
         return await asyncio.wait_for(future, 10)
 
     def close(self):
@@ -49,6 +52,7 @@
 class ThriftCaller:
     """await ask(object, part) -> ('satisfied', body), ('nacked', wait_ms or 0), ('errored', text) or ('lost', text). Never
     asks again by itself: that is for the script to say."""
+
     WORDS = {"satisfied": "satisfied", "refused": "nacked", "failed": "errored", "gone": "lost"}
 
     def __init__(self, address):
@@ -59,8 +63,15 @@
         return self
 
     async def ask(self, object_, part=0, ref=None, track="page", patience_ms=2900, lot=0, size_kb=50.0):
-        fields = {"service": track, "ref": ref or f"{random.getrandbits(64):016x}", "allow": patience_ms,
-                  "lookup": object_, "piece": part, "lot": lot, "room": size_kb}
+        fields = {
+            "service": track,
+            "ref": ref or f"{random.getrandbits(64):016x}",
+            "allow": patience_ms,
+            "lookup": object_,
+            "piece": part,
+            "lot": lot,
+            "room": size_kb,
+        }
         answer = await self.connection.ask(fields, 10.0)
         told = {"satisfied": answer.body, "refused": round(answer.wait_s * 1000)}
         return self.WORDS[answer.kind], told.get(answer.kind, answer.why)
--- a/brookhinge/standin/channel.py
+++ b/brookhinge/standin/channel.py
@@ -1,4 +1,5 @@
 """A command channel: the list of servers, drains and purges, told by long polls."""
+
 import asyncio
 import json
 import time
@@ -37,7 +38,10 @@
 
     def answer(self, resume):
         if not 0 < resume <= self.last:
-            whole = {"cursor": self.last, "nodes": {"seq": self.last, "whole": True, "hosts": list(self.hosts.values())}}
+            whole = {
+                "cursor": self.last,
+                "nodes": {"seq": self.last, "whole": True, "hosts": list(self.hosts.values())},
+            }
             return {"cursor": self.last, "cmds": [whole]}
         return {"cursor": self.last, "cmds": [e for e in self.events if e["cursor"] > resume]}
 
--- a/brookhinge/standin/lending.py
+++ b/brookhinge/standin/lending.py
@@ -1,6 +1,7 @@
 """Limits of several routers in virtual time: wires that lose, double, delay and cut, clocks that run apart, processes that
 crash, freeze and come back under their names, all by one seed. The members' parts are the daemon's; clocks, wires and the
 view's own news are stood in for."""
+
 import heapq
 import random
 
@@ -9,7 +10,7 @@
 from brookhinge.membership.view import ALIVE, LOST, View
 
 COLD = ("cache", "s-1", 5)
-NOTICE_S, GIVEN_UP_S = 0.5, 6.0     # till a restart is known, and till a crash is
+NOTICE_S, GIVEN_UP_S = 0.5, 6.0  # till a restart is known, and till a crash is
 
 
 class Member:
@@ -31,13 +32,20 @@
         self.view = View(600.0)
         for other in self.world.members.values():
             self.notice(other.n, ALIVE)
-        self.limits = Limits(self.view, self.name, "z", 1, lambda: (self.world.count, self.world.count),
-                             lambda: [(*limit, part, 1.0) for limit, part in self.demand.items()], self.clock())
+        self.limits = Limits(
+            self.view,
+            self.name,
+            "z",
+            1,
+            lambda: (self.world.count, self.world.count),
+            lambda: [(*limit, part, 1.0) for limit, part in self.demand.items()],
+            self.clock(),
+        )
         self.world.plan(self, self.world.now)
 
     def notice(self, n, state):
         other, world = self.world.members[n], self.world
-        world.told += 1         # as the incarnation: what is told last holds
+        world.told += 1  # as the incarnation: what is told last holds
         self.view.take(0.0, (other.name, other.uid, 1, world.told, state, "h", n, "z", 1, 0.0), "n0")
 
     def round(self, inbox):
@@ -53,7 +61,9 @@
     # the writer
 
     def post_to(self, place, method, values, rows):
-        self.world.send(self, self.view.names[place], (self.uid, method, values, [(*r[:3], *r[3:]) for r in rows]))
+        self.world.send(
+            self, self.view.names[place], (self.uid, method, values, [(*r[:3], *r[3:]) for r in rows])
+        )
 
     def event_of(self, method, rows):
         for *limit, part in rows:
@@ -163,6 +173,7 @@
 
 class WhenDue:
     """Something of the script's own in the queue."""
+
     starts = 0
 
     def __init__(self, what):
--- a/brookhinge/standin/load.py
+++ b/brookhinge/standin/load.py
@@ -1,4 +1,5 @@
 """Load on a rig of real routers: callers that ask by a seed and count what became of each query."""
+
 import asyncio
 import random
 
@@ -20,11 +21,18 @@
         while True:
             await asyncio.sleep(1.0 / rate * (0.5 + self.chance.random()))
             try:
-                if caller is None or not caller.connection.open:        # closed while nothing was asked: no query is lost
+                if (
+                    caller is None or not caller.connection.open
+                ):  # closed while nothing was asked: no query is lost
                     caller = await self.rig.caller(name)
-                task = asyncio.ensure_future(caller.ask(f"{self.chance.randrange(self.objects):016x}", size_kb=50.0,
-                                                           patience_ms=self.patience_ms))
-            except OSError:             # that router is down
+                task = asyncio.ensure_future(
+                    caller.ask(
+                        f"{self.chance.randrange(self.objects):016x}",
+                        size_kb=50.0,
+                        patience_ms=self.patience_ms,
+                    )
+                )
+            except OSError:  # that router is down
                 caller = None
                 continue
             asking.add(task)
--- a/brookhinge/standin/model.py
+++ b/brookhinge/standin/model.py
@@ -1,6 +1,7 @@
 """Routers among modelled boxes in simulated time: the daemon's own reducer and decisions, no sockets, no real time, all by
 one seed. What asks, and what goes wrong, a subclass says. Written for this project's measurements; figures that come of it
 are simulated."""
+
 import heapq
 import itertools
 import random
@@ -68,10 +69,14 @@
         heapq.heappush(self.events, (when, next(self.order), work, args))
 
     def hosts(self, health):
-        rows = [("s-p", ("", 1), "hub", "parent", 0, "ready", 40.0, None), ("s-o", ("", 2), "hub", "origin", 0, "ready", 40.0,
-                                                                         None)]
-        return rows + [(name, ("", 3), "edge", "box", 0, health, float(box.cores), box.born)
-                       for name, box in self.boxes.items()]
+        rows = [
+            ("s-p", ("", 1), "hub", "parent", 0, "ready", 40.0, None),
+            ("s-o", ("", 2), "hub", "origin", 0, "ready", 40.0, None),
+        ]
+        return rows + [
+            (name, ("", 3), "edge", "box", 0, health, float(box.cores), box.born)
+            for name, box in self.boxes.items()
+        ]
 
     def tell(self, health, number):
         for n in range(len(self.routers)):
@@ -111,7 +116,16 @@
         if hit:
             return self.start(n, query, push, box, key, 1)
         self.parent_out += 1
-        self.at(self.now + self.FILL_S * max(1.0, self.parent_out / self.FILLS), self.filled, n, query, push, box, key, box.born)
+        self.at(
+            self.now + self.FILL_S * max(1.0, self.parent_out / self.FILLS),
+            self.filled,
+            n,
+            query,
+            push,
+            box,
+            key,
+            box.born,
+        )
 
     def filled(self, n, query, push, box, key, born):
         self.parent_out -= 1
@@ -145,8 +159,23 @@
                 self.ended(n, query, push, "broken", 0)
 
     def ended(self, n, query, push, result, note):
-        self.hear(n, ("ended", (query, push, result, note, 0.0, None, b"x" if result == "satisfied" else b"", False,
-                                self.now)))
+        self.hear(
+            n,
+            (
+                "ended",
+                (
+                    query,
+                    push,
+                    result,
+                    note,
+                    0.0,
+                    None,
+                    b"x" if result == "satisfied" else b"",
+                    False,
+                    self.now,
+                ),
+            ),
+        )
 
     def kill(self, n, query, push):
         server = self.out.pop((n, query, push), None)
--- a/brookhinge/standin/origin.py
+++ b/brookhinge/standin/origin.py
@@ -1,4 +1,5 @@
 """An origin whose bytes follow from name and version, so that any range that anybody serves can be checked."""
+
 import asyncio
 import random
 import time
@@ -42,12 +43,16 @@
         pull = wire.read_pull(raw)
         object_ = pull.object.decode()
         self.counts["queries"] += 1
-        version, when = self.version(object_), self.now()       # given out now, on its way for a while
+        version, when = self.version(object_), self.now()  # given out now, on its way for a while
         await asyncio.sleep(self.delay_s)
         if self.broken:
             return wire.answer(name, b"failed")
-        fields = [(b"n", b"hit"), (b"digest", b"v%d" % version), (b"dated", b"%d" % (when * 1000)),
-                  (b"lot", b"%d" % group_of(object_))]
+        fields = [
+            (b"n", b"hit"),
+            (b"digest", b"v%d" % version),
+            (b"dated", b"%d" % (when * 1000)),
+            (b"lot", b"%d" % group_of(object_)),
+        ]
         if pull.got == b"v%d" % version:
             self.counts["unchanged"] += 1
             return wire.answer(name, b"unchanged", fields)
--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -7,6 +7,7 @@
         rig.kill("n3"); rig.wires.cut = lambda a, b: {a, b} == {"n1", "n2"}
 
 Waiting is always `until(it holds, at most so long)`: a slow machine takes longer and comes to the same verdict."""
+
 import asyncio
 import json
 import os
@@ -36,8 +37,10 @@
   lease_s   = {lease_s}
 {more}}}
 """
-OFF = "import time; real = time.time; time.time = lambda: real() + {off}"      # a wall clock that is off
-OTHER_VERSION = "import brookhinge.membership.post as post; post.VERSION = 2"  # a program that speaks other messages
+OFF = "import time; real = time.time; time.time = lambda: real() + {off}"  # a wall clock that is off
+OTHER_VERSION = (
+    "import brookhinge.membership.post as post; post.VERSION = 2"  # a program that speaks other messages
+)
 MAIN = "; import sys; sys.argv = ['brookhinge']; from brookhinge.__main__ import main; sys.exit(main())"
 
 
@@ -60,13 +63,20 @@
     """cut(a, b): whether what a sends to b is lost; loss, double: chances; delay_s: on the mean."""
 
     def __init__(self, seed):
-        self.chance, self.loss, self.double, self.delay_s, self.corrupt = random.Random(seed), 0.0, 0.0, 0.0, 0.0
+        self.chance, self.loss, self.double, self.delay_s, self.corrupt = (
+            random.Random(seed),
+            0.0,
+            0.0,
+            0.0,
+            0.0,
+        )
         self.cut, self.ports, self.ways = lambda a, b: False, {}, {}
 
     async def open(self, name, port):
         self.ports[port] = name
         transport, way = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: Wire(self, name), local_addr=("127.0.0.1", 0))
+            lambda: Wire(self, name), local_addr=("127.0.0.1", 0)
+        )
         way.transport, way.to = transport, ("127.0.0.1", port)
         self.ways[name] = way
         return transport.get_extra_info("sockname")[1]
@@ -77,7 +87,7 @@
             return
         if self.chance.random() < self.corrupt:
             at = self.chance.randrange(len(data))
-            data = data[:at] + bytes([self.chance.randrange(256)]) + data[at + 1:]
+            data = data[:at] + bytes([self.chance.randrange(256)]) + data[at + 1 :]
         for _ in range(1 + (self.chance.random() < self.double)):
             wait = self.delay_s * 2 * self.chance.random()
             if wait > 0:
@@ -162,9 +172,16 @@
     """more: lines that each router's block of the operator's file has beside the usual ones; piped: names of routers that
     reach the boxes over ways of their own (`rig.pipes[router, box]`); first: Python that each router runs first."""
 
-    def __init__(self, folder, routers=6, boxes=2, seed=1, lease_s=5, more="", piped=(), first="", **settings_):
+    def __init__(
+        self, folder, routers=6, boxes=2, seed=1, lease_s=5, more="", piped=(), first="", **settings_
+    ):
         self.folder, self.settings, self.lease_s, self.boxes = Path(folder), settings_, lease_s, {}
-        self.more, self.piped, self.pipes, self.seed = "".join(f"  {line}\n" for line in more.splitlines()), piped, {}, seed
+        self.more, self.piped, self.pipes, self.seed = (
+            "".join(f"  {line}\n" for line in more.splitlines()),
+            piped,
+            {},
+            seed,
+        )
         self.box_ports, self.first = {}, first
         self.names = [f"n{k + 1}" for k in range(routers)]
         self.box_names = [f"s-{k + 1}" for k in range(boxes)]
@@ -196,15 +213,38 @@
         return self
 
     def block(self, name):
-        return BLOCK.format(name=name, port=self.udp[name], relay=self.relay[name], join=self.join, key=KEY,
-                            lease_s=self.lease_s, more=self.more)
+        return BLOCK.format(
+            name=name,
+            port=self.udp[name],
+            relay=self.relay[name],
+            join=self.join,
+            key=KEY,
+            lease_s=self.lease_s,
+            more=self.more,
+        )
 
     async def start_box(self, name):
         """Starts a box, or starts it anew, with nothing in its memory."""
         if name in self.boxes:
             await self.boxes[name].stop()
-        self.boxes[name] = Watched(Stand(name, ("127.0.0.1", self.box_ports[name]), ("127.0.0.1", self.feed_port), 64, 2.0,
-                                         30.0, 0.4, 0.5, "parent", "origin", (), {}, Tier("", 16, 1, 1, 1, 1, 1)), self.seed)
+        self.boxes[name] = Watched(
+            Stand(
+                name,
+                ("127.0.0.1", self.box_ports[name]),
+                ("127.0.0.1", self.feed_port),
+                64,
+                2.0,
+                30.0,
+                0.4,
+                0.5,
+                "parent",
+                "origin",
+                (),
+                {},
+                Tier("", 16, 1, 1, 1, 1, 1),
+            ),
+            self.seed,
+        )
         await self.boxes[name].start()
 
     async def cold(self, *names):
@@ -217,8 +257,16 @@
 
     @staticmethod
     def row(name, kind, site, port):
-        return {"host": name, "dial": f"127.0.0.1:{port}", "site": site, "class": kind, "block": 0, "health": "up",
-                "share": 4, "born_ms": 0}
+        return {
+            "host": name,
+            "dial": f"127.0.0.1:{port}",
+            "site": site,
+            "class": kind,
+            "block": 0,
+            "health": "up",
+            "share": 4,
+            "born_ms": 0,
+        }
 
     async def start(self, name, first="", under=None, key=None):
         """Starts a router; back when it accepts connections. under: with another's name; first: Python that its process
@@ -234,17 +282,28 @@
         args = ["-c", first + MAIN] if first else ["-m", "brookhinge"]
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable, *args, stdout=log, stderr=log, cwd=Path(__file__).parents[2],
-                env={**os.environ, "BALANCER_CONFIG": str(path), "BROOKHINGE_FLEET": str(file)})
+                sys.executable,
+                *args,
+                stdout=log,
+                stderr=log,
+                cwd=Path(__file__).parents[2],
+                env={**os.environ, "BALANCER_CONFIG": str(path), "BROOKHINGE_FLEET": str(file)},
+            )
         if not await self.until(lambda: self.accepts(name), 20.0):
             raise RuntimeError(f"{name} is not up: {(self.folder / f'{name}.log').read_text()[-800:]}")
 
     def configuration(self, name, said):
-        return json.dumps({
-            "name": said, "listen": f"127.0.0.1:{self.ports[name]}", "seed": f"{seed_of(name):x}",
-            "channel": "%s:%d" % self.channels[name].server.sockets[0].getsockname()[:2],
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.channels[name].answer(0),
-            "settings": {**settings(**self.settings), "Instances": len(self.names)}})
+        return json.dumps(
+            {
+                "name": said,
+                "listen": f"127.0.0.1:{self.ports[name]}",
+                "seed": f"{seed_of(name):x}",
+                "channel": "%s:%d" % self.channels[name].server.sockets[0].getsockname()[:2],
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": self.channels[name].answer(0),
+                "settings": {**settings(**self.settings), "Instances": len(self.names)},
+            }
+        )
 
     async def accepts(self, name):
         try:
@@ -292,8 +351,12 @@
         """Whether all those hold just each other for living, and `others`, who are not asked."""
         names = names or [name for name in self.processes if name not in but]
         views = await asyncio.gather(*map(self.view, names))
-        return all(view is not None and {member for member, state in view.items() if state in ("alive", "suspected")}
-                   == {*names, *others} for view in views)
+        return all(
+            view is not None
+            and {member for member, state in view.items() if state in ("alive", "suspected")}
+            == {*names, *others}
+            for view in views
+        )
 
     @staticmethod
     async def until(holds, at_most_s):
@@ -312,7 +375,9 @@
     def log(self, name, event):
         """Lines of that event in a router's log."""
         text = (self.folder / f"{name}.log").read_text().splitlines()
-        return [line for line in map(json.loads, (t for t in text if t.startswith("{"))) if line["event"] == event]
+        return [
+            line for line in map(json.loads, (t for t in text if t.startswith("{"))) if line["event"] == event
+        ]
 
     async def __aexit__(self, *_):
         await end_all(self.processes.values())
--- a/brookhinge/standin/rolling.py
+++ b/brookhinge/standin/rolling.py
@@ -1,5 +1,6 @@
 """A rig whose routers are kept by `brookhinge keep` and changed by `brookhinge roll`: real processes of all three kinds on
 loopback. Versions of the program that are worse are made by a line of Python that runs before it."""
+
 import asyncio
 import os
 import signal
@@ -28,12 +29,18 @@
 }}
 """
 # what a version may do before it runs as usual
-FAILS = "import brookhinge.decide as d, random; real = d.Router.query; d.Router.query = lambda self, query, *rest: " \
-        "self.writer.nack(query, 0) if random.random() < {part} else real(self, query, *rest)"
-LEAKS = "import brookhinge.engine.rounds as r; real = r.Rounds.round; kept = []; r.Rounds.round = lambda self: " \
-        "(kept.append(bytearray({kb} * 1024)), real(self))[1]"
-LATE = "import brookhinge.net.front as f; import asyncio; real = f.Front.satisfy; f.Front.satisfy = lambda self, *values: " \
-       "asyncio.get_running_loop().call_later({late_s}, real, self, *values)"
+FAILS = (
+    "import brookhinge.decide as d, random; real = d.Router.query; d.Router.query = lambda self, query, *rest: "
+    "self.writer.nack(query, 0) if random.random() < {part} else real(self, query, *rest)"
+)
+LEAKS = (
+    "import brookhinge.engine.rounds as r; real = r.Rounds.round; kept = []; r.Rounds.round = lambda self: "
+    "(kept.append(bytearray({kb} * 1024)), real(self))[1]"
+)
+LATE = (
+    "import brookhinge.net.front as f; import asyncio; real = f.Front.satisfy; f.Front.satisfy = lambda self, *values: "
+    "asyncio.get_running_loop().call_later({late_s}, real, self, *values)"
+)
 CRASHES = "import threading, os; threading.Timer({after_s}, lambda: os._exit(3)).start()"
 NEVER_READY = "import time; time.sleep(3600)"
 
@@ -41,14 +48,40 @@
 class Rolling(Rig):
     """version: a line of Python that the new program runs first; spoil(config) -> config of the new one."""
 
-    def __init__(self, folder, routers=4, keepers=2, version="", spoil=lambda text: text, stages="[0.25, 0.5, 1.0]",
-                 untold="go", same_program=False, tree=None, before_s=2.0, most_s=8.0, alone_s=30.0, worse="", **rig_):
+    def __init__(
+        self,
+        folder,
+        routers=4,
+        keepers=2,
+        version="",
+        spoil=lambda text: text,
+        stages="[0.25, 0.5, 1.0]",
+        untold="go",
+        same_program=False,
+        tree=None,
+        before_s=2.0,
+        most_s=8.0,
+        alone_s=30.0,
+        worse="",
+        **rig_,
+    ):
         super().__init__(folder, routers=routers, **rig_)
-        self.same_program, self.tree = same_program, tree or os.getcwd()      # tree: of the old program
-        self.version, self.spoil, self.told = version, spoil, dict(
-            stages=stages, untold=untold, before_s=before_s, most_s=most_s, alone_s=alone_s,
-            figures="".join(f'  figure "{name}" {{\n    most_worse = {most}\n  }}\n' for name, most in
-                            (pair.split() for pair in worse.split(",") if pair)))
+        self.same_program, self.tree = same_program, tree or os.getcwd()  # tree: of the old program
+        self.version, self.spoil, self.told = (
+            version,
+            spoil,
+            dict(
+                stages=stages,
+                untold=untold,
+                before_s=before_s,
+                most_s=most_s,
+                alone_s=alone_s,
+                figures="".join(
+                    f'  figure "{name}" {{\n    most_worse = {most}\n  }}\n'
+                    for name, most in (pair.split() for pair in worse.split(",") if pair)
+                ),
+            ),
+        )
         self.places = {f"k{k + 1}": self.names[k::keepers] for k in range(keepers)}
         self.keeper_ports, self.keepers, self.coordinators = {}, {}, []
 
@@ -63,36 +96,55 @@
     async def __aenter__(self):
         await super().__aenter__()
         new = self.folder / "new"
-        new.write_text(f"#!{sys.executable}\nimport sys; sys.path.insert(0, '')\n{self.version or 'pass'}{MAIN}\n")
+        new.write_text(
+            f"#!{sys.executable}\nimport sys; sys.path.insert(0, '')\n{self.version or 'pass'}{MAIN}\n"
+        )
         new.chmod(0o700)
         blocks = "".join(
             f'  version "{version}" {{\n    tree   = "{tree}"\n    python = "{python}"\n'
             f'    config = "{self.folder}/{version}/{{router}}.json"\n    fleet = "{self.folder}/fleet.hcl"\n  }}\n'
-            for version, tree, python in (("v1", self.tree, ""), ("v2", os.getcwd(), "" if self.same_program else new)))
+            for version, tree, python in (
+                ("v1", self.tree, ""),
+                ("v2", os.getcwd(), "" if self.same_program else new),
+            )
+        )
         for place, names in self.places.items():
             self.keeper_ports[place] = free_port()
-            routers = "".join(f'    router "{name}" {{\n      listen = "127.0.0.1:{self.ports[name]}"\n    }}\n' for name in names)
-            blocks += f'  keeper "{place}" {{\n    listen = "127.0.0.1:{self.keeper_ports[place]}"\n' \
-                      f'    dir    = "{self.folder}/{place}"\n{routers}  }}\n'
+            routers = "".join(
+                f'    router "{name}" {{\n      listen = "127.0.0.1:{self.ports[name]}"\n    }}\n'
+                for name in names
+            )
+            blocks += (
+                f'  keeper "{place}" {{\n    listen = "127.0.0.1:{self.keeper_ports[place]}"\n'
+                f'    dir    = "{self.folder}/{place}"\n{routers}  }}\n'
+            )
         self.plan = self.folder / "plan.hcl"
         self.plan.write_text(PLAN.format(key=KEY, blocks=blocks, **self.told))
         await asyncio.gather(*map(self.keep, self.places))
-        def up():       # their sockets are the keepers' and accept before anybody answers
-            return sum(self.text(place).count('"event":"took over"') for place in self.places) == len(self.names)
+
+        def up():  # their sockets are the keepers' and accept before anybody answers
+            return sum(self.text(place).count('"event":"took over"') for place in self.places) == len(
+                self.names
+            )
+
         if not await self.until(up, 60.0):
             raise RuntimeError(f"not all are up: {self.text('k1')[-800:]}")
         return self
 
     async def run_(self, log, *args):
         with open(self.folder / f"{log}.log", "ab") as out:
-            return await asyncio.create_subprocess_exec(sys.executable, "-m", "brookhinge", *args, stdout=out, stderr=out)
+            return await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "brookhinge", *args, stdout=out, stderr=out
+            )
 
     async def keep(self, place):
         self.keepers[place] = await self.run_(place, "keep", str(self.plan), "--place", place)
 
     async def roll(self, journal="roll"):
         """Starts a coordinator on a journal; its process."""
-        process = await self.run_(journal, "roll", "start", str(self.plan), "--journal", self.journal(journal), "--json")
+        process = await self.run_(
+            journal, "roll", "start", str(self.plan), "--journal", self.journal(journal), "--json"
+        )
         self.coordinators.append(process)
         return process
 
@@ -113,8 +165,13 @@
         return {row["router"]: row["version"] for row in self.status(name).get("members", ())}
 
     def settled(self, version, name="roll"):
-        return lambda: [row["version"] == version and row["state"] == "ready" for row in
-                        self.status(name).get("members", [])] == [True] * len(self.names)
+        return lambda: (
+            [
+                row["version"] == version and row["state"] == "ready"
+                for row in self.status(name).get("members", [])
+            ]
+            == [True] * len(self.names)
+        )
 
     async def ended(self, process, within_s):
         """Its exit code, or None if it is not over by then."""
@@ -128,7 +185,7 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
-        for process in self.keepers.values():       # they end their routers, whoever started those
+        for process in self.keepers.values():  # they end their routers, whoever started those
             if process.returncode is None:
                 process.send_signal(signal.SIGTERM)
         for process in self.keepers.values():
--- a/brookhinge/standin/script.py
+++ b/brookhinge/standin/script.py
@@ -1,15 +1,16 @@
 """Plays a script (HCL) on the rig: real routers, faults in and between them, a line an event and a table at the end.
 
-    rig {
-      routers = 6
-      seed    = 7
-    }
-    step { kill = ["n3"] }                       # also: freeze, thaw, end (SIGTERM), start
-    step { until = "one view"  within_s = 30 }   # each step may also say after_s
-    step { cut = ["n1", "n2"] }                  # from all others, both ways
-    step { heal = true }
-    step { wires { loss = 0.1  delay_s = 0.05  double = 0.1  corrupt = 0.01 } }
-    step { drain = "s-1"  told = "n1" }          # told to that router alone"""
+rig {
+  routers = 6
+  seed    = 7
+}
+step { kill = ["n3"] }                       # also: freeze, thaw, end (SIGTERM), start
+step { until = "one view"  within_s = 30 }   # each step may also say after_s
+step { cut = ["n1", "n2"] }                  # from all others, both ways
+step { heal = true }
+step { wires { loss = 0.1  delay_s = 0.05  double = 0.1  corrupt = 0.01 } }
+step { drain = "s-1"  told = "n1" }          # told to that router alone"""
+
 import asyncio
 import time
 
@@ -17,11 +18,19 @@
 from brookhinge.operator.schema import number, take, text, whole
 from brookhinge.standin.rig import Rig
 
-LIMIT_S = 600.0     # of a whole script
-RIG = {"routers": (whole(1, 32), 6), "boxes": (whole(0, 8), 1), "seed": (whole(0, 1 << 31), 1),
-       "lease_s": (number(0, 3600), 5)}
-WIRES = {"loss": (number(0, 1), 0.0), "delay_s": (number(0, 10), 0.0), "double": (number(0, 1), 0.0),
-         "corrupt": (number(0, 1), 0.0)}
+LIMIT_S = 600.0  # of a whole script
+RIG = {
+    "routers": (whole(1, 32), 6),
+    "boxes": (whole(0, 8), 1),
+    "seed": (whole(0, 1 << 31), 1),
+    "lease_s": (number(0, 3600), 5),
+}
+WIRES = {
+    "loss": (number(0, 1), 0.0),
+    "delay_s": (number(0, 10), 0.0),
+    "double": (number(0, 1), 0.0),
+    "corrupt": (number(0, 1), 0.0),
+}
 
 
 def names(value):
@@ -32,7 +41,7 @@
 
 def one_view(value):
     if value != "one view":
-        raise ValueError("\"one view\"")
+        raise ValueError('"one view"')
     return value
 
 
@@ -42,10 +51,23 @@
     return value
 
 
-DOING = {"kill": names, "freeze": names, "thaw": names, "end": names, "start": names, "cut": names, "heal": true,
-         "until": one_view, "drain": text}
-STEP = {"after_s": (number(0, LIMIT_S), 0.0), "within_s": (number(0, LIMIT_S), 30.0), "told": (text, None),
-        **{key: (check, None) for key, check in DOING.items()}}
+DOING = {
+    "kill": names,
+    "freeze": names,
+    "thaw": names,
+    "end": names,
+    "start": names,
+    "cut": names,
+    "heal": true,
+    "until": one_view,
+    "drain": text,
+}
+STEP = {
+    "after_s": (number(0, LIMIT_S), 0.0),
+    "within_s": (number(0, LIMIT_S), 30.0),
+    "told": (text, None),
+    **{key: (check, None) for key, check in DOING.items()},
+}
 
 
 def read(source):
@@ -64,7 +86,9 @@
                 raise OperatorError(f"line {block.line}: step: expected one of wires, {', '.join(DOING)}")
             step["wires"] = take(wires[0], WIRES) if wires else None
             known = {f"n{k + 1}" for k in range(rig["routers"])}
-            for name in [n for key in doing if DOING[key] is names for n in step[key]] + [step["told"] or "n1"]:
+            for name in [n for key in doing if DOING[key] is names for n in step[key]] + [
+                step["told"] or "n1"
+            ]:
                 if name not in known:
                     raise OperatorError(f"line {block.line}: step: no router {name}")
             steps.append(step)
@@ -80,14 +104,20 @@
 
     def line(what):
         say(f"{time.monotonic() - began:7.2f} s  {what}")
+
     async with Rig(folder, **settings) as rig:
         line(f"{settings['routers']} routers up")
         for step in steps:
             await asyncio.sleep(step["after_s"])
             if time.monotonic() - began > LIMIT_S:
                 raise OperatorError(f"a script may take {LIMIT_S:g} s")
-            for key, act in (("kill", rig.kill), ("end", rig.end), ("start", rig.start), ("freeze", rig.freeze),
-                             ("thaw", rig.thaw)):
+            for key, act in (
+                ("kill", rig.kill),
+                ("end", rig.end),
+                ("start", rig.start),
+                ("freeze", rig.freeze),
+                ("thaw", rig.thaw),
+            ):
                 for name in step[key] or ():
                     if (name in rig.processes) == (key == "start"):
                         raise OperatorError(f"{key}: {name} is {'up' if key == 'start' else 'not up'}")
@@ -118,7 +148,12 @@
         for name in rig.names:
             view = await rig.view(name) if name in rig.processes else None
             states = list((view or {}).values())
-            rows.append({"router": name, "up": name in rig.processes,
-                         **{state: states.count(state) for state in ("alive", "suspected", "lost", "left")},
-                         "drains heard": len(rig.log(name, "heard"))})
+            rows.append(
+                {
+                    "router": name,
+                    "up": name in rig.processes,
+                    **{state: states.count(state) for state in ("alive", "suspected", "lost", "left")},
+                    "drains heard": len(rig.log(name, "heard")),
+                }
+            )
     return rows, good
--- a/brookhinge/standin/sharing.py
+++ b/brookhinge/standin/sharing.py
@@ -1,5 +1,6 @@
 """A fleet of routers that share limits and verdicts, or nothing, among modelled boxes in simulated time: the daemon's reducer,
 decisions and cores; wires and the news of the view are stood in for."""
+
 from brookhinge.decide import Router
 from brookhinge.engine.reducer import Reducer
 from brookhinge.interface import Allowed, ColdStart, Place, Supply, Track
@@ -38,15 +39,34 @@
         self.share, self.loss, self.rate, self.objects = share, loss, rate, objects
         parts = [self.chance.lognormvariate(0.0, skew) for _ in range(routers)]
         self.parts = [part / sum(parts) for part in parts]
-        self.cut, self.broken = lambda a, b: False, {}          # broken: router -> share of its pushes that fail on the way
+        self.cut, self.broken = (
+            lambda a, b: False,
+            {},
+        )  # broken: router -> share of its pushes that fail on the way
         self.serial, self.open, self.asked, self.datagrams = 0, {}, [], 0
         kinds = (Sharing, Judging, Router) if share else (Router,)
         kind = type("Router", kinds, {})
-        self.routers = [Reducer(kind(
-            seed + n, tracks=(PAGES,), place=Place(1, routers, routers, n, True), allowed=Allowed(4, False, True, 0.0),
-            supply=Supply("any", False, True, "all", 1000.0, 0.0), cold_cache=COLD,
-            cold_parent=ColdStart(1.0, 0.0, 0.0, 1.0), purge_gone_s=6.0, kinds=("parent", "origin"), reports=[]),
-            ["pages".encode()], ["hub", "edge"], None, Tight(0.0)) for n in range(routers)]
+        self.routers = [
+            Reducer(
+                kind(
+                    seed + n,
+                    tracks=(PAGES,),
+                    place=Place(1, routers, routers, n, True),
+                    allowed=Allowed(4, False, True, 0.0),
+                    supply=Supply("any", False, True, "all", 1000.0, 0.0),
+                    cold_cache=COLD,
+                    cold_parent=ColdStart(1.0, 0.0, 0.0, 1.0),
+                    purge_gone_s=6.0,
+                    kinds=("parent", "origin"),
+                    reports=[],
+                ),
+                ["pages".encode()],
+                ["hub", "edge"],
+                None,
+                Tight(0.0),
+            )
+            for n in range(routers)
+        ]
         self.told, self.views, self.cores, self.writers = [[] for _ in range(routers)], [], [], []
         for n in range(routers if share else 0):
             view = View(600.0)
@@ -55,9 +75,21 @@
             reducer, own = self.routers[n], self.routers[n].router.fleet
             self.views.append(view)
             self.writers.append(Writer(self, n))
-            self.cores.append([
-                Limits(view, f"n{n}", "z", 1, lambda: (routers, routers), reducer.demand, -60.0),
-                Verdicts(view, f"n{n}", "z", 1, lambda: routers, reducer.seen, lambda own=own: len(own.own), 0.0)])
+            self.cores.append(
+                [
+                    Limits(view, f"n{n}", "z", 1, lambda: (routers, routers), reducer.demand, -60.0),
+                    Verdicts(
+                        view,
+                        f"n{n}",
+                        "z",
+                        1,
+                        lambda: routers,
+                        reducer.seen,
+                        lambda own=own: len(own.own),
+                        0.0,
+                    ),
+                ]
+            )
             for core in range(2):
                 self.at(self.chance.random() * 0.25, self.turn, n, core)
 
@@ -75,7 +107,9 @@
         self.datagrams += 1
         to = int(name[1:])
         if not self.cut(n, to) and self.chance.random() >= self.loss:
-            self.at(self.now + WIRE_S * (0.5 + self.chance.random()), self.letter, to, n + 1, method, values, rows)
+            self.at(
+                self.now + WIRE_S * (0.5 + self.chance.random()), self.letter, to, n + 1, method, values, rows
+            )
 
     def letter(self, n, uid, method, values, rows):
         core = next(core for core in self.cores[n] if method in core.methods)
@@ -109,8 +143,27 @@
         object_ = min(self.objects, int(self.chance.paretovariate(0.6)))
         self.open[n, self.serial] = len(self.asked)
         self.asked.append([self.now, None, "lost"])
-        self.hear(n, ("query", (self.serial, 1, b"%x" % self.serial, b"pages", b"%016x" % object_, b"0", 0, 1, 1000.0 * WORK,
-                                PATIENCE_S, None, b"", self.now)))
+        self.hear(
+            n,
+            (
+                "query",
+                (
+                    self.serial,
+                    1,
+                    b"%x" % self.serial,
+                    b"pages",
+                    b"%016x" % object_,
+                    b"0",
+                    0,
+                    1,
+                    1000.0 * WORK,
+                    PATIENCE_S,
+                    None,
+                    b"",
+                    self.now,
+                ),
+            ),
+        )
 
     def over(self, n, client, how):
         at = self.open.pop((n, client))
--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -1,5 +1,6 @@
 """A town on loopback with free ports: origin and command channel in this process, parent and boxes as processes of their
 own (so that they can be killed), and a router if wanted. Ends what it started, by id."""
+
 import asyncio
 import json
 import os
@@ -31,7 +32,7 @@
 """
 
 
-GIVEN = set()       # ports that were handed out: not bound yet, the system may name one again
+GIVEN = set()  # ports that were handed out: not bound yet, the system may name one again
 
 
 def free_port():
@@ -46,14 +47,34 @@
 
 def settings(aim_s=0.3, patience_s=3.0, warm_s=5.0, longest_hint_s=0.0, flow_kb_s=0.0):
     """The settings of a router among boxes of this town."""
-    return {"Az": "edge-1", "Zones": ["hub", "edge-1"], "MachineTypes": ["box", "parent", "origin"], "Instances": 1,
-            "Classes": [{"Name": "page", "AimNs": aim_s * 1e9, "DeadlineNs": patience_s * 1e9, "Effect": "retryable"}],
-            "Limits": {"MaxAttempts": 4, "Cancel": True, "ConnectTimeoutNs": 2e8, "Multiplex": 32,
-                       "RetryAfter": longest_hint_s > 0, "MaxRetryAfterNs": longest_hint_s * 1e9},
-            "Rules": {"ColdFrom": 0.3, "WarmUpNs": warm_s * 1e9, "FallMultiple": 3.0, "FallNs": 1e9},
-            "Report": {"Columns": ["cpu"]}, "WeightSource": "nominal",
-            "Specifics": {"UpperKind": 1, "MasterKind": 2, "Says": "all", "SharesFills": True, "PeersFill": "any",
-                          "OneFlowKbPerS": flow_kb_s}}
+    return {
+        "Az": "edge-1",
+        "Zones": ["hub", "edge-1"],
+        "MachineTypes": ["box", "parent", "origin"],
+        "Instances": 1,
+        "Classes": [
+            {"Name": "page", "AimNs": aim_s * 1e9, "DeadlineNs": patience_s * 1e9, "Effect": "retryable"}
+        ],
+        "Limits": {
+            "MaxAttempts": 4,
+            "Cancel": True,
+            "ConnectTimeoutNs": 2e8,
+            "Multiplex": 32,
+            "RetryAfter": longest_hint_s > 0,
+            "MaxRetryAfterNs": longest_hint_s * 1e9,
+        },
+        "Rules": {"ColdFrom": 0.3, "WarmUpNs": warm_s * 1e9, "FallMultiple": 3.0, "FallNs": 1e9},
+        "Report": {"Columns": ["cpu"]},
+        "WeightSource": "nominal",
+        "Specifics": {
+            "UpperKind": 1,
+            "MasterKind": 2,
+            "Says": "all",
+            "SharesFills": True,
+            "PeersFill": "any",
+            "OneFlowKbPerS": flow_kb_s,
+        },
+    }
 
 
 async def end_all(processes):
@@ -67,8 +88,24 @@
 class Town:
     """async with Town(folder) as town: town.boxes, town.origin, town.channel, town.router_address."""
 
-    def __init__(self, folder, boxes=3, router=True, parent=True, disk=True, memory_mb=64, disk_mb=256, segment_mb=4, snapshot_s=1.0,
-                 origin_delay_s=0.02, sizes=(2_000, 60_000), parent_here=False, parent_mb=64, storm=False, **settings_):
+    def __init__(
+        self,
+        folder,
+        boxes=3,
+        router=True,
+        parent=True,
+        disk=True,
+        memory_mb=64,
+        disk_mb=256,
+        segment_mb=4,
+        snapshot_s=1.0,
+        origin_delay_s=0.02,
+        sizes=(2_000, 60_000),
+        parent_here=False,
+        parent_mb=64,
+        storm=False,
+        **settings_,
+    ):
         self.folder, self.router, self.disk, self.settings = Path(folder), router, disk, settings_
         self.tier = dict(memory_mb=memory_mb, disk_mb=disk_mb, segment_mb=segment_mb, snapshot_s=snapshot_s)
         self.storm = storm
@@ -77,7 +114,11 @@
         self.names = [f"s-{i + 1}" for i in range(boxes)]
         self.own = (["p-1"] if parent else []) + self.names
         self.processes, self.ports, self.logs = {}, {}, {}
-        self.parent_here, self.parent_mb, self.parent = parent_here, parent_mb, None      # in this process its counts can be read
+        self.parent_here, self.parent_mb, self.parent = (
+            parent_here,
+            parent_mb,
+            None,
+        )  # in this process its counts can be read
 
     async def __aenter__(self):
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -86,11 +127,31 @@
         self.add("origin", "origin", "hub", self.ports["origin"])
         for name in self.own:
             self.ports[name] = free_port()
-            self.add(name, "parent" if name == "p-1" else "box", "hub" if name == "p-1" else "edge-1", self.ports[name])
+            self.add(
+                name,
+                "parent" if name == "p-1" else "box",
+                "hub" if name == "p-1" else "edge-1",
+                self.ports[name],
+            )
         for name in self.own:
             if name == "p-1" and self.parent_here:
-                self.parent = Box(Stand(name, ("127.0.0.1", self.ports[name]), ("127.0.0.1", self.channel_port), 64, 2.0, 30.0,
-                                        0.4, 0.5, "parent", "origin", (), {}, Tier("", self.parent_mb, 1, 1, 1, 1, 1)))
+                self.parent = Box(
+                    Stand(
+                        name,
+                        ("127.0.0.1", self.ports[name]),
+                        ("127.0.0.1", self.channel_port),
+                        64,
+                        2.0,
+                        30.0,
+                        0.4,
+                        0.5,
+                        "parent",
+                        "origin",
+                        (),
+                        {},
+                        Tier("", self.parent_mb, 1, 1, 1, 1, 1),
+                    )
+                )
                 await self.parent.start()
             else:
                 await self.start(name)
@@ -99,21 +160,42 @@
         return self
 
     def add(self, name, kind, site, port, **other):
-        self.channel.hosts[name] = {"host": name, "dial": f"127.0.0.1:{port}", "site": site, "class": kind, "block": 0,
-                                    "health": "up", "share": 4, "born_ms": 0, **other}
+        self.channel.hosts[name] = {
+            "host": name,
+            "dial": f"127.0.0.1:{port}",
+            "site": site,
+            "class": kind,
+            "block": 0,
+            "health": "up",
+            "share": 4,
+            "born_ms": 0,
+            **other,
+        }
 
     async def spawn(self, name, args, environ=None):
         self.logs[name] = self.folder / f"{name}.log"
         with open(self.logs[name], "ab") as log:
             self.processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "brookhinge", *args, stdout=log, stderr=log, env={**os.environ, **(environ or {})},
-                cwd=Path(__file__).parents[2])
+                sys.executable,
+                "-m",
+                "brookhinge",
+                *args,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **(environ or {})},
+                cwd=Path(__file__).parents[2],
+            )
 
     async def start(self, name, within_s=10.0):
         """Starts a box; back when it accepts connections."""
         kept = self.disk and name != "p-1"
-        text = BOX.format(name=name, port=self.ports[name], channel=self.channel_port,
-                          dir=self.folder / name if kept else "", **self.tier)
+        text = BOX.format(
+            name=name,
+            port=self.ports[name],
+            channel=self.channel_port,
+            dir=self.folder / name if kept else "",
+            **self.tier,
+        )
         (self.folder / f"{name}.hcl").write_text(text)
         await self.spawn(name, ["box", "--file", str(self.folder / f"{name}.hcl"), "--name", name])
         await self.accepts(name, self.ports[name], within_s)
@@ -128,16 +210,28 @@
             except OSError:
                 ended = self.processes[name].returncode
                 if time.monotonic() > end or ended is not None:
-                    raise RuntimeError(f"{name} is not up ({ended}): {self.logs[name].read_text()[-800:]}") from None
+                    raise RuntimeError(
+                        f"{name} is not up ({ended}): {self.logs[name].read_text()[-800:]}"
+                    ) from None
                 await asyncio.sleep(0.02)
 
     async def start_router(self):
         self.ports["router"] = free_port()
         path = self.folder / "router.json"
-        path.write_text(json.dumps({
-            "name": "n1", "listen": f"127.0.0.1:{self.ports['router']}", "seed": "8c1f",
-            "channel": f"127.0.0.1:{self.channel_port}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": self.channel.answer(0), "storm": self.storm, "settings": settings(**self.settings)}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n1",
+                    "listen": f"127.0.0.1:{self.ports['router']}",
+                    "seed": "8c1f",
+                    "channel": f"127.0.0.1:{self.channel_port}",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    "known": self.channel.answer(0),
+                    "storm": self.storm,
+                    "settings": settings(**self.settings),
+                }
+            )
+        )
         await self.spawn("router", [], {"BALANCER_CONFIG": str(path)})
         await self.accepts("router", self.ports["router"], 10.0)
         self.router_address = "127.0.0.1", self.ports["router"]
--- a/brookhinge/standin/virtual.py
+++ b/brookhinge/standin/virtual.py
@@ -1,5 +1,6 @@
 """Fellows of one fleet in virtual time on a network that loses, delays, doubles and cuts, all by one seed. The fellows
 are those of the daemon; only the clock and the wires are stood in for."""
+
 import heapq
 import random
 
@@ -20,8 +21,16 @@
     def start(self, born, seeds, zone="z"):
         self.starts += 1
         self.up, self.frozen, self.due, self.inbox = True, False, None, []
-        self.fellow = Fellow(self.name, ("10.0.0.1", self.n), zone, self.version, born, seeds,
-                             random.Random(f"{self.net.seed} {self.n} {self.starts}"), self.net.now)
+        self.fellow = Fellow(
+            self.name,
+            ("10.0.0.1", self.n),
+            zone,
+            self.version,
+            born,
+            seeds,
+            random.Random(f"{self.net.seed} {self.n} {self.starts}"),
+            self.net.now,
+        )
         self.net.plan(self, self.net.now)
 
     # the writer
@@ -35,8 +44,14 @@
         if to is None or not to.up or net.cut(self.n, to.n) or net.chance.random() < net.loss:
             return
         message = (v.claim(me, net.now), v.digest(), tuple(news), tuple(words), method, values)
-        if to.version != self.version:      # as post.py reads it there
-            message = (message[0], 0, tuple(news), (), *((method, values) if method in PROBES else ("foreign", ())))
+        if to.version != self.version:  # as post.py reads it there
+            message = (
+                message[0],
+                0,
+                tuple(news),
+                (),
+                *((method, values) if method in PROBES else ("foreign", ())),
+            )
         for _ in range(1 + (net.chance.random() < net.double)):
             net.push(net.now + net.delay * (0.5 + net.chance.random()), to, message)
 
@@ -77,7 +92,7 @@
             if not host.up or start != host.starts:
                 continue
             if host.frozen:
-                if message is not None and len(host.inbox) < 200:     # what a socket's buffer holds
+                if message is not None and len(host.inbox) < 200:  # what a socket's buffer holds
                     host.inbox.append(message)
                 continue
             if message is None and at != host.due:
@@ -111,4 +126,6 @@
         """Whether all that live hold just each other for living."""
         living = self.living()
         names = {h.name for h in living}
-        return all({m for m, state, *_ in h.fellow.members() if state in (ALIVE, SUSPECTED)} == names for h in living)
+        return all(
+            {m for m, state, *_ in h.fellow.members() if state in (ALIVE, SUSPECTED)} == names for h in living
+        )
--- a/brookhinge/startup.py
+++ b/brookhinge/startup.py
@@ -1,5 +1,6 @@
 """The one place where configuration is read, checked and given defaults, for the router on sockets and for the
 simulator's wire. A fault is told by the key's path and what was expected there."""
+
 import json
 import math
 from typing import NamedTuple
@@ -15,8 +16,13 @@
 TELLS = {"silent": "none", "none": "none", "": "none", "hit": "hit", "all": "all"}
 
 TEXT, NUMBER, WHOLE, FLAG, TABLE, ROWS = (
-    ((str,), "a text"), ((int, float), "a number"), ((int,), "a whole number"), ((bool, int), "true or false"),
-    ((dict,), "an object"), ((list,), "a list"))
+    ((str,), "a text"),
+    ((int, float), "a number"),
+    ((int,), "a whole number"),
+    ((bool, int), "true or false"),
+    ((dict,), "an object"),
+    ((list,), "a list"),
+)
 
 
 class StartError(ValueError):
@@ -61,7 +67,9 @@
         """The meaning of one of a few words."""
         value = self.take(key, TEXT, default)
         if value not in words:
-            raise StartError(f"{self.name(key)}: expected one of {', '.join(filter(None, words))}, got {value!r:.60}")
+            raise StartError(
+                f"{self.name(key)}: expected one of {', '.join(filter(None, words))}, got {value!r:.60}"
+            )
         return words[value]
 
     def span(self, key, *default):
@@ -76,12 +84,16 @@
 
     def tables(self, key):
         rows = self.take(key, ROWS, [])
-        return [Table(self.checked(f"{self.name(key)}[{i}]", row, *TABLE), f"{self.name(key)}[{i}]")
-                for i, row in enumerate(rows)]
+        return [
+            Table(self.checked(f"{self.name(key)}[{i}]", row, *TABLE), f"{self.name(key)}[{i}]")
+            for i, row in enumerate(rows)
+        ]
 
     def names(self, key):
-        return [self.checked(f"{self.name(key)}[{i}]", name, *TEXT)
-                for i, name in enumerate(self.take(key, ROWS, []))]
+        return [
+            self.checked(f"{self.name(key)}[{i}]", name, *TEXT)
+            for i, name in enumerate(self.take(key, ROWS, []))
+        ]
 
     def each(self, key, place, form, default):
         """One value of a list by place; the default past its end."""
@@ -103,36 +115,72 @@
         place = fam.between(key, -1, len(kinds) - 1, -1, form=WHOLE)
         return kinds[place] if place >= 0 else ""
 
-    tracks = [Track(
-        name=c.take("Name", TEXT), effect=c.word("Effect", EFFECTS, "fragile"),
-        group=c.word("Group", GROUPS, "all"), window_s=c.span("WindowNs", 0), contract_s=c.span("AimNs"),
-        stretch=c.between("AimStretch", 0, math.inf, 0.0), patience_s=more_than(0, c, "DeadlineNs", NUMBER) * NS,
-        utility=c.between("Value", 0, math.inf, 1.0), late_share=c.between("LateWorth", 0, 1, 0.0),
-        fresh_s=fam.each("GoodForNs", i, NUMBER, 0) * NS, stale_s=fam.each("OlderByNs", i, NUMBER, 0) * NS,
-        stale_share=fam.each("WorthWhenOld", i, NUMBER, 0.0), through=bool(fam.each("GoesThrough", i, FLAG, False)))
-        for i, c in enumerate(settings.tables("Classes"))]
+    tracks = [
+        Track(
+            name=c.take("Name", TEXT),
+            effect=c.word("Effect", EFFECTS, "fragile"),
+            group=c.word("Group", GROUPS, "all"),
+            window_s=c.span("WindowNs", 0),
+            contract_s=c.span("AimNs"),
+            stretch=c.between("AimStretch", 0, math.inf, 0.0),
+            patience_s=more_than(0, c, "DeadlineNs", NUMBER) * NS,
+            utility=c.between("Value", 0, math.inf, 1.0),
+            late_share=c.between("LateWorth", 0, 1, 0.0),
+            fresh_s=fam.each("GoodForNs", i, NUMBER, 0) * NS,
+            stale_s=fam.each("OlderByNs", i, NUMBER, 0) * NS,
+            stale_share=fam.each("WorthWhenOld", i, NUMBER, 0.0),
+            through=bool(fam.each("GoesThrough", i, FLAG, False)),
+        )
+        for i, c in enumerate(settings.tables("Classes"))
+    ]
     for i, t in enumerate(tracks):
         if t.name in [other.name for other in tracks[:i]]:
-            raise StartError(f"{settings.name('Classes')}[{i}].Name: expected another name, {t.name!r:.60} stands there twice")
+            raise StartError(
+                f"{settings.name('Classes')}[{i}].Name: expected another name, {t.name!r:.60} stands there twice"
+            )
     routers = settings.between("Instances", 1, math.inf, 1, form=WHOLE)
     advice = limits.span("MaxRetryAfterNs", 0) if limits.take("RetryAfter", FLAG, False) else 0.0
-    cold_cache = ColdStart(rules.between("ColdFrom", 0, 1, 1.0), rules.span("WarmUpNs", 0),
-                           rules.between("FallMultiple", 0, math.inf, 0.0), rules.span("FallNs", 0))
-    cold_parent = ColdStart(fam.between("ParentColdFrom", 0, 1, 1.0), fam.span("UpperColdNs", 0),
-                            fam.between("ParentBreaksAt", 0, math.inf, 0.0), rules.span("FallNs", 0))
+    cold_cache = ColdStart(
+        rules.between("ColdFrom", 0, 1, 1.0),
+        rules.span("WarmUpNs", 0),
+        rules.between("FallMultiple", 0, math.inf, 0.0),
+        rules.span("FallNs", 0),
+    )
+    cold_parent = ColdStart(
+        fam.between("ParentColdFrom", 0, 1, 1.0),
+        fam.span("UpperColdNs", 0),
+        fam.between("ParentBreaksAt", 0, math.inf, 0.0),
+        rules.span("FallNs", 0),
+    )
     if max(cold_cache.multiple, cold_parent.multiple) > 0 and not cold_cache.window_s:
-        raise StartError(f"{rules.name('FallNs')}: expected more than 0 where cold servers fall at a multiple, got 0")
+        raise StartError(
+            f"{rules.name('FallNs')}: expected more than 0 where cold servers fall at a multiple, got 0"
+        )
     return {
         "tracks": tracks,
-        "place": Place(zone, max(1, fam.each("ZoneBalancers", zone, WHOLE, routers)), routers,
-                       settings.take("MyNumber", WHOLE, 0),
-                       settings.take("WeightSource", TEXT, "silent") in ("nominal", "rough", "live")),
-        "allowed": Allowed(limits.between("MaxAttempts", 1, math.inf, 1, form=WHOLE), bool(limits.take("Probes", FLAG, False)),
-                           bool(limits.take("Cancel", FLAG, False)), advice),
-        "supply": Supply(fam.word("PeersFill", SIBLINGS, "none"), bool(fam.take("Straight", FLAG, False)),
-                         bool(fam.take("SharesFills", FLAG, False)), fam.word("Says", TELLS, "none"),
-                         fam.take("OneFlowKbPerS", NUMBER, 0.0), fam.each("InletKbPerS", zone, NUMBER, 0.0)),
-        "cold_cache": cold_cache, "cold_parent": cold_parent,
+        "place": Place(
+            zone,
+            max(1, fam.each("ZoneBalancers", zone, WHOLE, routers)),
+            routers,
+            settings.take("MyNumber", WHOLE, 0),
+            settings.take("WeightSource", TEXT, "silent") in ("nominal", "rough", "live"),
+        ),
+        "allowed": Allowed(
+            limits.between("MaxAttempts", 1, math.inf, 1, form=WHOLE),
+            bool(limits.take("Probes", FLAG, False)),
+            bool(limits.take("Cancel", FLAG, False)),
+            advice,
+        ),
+        "supply": Supply(
+            fam.word("PeersFill", SIBLINGS, "none"),
+            bool(fam.take("Straight", FLAG, False)),
+            bool(fam.take("SharesFills", FLAG, False)),
+            fam.word("Says", TELLS, "none"),
+            fam.take("OneFlowKbPerS", NUMBER, 0.0),
+            fam.each("InletKbPerS", zone, NUMBER, 0.0),
+        ),
+        "cold_cache": cold_cache,
+        "cold_parent": cold_parent,
         "purge_gone_s": fam.span("GoneEverywhereNs", 0),
         "kinds": (kind("UpperKind"), kind("MasterKind")),
         "reports": [REPORT_FIELDS.get(c, c) for c in report.names("Columns")],
@@ -141,6 +189,7 @@
 
 class Bounds(NamedTuple):
     """What the machine gives, and the pace of what a router sends from its own memory; 0: it sends none."""
+
     memory_mb: int
     sockets: int
     flow_bytes_s: float
@@ -149,6 +198,7 @@
 
 class Lines(NamedTuple):
     """Connections to cache servers."""
+
     connect_s: float
     idle_s: float
     multiplex: int
@@ -156,6 +206,7 @@
 
 class Site(NamedTuple):
     """One router's place on the network, and what its parts are handed."""
+
     name: str
     listen: tuple
     channel: tuple
@@ -164,9 +215,9 @@
     bounds: Bounds
     lines: Lines
     zones: list
-    columns: list           # of a load report, as cache servers name them
-    decisions: dict         # the arguments of Router
-    storm: bool             # whether retries are known as such and returns are planned (brookhinge/storm)
+    columns: list  # of a load report, as cache servers name them
+    decisions: dict  # the arguments of Router
+    storm: bool  # whether retries are known as such and returns are planned (brookhinge/storm)
 
 
 def address(table, key):
@@ -193,8 +244,9 @@
         with open(path, "rb") as file:
             values = json.load(file)
     except OSError as fault:
-        raise StartError(f"BALANCER_CONFIG: expected a file that can be read, got {path!r} "
-                         f"({fault.strerror})") from None
+        raise StartError(
+            f"BALANCER_CONFIG: expected a file that can be read, got {path!r} ({fault.strerror})"
+        ) from None
     except ValueError as fault:
         raise StartError(f"BALANCER_CONFIG: expected JSON, got {fault}") from None
     top = Table(Table.checked("BALANCER_CONFIG", values, *TABLE))
@@ -212,10 +264,23 @@
     if not decisions["tracks"]:
         raise StartError("settings.Classes: missing, expected one class at least")
     return Site(
-        top.take("name", TEXT), address(top, "listen"), address(top, "channel"), seed, known.values,
-        Bounds(more_than(0, limits, "memory_mb", NUMBER, 192), more_than(31, limits, "sockets", WHOLE, 1024),
-               *(top.take(key, NUMBER, 0) for key in ("flow_bytes_per_s", "link_bytes_per_s"))),
-        Lines(more_than(0, calls, "ConnectTimeoutNs", NUMBER, 1e9) * NS, calls.span("IdleCloseNs", 30e9),
-              more_than(0, calls, "Multiplex", WHOLE, 32)),
-        settings.names("Zones"), [c.encode() for c in decisions["reports"]], decisions,
-        bool(top.take("storm", FLAG, False)))
+        top.take("name", TEXT),
+        address(top, "listen"),
+        address(top, "channel"),
+        seed,
+        known.values,
+        Bounds(
+            more_than(0, limits, "memory_mb", NUMBER, 192),
+            more_than(31, limits, "sockets", WHOLE, 1024),
+            *(top.take(key, NUMBER, 0) for key in ("flow_bytes_per_s", "link_bytes_per_s")),
+        ),
+        Lines(
+            more_than(0, calls, "ConnectTimeoutNs", NUMBER, 1e9) * NS,
+            calls.span("IdleCloseNs", 30e9),
+            more_than(0, calls, "Multiplex", WHOLE, 32),
+        ),
+        settings.names("Zones"),
+        [c.encode() for c in decisions["reports"]],
+        decisions,
+        bool(top.take("storm", FLAG, False)),
+    )
--- a/brookhinge/store/__init__.py
+++ b/brookhinge/store/__init__.py
@@ -8,6 +8,7 @@
 clock. What is decided stands in modules without I/O, clock or chance of their own: admission, health, cleaning, ledger,
 index. The format is written to the byte in docs/design/store.md; the sketch and its ageing are after TinyLFU (Einziger,
 Friedman, Manes, 2017), the log and its cleaning after LFS (Rosenblum, Ousterhout, 1992)."""
+
 from brookhinge.store.records import Copy, Found, Held
 from brookhinge.store.store import Store
 from brookhinge.store.tier import DiskTier, StoreUnusable
--- a/brookhinge/store/files.py
+++ b/brookhinge/store/files.py
@@ -1,5 +1,6 @@
 """The file layer: every byte that the store keeps on disk goes through here, so that tests can lose, tear, reorder and
 refuse any of it. Handles are descriptors; errors are OSError."""
+
 import contextlib
 import errno
 import fcntl
--- a/brookhinge/store/hands.py
+++ b/brookhinge/store/hands.py
@@ -1,4 +1,5 @@
 """Threads that do what an event loop must not wait for. Bounded: work that finds the queue full is refused at once."""
+
 import asyncio
 import collections
 import threading
@@ -20,7 +21,11 @@
         loop = asyncio.get_running_loop()
         future = loop.create_future()
         with self.ready:
-            if self.ended or not front and (len(self.queue) >= self.most or self.bytes + size > self.most_bytes):
+            if (
+                self.ended
+                or not front
+                and (len(self.queue) >= self.most or self.bytes + size > self.most_bytes)
+            ):
                 return None
             self.bytes += size
             (self.queue.appendleft if front else self.queue.append)((loop, future, work, args, size))
@@ -46,7 +51,7 @@
                 del self.begun[me]
             try:
                 loop.call_soon_threadsafe(settle, future, *done)
-            except RuntimeError:        # the loop is closed: nobody waits any more
+            except RuntimeError:  # the loop is closed: nobody waits any more
                 pass
 
     def longest_s(self):
@@ -72,4 +77,4 @@
         future.set_result(result)
     else:
         future.set_exception(fault)
-        future.exception()      # who does not wait for it need not hear of it
+        future.exception()  # who does not wait for it need not hear of it
--- a/brookhinge/store/health.py
+++ b/brookhinge/store/health.py
@@ -5,7 +5,7 @@
 when they come together."""
 
 ON, OFF, TRIAL = "on", "off", "trial"
-GRAVE = ("write", "full", "sync", "ledger", "snapshot", "stall", "closed")     # of these one is enough
+GRAVE = ("write", "full", "sync", "ledger", "snapshot", "stall", "closed")  # of these one is enough
 
 
 class Health:
--- a/brookhinge/store/index.py
+++ b/brookhinge/store/index.py
@@ -3,12 +3,27 @@
 
 An entry is an extent: a run of a part's chunks in one record. The entries of a part form a chain, all of one version;
 the first of them stands in the table and in the list of its rank by last use."""
+
 from array import array
 
-NONE = 0xffffffff
-FIELDS = (("key", "Q"), ("version", "I"), ("segment", "I"), ("place", "I"), ("length", "I"), ("size", "I"),
-          ("dated", "d"), ("epoch", "I"), ("first", "H"), ("count", "H"), ("group", "H"), ("rank", "B"), ("chain", "I"),
-          ("older", "I"), ("newer", "I"))
+NONE = 0xFFFFFFFF
+FIELDS = (
+    ("key", "Q"),
+    ("version", "I"),
+    ("segment", "I"),
+    ("place", "I"),
+    ("length", "I"),
+    ("size", "I"),
+    ("dated", "d"),
+    ("epoch", "I"),
+    ("first", "H"),
+    ("count", "H"),
+    ("group", "H"),
+    ("rank", "B"),
+    ("chain", "I"),
+    ("older", "I"),
+    ("newer", "I"),
+)
 RANKS = 4
 
 
@@ -153,7 +168,23 @@
             self.drop(known)
             known = None
         entry = self.free
-        values = (key, version, segment, place, length, size, dated, epoch, first, count, group, rank, NONE, NONE, NONE)
+        values = (
+            key,
+            version,
+            segment,
+            place,
+            length,
+            size,
+            dated,
+            epoch,
+            first,
+            count,
+            group,
+            rank,
+            NONE,
+            NONE,
+            NONE,
+        )
         if entry != NONE:
             self.free = self.chain[entry]
             for column, value in zip(self.columns, values):
@@ -171,13 +202,13 @@
             return entry
         self.set_rank(known, rank)
         self.shed(known, first, count)
-        if self.find(key) is None:          # all that was held is in the new record
+        if self.find(key) is None:  # all that was held is in the new record
             self.enter(entry)
             self.link(entry)
             return entry
         known = self.find(key)
         self.chain[entry], self.chain[known] = self.chain[known], entry
-        for e in self.chain_of(known):      # one copy has one moment
+        for e in self.chain_of(known):  # one copy has one moment
             self.dated[e] = max(dated, self.dated[e])
             self.epoch[e] = epoch
         return known
@@ -212,7 +243,7 @@
 
     def release(self, entry):
         segment = self.segment[entry]
-        if segment in self.live:        # else the segment has gone before what was known of it
+        if segment in self.live:  # else the segment has gone before what was known of it
             self.live[segment] -= self.length[entry]
         self.bytes[self.rank[entry]] -= self.length[entry]
         self.entries -= 1
@@ -253,18 +284,31 @@
 
     def picture(self):
         """(figures, buffers): all of it as it stands, copied."""
-        return ([len(self.key), len(self.slots), self.free, self.parts, self.entries, *self.oldest, *self.newest,
-                 *self.bytes], [column.tobytes() for column in self.columns] + [self.slots.tobytes()])
+        return (
+            [
+                len(self.key),
+                len(self.slots),
+                self.free,
+                self.parts,
+                self.entries,
+                *self.oldest,
+                *self.newest,
+                *self.bytes,
+            ],
+            [column.tobytes() for column in self.columns] + [self.slots.tobytes()],
+        )
 
     @classmethod
     def from_picture(cls, figures, data, at):
         index = cls()
         count, slots, index.free, index.parts, index.entries = figures[:5]
-        index.oldest, index.newest, index.bytes = (list(figures[5 + RANKS * i:5 + RANKS * (i + 1)]) for i in range(3))
+        index.oldest, index.newest, index.bytes = (
+            list(figures[5 + RANKS * i : 5 + RANKS * (i + 1)]) for i in range(3)
+        )
         for column in index.columns:
             end = at + count * column.itemsize
             column.frombytes(data[at:end])
             at = end
         index.slots = array("I")
-        index.slots.frombytes(data[at:at + 4 * slots])
+        index.slots.frombytes(data[at : at + 4 * slots])
         return index
--- a/brookhinge/store/ledger.py
+++ b/brookhinge/store/ledger.py
@@ -4,11 +4,12 @@
 judged when they are asked for, so a purge costs the same whatever it hits. The ledger is bounded: past `most` objects the
 oldest half is folded into the floor, under which every copy counts as purged. Clocks of this machine play no part:
 both moments come from the origin and the command channel. Records are bytes here; the tier writes them."""
+
 import struct
 
 from brookhinge.store.records import ANY_GROUP, Damaged, check_of
 
-RECORD = struct.Struct("<4sBBHdQQ")       # magic kind group length when serial check
+RECORD = struct.Struct("<4sBBHdQQ")  # magic kind group length when serial check
 MAGIC = b"BKPG"
 OBJECT, GROUP, FLOOR = 1, 2, 3
 ALIGN = 8
@@ -19,7 +20,7 @@
 
     def __init__(self, most=65536):
         self.most, self.objects, self.groups, self.floor, self.serial = most, {}, {}, float("-inf"), 0
-        self.last_group = float("-inf")     # of all groups
+        self.last_group = float("-inf")  # of all groups
 
     def purged_at(self, object_, group):
         of_group = self.last_group if group == ANY_GROUP else self.groups.get(group, self.floor)
@@ -47,7 +48,7 @@
         if len(self.objects) <= self.most:
             return
         by_age = sorted(self.objects.items(), key=lambda pair: pair[1])
-        for name, when in by_age[:len(by_age) // 2]:
+        for name, when in by_age[: len(by_age) // 2]:
             self.floor = max(self.floor, when)
             del self.objects[name]
 
@@ -80,16 +81,16 @@
             self.serial, count, at = max(self.serial, serial), count + 1, at + size
             bad, gap = bad + gap, 0
         self.fold()
-        tail = bytes(data[max(0, at - gap):])
+        tail = bytes(data[max(0, at - gap) :])
         return count, bad + len(tail.rstrip(b"\0"))
 
 
 def read_record(data, at):
     """(kind, name, when, serial, bytes) of the record at `at`."""
     magic, kind, group, size, when, serial, check = RECORD.unpack_from(data, at)
-    text = bytes(data[at + RECORD.size:at + RECORD.size + size])
+    text = bytes(data[at + RECORD.size : at + RECORD.size + size])
     if magic != MAGIC or len(text) < size or kind not in (OBJECT, GROUP, FLOOR):
         raise Damaged("no purge")
-    if check_of(bytes(data[at:at + RECORD.size - 8]) + text, seed=kind) != check:
+    if check_of(bytes(data[at : at + RECORD.size - 8]) + text, seed=kind) != check:
         raise Damaged("a purge that does not fit its check")
     return kind, text if kind == OBJECT else group, when, serial, -(-(RECORD.size + size) // ALIGN) * ALIGN
--- a/brookhinge/store/memory.py
+++ b/brookhinge/store/memory.py
@@ -1,9 +1,10 @@
 """The memory tier: whole parts, dropped in the brief's order: the lowest rank first, then what was unused longest, and
 nothing for a copy of lower rank. No I/O, no clock."""
+
 from collections import OrderedDict
 
 RANKS = 4
-OVERHEAD = 400      # bytes a part beside its own: key, record, links (measured with tracemalloc: 350 to 420)
+OVERHEAD = 400  # bytes a part beside its own: key, record, links (measured with tracemalloc: 350 to 420)
 
 
 class Memory:
@@ -26,7 +27,8 @@
         rank, need = found.rank, len(found.body) + OVERHEAD
         self.drop(key)
         if need > self.limit or need > self.limit - self.bytes + sum(
-                self.weight(shelf, need) for shelf in self.shelves[:rank + 1]):
+            self.weight(shelf, need) for shelf in self.shelves[: rank + 1]
+        ):
             return False
         for lower in range(rank + 1):
             while self.bytes + need > self.limit and self.shelves[lower]:
--- a/brookhinge/store/picture.py
+++ b/brookhinge/store/picture.py
@@ -5,6 +5,7 @@
 
 The arrays are those of a little-endian machine with four-byte `I`; another machine takes the file for damaged and reads
 the segments instead."""
+
 import struct
 import sys
 from array import array
@@ -23,7 +24,12 @@
     """Buffers of the file. covered: {segment: bytes}; picture: Index.picture()."""
     figures, arrays = picture
     rows = b"".join(COVERED.pack(n, size, live.get(n, 0)) for n, size in sorted(covered.items()))
-    buffers = [file_head(PICTURE, store, number), FIGURES.pack(serial, len(covered), *figures, 0, 0), rows, *arrays]
+    buffers = [
+        file_head(PICTURE, store, number),
+        FIGURES.pack(serial, len(covered), *figures, 0, 0),
+        rows,
+        *arrays,
+    ]
     check = xxh3_64()
     for part in buffers:
         check.update(part)
@@ -38,7 +44,10 @@
     if whose != store:
         raise Damaged("a picture of another store")
     check = xxh3_64(memoryview(data)[:-8]).intdigest()
-    if len(data) < FILE_HEAD.size + FIGURES.size + 8 or struct.unpack_from("<Q", data, len(data) - 8)[0] != check:
+    if (
+        len(data) < FILE_HEAD.size + FIGURES.size + 8
+        or struct.unpack_from("<Q", data, len(data) - 8)[0] != check
+    ):
         raise Damaged("a picture that does not fit its check")
     serial, segments, *figures = FIGURES.unpack_from(data, FILE_HEAD.size)
     figures = figures[:17]
--- a/brookhinge/store/store.py
+++ b/brookhinge/store/store.py
@@ -1,5 +1,6 @@
 """The two tiers together, on an event loop: memory first, then disk by threads. Whatever the disk does, an answer from
 here is never later than the stated stall: the tier goes off to memory alone, says so, and comes back by trial."""
+
 import asyncio
 import errno
 import time
@@ -15,10 +16,10 @@
 READERS, MOST_READS = 4, 64
 MOST_WRITES, MOST_BYTES = 256, 32 * 1024 * 1024
 TEND_S = 0.05
-USUAL_PART = 32768     # bytes: how many parts a disk may hold, for the size of the sketch
-WRITE_STALLS = 8        # a write may take so many times what a read may: it waits for nothing that is asked for
+USUAL_PART = 32768  # bytes: how many parts a disk may hold, for the size of the sketch
+WRITE_STALLS = 8  # a write may take so many times what a read may: it waits for nothing that is asked for
 FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
-LATER = (2, 8)          # uses at which a part in memory is offered to the disk again
+LATER = (2, 8)  # uses at which a part in memory is offered to the disk again
 
 
 class Store:
@@ -26,15 +27,29 @@
     stall_s: the longest that a read may take. Chunks on disk are checked at each read; what is `aside` in a Found may
     not be served before its source has said that it is unchanged (`renew`)."""
 
-    def __init__(self, memory_bytes, disk=None, say=lambda event, **values: None, stall_s=0.25, sync_s=0.5,
-                 snapshot_s=30.0, admission=None, now=time.time, health=None):
+    def __init__(
+        self,
+        memory_bytes,
+        disk=None,
+        say=lambda event, **values: None,
+        stall_s=0.25,
+        sync_s=0.5,
+        snapshot_s=30.0,
+        admission=None,
+        now=time.time,
+        health=None,
+    ):
         self.memory, self.disk, self.say, self.now = Memory(memory_bytes), disk, say, now
         self.stall_s, self.sync_s, self.snapshot_s = stall_s, sync_s, snapshot_s
-        self.admission = admission or Admission((disk.limit if disk else memory_bytes) // USUAL_PART, room=0.5)
+        self.admission = admission or Admission(
+            (disk.limit if disk else memory_bytes) // USUAL_PART, room=0.5
+        )
         self.health, self.purges = health or Health(), Ledger()
-        self.counts = dict.fromkeys(("memory_hits", "disk_hits", "misses", "late", "busy", "unwritten", "aside"), 0)
+        self.counts = dict.fromkeys(
+            ("memory_hits", "disk_hits", "misses", "late", "busy", "unwritten", "aside"), 0
+        )
         self.readers = self.writer = self.tending = self.opened = None
-        self.open_tier, self.unsure = False, []     # unsure: purges that wait for the end of a trial
+        self.open_tier, self.unsure = False, []  # unsure: purges that wait for the end of a trial
         if disk is not None:
             disk.admit = self.admission.admit
 
@@ -89,14 +104,14 @@
         try:
             figures = await self.writer.call(self.open_disk if fresh else self.disk.trial, front=True)
             self.open_tier = True
-            while told != self.purges.serial:       # purges that came meanwhile: the disk must know them first
+            while told != self.purges.serial:  # purges that came meanwhile: the disk must know them first
                 told = self.purges.serial
                 await self.writer.call(self.pass_purges, front=True)
         except (OSError, StoreUnusable) as fault:
             return self.failed("closed" if fresh else "write", fault)
-        except Exception as fault:          # a fault of ours must not end the box either
+        except Exception as fault:  # a fault of ours must not end the box either
             return self.failed("closed" if fresh else "write", f"{type(fault).__name__}: {fault}")
-        if self.health.state == "off":      # it stalled meanwhile
+        if self.health.state == "off":  # it stalled meanwhile
             return
         self.health.proved(self.now())
         self.say("disk on", **(figures or {}))
@@ -167,9 +182,23 @@
         if found is not None:
             if not self.purges.purged(object_, found.group, found.dated):
                 self.counts["memory_hits"] += 1
-                if self.health.on and self.admission.sketch.estimate(code) in LATER and not self.disk.look(object_, part):
-                    self.queue(Copy(object_, part, found.tag, found.dated, found.group, found.rank, found.size,
-                                    found.body))
+                if (
+                    self.health.on
+                    and self.admission.sketch.estimate(code) in LATER
+                    and not self.disk.look(object_, part)
+                ):
+                    self.queue(
+                        Copy(
+                            object_,
+                            part,
+                            found.tag,
+                            found.dated,
+                            found.group,
+                            found.rank,
+                            found.size,
+                            found.body,
+                        )
+                    )
                 return found
             self.memory.drop(key)
         if not self.health.on or within_s <= 0 or self.disk.look(object_, part) is None:
@@ -250,6 +279,7 @@
                 self.failed("ledger", fault)
             if not done.done():
                 done.set_result(fault is None)
+
         writing.add_done_callback(told)
         return done
 
--- a/brookhinge/store/tier.py
+++ b/brookhinge/store/tier.py
@@ -8,6 +8,7 @@
     purges.log             the ledger
     index-00000001.snap    pictures of the index, two generations
 """
+
 import contextlib
 import secrets
 import struct
@@ -17,14 +18,38 @@
 from brookhinge.store.files import read_whole, write_whole
 from brookhinge.store.index import NONE, Index
 from brookhinge.store.ledger import GROUP, OBJECT, Ledger
-from brookhinge.store.records import (ALIGN, CHUNK, FILE_HEAD, HEAD, LEDGER, MAGIC, SEGMENT, STORE, Copy, Damaged, Found,
-                                      Held, OtherVersion, assemble, check_chunks, decode, encode, file_head, key_of,
-                                      length_of, place_seed, read_file_head, told_length, usable, version_of)
-
-PIECE = 4 * 1024 * 1024     # read at once when a segment is looked through
+from brookhinge.store.records import (
+    ALIGN,
+    CHUNK,
+    FILE_HEAD,
+    HEAD,
+    LEDGER,
+    MAGIC,
+    SEGMENT,
+    STORE,
+    Copy,
+    Damaged,
+    Found,
+    Held,
+    OtherVersion,
+    assemble,
+    check_chunks,
+    decode,
+    encode,
+    file_head,
+    key_of,
+    length_of,
+    place_seed,
+    read_file_head,
+    told_length,
+    usable,
+    version_of,
+)
+
+PIECE = 4 * 1024 * 1024  # read at once when a segment is looked through
 GENERATIONS = 2
-LOOSE = 4                   # a ledger of over so many times its necessary records is written anew
-TRIED = 4                   # segments that are cleaned for one record at most
+LOOSE = 4  # a ledger of over so many times its necessary records is written anew
+TRIED = 4  # segments that are cleaned for one record at most
 
 
 class StoreUnusable(Exception):
@@ -33,6 +58,7 @@
 
 class Segment:
     """One file of records. `pins`: reads under way, which a removal waits for."""
+
     __slots__ = ("number", "handle", "size", "synced", "pins", "removed")
 
     def __init__(self, number, handle, size, synced):
@@ -49,22 +75,40 @@
 
 
 def numbered(names, before, after):
-    return sorted(int(n[len(before):-len(after)]) for n in names
-                  if n.startswith(before) and n.endswith(after) and n[len(before):-len(after)].isdigit())
+    return sorted(
+        int(n[len(before) : -len(after)])
+        for n in names
+        if n.startswith(before) and n.endswith(after) and n[len(before) : -len(after)].isdigit()
+    )
 
 
 class DiskTier:
     """limit, segment_bytes: bytes on disk in all and in a segment. admit(key, size, free, victims) decides on what is
     not asked to be kept at any price; say(event, **values) is the log."""
 
-    def __init__(self, files, limit, segment_bytes, say=lambda event, **values: None, admit=None, most_purges=65536):
+    def __init__(
+        self, files, limit, segment_bytes, say=lambda event, **values: None, admit=None, most_purges=65536
+    ):
         self.files, self.limit, self.segment_bytes = files, int(limit), int(segment_bytes)
         self.room = cleaning.room(self.limit, self.segment_bytes)
         self.say, self.admit, self.most_purges = say, admit, most_purges
         self.lock, self.writing = threading.RLock(), threading.RLock()
         self.lock_handle = self.ledger_handle = None
-        self.counts = dict.fromkeys(("reads", "written", "written_bytes", "copied_bytes", "damaged", "kept_out", "evicted",
-                                     "purges", "cleaned", "renewed"), 0)
+        self.counts = dict.fromkeys(
+            (
+                "reads",
+                "written",
+                "written_bytes",
+                "copied_bytes",
+                "damaged",
+                "kept_out",
+                "evicted",
+                "purges",
+                "cleaned",
+                "renewed",
+            ),
+            0,
+        )
         self.blank()
 
     def blank(self):
@@ -93,7 +137,9 @@
         self.blank()
         if "store" not in names:
             if numbered(names, "s-", ".seg"):
-                raise StoreUnusable("segments without the file 'store': which store they belong to is not known")
+                raise StoreUnusable(
+                    "segments without the file 'store': which store they belong to is not known"
+                )
             write_whole(files, "store", [file_head(STORE, secrets.randbits(63), 0)])
         try:
             self.store, _ = read_file_head(STORE, read_whole(files, "store"))
@@ -102,15 +148,15 @@
         except Damaged as fault:
             raise StoreUnusable(f"the file 'store': {fault}") from None
         for name in names:
-            if name.endswith(".new"):       # a file that was being written when the process ended
+            if name.endswith(".new"):  # a file that was being written when the process ended
                 files.remove(name)
         figures["purges"], lost = self.read_ledger(names)
         if lost:
             self.say("ledger damaged", bytes=lost)
         covered = self.read_picture(names, figures)
         self.read_segments(names, covered, figures)
-        self.epoch += 1                     # nothing found is served before its source said that it is unchanged
-        if lost:                            # what was purged there is not known: nothing on disk can be relied on
+        self.epoch += 1  # nothing found is served before its source said that it is unchanged
+        if lost:  # what was purged there is not known: nothing on disk can be relied on
             self.forget_all()
         self.rewrite_ledger()
         figures["parts"], figures["bytes"] = self.index.parts, sum(self.index.bytes)
@@ -127,9 +173,9 @@
         except OtherVersion as fault:
             raise StoreUnusable(f"a ledger of {fault}") from None
         except Damaged:
-            self.ledger.replay(data[FILE_HEAD.size:])
+            self.ledger.replay(data[FILE_HEAD.size :])
             return 0, len(data)
-        return self.ledger.replay(memoryview(data)[FILE_HEAD.size:])
+        return self.ledger.replay(memoryview(data)[FILE_HEAD.size :])
 
     def read_picture(self, names, figures):
         """{segment: bytes} that the newest usable picture covers; its index is taken."""
@@ -138,7 +184,8 @@
         for number in reversed(numbers):
             try:
                 _, self.serial, covered, self.index = picture.decode(
-                    read_whole(self.files, picture_name(number)), self.store)
+                    read_whole(self.files, picture_name(number)), self.store
+                )
             except (Damaged, OtherVersion, OSError, struct.error) as fault:
                 self.say("picture skipped", name=picture_name(number), why=str(fault))
                 figures["damaged"] += 1
@@ -158,19 +205,27 @@
             except (Damaged, OtherVersion) as fault:
                 self.say("segment skipped", name=segment_name(number), why=str(fault))
                 figures["damaged"] += 1
-                self.files.remove(segment_name(number))     # its head was never written: nothing in it was ever known
+                self.files.remove(
+                    segment_name(number)
+                )  # its head was never written: nothing in it was ever known
         gone = {n for n in covered if n not in self.segments}
-        gone |= {n for n, s in self.segments.items() if covered.get(n, 0) > s.size}     # shorter than what was known
+        gone |= {
+            n for n, s in self.segments.items() if covered.get(n, 0) > s.size
+        }  # shorter than what was known
         if gone:
             self.index.forget_segments(gone)
         for number, segment in self.segments.items():
             figures["segments"] += 1
             begin = 0 if number in gone else covered.get(number, 0)
             if segment.size > max(begin, FILE_HEAD.size):
-                _, damaged = self.scan(segment, max(begin, FILE_HEAD.size),
-                                       lambda place, head, _, number=number: self.take_scanned(number, place, head))
+                _, damaged = self.scan(
+                    segment,
+                    max(begin, FILE_HEAD.size),
+                    lambda place, head, _, number=number: self.take_scanned(number, place, head),
+                )
                 figures["scanned_bytes"] += segment.size - begin
                 figures["damaged"] += damaged
+
     def open_segment(self, number):
         handle = self.files.open(segment_name(number))
         try:
@@ -205,7 +260,7 @@
                 place = window(need)
                 try:
                     head = decode(data, place_seed(self.store, segment.number, at), place)
-                    body = memoryview(data)[place + head.body_at:place + head.body_at + head.body_size]
+                    body = memoryview(data)[place + head.body_at : place + head.body_at + head.body_size]
                     if len(body) < head.body_size:
                         raise Damaged("a record that is cut off")
                     check_chunks(head.table, body)
@@ -224,8 +279,20 @@
     def take_scanned(self, segment, place, head):
         self.serial = max(self.serial, head.serial)
         if not self.ledger.purged(head.object, head.group, head.dated):
-            self.index.add(key_of(head.object, head.part), version_of(head), segment, place // ALIGN, head.length,
-                           head.size, head.dated, self.epoch, head.first, len(head.table), head.group, head.rank)
+            self.index.add(
+                key_of(head.object, head.part),
+                version_of(head),
+                segment,
+                place // ALIGN,
+                head.length,
+                head.size,
+                head.dated,
+                self.epoch,
+                head.first,
+                len(head.table),
+                head.group,
+                head.rank,
+            )
 
     def forget_all(self):
         for entry in [e for e in range(len(self.index.segment)) if self.index.segment[e] != NONE]:
@@ -244,8 +311,14 @@
             if self.ledger.purged(object_, i.group[entry], i.dated[entry]):
                 i.drop(entry)
                 return None
-            return Held(i.dated[entry], i.group[entry], i.rank[entry], i.size[entry], i.epoch[entry] != self.epoch,
-                        i.chunks(entry))
+            return Held(
+                i.dated[entry],
+                i.group[entry],
+                i.rank[entry],
+                i.size[entry],
+                i.epoch[entry] != self.epoch,
+                i.chunks(entry),
+            )
 
     def read(self, object_, part, start=0, stop=None):
         """Found with the checked bytes of [start, stop), or None if not all of them are there. What does not fit its
@@ -263,13 +336,22 @@
             aside, at = i.epoch[entry] != self.epoch, start
             stop = size if stop is None else min(stop, size)
             i.touch(entry)
-            extents = (entry,) if i.chain[entry] == NONE else sorted(i.chain_of(entry), key=i.first.__getitem__)
+            extents = (
+                (entry,) if i.chain[entry] == NONE else sorted(i.chain_of(entry), key=i.first.__getitem__)
+            )
             for e in extents:
                 first = i.first[e] * CHUNK
                 last = min(size, first + i.count[e] * CHUNK)
                 if first <= at < last and at < stop:
-                    wanted.append((self.segments[i.segment[e]], i.place[e] * ALIGN, i.length[e], at - first,
-                                   min(stop, last) - first))
+                    wanted.append(
+                        (
+                            self.segments[i.segment[e]],
+                            i.place[e] * ALIGN,
+                            i.length[e],
+                            at - first,
+                            min(stop, last) - first,
+                        )
+                    )
                     at = min(stop, last)
             if at < stop or start >= stop:
                 return None
@@ -280,10 +362,15 @@
             pieces, tag = [], None
             for segment, place, length, begin, end in wanted:
                 head, body, got = self.read_extent(segment, place, length, begin, end)
-                if head.object != object_ or head.part != part or head.size != size or tag not in (None, head.tag):
+                if (
+                    head.object != object_
+                    or head.part != part
+                    or head.size != size
+                    or tag not in (None, head.tag)
+                ):
                     raise Damaged("a record of something else")
                 tag = head.tag
-                pieces.append(body[begin - got:end - got])
+                pieces.append(body[begin - got : end - got])
             return Found(tag, dated, group, rank, size, b"".join(pieces), aside, start)
         except Damaged as fault:
             with self.lock:
@@ -292,8 +379,13 @@
                 entry = self.index.find(key)
                 if entry is not None:
                     self.index.drop(entry)
-            self.say("damaged", why=str(fault), object=object_.decode("latin-1"), part=part,
-                     segments=sorted({segment.number for segment, *_ in wanted}))
+            self.say(
+                "damaged",
+                why=str(fault),
+                object=object_.decode("latin-1"),
+                part=part,
+                segments=sorted({segment.number for segment, *_ in wanted}),
+            )
             return None
         finally:
             with self.lock:
@@ -310,7 +402,9 @@
         if head.length != length or last > len(head.table):
             raise Damaged("a record of another length")
         at, size = head.body_at + first * CHUNK, min(last * CHUNK, head.body_size) - first * CHUNK
-        body = memoryview(data)[at:at + size] if whole else self.files.read(segment.handle, place + at, size)
+        body = (
+            memoryview(data)[at : at + size] if whole else self.files.read(segment.handle, place + at, size)
+        )
         if len(body) < size:
             raise Damaged("a record that is cut off")
         check_chunks(head.table, body, first)
@@ -329,8 +423,10 @@
         why = usable(copy)
         if why:
             raise ValueError(why)
-        key, need = key_of(copy.object, copy.part), length_of(len(copy.object), len(copy.tag),
-                                                              -(-len(copy.body) // CHUNK), len(copy.body))
+        key, need = (
+            key_of(copy.object, copy.part),
+            length_of(len(copy.object), len(copy.tag), -(-len(copy.body) // CHUNK), len(copy.body)),
+        )
         if need > self.segment_bytes - FILE_HEAD.size:
             self.counts["kept_out"] += 1
             return False
@@ -339,7 +435,11 @@
                 if self.ledger.purged(copy.object, copy.group, copy.dated):
                     return False
                 free = self.room - sum(self.index.bytes)
-                if not surely and self.admit and not self.admit(key, need, free, self.weigh_victims(copy.rank, key)):
+                if (
+                    not surely
+                    and self.admit
+                    and not self.admit(key, need, free, self.weigh_victims(copy.rank, key))
+                ):
                     self.counts["kept_out"] += 1
                     return False
                 if not self.make_place(need, copy.rank, key):
@@ -355,8 +455,20 @@
             with self.lock:
                 # a purge may have come meanwhile: looked at again, for it did not see this copy
                 if not self.ledger.purged(copy.object, copy.group, copy.dated):
-                    self.index.add(key, version_of(copy), segment.number, place // ALIGN, need, copy.size, copy.dated,
-                                   self.epoch, copy.start // CHUNK, -(-len(copy.body) // CHUNK), copy.group, copy.rank)
+                    self.index.add(
+                        key,
+                        version_of(copy),
+                        segment.number,
+                        place // ALIGN,
+                        need,
+                        copy.size,
+                        copy.dated,
+                        self.epoch,
+                        copy.start // CHUNK,
+                        -(-len(copy.body) // CHUNK),
+                        copy.group,
+                        copy.rank,
+                    )
                 self.counts["written"] += 1
                 self.counts["written_bytes"] += need
             return True
@@ -393,7 +505,7 @@
                 if not self.clean():
                     break
             if self.active is not None and self.active.size + need <= self.segment_bytes:
-                return self.active      # cleaning has begun it
+                return self.active  # cleaning has begun it
             if sum(s.size for s in self.segments.values()) + need > self.limit:
                 return None
             self.active = self.new_segment()
@@ -413,7 +525,7 @@
         with self.lock:
             self.segments[number] = segment
             self.index.live[number] = 0
-        self.unwritten = True       # its name in the folder is not durable yet
+        self.unwritten = True  # its name in the folder is not durable yet
         return segment
 
     def append(self, segment, buffers, need):
@@ -455,9 +567,12 @@
     def distrust(self, segment):
         with self.lock:
             for entry in self.index.of_segment(segment.number):
-                if self.index.place[entry] * ALIGN >= segment.synced and self.index.segment[entry] == segment.number:
+                if (
+                    self.index.place[entry] * ALIGN >= segment.synced
+                    and self.index.segment[entry] == segment.number
+                ):
                     self.index.drop_extent(entry)
-            segment.synced = segment.size       # of what is still known
+            segment.synced = segment.size  # of what is still known
             if self.active is segment:
                 self.active = None
 
@@ -538,8 +653,13 @@
         with self.writing:
             with self.lock:
                 sizes = {n: s.size for n, s in self.segments.items()}
-                number = cleaning.choose(sizes, self.index.live, self.active.number if self.active else None,
-                                         self.limit, self.segment_bytes)
+                number = cleaning.choose(
+                    sizes,
+                    self.index.live,
+                    self.active.number if self.active else None,
+                    self.limit,
+                    self.segment_bytes,
+                )
                 if number is None:
                     return False
                 segment = self.segments[number]
@@ -550,10 +670,13 @@
         """Copies what lives in a segment to the end of the log, and removes it."""
         with self.writing:
             if self.index.live.get(segment.number, 0):
-                self.scan(segment, FILE_HEAD.size,
-                          lambda place, head, body: self.copy_record(segment, place, head, body))
+                self.scan(
+                    segment,
+                    FILE_HEAD.size,
+                    lambda place, head, body: self.copy_record(segment, place, head, body),
+                )
                 if self.active is not None:
-                    self.sync()     # what was copied must be there before its first place goes
+                    self.sync()  # what was copied must be there before its first place goes
             self.remove_segment(segment)
             self.counts["cleaned"] += 1
 
@@ -572,18 +695,22 @@
             self.seal()
             target = self.active = self.new_segment()
         self.serial += 1
-        copy = Copy(head.object, head.part, head.tag, dated, head.group, rank, head.size, body, head.first * CHUNK)
-        buffers, _ = assemble(copy, self.serial, place_seed(self.store, target.number, target.size), head.table)
+        copy = Copy(
+            head.object, head.part, head.tag, dated, head.group, rank, head.size, body, head.first * CHUNK
+        )
+        buffers, _ = assemble(
+            copy, self.serial, place_seed(self.store, target.number, target.size), head.table
+        )
         at = self.append(target, buffers, head.length)
         self.counts["copied_bytes"] += head.length
         with self.lock:
-            entry = i.at(key, segment.number, place // ALIGN)     # dropped or replaced meanwhile?
+            entry = i.at(key, segment.number, place // ALIGN)  # dropped or replaced meanwhile?
             if entry is not None:
                 i.move(entry, target.number, at // ALIGN)
 
     def remove_segment(self, segment):
         with self.lock:
-            if self.index.live.get(segment.number):     # what was damaged in it
+            if self.index.live.get(segment.number):  # what was damaged in it
                 for entry in self.index.of_segment(segment.number):
                     if self.index.segment[entry] == segment.number:
                         self.counts["damaged"] += 1
@@ -632,8 +759,11 @@
                 covered = {n: s.size for n, s in self.segments.items()}
                 taken, live, serial = self.index.picture(), dict(self.index.live), self.serial
             number, self.next_picture = self.next_picture, self.next_picture + 1
-            write_whole(self.files, picture_name(number), picture.encode(
-                self.store, number, serial, covered, live, taken))
+            write_whole(
+                self.files,
+                picture_name(number),
+                picture.encode(self.store, number, serial, covered, live, taken),
+            )
             for old in numbered(self.files.names(), "index-", ".snap")[:-GENERATIONS]:
                 self.files.remove(picture_name(old))
 
@@ -678,8 +808,15 @@
 
     def figures(self):
         with self.lock:
-            return dict(self.counts, parts=self.index.parts, entries=self.index.entries, live_bytes=sum(self.index.bytes),
-                        disk_bytes=sum(s.size for s in self.segments.values()), segments=len(self.segments),
-                        suspects=len(self.suspects))
+            return dict(
+                self.counts,
+                parts=self.index.parts,
+                entries=self.index.entries,
+                live_bytes=sum(self.index.bytes),
+                disk_bytes=sum(s.size for s in self.segments.values()),
+                segments=len(self.segments),
+                suspects=len(self.suspects),
+            )
+
 
 __all__ = ["DiskTier", "GROUP", "OBJECT", "StoreUnusable"]
--- a/brookhinge/storm/door.py
+++ b/brookhinge/storm/door.py
@@ -5,10 +5,10 @@
 descriptors are left: where they are scarce, a newcomer from a network that holds more than its share is turned away.
 Connections that are open are never touched here."""
 
-MOST, LEAST = 64, 4     # connections taken in one pass
-LAG_S = 0.02            # of the loop, at which half as many are taken
-SCARCE = 0.25           # of the descriptors for clients: with fewer left, shares are looked at
-FAIR = 8                # a network may always hold so many
+MOST, LEAST = 64, 4  # connections taken in one pass
+LAG_S = 0.02  # of the loop, at which half as many are taken
+SCARCE = 0.25  # of the descriptors for clients: with fewer left, shares are looked at
+FAIR = 8  # a network may always hold so many
 
 
 class Door:
--- a/brookhinge/storm/gate.py
+++ b/brookhinge/storm/gate.py
@@ -1,4 +1,5 @@
 """Networks, signs and door as the front and the service meet them. No I/O, no clock."""
+
 from brookhinge.storm.door import Door
 from brookhinge.storm.networks import Networks
 from brookhinge.storm.signs import CALM, Signs
@@ -34,6 +35,12 @@
             return None
         self.state, was = state, self.state
         asked = self.signs.queries.now(now)
-        return dict(state=state, was=was, connects_s=round(self.signs.connects.now(now), 1), queries_s=round(asked, 1),
-                    returns=round(self.signs.returns.now(now) / asked, 3) if asked else 0.0,
-                    networks=round(self.signs.spread(now), 1), turned_away=self.door.counts["turned_away"])
+        return dict(
+            state=state,
+            was=was,
+            connects_s=round(self.signs.connects.now(now), 1),
+            queries_s=round(asked, 1),
+            returns=round(self.signs.returns.now(now) / asked, 3) if asked else 0.0,
+            networks=round(self.signs.spread(now), 1),
+            turned_away=self.door.counts["turned_away"],
+        )
--- a/brookhinge/storm/lineage.py
+++ b/brookhinge/storm/lineage.py
@@ -5,16 +5,18 @@
 so what it leads to is harmless: a query beside one that is out gets that one's answer, which is the one it asked for; a
 query after one that was not served counts less only once the first try's contract time has passed; and behind an
 address with many connections (a proxy, a school) the connection alone tells who somebody is."""
+
 from collections import OrderedDict
 from typing import NamedTuple
 
 OUT = "out"
 NEW, AGAIN, BESIDE = "new", "again", "beside"
-MANY = 4            # connections open from one address, past which an address tells nobody from another
+MANY = 4  # connections open from one address, past which an address tells nobody from another
 
 
 class Seen(NamedTuple):
     """What a new query is. since: seconds since its first try came; beside: the query that is out for it, or None."""
+
     kind: str
     since: float
     beside: int
@@ -66,7 +68,7 @@
             self.counts[NEW] += 1
             return FRESH
         if known.state != OUT and not 0 <= now - known.at <= self.remember_s:
-            known = None            # too long ago, or the clock has stepped
+            known = None  # too long ago, or the clock has stepped
         if known is not None and known.state == OUT:
             self.counts[BESIDE] += 1
             return Seen(BESIDE, max(0.0, now - known.first_at), known.query)
--- a/brookhinge/storm/networks.py
+++ b/brookhinge/storm/networks.py
@@ -1,9 +1,10 @@
 """Networks that clients come from: the operator's own blocks where they are told, else a prefix of the address. The one
 place that knows the prefix tree's library (py-radix); bounded whatever addresses come."""
+
 import radix
 
-V4, V6 = 24, 64         # bits of a network whose blocks are not told
-WIDE_V4, WIDE_V6 = 16, 48       # and once there are too many of those
+V4, V6 = 24, 64  # bits of a network whose blocks are not told
+WIDE_V4, WIDE_V6 = 16, 48  # and once there are too many of those
 
 
 class Networks:
@@ -17,7 +18,9 @@
                 try:
                     self.tree.add(prefix).data["name"] = name
                 except (ValueError, TypeError):
-                    raise ValueError(f"{name}: expected a prefix as 192.0.2.0/24, got {prefix!r:.60}") from None
+                    raise ValueError(
+                        f"{name}: expected a prefix as 192.0.2.0/24, got {prefix!r:.60}"
+                    ) from None
 
     def of(self, address):
         """The network's name; "" for what is no address."""
@@ -27,7 +30,7 @@
                 return known.data["name"]
             six = ":" in address
             bits = (V6 if six else V4) if self.learned < self.most else (WIDE_V6 if six else WIDE_V4)
-            if self.learned >= 2 * self.most:       # so many even of the wide ones: all others are one
+            if self.learned >= 2 * self.most:  # so many even of the wide ones: all others are one
                 return "elsewhere"
             node = self.tree.add(address, bits)
         except (ValueError, TypeError):
--- a/brookhinge/storm/plan.py
+++ b/brookhinge/storm/plan.py
@@ -5,13 +5,14 @@
 go first. A place is the earliest slot with room; tracks of less utility fill a slot only to a part, so that more utility
 finds room later. Who comes when told goes before who comes early; who comes early is told the same place again. Nothing
 here outlives its slot: places are forgotten a while after they were due."""
+
 from collections import deque
 
 SLOT_S = 0.1
-LEAST = 0.1         # share of what can be taken that is kept for returns, however many newcomers there are
-SETTLE_S = 0.05     # between two looks at what has passed, for newcomers alone
-USED = 0.75         # of what can be taken, before answers wait for each other too long
-EARLY_S, LATE_S = 0.05, 1.0     # how much before and after its time a place still holds
+LEAST = 0.1  # share of what can be taken that is kept for returns, however many newcomers there are
+SETTLE_S = 0.05  # between two looks at what has passed, for newcomers alone
+USED = 0.75  # of what can be taken, before answers wait for each other too long
+EARLY_S, LATE_S = 0.05, 1.0  # how much before and after its time a place still holds
 
 
 class Returns:
@@ -19,8 +20,8 @@
 
     def __init__(self, longest_s, most=8192):
         self.longest_s, self.most = longest_s, most
-        self.slots = {}                 # slot number -> weight of returns in it
-        self.places, self.due = {}, deque()     # (who, name) -> moment; in the order in which they were given
+        self.slots = {}  # slot number -> weight of returns in it
+        self.places, self.due = {}, deque()  # (who, name) -> moment; in the order in which they were given
         self.newcomers, self.seen_at, self.spread = 0.0, None, 0.0
         self.counts = dict(given=0, kept=0, early=0, late=0, full=0, served=0)
 
@@ -44,7 +45,7 @@
 
     def pace(self):
         """Work of newcomers a second."""
-        return self.newcomers * 0.99        # ln 2 / 0.7: the sum decays by half in 0.7 s
+        return self.newcomers * 0.99  # ln 2 / 0.7: the sum decays by half in 0.7 s
 
     def arrives(self, now, who, name):
         """Somebody asks for something. Seconds until the place that was promised, 0 where it is now or was none; and
@@ -75,12 +76,12 @@
             able = can_take(slot * SLOT_S)
             room = max(LEAST * able, USED * able - self.pace()) * SLOT_S * part
             free = min(max(work, room), free + room - self.slots.get(slot, 0.0))
-            if free >= work:        # a slot that has less than one return needs lends it to the next
+            if free >= work:  # a slot that has less than one return needs lends it to the next
                 break
         else:
             # no room within the time that may be told: a time late in it, spread over many, and no promise
             self.counts["full"] += 1
-            self.spread = (self.spread + 0.381966) % 1.0        # the golden section: no two of many fall together
+            self.spread = (self.spread + 0.381966) % 1.0  # the golden section: no two of many fall together
             return max(0.001, self.longest_s * (0.5 + 0.5 * self.spread))
         taken = self.slots.get(slot, 0.0)
         self.slots[slot] = taken + work
