--- a/brookhinge/storm/signs.py
+++ b/brookhinge/storm/signs.py
@@ -4,25 +4,27 @@
 Rates are kept over two seconds and over a minute, the latter only while it is calm. A storm: connections come far
 faster than usual and many of the queries are returns, from many networks. The same from one or two networks is a client.
 More queries of which few are returns are a busy hour."""
+
 from math import exp
 
 QUICK_S, USUAL_S = 2.0, 60.0
 CALM, BUSY, CLIENT, STORM = "calm", "busy", "client", "storm"
-FAR = 3.0               # times the usual
-RETURNS = 0.25          # share of returns among queries
-FEW = 2.5               # networks, by how evenly the connections stand among them
-LEAST = 5.0             # connections a second, under which nothing is a crowd
+FAR = 3.0  # times the usual
+RETURNS = 0.25  # share of returns among queries
+FEW = 2.5  # networks, by how evenly the connections stand among them
+LEAST = 5.0  # connections a second, under which nothing is a crowd
 
 
 class Rate:
     """Events a second, over `over_s`."""
+
     __slots__ = ("over_s", "sum", "at")
 
     def __init__(self, over_s):
         self.over_s, self.sum, self.at = over_s, 0.0, None
 
     def settle(self, now):
-        if self.at is None or now < self.at:        # the first, or the clock has stepped back
+        if self.at is None or now < self.at:  # the first, or the clock has stepped back
             self.at = now
         self.sum *= exp((self.at - now) / self.over_s)
         self.at = now
@@ -43,7 +45,7 @@
         self.most, self.state, self.since, self.began = most, CALM, None, None
         self.connects, self.queries, self.returns = (Rate(QUICK_S) for _ in range(3))
         self.usual_connects, self.usual_queries = Rate(USUAL_S), Rate(USUAL_S)
-        self.networks = {}              # network -> Rate of its connections
+        self.networks = {}  # network -> Rate of its connections
 
     def connected(self, now, network):
         self.began = now if self.began is None else self.began
@@ -66,7 +68,7 @@
             self.usual_queries.add(now, queries)
 
     def forget(self, now):
-        kept = sorted(self.networks.items(), key=lambda item: -item[1].now(now))[:self.most // 2]
+        kept = sorted(self.networks.items(), key=lambda item: -item[1].now(now))[: self.most // 2]
         self.networks = {network: rate for network, rate in kept if rate.now(now) > 0.01}
 
     def spread(self, now):
@@ -82,13 +84,17 @@
 
     def usual(self, rate, now):
         """A rate over the last minute, as far as there has been one."""
-        told = 1.0 - exp((self.began - now) / rate.over_s) if self.began is not None and now > self.began else 0.0
+        told = (
+            1.0 - exp((self.began - now) / rate.over_s)
+            if self.began is not None and now > self.began
+            else 0.0
+        )
         return rate.now(now) / max(told, 0.05)
 
     def look(self, now):
         """The state now. It is left only when the signs are down to half of what began it."""
         ease = 0.5 if self.state in (CLIENT, STORM) else 1.0
-        if self.state in (CLIENT, STORM):       # what is usual stands still meanwhile
+        if self.state in (CLIENT, STORM):  # what is usual stands still meanwhile
             self.usual_connects.at = self.usual_queries.at = now
         connects, queries = self.connects.now(now), self.queries.now(now)
         returns = self.returns.now(now) / queries if queries > 0 else 0.0
--- a/brookhinge/storm/story.py
+++ b/brookhinge/storm/story.py
@@ -1,4 +1,5 @@
 """A router's log told as a story: when there was a storm, how it was seen, how it was damped, when it ended. No I/O."""
+
 import json
 
 QUIET = ("calm", "busy")
@@ -24,9 +25,24 @@
     for row in rows:
         if row["event"] == "storm" and row.get("state") not in QUIET:
             if now is None:
-                now = dict(router=row.get("router", ""), begin=row["at"], end=None, kind=row["state"], connects_s=0.0,
-                           queries_s=0.0, returns=0.0, networks=0.0, queries=0, satisfied=0, nacked=0, errored=0, again=0,
-                           beside=0, lines=0, restarted=False)
+                now = dict(
+                    router=row.get("router", ""),
+                    begin=row["at"],
+                    end=None,
+                    kind=row["state"],
+                    connects_s=0.0,
+                    queries_s=0.0,
+                    returns=0.0,
+                    networks=0.0,
+                    queries=0,
+                    satisfied=0,
+                    nacked=0,
+                    errored=0,
+                    again=0,
+                    beside=0,
+                    lines=0,
+                    restarted=False,
+                )
                 told.append(now)
             if row["state"] == "storm":
                 now["kind"] = "storm"
@@ -52,13 +68,17 @@
     what = "a storm" if episode["kind"] == "storm" else "a crowd from one or two networks"
     begin, end = episode["begin"], episode["end"]
     yield f"{clock(begin)} {what} at {episode['router'] or 'a router'}"
-    yield (f"  seen by {episode['connects_s']:g} connections a second from about {episode['networks']:g} networks, "
-           f"{episode['queries_s']:g} queries a second, {100 * episode['returns']:.0f}% of them returns")
+    yield (
+        f"  seen by {episode['connects_s']:g} connections a second from about {episode['networks']:g} networks, "
+        f"{episode['queries_s']:g} queries a second, {100 * episode['returns']:.0f}% of them returns"
+    )
     if episode["lines"]:
         asked = episode["queries"]
-        yield (f"  damped: of {asked} queries {share(episode['satisfied'], asked)} were satisfied and "
-               f"{share(episode['nacked'], asked)} told to come back; {episode['again']} were retries counted under their "
-               f"first try, {episode['beside']} waited for what was out")
+        yield (
+            f"  damped: of {asked} queries {share(episode['satisfied'], asked)} were satisfied and "
+            f"{share(episode['nacked'], asked)} told to come back; {episode['again']} were retries counted under their "
+            f"first try, {episode['beside']} waited for what was out"
+        )
     if end is None:
         yield "  not over when the log ends"
     elif episode["restarted"]:
--- a/brookhinge/verdicts/judge.py
+++ b/brookhinge/verdicts/judge.py
@@ -4,12 +4,12 @@
 nobody: its tries count no more than the median witness's twice over, and three must have seen failures themselves (or all
 there are, but two at least). Not more than two in five servers rest for what fellows saw: then the cause lies elsewhere."""
 
-BAD, WELL = 0.3, 0.1        # share of failures past which a server is at fault, under which it is well
-USUAL = 2.0                 # and so many times the median of its fellows
+BAD, WELL = 0.3, 0.1  # share of failures past which a server is at fault, under which it is well
+USUAL = 2.0  # and so many times the median of its fellows
 WITNESSES, MOST = 3, 0.4
-TRIES = 6                   # of all witnesses together, before anything is said
-OWN = 8             # tries of one's own that went well outweigh what others saw
-CLEAR = 3                   # trials that went well end a rest
+TRIES = 6  # of all witnesses together, before anything is said
+OWN = 8  # tries of one's own that went well outweigh what others saw
+CLEAR = 3  # trials that went well end a rest
 
 
 def share(tries, failed):
@@ -46,13 +46,18 @@
     routers: how many stand there and may be witnesses; servers: how many there are to choose from; resting: those that
     rest already, of which evidence is scarce"""
     out = troubled(seen)
-    pools = {server: pooled({router: told for router, told in witnesses.items() if router not in out})
-             for server, witnesses in seen.items()}
+    pools = {
+        server: pooled({router: told for router, told in witnesses.items() if router not in out})
+        for server, witnesses in seen.items()
+    }
     shares = sorted([part for part, tries, _ in pools.values() if tries] + [0.0] * (servers - len(pools)))
     usual = shares[(len(shares) - 1) // 2] if shares else 0.0
     need = max(2, min(WITNESSES, routers - len(out)))
-    bad = {server: part for server, (part, tries, saw) in pools.items()
-           if part >= BAD and part >= USUAL * usual and tries >= TRIES and saw >= need}
+    bad = {
+        server: part
+        for server, (part, tries, saw) in pools.items()
+        if part >= BAD and part >= USUAL * usual and tries >= TRIES and saw >= need
+    }
     return bad if len(bad.keys() | set(resting)) <= max(1, MOST * servers) else {}
 
 
--- a/brookhinge/verdicts/shared.py
+++ b/brookhinge/verdicts/shared.py
@@ -1,9 +1,12 @@
 """The decisions where verdicts are shared: tries and failures of caches are counted for the fellows, and what all saw comes
 in beside own experience. No I/O, no clock."""
+
 from brookhinge.decide import Health
 from brookhinge.verdicts.verdicts import RAMP
 
-FIRST = 0.1         # the part of the queries that comes back at once when a rest ends; the rest of them over the ramp
+FIRST = (
+    0.1  # the part of the queries that comes back at once when a rest ends; the rest of them over the ramp
+)
 
 
 class SharedHealth(Health):
@@ -12,20 +15,20 @@
     def __init__(self, chance):
         super().__init__()
         self.chance, self.counts, self.how, self.used = chance, {}, {}, {}
-        self.slow = False       # the answer that is judged came, late beside the fellows': that is each router's own measure
+        self.slow = False  # the answer that is judged came, late beside the fellows': that is each router's own measure
 
     def judge(self, c, now, failed, weight, fellows):
         tries, bad = self.counts.get(c, (0, 0.0))
         self.counts[c] = tries + 1, bad + (weight if failed and not self.slow else 0.0)
         if c in self.how:
-            self.used[c] = self.how[c][1]       # one answer a turn
+            self.used[c] = self.how[c][1]  # one answer a turn
         return super().judge(c, now, failed, weight, fellows)
 
     def told(self, c, how, now, until):
         if how == "well":
             self.how.pop(c, None)
             self.rest_until.pop(c, None)
-        elif how == "alone":                # nobody has seen anything of it lately: as without fellows
+        elif how == "alone":  # nobody has seen anything of it lately: as without fellows
             self.how.pop(c, None)
             self.rest_until[c] = now
         else:
@@ -62,5 +65,8 @@
 
     def seen(self):
         """(server, born, tries, failed) of caches, since they were last entered."""
-        return [(self.fleet.ids[c], self.fleet.born[c], *told) for c, told in self.health.counts.items()
-                if self.fleet.state[c] == "ready"]
+        return [
+            (self.fleet.ids[c], self.fleet.born[c], *told)
+            for c, told in self.health.counts.items()
+            if self.fleet.state[c] == "ready"
+        ]
--- a/brookhinge/verdicts/verdicts.py
+++ b/brookhinge/verdicts/verdicts.py
@@ -7,6 +7,7 @@
 Each server has a collector, chosen from the view, to whom who saw anything of it sends totals while anybody sees failures;
 he sends all totals to all, and says whose turn a trial of a resting server is: one router's, and twice as many each time
 that no trial came of it, for who has the turn may have no query for it. He decides nothing."""
+
 import xxhash
 
 from brookhinge.membership.look import VERDICTS
@@ -14,15 +15,16 @@
 from brookhinge.verdicts import judge
 from brookhinge.verdicts.evidence import T, Evidence
 
-BEAT = 0.5          # between two tellings
-TURN = 0.6          # a turn to try a resting server lasts so long
-RAMP = 3.0          # seconds over which queries come back after a rest
-ROWS = 16           # in one datagram
-KEPT = 24           # witnesses of one server that are passed on: those with most tries
+BEAT = 0.5  # between two tellings
+TURN = 0.6  # a turn to try a resting server lasts so long
+RAMP = 3.0  # seconds over which queries come back after a rest
+ROWS = 16  # in one datagram
+KEPT = 24  # witnesses of one server that are passed on: those with most tries
 
 
 class Resting:
     """A server that rests by the fleet's evidence: since when, and what its trials came to before."""
+
     __slots__ = ("since", "ramp_at", "why")
 
     def __init__(self, since, why):
@@ -39,22 +41,37 @@
         self.view, self.name, self.zone, self.version = view, name, zone, version
         self.sharers, self.counts, self.servers = sharers, counts, servers
         self.uid = view.uid[view.index[name]]
-        self.evidence, self.asked, self.number, self.beat_at = Evidence(), {}, 0, now     # asked: server -> until
+        self.evidence, self.asked, self.number, self.beat_at = (
+            Evidence(),
+            {},
+            0,
+            now,
+        )  # asked: server -> until
         self.resting, self.turns, self.told, self.trouble = {}, {}, set(), set()
-        self.heard, self.pace, self.shrinks_at = {}, {}, float("inf")     # pace: server -> (until, how many, tries then)
+        self.heard, self.pace, self.shrinks_at = (
+            {},
+            {},
+            float("inf"),
+        )  # pace: server -> (until, how many, tries then)
 
     def next_at(self):
         return self.beat_at
 
     def fellows(self):
         v = self.view
-        return [i for i in range(len(v.names)) if v.state[i] == ALIVE and v.version[i] == self.version
-                and v.zone[i] == self.zone]
+        return [
+            i
+            for i in range(len(v.names))
+            if v.state[i] == ALIVE and v.version[i] == self.version and v.zone[i] == self.zone
+        ]
 
     def collector(self, server):
         text = "%s %d " % server
-        return max(self.fellows(), default=None,
-                   key=lambda i: xxhash.xxh64_intdigest((text + self.view.names[i]).encode()))
+        return max(
+            self.fellows(),
+            default=None,
+            key=lambda i: xxhash.xxh64_intdigest((text + self.view.names[i]).encode()),
+        )
 
     def round(self, now, inbox, writer):
         for sender, method, values, rows in inbox:
@@ -70,7 +87,9 @@
         """Own totals into the own evidence, and to the collectors of what is in question; tables of what is collected
         here; then what follows from all."""
         mine, self.number = self.counts(), self.number + 1
-        self.evidence.hear(now, self.uid, self.number, now, [(server, *told) for server, told in mine.items()])
+        self.evidence.hear(
+            now, self.uid, self.number, now, [(server, *told) for server, told in mine.items()]
+        )
         self.evidence.forget(now)
         seen = {server: self.evidence.of(server, now) for server in sorted(self.evidence.servers(now))}
         for server, witnesses in seen.items():
@@ -87,7 +106,7 @@
         for place, rows in to.items():
             for at in range(0, len(rows), ROWS):
                 self.number += 1
-                writer.post_to(place, "evidence", (self.number, round(now * 1000)), rows[at:at + ROWS])
+                writer.post_to(place, "evidence", (self.number, round(now * 1000)), rows[at : at + ROWS])
         for server in collected:
             self.tell_all(now, server, mine, writer)
         self.decide(now, seen, writer)
@@ -114,7 +133,12 @@
                 continue
             for at in range(0, max(1, len(rows)), ROWS):
                 self.number += 1
-                writer.post_to(place, "table", (int(place in turns), 0), rows[at:at + ROWS] or [(*server, 0, 0, 0, 0, 0)])
+                writer.post_to(
+                    place,
+                    "table",
+                    (int(place in turns), 0),
+                    rows[at : at + ROWS] or [(*server, 0, 0, 0, 0, 0)],
+                )
 
     def collect(self, now, sender, values, rows):
         number, stamp = values
@@ -124,7 +148,9 @@
             kept = self.heard.setdefault(server, {})
             if number > kept.get(sender, (0, 0))[1]:
                 kept[sender] = now, number, stamp, tries, failed
-        self.evidence.hear(now, sender, number, stamp / 1000.0, [((row[0], row[1]), *row[2:]) for row in rows])
+        self.evidence.hear(
+            now, sender, number, stamp / 1000.0, [((row[0], row[1]), *row[2:]) for row in rows]
+        )
 
     def table(self, now, sender, values, rows):
         """Totals that a collector passes on: merged by the router that counted them, each by its own number and clock."""
@@ -142,8 +168,12 @@
 
     def decide(self, now, seen, writer):
         """What the evidence comes to now. A rest ends when trials went well, or when there is no evidence any more."""
-        bad = judge.at_fault(seen, self.sharers(), self.servers(),
-                             [server for server, told in self.resting.items() if told.ramp_at is None])
+        bad = judge.at_fault(
+            seen,
+            self.sharers(),
+            self.servers(),
+            [server for server, told in self.resting.items() if told.ramp_at is None],
+        )
         self.trouble = set(judge.own_trouble(seen, self.uid))
         for server, part in bad.items():
             resting = self.resting.get(server)
@@ -158,7 +188,9 @@
                 resting.ramp_at = now
             if server in alone or resting.ramp_at is not None and now - resting.ramp_at >= RAMP:
                 del self.resting[server]
-        self.turns = {server: until for server, until in self.turns.items() if until > now and server in self.resting}
+        self.turns = {
+            server: until for server, until in self.turns.items() if until > now and server in self.resting
+        }
         self.say(now, seen, alone, writer)
 
     def say(self, now, seen, alone, writer):
@@ -166,11 +198,18 @@
         for server, resting in self.resting.items():
             if judge.outweighs(seen.get(server, {}).get(self.uid, (0, 0))):
                 continue
-            how = ("ramp", resting.ramp_at + RAMP) if resting.ramp_at is not None else \
-                ("trial", self.turns[server]) if server in self.turns else ("rest", now + T)
+            how = (
+                ("ramp", resting.ramp_at + RAMP)
+                if resting.ramp_at is not None
+                else ("trial", self.turns[server])
+                if server in self.turns
+                else ("rest", now + T)
+            )
             rows.append((*server, how[0], round(how[1] - now, 3)))
         saying = {row[:2] for row in rows}
-        rows += [(*server, "alone" if server in alone else "well", 0.0) for server in sorted(self.told - saying)]
+        rows += [
+            (*server, "alone" if server in alone else "well", 0.0) for server in sorted(self.told - saying)
+        ]
         self.told = saying
         if rows:
             writer.event_of("verdicts", rows)
@@ -184,7 +223,16 @@
         for server in sorted(self.asked.keys() | self.resting.keys()):
             witnesses, resting = self.evidence.of(server, now), self.resting.get(server)
             state = "well" if resting is None else "resting" if resting.ramp_at is None else "coming back"
-            rows.append((server[0], state, round(now - resting.since, 1) if resting else 0.0, resting.why if resting else "",
-                         len(witnesses), sum(t for t, _ in witnesses.values()), sum(f for _, f in witnesses.values()),
-                         int(server in self.trouble)))
+            rows.append(
+                (
+                    server[0],
+                    state,
+                    round(now - resting.since, 1) if resting else 0.0,
+                    resting.why if resting else "",
+                    len(witnesses),
+                    sum(t for t, _ in witnesses.values()),
+                    sum(f for _, f in witnesses.values()),
+                    int(server in self.trouble),
+                )
+            )
         return rows
--- a/brookhinge/wire/codec.py
+++ b/brookhinge/wire/codec.py
@@ -2,11 +2,20 @@
 
 Clock times become seconds since the instance's start, query ids small serials; both are turned back here.
 """
+
 from brookhinge.startup import NS
 
-RESULTS = {"OK": "satisfied", "INTERNAL": "errored", "RESOURCE_EXHAUSTED": "full",
-           "DEADLINE_EXCEEDED": "timeout", "UNAVAILABLE": "unreachable", "ABORTED": "broken",
-           "CANCELLED": "cancelled", "TOO_LATE": "moot", "NOT_FOUND": "miss"}
+RESULTS = {
+    "OK": "satisfied",
+    "INTERNAL": "errored",
+    "RESOURCE_EXHAUSTED": "full",
+    "DEADLINE_EXCEEDED": "timeout",
+    "UNAVAILABLE": "unreachable",
+    "ABORTED": "broken",
+    "CANCELLED": "cancelled",
+    "TOO_LATE": "moot",
+    "NOT_FOUND": "miss",
+}
 HEALTH = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 LISTS = {"INCREMENTAL": "changes", "FULL": "full", "SAVED": "saved", "FAILED": "failed"}
 
@@ -75,7 +84,9 @@
         self.out[query] = (pending + 1, over)
         bits = join + 2 * held_only + 8 * renew
         age = max(1, int(age_s / NS)) if age_s > 0 else 0
-        self.lines.append(f"FETCH_THROUGH {self.tid[query]} {cache} {self.clock(until)} {source} {rank} {age} {bits}")
+        self.lines.append(
+            f"FETCH_THROUGH {self.tid[query]} {cache} {self.clock(until)} {source} {rank} {age} {bits}"
+        )
 
     def nack(self, query, retry_after_s):
         self.lines.append(f"DENY {self.tid[query]} {int(retry_after_s / NS)}")
@@ -111,9 +122,22 @@
                 raise WireError(f"line {line!r}: expected a known class, got {v[2]!r}")
             serial, self.next = self.next, self.next + 1
             self.tid[serial], self.serial[v[0]], self.out[serial] = v[0], serial, (0, False)
-            add(("query", (serial, self.tracks[v[2]], v[7], optional(v[1], line, "a part"),
-                           optional(v[6], line, "a group"), optional(v[8], line, "a size", float),
-                           v[4] == "1", v[5] == "1", optional(v[9], line, "a time budget") * NS)))
+            add(
+                (
+                    "query",
+                    (
+                        serial,
+                        self.tracks[v[2]],
+                        v[7],
+                        optional(v[1], line, "a part"),
+                        optional(v[6], line, "a group"),
+                        optional(v[8], line, "a size", float),
+                        v[4] == "1",
+                        v[5] == "1",
+                        optional(v[9], line, "a time budget") * NS,
+                    ),
+                )
+            )
         elif word == "OUTCOME":
             v = parts(line, 6, "OUTCOME with at least six values")
             serial = self.known(v[0], line)
@@ -122,10 +146,22 @@
             if serial is None:
                 return
             ended = flag(v[5], line)
-            add(("ended", (serial, number(v[1], line, "a push"), number(v[2], line, "a cache server"),
-                           RESULTS[v[3]], number(v[4], line, "a duration") * NS, ended,
-                           optional(v[6], line, "a note"), optional(v[7], line, "a duration") * NS,
-                           self.load(v[8], line))))
+            add(
+                (
+                    "ended",
+                    (
+                        serial,
+                        number(v[1], line, "a push"),
+                        number(v[2], line, "a cache server"),
+                        RESULTS[v[3]],
+                        number(v[4], line, "a duration") * NS,
+                        ended,
+                        optional(v[6], line, "a note"),
+                        optional(v[7], line, "a duration") * NS,
+                        self.load(v[8], line),
+                    ),
+                )
+            )
             pending, over = self.out[serial]
             self.out[serial] = (pending - 1, over or ended)
         elif word == "CLIENT_LEFT":
@@ -137,21 +173,38 @@
             v = parts(line, 3, "TARGETS with three values")
             if v[0] not in LISTS:
                 raise WireError(f"line {line!r}: expected a kind of list, got {v[0]!r}")
-            if v[0] != "FAILED":        # that tells nothing
+            if v[0] != "FAILED":  # that tells nothing
                 rows = lists.get(v[2])
                 if rows is None:
                     raise WireError(f"line {line!r}: expected a list given by REGISTER, got {v[2]!r}")
                 add(("roster", (LISTS[v[0]], [self.member(r) for r in rows])))
         elif word == "PURGED":
             v = parts(line, 2, "PURGED with two values")
-            add(("purged", (optional(v[0], line, "a group"), optional(v[1], line, "an age") * NS,
-                            "" if v[2] == "-" else v[2])))
+            add(
+                (
+                    "purged",
+                    (
+                        optional(v[0], line, "a group"),
+                        optional(v[1], line, "an age") * NS,
+                        "" if v[2] == "-" else v[2],
+                    ),
+                )
+            )
         elif word == "RING":
             add(("rang", (line[5:],)))
         elif word == "HEALTH_RESULT":
             v = parts(line, 3, "HEALTH_RESULT with three values")
-            add(("probed", (number(v[2], line, "a cache server"), RESULTS.get(v[0], "errored"),
-                            number(v[1], line, "a duration") * NS, self.load(v[3], line))))
+            add(
+                (
+                    "probed",
+                    (
+                        number(v[2], line, "a cache server"),
+                        RESULTS.get(v[0], "errored"),
+                        number(v[1], line, "a duration") * NS,
+                        self.load(v[3], line),
+                    ),
+                )
+            )
         elif word == "FIRST":
             v = parts(line, 4, "FIRST with four values")
             serial = self.known(v[0], line)
@@ -163,12 +216,27 @@
     def member(self, row):
         """(id, health, weight, started or None, cell, kind, zone or -1)"""
         weight, born, cell, health, server, kind, zone = row
-        return (server, health, weight, self.seconds(born) if born else None, cell, kind, self.zones.get(zone, -1))
+        return (
+            server,
+            health,
+            weight,
+            self.seconds(born) if born else None,
+            cell,
+            kind,
+            self.zones.get(zone, -1),
+        )
 
 
 def read_row(line):
     v = parts(line, 7, "ROW with seven values")
     if not line.startswith("ROW ") or v[3] not in HEALTH:
         raise WireError(f"line {line!r}: expected ROW with a state")
-    return (optional(v[0], line, "a weight", float), optional(v[1], line, "a time"),
-            optional(v[2], line, "a cell"), HEALTH[v[3]], number(v[4], line, "a cache server"), v[5], v[6])
+    return (
+        optional(v[0], line, "a weight", float),
+        optional(v[1], line, "a time"),
+        optional(v[2], line, "a cell"),
+        HEALTH[v[3]],
+        number(v[4], line, "a cache server"),
+        v[5],
+        v[6],
+    )
--- a/brookhinge/wirehost.py
+++ b/brookhinge/wirehost.py
@@ -1,4 +1,5 @@
 """Hosts many isolated routers on the simulator's wire: python -m brookhinge.wirehost"""
+
 import json
 import sys
 
@@ -36,7 +37,9 @@
                 except StartError as fault:
                     raise WireError(f"line {line[:60]!r}...: {fault}") from None
                 except ValueError as fault:
-                    raise WireError(f"line {line[:60]!r}...: expected settings, cannot read {fault!r}") from None
+                    raise WireError(
+                        f"line {line[:60]!r}...: expected settings, cannot read {fault!r}"
+                    ) from None
                 instance.router = Router(number(seed, line[:60], "a seed"), **start)
                 instance.tracks = {t.name: i for i, t in enumerate(start["tracks"])}
                 instance.zones = {z: i for i, z in enumerate(options.get("Zones", []))}
@@ -58,8 +61,11 @@
                 where = fault.__traceback__
                 while where.tb_next:
                     where = where.tb_next
-                instance.lines = [f"PANIC {type(fault).__name__}: {fault} "
-                                  f"(decide line {where.tb_lineno})".replace("\n", " ")]
+                instance.lines = [
+                    f"PANIC {type(fault).__name__}: {fault} (decide line {where.tb_lineno})".replace(
+                        "\n", " "
+                    )
+                ]
             for method, values in inbox:
                 if method in ("ended", "left") and values[0] in instance.out:
                     pending, over = instance.out[values[0]]
--- a/examples/ask.py
+++ b/examples/ask.py
@@ -1,6 +1,7 @@
 """Asks the router of examples/config.json for one part of an object: .venv/bin/python examples/ask.py OBJECT [PART]
 
 OBJECT is 16 hex digits, such as 7f3a9c21e0b4d655."""
+
 import os
 import socket
 import sys
@@ -11,10 +12,19 @@
 
 
 def main(key, part="0"):
-    fields = {b"service": b"page", b"ref": os.urandom(8).hex().encode(), b"allow": b"2000", b"lookup": key.encode(),
-              b"piece": part.encode()}
+    fields = {
+        b"service": b"page",
+        b"ref": os.urandom(8).hex().encode(),
+        b"allow": b"2000",
+        b"lookup": key.encode(),
+        b"piece": part.encode(),
+    }
     with socket.create_connection(("127.0.0.1", 8080), 5) as made:
-        made.sendall(thrift.message(b"serve", thrift.CALL, 1, thrift.HEAD.pack(thrift.MAP, 1), thrift.words(fields), b"\0"))
+        made.sendall(
+            thrift.message(
+                b"serve", thrift.CALL, 1, thrift.HEAD.pack(thrift.MAP, 1), thrift.words(fields), b"\0"
+            )
+        )
         frames, found = thrift.Frames(), []
         while not found:
             data = made.recv(65536)
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,6 +1,7 @@
 """Toy cache servers, parent, origin and command channel for examples/config.json: python examples/toy_server.py
 
 Each server keeps what it was asked for. A miss is filled, which takes 100 ms, where the router names a source."""
+
 import asyncio
 import json
 import time
@@ -23,11 +24,18 @@
             kept[item], note = int(time.time() * 1000), "filled"
         if item in kept:
             body = f"part {item[1]} of {item[0]}, from {name}".encode()
-            writer.write(f"{line[1]} data n={note},digest=1,dated={kept[item]} {len(body)}\r\n".encode() + body + b"\r\n")
+            writer.write(
+                f"{line[1]} data n={note},digest=1,dated={kept[item]} {len(body)}\r\n".encode()
+                + body
+                + b"\r\n"
+            )
         else:
             note = "absent"
             writer.write(f"{line[1]} absent - 0\r\n\r\n".encode())
-        print(f"{name}: {item[0]}/{item[1]} {note}" + (f" from {source}" if note == "filled" else ""), flush=True)
+        print(
+            f"{name}: {item[0]}/{item[1]} {note}" + (f" from {source}" if note == "filled" else ""),
+            flush=True,
+        )
 
 
 async def channel(reader, writer):
@@ -47,6 +55,7 @@
             pass
         finally:
             writer.close()
+
     return run
 
 
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -1,5 +1,6 @@
 """The client library against a real service among stand-ins: it comes back when told, never beside what is out, and
 never later than it said."""
+
 import asyncio
 import random
 import subprocess
@@ -19,6 +20,7 @@
     async def run():
         async with Town(folder, machines) as town:
             return await scene(town)
+
     return asyncio.run(run())
 
 
@@ -33,8 +35,15 @@
             wrong = await client.fetch(X, track="tune")
             many = await asyncio.gather(*(client.fetch(X, part=n) for n in range(80)))
         return answer.kind, answer.body, answer.tries, wrong.kind, wrong.why, {a.kind for a in many}
-    assert played(scene, tmp_path) == ("satisfied", b"bytes of the object", 1, "failed", "service: no such class",
-                                       {"satisfied"})
+
+    assert played(scene, tmp_path) == (
+        "satisfied",
+        b"bytes of the object",
+        1,
+        "failed",
+        "service: no such class",
+        {"satisfied"},
+    )
 
 
 def test_it_is_back_in_its_time_whatever_happens(tmp_path):
@@ -43,6 +52,7 @@
         async with Client(t.address, tries=20) as client:
             answer = await client.fetch(X, patience_s=0.6)
         return answer.kind in ("refused", "failed"), answer.tries > 1, time.monotonic() - began < 0.9
+
     assert played(scene, tmp_path, boxes(act="failed")) == (True, True, True)
 
 
@@ -50,6 +60,7 @@
     async def scene(t):
         async with Client(t.address, replayable=False) as client:
             return (await client.fetch(X, track="order", patience_s=0.5)).tries
+
     assert played(scene, tmp_path, boxes(act="failed")) == 1
 
 
@@ -66,10 +77,17 @@
             for client in list(t.service.front.clients.values()):
                 t.service.front.drop(client)
             return left, (await asking).kind
+
     assert played(scene, tmp_path, boxes(act="silent")) == (1, "gone")
 
 
-@given(st.floats(0, 10), st.integers(1, 9), st.integers(1, 9), st.sampled_from([0.0, 0.05, 0.5, 3.0]), st.integers())
+@given(
+    st.floats(0, 10),
+    st.integers(1, 9),
+    st.integers(1, 9),
+    st.sampled_from([0.0, 0.05, 0.5, 3.0]),
+    st.integers(),
+)
 def test_pauses_keep_what_was_told_and_never_outlive_the_query(left, tries, most, told, seed):
     wait = returns.pause(left, tries, most, told, random.Random(seed))
     if wait is None:
@@ -86,10 +104,19 @@
 def test_ask_from_the_command_line(tmp_path):
     async def scene(t):
         def run(*args):
-            done = subprocess.run([sys.executable, "-m", "brookhinge", "ask", "%s:%d" % t.address, *args],
-                                  capture_output=True, timeout=30)
+            done = subprocess.run(
+                [sys.executable, "-m", "brookhinge", "ask", "%s:%d" % t.address, *args],
+                capture_output=True,
+                timeout=30,
+            )
             return done.returncode, done.stdout, done.stderr.decode()
+
         good = await asyncio.to_thread(run, X, "--out", "-")
         bad = await asyncio.to_thread(run, "xyz")
         return good, bad[0], bad[2].count("\n")
-    assert played(scene, tmp_path) == ((0, b"bytes of the object", "satisfied after 1 tries, 19 bytes\n"), 2, 1)
+
+    assert played(scene, tmp_path) == (
+        (0, b"bytes of the object", "satisfied after 1 tries, 19 bytes\n"),
+        2,
+        1,
+    )
--- a/tests/crossings/test_cold_sum.py
+++ b/tests/crossings/test_cold_sum.py
@@ -1,4 +1,5 @@
 """What all routers together send to a cold server: N calls in any window, and 2 x root of N + 2 by chance."""
+
 import random
 
 import pytest
@@ -23,7 +24,7 @@
         while (now := now + chance.expovariate(rate)) < START.warm_s:
             asked.append((now, i, chance.choice(works)))
     for budget in budgets:
-        budget.at[0], budget.credit[0] = 0.0, 0.0       # as Router.roster does at the telling
+        budget.at[0], budget.credit[0] = 0.0, 0.0  # as Router.roster does at the telling
     sent, worst, done = [], -1e9, 0.0
     for now, i, work in sorted(asked):
         if restart_at is not None and now >= restart_at:
@@ -37,7 +38,7 @@
                 done -= sent.pop(0)[1]
             can = (START.share + (1.0 - START.share) * min(1.0, now / START.warm_s)) * power
             calls = START.multiple * can * START.window_s / usual
-            worst = max(worst, done / usual - calls - 2.0 * calls ** 0.5 - 2.0)
+            worst = max(worst, done / usual - calls - 2.0 * calls**0.5 - 2.0)
     assert worst > -1e9
     return worst
 
@@ -48,7 +49,11 @@
     for seed in range(4):
         for works in ((0.05,), (0.4, 0.06), (0.3,)):
             for unequal in (False, True):
-                assert over(routers, seed, works, unequal=unequal, idle_s=idle_s) <= 0.0, (seed, works, unequal)
+                assert over(routers, seed, works, unequal=unequal, idle_s=idle_s) <= 0.0, (
+                    seed,
+                    works,
+                    unequal,
+                )
 
 
 def test_all_routers_restart_beside_a_cold_server():
@@ -59,38 +64,50 @@
 
 def test_the_bound_finds_what_is_saved_without_one():
     """Planted: what comes is kept for four windows, as it was, and nothing bounds one."""
+
     class Saving(ColdBudget):
         def bears(self, *values):
             return super().bears(*values)[0], 1e9
+
     assert over(30, 1, (0.05,), idle_s=6.0, made=Saving) > 20.0
 
 
 def test_each_takes_more_than_its_part_and_the_bound_finds_it():
     """Planted: a part of a call rounded up by each."""
+
     class Rounding(ColdBudget):
         def take(self, c, now, born, power, work, lump, chance, spare=0.0):
-            return super().take(c, now, born, power, work, lump, chance, spare) or now - self.at.get("up", -9.0) > 2.0 \
+            return (
+                super().take(c, now, born, power, work, lump, chance, spare)
+                or now - self.at.get("up", -9.0) > 2.0
                 and self.at.update(up=now) is None
+            )
+
     assert over(200, 1, (0.4, 0.06), made=Rounding) > 20.0
 
 
 def test_what_many_carried_that_are_gone_is_not_what_the_few_left_can_do():
     """Six in ten servers are replaced within seconds, weights are not told: the work of ten, divided among four, let the
     cold six be sent more than twice what they bear."""
+
     def power(gone):
         b = Bench(weight=0.0, caches=range(21, 31), routers=8)
         for step in range(200):
             b.router.now = b.now = b.now + 0.1
             for c in b.router.fleet.own:
                 b.router.carried(c, 0.05)
-        rows = [b.row(c, "gone") for c in range(21, 21 + gone)] + [b.row(50 + n, born=b.now) for n in range(gone)]
+        rows = [b.row(c, "gone") for c in range(21, 21 + gone)] + [
+            b.row(50 + n, born=b.now) for n in range(gone)
+        ]
         b.call("roster", "changes", rows)
         return b.router.power(b.router.fleet.index[30])
-    assert 3.0 < power(0) <= power(6) < 4.1         # 0.05 s in 0.1 s at each, by each of 8 routers: 4.0
+
+    assert 3.0 < power(0) <= power(6) < 4.1  # 0.05 s in 0.1 s at each, by each of 8 routers: 4.0
 
 
 def test_fills_count_for_what_a_parent_can_do_once_they_are_answered():
     """In a jam what is sent to the last warm parent is not what it does."""
+
     def power(result):
         b = Bench(weight=0.0, routers=40, tells="all")
         for part in range(60):
@@ -99,4 +116,5 @@
                 looks = b.router.queries[b.next].source == b.router.queries[b.next].server
                 b.end(b.next, "miss" if looks else result, took=0.3, note=0 if looks else 3)
         return b.router.power(b.router.fleet.index[11])
+
     assert power("timeout") == 1.0 < power("satisfied")
--- a/tests/crossings/test_sizes.py
+++ b/tests/crossings/test_sizes.py
@@ -1,4 +1,5 @@
 """Shedding and limits do not starve the largest objects of a track."""
+
 import math
 import random
 
@@ -32,11 +33,21 @@
         for sent in self.left.values():
             for query in sent:
                 sent[query] -= STEP * min(1.0, LINK / len(sent))
-            ended += [(sent, query) for query in sent if sent[query] <= 0.0 or self.now - self.since[query] > 3.99]
+            ended += [
+                (sent, query) for query in sent if sent[query] <= 0.0 or self.now - self.since[query] > 3.99
+            ]
         for sent, query in ended:
             good = sent.pop(query) <= 0.0
             self.done[query] = good
-            self.heed(b.end(query, "satisfied" if good else "timeout", took=self.now - self.since[query], note=1, at=self.now))
+            self.heed(
+                b.end(
+                    query,
+                    "satisfied" if good else "timeout",
+                    took=self.now - self.since[query],
+                    note=1,
+                    at=self.now,
+                )
+            )
 
     def shares(self):
         """Answered of the largest tenth, of the next fifth, of all."""
@@ -46,12 +57,18 @@
             self.step()
             while due <= self.now:
                 due += self.chance.expovariate(rate)
-                size = self.sizes[self.b.next + 1] = min(3.0, MEAN * math.exp(self.chance.gauss(0.0, 1.0) - 0.5))
-                self.heed(self.b.ask(f"k{self.chance.randrange(60)}", left=4.0, size=1000.0 * size, at=self.now))
+                size = self.sizes[self.b.next + 1] = min(
+                    3.0, MEAN * math.exp(self.chance.gauss(0.0, 1.0) - 0.5)
+                )
+                self.heed(
+                    self.b.ask(f"k{self.chance.randrange(60)}", left=4.0, size=1000.0 * size, at=self.now)
+                )
         by_size = sorted((q for q in self.sizes if q in self.done), key=self.sizes.get)
         tenth = len(by_size) // 10
-        return [sum(self.done[q] for q in part) / len(part) for part in (
-            by_size[-tenth:], by_size[-3 * tenth:-tenth], by_size)]
+        return [
+            sum(self.done[q] for q in part) / len(part)
+            for part in (by_size[-tenth:], by_size[-3 * tenth : -tenth], by_size)
+        ]
 
 
 @pytest.mark.parametrize("load, least", [(0.5, 0.67), (0.9, 0.67), (1.2, 0.5), (1.6, 0.5)])
--- a/tests/crossings/test_sockets.py
+++ b/tests/crossings/test_sockets.py
@@ -1,5 +1,6 @@
 """Two events that cross on real sockets, each order forced: a peer that holds, half-closes, resets or sends at a named
 point. The pairs stand in docs/design/crossings.md."""
+
 import asyncio
 import gc
 import json
@@ -69,6 +70,7 @@
 
 # a client's end and what it asked before
 
+
 @pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
 @pytest.mark.parametrize("much", [b"", b"x" * 60_000], ids=["little", "much"])
 def test_queries_with_their_clients_end_behind_them_are_not_sent_on(tmp_path, reset, much):
@@ -76,12 +78,13 @@
         await warm(t)
         raw = Raw(t.address)
         raw.asks(1, 2, 3)
-        raw.write(struct.pack(">i", len(much) + 9) + much)      # a frame that breaks off, before the end
+        raw.write(struct.pack(">i", len(much) + 9) + much)  # a frame that breaks off, before the end
         raw.send().close(reset)
         t.caller.ask(9)
         heard = await t.caller.hear()
         await asyncio.sleep(0.1)
         return heard[1], len(pulls(t)), t.service.reducer.queries
+
     assert played(scene, tmp_path) == ("satisfied 19", 1, {})
 
 
@@ -94,11 +97,13 @@
         raw.close()
         await asyncio.sleep(0.4)
         return pulls(t), len(t.service.front.clients), t.service.front.held
+
     assert played(scene, tmp_path) == ([], 1, 0)
 
 
 def test_no_further_push_once_the_client_went_while_the_loop_stood_still(tmp_path):
     """The push's time and the client's end both come about during the stall: the end is read first."""
+
     async def scene(t):
         await warm(t)
         t.service.reducer.router.retries = 10.0
@@ -107,11 +112,12 @@
         raw = Raw(t.address).asks(2, allow="1600", lookup=f"{1000:016x}").send()
         await until(lambda: len(pulls(t)) == 1)
         due = t.service.reducer.next_at()
-        assert due - t.service.now() < 1.0          # time is left then for a further push
+        assert due - t.service.now() < 1.0  # time is left then for a further push
         raw.close()
         time.sleep(due - t.service.now() + 0.05)
         await asyncio.sleep(0.1)
         return len(pulls(t)), t.service.reducer.queries
+
     assert played(scene, tmp_path) == (1, {})
 
 
@@ -126,16 +132,20 @@
         await until(lambda: first)
         name, machine = first[0][1].encode(), next(m for m in t.machines.values() if m.seen)
         line = next(n for n in t.service.caches.all if name in n.out)
-        writer = next(w for w in machine.writers if w.get_extra_info("peername") == line.stream.socket.getsockname())
+        writer = next(
+            w for w in machine.writers if w.get_extra_info("peername") == line.stream.socket.getsockname()
+        )
         os.write(writer.get_extra_info("socket").fileno(), b"%b failed - 0\r\n\r\n" % name)
         raw.close()
         await asyncio.sleep(0.2)
         return len(pulls(t)), t.service.reducer.queries
+
     assert played(scene, tmp_path) == (1, {})
 
 
 # closes of ours and calls that come just then
 
+
 def test_a_connection_is_not_closed_between_the_read_of_a_call_and_its_round(tmp_path):
     async def scene(t):
         post = t.service.front.post
@@ -144,20 +154,26 @@
             post(method, values)
             if method == "query":
                 t.service.front.make_room()
+
         t.service.front.post = and_close
         t.caller.ask(1)
         return await t.caller.hear()
+
     assert played(scene, tmp_path) == (1, "satisfied 19")
 
 
 def test_a_call_that_lies_unread_keeps_its_idle_connection(tmp_path, monkeypatch):
     """It came after the last look for it and before the close."""
+
     async def scene(t):
         raw, silent = Raw(t.address), front.Client.silent
         await until(lambda: len(t.service.front.clients) == 2)
-        monkeypatch.setattr(front.Client, "silent", lambda c: raw.asks(1).send() and silent(c) if c.number == 2 else silent(c))
+        monkeypatch.setattr(
+            front.Client, "silent", lambda c: raw.asks(1).send() and silent(c) if c.number == 2 else silent(c)
+        )
         t.service.front.release(t.service.front.clients[2])
         return await (await raw.caller()).hear()
+
     assert played(scene, tmp_path) == (1, "satisfied 19")
 
 
@@ -167,10 +183,11 @@
     async def scene(t):
         raw = Raw(t.address).asks(1).send()
         caller = await raw.caller()
-        heard = [await caller.hear(), await caller.hear()]      # the answer, then the end
+        heard = [await caller.hear(), await caller.hear()]  # the answer, then the end
         caller.ask(2)
         await asyncio.sleep(0.05)
         return heard, caller.reader.exception(), len(pulls(t)), len(t.service.front.leaving) > 0
+
     assert played(scene, tmp_path) == ([(1, "satisfied 19"), None], None, 1, True)
 
 
@@ -183,23 +200,33 @@
         caller = await raw.send().caller()
         heard = [await caller.hear() for _ in range(9)]
         return [h and h[1] for h in heard], caller.reader.exception()
+
     heard, fault = played(scene, tmp_path)
     assert heard == ["exception room: missing or unusable"] * 8 + [None] and fault is None
 
 
 def test_queries_taken_before_bytes_that_cannot_be_read_are_answered(tmp_path):
     """In one piece with them; then the connection is closed, and what comes behind them is no call."""
+
     async def scene(t):
         raw = Raw(t.address).asks(1, 2)
         raw.write(b"\xff" * 70_000)
         raw.asks(3)
         caller = await raw.send().caller()
         return {await caller.hear(), await caller.hear()}, await caller.hear(), len(pulls(t))
-    assert played(scene, tmp_path, machines=caches(delay=0.1)) == ({(1, "satisfied 19"), (2, "satisfied 19")}, None, 2)
 
+    assert played(scene, tmp_path, machines=caches(delay=0.1)) == (
+        {(1, "satisfied 19"), (2, "satisfied 19")},
+        None,
+        2,
+    )
 
-def test_a_query_on_a_resting_connection_as_the_router_ends_is_answered_and_not_sent_on(tmp_path, monkeypatch):
+
+def test_a_query_on_a_resting_connection_as_the_router_ends_is_answered_and_not_sent_on(
+    tmp_path, monkeypatch
+):
     """It is written after the last query was settled and before the connection's end."""
+
     async def scene(t):
         raw, silent, sent = Raw(t.address), front.Client.silent, []
         await until(lambda: len(t.service.front.clients) == 2)
@@ -208,11 +235,13 @@
             if client.number == 2 and not sent:
                 sent.append(raw.asks(1).send())
             return silent(client)
+
         monkeypatch.setattr(front.Client, "silent", crossing)
         t.service.stop()
         await t.task
         caller = await raw.caller()
         return await caller.hear(), await caller.hear(), caller.reader.exception(), pulls(t)
+
     assert played(scene, tmp_path) == ((1, "nack"), None, None, [])
 
 
@@ -230,13 +259,16 @@
         service.stop()
         await asyncio.wait_for(service.run(), 5)
         return service.phases.now
+
     assert asyncio.run(play()) == "ended"
 
 
 # connections that come up late
 
+
 class Held(net_caches.IOStream):
     """Connects when `gate` is set."""
+
     gate = None
 
     async def connect(self, *address):
@@ -246,18 +278,22 @@
 
 def held(scene, folder, monkeypatch, **town):
     """Plays it with connections to servers held: scene(t, push) is called with the first push waiting."""
+
     async def play(t):
         Held.gate = asyncio.Event()
         t.caller.ask(1, lookup="ab" * 8)
         await until(lambda: any(line.waiting for line in t.service.caches.all))
         server = next(line.server[0] for line in t.service.caches.all if line.waiting)
         return await scene(t, server)
+
     monkeypatch.setattr(net_caches, "IOStream", Held)
     return played(play, folder, settings=settings(ConnectTimeoutNs=2e9), **town)
 
 
 @pytest.mark.parametrize("health", ["draining", "removed"])
-def test_a_push_that_waits_for_its_connection_is_not_written_to_a_server_told_to_drain(tmp_path, monkeypatch, health):
+def test_a_push_that_waits_for_its_connection_is_not_written_to_a_server_told_to_drain(
+    tmp_path, monkeypatch, health
+):
     async def scene(t, server):
         row = host(server, t.machines[server].port, health=health)
         t.commands.answers.append(Commands.reply(4, listed(4, [row], whole=False)))
@@ -265,6 +301,7 @@
         await asyncio.sleep(0.1)
         Held.gate.set()
         return await t.caller.hear(), [line for line in pulls(t) if line.startswith(server)]
+
     assert held(scene, tmp_path, monkeypatch) == ((1, "satisfied 19"), [])
 
 
@@ -279,6 +316,7 @@
         await asyncio.sleep(0.1)
         Held.gate.set()
         return await t.caller.hear(), [("parent=s-11" in line[2], "parent=s-12" in line[2]) for line in lines]
+
     machines = caches(act=lambda line: lines.append(line) or "data")
     assert held(scene, tmp_path, monkeypatch, machines=machines) == ((1, "satisfied 19"), [(False, False)])
 
@@ -295,6 +333,7 @@
         Held.gate.set()
         await t.caller.hear()
         return [0 < int(line[2].partition("accept=")[2].split(",")[0] or 0) < 1000 for line in lines]
+
     machines = caches(act=lambda line: lines.append(line) or "data")
     assert held(scene, tmp_path, monkeypatch, machines=machines) == [True]
 
@@ -306,21 +345,28 @@
         Held.gate.set()
         await asyncio.sleep(0.1)
         return pulls(t), t.service.caches.where
+
     assert held(scene, tmp_path, monkeypatch) == ([], {})
 
 
 def test_a_push_that_waited_a_moment_is_written_as_it_was(tmp_path, monkeypatch):
     """A usual connect costs no second decision."""
+
     async def scene(t, server):
         Held.gate.set()
         return await t.caller.hear(), t.service.reducer.counts["pushes"], len(pulls(t))
+
     assert held(scene, tmp_path, monkeypatch) == ((1, "satisfied 19"), 1, 1)
 
 
 # servers' answers
 
-@pytest.mark.parametrize("spoilt", [DATA + DATA, DATA + b"nobody data - 3\r\nyes\r\n", DATA + b"ID da",
-                                    DATA + b"other data - 90\r\nhalf"], ids=["second", "unknown", "half", "no end"])
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [DATA + DATA, DATA + b"nobody data - 3\r\nyes\r\n", DATA + b"ID da", DATA + b"other data - 90\r\nhalf"],
+    ids=["second", "unknown", "half", "no end"],
+)
 def test_a_connection_that_brought_what_nobody_waits_for_is_not_used_again(tmp_path, spoilt):
     async def scene(t):
         used, write = [], t.service.caches.write
@@ -329,6 +375,7 @@
             if wire.startswith(b"PULL"):
                 used.append(line)
             write(line, wire)
+
         t.service.caches.write = noted
         for machine in t.machines.values():
             machine.act = lambda line: spoilt if len(used) == 1 else "data"
@@ -338,11 +385,16 @@
             heard.append(await t.caller.hear())
         await until(lambda: used[0].closed)
         return heard, used[0] in used[1:]
-    assert played(scene, tmp_path) == ([(1, "satisfied 3")] + [(n, "satisfied 19") for n in range(2, 6)], False)
+
+    assert played(scene, tmp_path) == (
+        [(1, "satisfied 3")] + [(n, "satisfied 19") for n in range(2, 6)],
+        False,
+    )
 
 
 def test_an_answer_that_dribbles_on_after_its_push_was_given_up_ends_its_connection(tmp_path):
     """Each byte is heard, so it is not silent; nobody waits for it."""
+
     async def scene(t):
         for machine in t.machines.values():
             machine.act = b"ID data - 200000\r\nfirst"
@@ -356,11 +408,13 @@
             writer.write(b"x")
             await asyncio.sleep(0.01)
         return heard, line.closed, t.service.caches.where
+
     assert played(scene, tmp_path) == ((1, "nack"), True, {})
 
 
 # descriptors, and the program's start
 
+
 def test_for_room_the_longest_idle_go_and_none_of_which_half_a_call_has_come(tmp_path):
     async def scene(t):
         t.service.front.sockets = 6
@@ -368,13 +422,18 @@
         wire = half.asks(1).bytes
         half.socket.sendall(wire[:30])
         idle = [await Caller.connect(t.address) for _ in range(3)]
-        await until(lambda: len(t.service.front.clients) == 5 and any(c.part_at for c in t.service.front.clients.values()))
-        t.service.front.clients[1].used_at += 100.0         # the town's own, used last of all
+        await until(
+            lambda: (
+                len(t.service.front.clients) == 5 and any(c.part_at for c in t.service.front.clients.values())
+            )
+        )
+        t.service.front.clients[1].used_at += 100.0  # the town's own, used last of all
         late = [await Caller.connect(t.address) for _ in range(2)]
         gone = await idle[0].hear()
         late[-1].ask(2)
         half.socket.sendall(wire[30:])
         return gone, await late[-1].hear(), await (await half.caller()).hear()
+
     assert played(scene, tmp_path) == (None, (1, "satisfied 19"), (1, "satisfied 19"))
 
 
@@ -383,14 +442,21 @@
         t.caller.ask(1)
         await t.caller.hear()
         await until(lambda: t.service.channel.stream is not None)
-        streams = [c.stream for c in t.service.front.clients.values()] + [t.service.channel.stream] + [
-            n.stream for n in t.service.caches.all]
-        return {s.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) != 0 for s in streams}, len(streams) > 2
+        streams = (
+            [c.stream for c in t.service.front.clients.values()]
+            + [t.service.channel.stream]
+            + [n.stream for n in t.service.caches.all]
+        )
+        return {s.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) != 0 for s in streams}, len(
+            streams
+        ) > 2
+
     assert played(scene, tmp_path) == ({True}, True)
 
 
 def test_idle_clients_at_the_systems_bound_starve_neither_discovery_nor_servers(tmp_path):
     """The command channel is down while they come; the configuration allows more descriptors than the system."""
+
     async def scene(t):
         spare = socket.create_server(("127.0.0.1", 0))
         port = spare.getsockname()[1]
@@ -400,9 +466,14 @@
         values["known"] = {"cursor": 3, "cmds": [listed(3, [host("s-01", t.machines["s-01"].port)])]}
         (tmp_path / "n1.json").write_text(json.dumps(values))
         router = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "brookhinge", cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+            sys.executable,
+            "-m",
+            "brookhinge",
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
             env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "n1.json")},
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)))
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)),
+        )
         while b'"listening"' not in (line := await router.stdout.readline()):
             assert line
         address = "127.0.0.1", int(json.loads(line)["address"].split(":")[1])
@@ -422,6 +493,7 @@
         for raw in idle:
             raw.close()
         return heard, code
+
     assert played(scene, tmp_path) == ((1, "satisfied 19"), 0)
 
 
@@ -436,14 +508,20 @@
 
 def test_sighup_while_it_starts_ends_nothing_and_the_new_file_holds(tmp_path):
     """The file is a pipe: the router stands in the middle of reading it when the signal comes."""
+
     async def scene(t):
         pipe, new = tmp_path / "n1.json", await Commands().start()
         os.mkfifo(pipe)
         router = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "brookhinge", cwd=ROOT, stdout=asyncio.subprocess.PIPE,
-            env={**os.environ, "BALANCER_CONFIG": str(pipe)})
+            sys.executable,
+            "-m",
+            "brookhinge",
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(pipe)},
+        )
         loop, text = asyncio.get_running_loop(), json.dumps(t.values)
-        end = await loop.run_in_executor(None, os.open, pipe, os.O_WRONLY)      # it reads
+        end = await loop.run_in_executor(None, os.open, pipe, os.O_WRONLY)  # it reads
         router.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.1)
         os.write(end, text.encode())
@@ -454,23 +532,27 @@
         await until(lambda: new.polls)
         router.terminate()
         return await router.wait()
+
     assert played(scene, tmp_path) == 0
 
 
 def test_a_frame_in_pieces_is_one_call(tmp_path):
     """The reader looks at once for what stands behind a piece: a call in pieces is taken once, whole."""
+
     async def scene(t):
         raw = Raw(t.address)
         wire = raw.asks(1).bytes
         for at in range(0, len(wire), 7):
-            raw.socket.sendall(wire[at:at + 7])
+            raw.socket.sendall(wire[at : at + 7])
             await asyncio.sleep(0)
         return await (await raw.caller()).hear(), len(pulls(t))
+
     assert played(scene, tmp_path) == ((1, "satisfied 19"), 1)
 
 
 def test_a_client_that_is_gone_leaves_nothing_behind(tmp_path):
     """Its connection's fault held the frame that held it: a cycle a client, for the collector to find, 9 MB on a long day."""
+
     async def scene(t):
         gc.collect()
         gc.disable()
@@ -485,13 +567,16 @@
             return sum(isinstance(o, front.Client) for o in gc.get_objects())
         finally:
             gc.enable()
+
     assert played(scene, tmp_path) == 1
 
 
 def test_the_command_line_leaves_the_word_to_hang_up_as_it_found_it():
     """Under nohup it is ignored: `brookhinge box` must outlive its terminal."""
-    script = ("import signal, sys\nsignal.signal(signal.SIGHUP, signal.SIG_IGN)\nsys.argv = ['brookhinge', '--help']\n"
-              "from brookhinge.__main__ import main\ntry:\n    main()\nexcept SystemExit:\n    pass\n"
-              "print(signal.getsignal(signal.SIGHUP) == signal.SIG_IGN)")
+    script = (
+        "import signal, sys\nsignal.signal(signal.SIGHUP, signal.SIG_IGN)\nsys.argv = ['brookhinge', '--help']\n"
+        "from brookhinge.__main__ import main\ntry:\n    main()\nexcept SystemExit:\n    pass\n"
+        "print(signal.getsignal(signal.SIGHUP) == signal.SIG_IGN)"
+    )
     done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True)
     assert done.stdout.splitlines()[-1] == "True", done.stderr
--- a/tests/crossings/test_windows.py
+++ b/tests/crossings/test_windows.py
@@ -1,4 +1,5 @@
 """A track's window of repeats counts from the first push that may have run, over further pushes and connections."""
+
 import random
 
 import pytest
@@ -11,7 +12,12 @@
 
 def history(seed, effect, group="all", window_s=0.9):
     """The times of one query's pushes and which of them may have run, with random outcomes after random times."""
-    chance, b, pushes, ran = random.Random(seed), Bench(tracks=[track(effect=effect, group=group, window_s=window_s)]), [], []
+    chance, b, pushes, ran = (
+        random.Random(seed),
+        Bench(tracks=[track(effect=effect, group=group, window_s=window_s)]),
+        [],
+        [],
+    )
     b.router.retries = 20.0
     lines = b.ask("k", left=4.0)
     while any(" push " in line for line in lines):
@@ -35,7 +41,7 @@
         later = [at for at in pushes if ran and at > ran[0]]
         further += len(later)
         assert all(at - ran[0] <= 0.9 - 0.1 for at in later), (n, pushes, ran)
-    assert further > 20         # the window is used
+    assert further > 20  # the window is used
 
 
 @pytest.mark.parametrize("seed", range(0, 200, 100))
@@ -53,7 +59,7 @@
     b.end(1, "miss", at=1.01)
     b.call("purged", 0, 0.0, "", at=1.1)
     b.end(1, "satisfied", took=7.9, at=8.9, copy=(-50.0, 10_000))
-    b.call("purged", 5, 0.0, "", at=9.0)        # another group's: what is known of the first stays
+    b.call("purged", 5, 0.0, "", at=9.0)  # another group's: what is known of the first stays
     assert b.trace.kept == set()
     b.ask("k", left=8.1, at=9.1)
     b.end(2, "miss", at=9.11)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,6 @@
 """A small site, a writer that prints each decision as one line, short ways to call a router, and stand-ins of what
 the router on sockets talks to."""
+
 import asyncio
 import json
 
@@ -15,8 +16,21 @@
 
 
 def track(name="page", effect="replayable", **other):
-    base = dict(name=name, effect=effect, group="zone", window_s=5.0, contract_s=0.3, stretch=2.0, patience_s=3.0,
-                utility=1.0, late_share=0.2, fresh_s=0.0, stale_s=0.0, stale_share=0.5, through=False)
+    base = dict(
+        name=name,
+        effect=effect,
+        group="zone",
+        window_s=5.0,
+        contract_s=0.3,
+        stretch=2.0,
+        patience_s=3.0,
+        utility=1.0,
+        late_share=0.2,
+        fresh_s=0.0,
+        stale_s=0.0,
+        stale_share=0.5,
+        through=False,
+    )
     return Track(**{**base, **other})
 
 
@@ -59,16 +73,37 @@
 class Bench:
     """A router of one location with four caches, two parents and an origin, and a clock."""
 
-    def __init__(self, tracks=None, siblings="location", caches=CACHES, parents=PARENTS, direct=False, weight=4.0,
-                 routers=1, tells="hit", seed=7, **other):
+    def __init__(
+        self,
+        tracks=None,
+        siblings="location",
+        caches=CACHES,
+        parents=PARENTS,
+        direct=False,
+        weight=4.0,
+        routers=1,
+        tells="hit",
+        seed=7,
+        **other,
+    ):
         self.trace, self.now, self.next = Trace(), 0.0, 0
         self.router = Router(
-            seed, tracks=tracks or [track()], place=Place(1, routers, routers, 0, weight > 0),
-            allowed=Allowed(6, False, True, 1.0), supply=Supply(siblings, direct, True, tells, 1000.0, 0.0),
-            cold_cache=ColdStart(0.2, 10.0, 2.0, 1.0), cold_parent=ColdStart(0.1, 10.0, 2.0, 1.0),
-            purge_gone_s=6.0, kinds=("parent", "origin"), reports=[], **other)
+            seed,
+            tracks=tracks or [track()],
+            place=Place(1, routers, routers, 0, weight > 0),
+            allowed=Allowed(6, False, True, 1.0),
+            supply=Supply(siblings, direct, True, tells, 1000.0, 0.0),
+            cold_cache=ColdStart(0.2, 10.0, 2.0, 1.0),
+            cold_parent=ColdStart(0.1, 10.0, 2.0, 1.0),
+            purge_gone_s=6.0,
+            kinds=("parent", "origin"),
+            reports=[],
+            **other,
+        )
         self.router.retries = 10.0
-        rows = [self.row(ORIGIN, kind="origin", zone=0)] + [self.row(p, kind="parent", zone=0) for p in parents]
+        rows = [self.row(ORIGIN, kind="origin", zone=0)] + [
+            self.row(p, kind="parent", zone=0) for p in parents
+        ]
         self.call("roster", "full", rows + [self.row(c, weight=weight) for c in caches])
 
     def row(self, server, health="ready", weight=4.0, born=None, kind="box", zone=1):
@@ -90,12 +125,18 @@
         q = self.router.queries[query]
         server = self.router.fleet.ids[q.server]
         over = result == "satisfied" if over is None else over
-        return self.call("ended", query, q.shots - 1, server, result, took, over, note, 0.0, None, copy, at=at)
+        return self.call(
+            "ended", query, q.shots - 1, server, result, took, over, note, 0.0, None, copy, at=at
+        )
 
     def serve(self, key, note=2, **ask):
         """A query that is satisfied at once, after a miss if it was looked for first; what it printed."""
         lines = self.ask(key, **ask)
-        if note > 1 and lines and self.router.queries[self.next].source == self.router.queries[self.next].server:
+        if (
+            note > 1
+            and lines
+            and self.router.queries[self.next].source == self.router.queries[self.next].server
+        ):
             lines += self.end(self.next, "miss")
         self.end(self.next, "satisfied", note=note)
         return lines
@@ -107,33 +148,58 @@
 
 
 def settings(**limits):
-    return {"Az": "edge-1", "Zones": ["hub", "edge-1"], "MachineTypes": ["box", "parent", "origin"], "Instances": 1,
-            "Classes": [{"Name": "page", "AimNs": 3e8, "DeadlineNs": 3e9, "Effect": "retryable"},
-                        {"Name": "order", "AimNs": 3e8, "DeadlineNs": 3e9, "Effect": "fragile"}],
-            "Limits": {"MaxAttempts": 4, "Cancel": True, "ConnectTimeoutNs": 2e8, "Multiplex": 32, **limits},
-            "Report": {"Columns": ["cpu", "x0"]}, "WeightSource": "nominal",
-            "Specifics": {"UpperKind": 1, "MasterKind": 2, "Says": "all", "SharesFills": True}}
+    return {
+        "Az": "edge-1",
+        "Zones": ["hub", "edge-1"],
+        "MachineTypes": ["box", "parent", "origin"],
+        "Instances": 1,
+        "Classes": [
+            {"Name": "page", "AimNs": 3e8, "DeadlineNs": 3e9, "Effect": "retryable"},
+            {"Name": "order", "AimNs": 3e8, "DeadlineNs": 3e9, "Effect": "fragile"},
+        ],
+        "Limits": {"MaxAttempts": 4, "Cancel": True, "ConnectTimeoutNs": 2e8, "Multiplex": 32, **limits},
+        "Report": {"Columns": ["cpu", "x0"]},
+        "WeightSource": "nominal",
+        "Specifics": {"UpperKind": 1, "MasterKind": 2, "Says": "all", "SharesFills": True},
+    }
 
 
 def host(server, port=9, **other):
     """A server as the command channel lists it."""
     kind = SERVERS[server]
-    return {"host": server, "dial": f"127.0.0.1:{port}", "site": "edge-1" if kind == "box" else "hub", "class": kind,
-            "block": 0, "health": "up", "share": 4, "born_ms": 0, **other}
+    return {
+        "host": server,
+        "dial": f"127.0.0.1:{port}",
+        "site": "edge-1" if kind == "box" else "hub",
+        "class": kind,
+        "block": 0,
+        "health": "up",
+        "share": 4,
+        "born_ms": 0,
+        **other,
+    }
 
 
 def listed(cursor, hosts, whole=True):
     return {"cursor": cursor, "nodes": {"seq": cursor, "whole": whole, "hosts": hosts}}
 
 
-ALWAYS = {}     # keys of every configuration: tests/storm plays the services' tests with `storm` on
+ALWAYS = {}  # keys of every configuration: tests/storm plays the services' tests with `storm` on
 
 
 def configuration(ports=None, channel=9, **other):
     hosts = [host(server, (ports or {}).get(server, 9)) for server in SERVERS]
-    return {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "channel": f"127.0.0.1:{channel}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"cursor": 3, "cmds": [listed(3, hosts)]}, "settings": settings(), **ALWAYS, **other}
+    return {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "seed": "8c1f",
+        "channel": f"127.0.0.1:{channel}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"cursor": 3, "cmds": [listed(3, hosts)]},
+        "settings": settings(),
+        **ALWAYS,
+        **other,
+    }
 
 
 def read(values, folder):
@@ -160,17 +226,40 @@
     def ask(self, key=b"aa", kind=b"page", name=None, client=1, number=None, at=None, allow=1.0, tag=None):
         self.asked += 1
         came = self.now + 0.01 if at is None else at
-        return self.hear(("query", (client, number or self.asked, name or b"r%d" % self.asked, kind, key, b"0", 0, 4,
-                                    100.0, allow, tag, b"", came)), at=at)
+        return self.hear(
+            (
+                "query",
+                (
+                    client,
+                    number or self.asked,
+                    name or b"r%d" % self.asked,
+                    kind,
+                    key,
+                    b"0",
+                    0,
+                    4,
+                    100.0,
+                    allow,
+                    tag,
+                    b"",
+                    came,
+                ),
+            ),
+            at=at,
+        )
 
     def end(self, query, push, result, body=b"", same=False, at=None, **copy):
-        return self.hear(("ended", (query, push, result, 2, 0.0, None, body, same, self.now, *copy.values())), at=at)
+        return self.hear(
+            ("ended", (query, push, result, 2, 0.0, None, body, same, self.now, *copy.values())), at=at
+        )
 
     @staticmethod
     def printed(method, values):
         if method == "pull":
             query, push, server, name, kind, key, part, left, source, rank = values[:10]
-            return f"pull q{query}.{push} {name.decode()} {server[0]} from {source} rank {rank} for {left:.3f}"
+            return (
+                f"pull q{query}.{push} {name.decode()} {server[0]} from {source} rank {rank} for {left:.3f}"
+            )
         if method in ("kill", "retire"):
             return f"{method} q{values[0]}.{values[1]}" if method == "kill" else f"retire {values[0][0]}"
         return " ".join([method, *(str(v) for v in values)])
@@ -181,7 +270,15 @@
     'garbage'."""
 
     def __init__(self, act="data", delay=0.0, body=b"bytes of the object"):
-        self.act, self.delay, self.body, self.seen, self.made, self.writers, self.stuck = act, delay, body, [], 0, [], []
+        self.act, self.delay, self.body, self.seen, self.made, self.writers, self.stuck = (
+            act,
+            delay,
+            body,
+            [],
+            0,
+            [],
+            [],
+        )
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
@@ -225,8 +322,10 @@
             writer.write(b"what is this\r\n")
         elif act != "silent":
             body = self.body if act == "data" else b""
-            writer.write(b"%b %b n=filled,l=util:0.5;x0:0.1 %d\r\n%b\r\n"
-                         % (line[1].encode(), act.encode(), len(body), body))
+            writer.write(
+                b"%b %b n=filled,l=util:0.5;x0:0.1 %d\r\n%b\r\n"
+                % (line[1].encode(), act.encode(), len(body), body)
+            )
 
 
 class Commands:
@@ -275,8 +374,16 @@
         return self.number
 
     def ask(self, name, **fields):
-        values = {"service": "page", "ref": f"{name:016x}", "allow": "2900", "lookup": "ab" * 8, "piece": "0", "lot": "3",
-                  "room": "100.0", **fields}
+        values = {
+            "service": "page",
+            "ref": f"{name:016x}",
+            "allow": "2900",
+            "lookup": "ab" * 8,
+            "piece": "0",
+            "lot": "3",
+            "room": "100.0",
+            **fields,
+        }
         told = {k.encode(): v.encode() for k, v in values.items() if v is not None}
         return self.call(b"serve", thrift.HEAD.pack(thrift.MAP, 1), thrift.words(told))
 
@@ -286,19 +393,21 @@
     async def hear(self):
         """One answer as (sequence number, text), or None at the end of the connection."""
         try:
-            size, = thrift.INT.unpack(await self.reader.readexactly(4))
+            (size,) = thrift.INT.unpack(await self.reader.readexactly(4))
             reader = thrift.Reader(await self.reader.readexactly(size))
         except (ConnectionError, asyncio.IncompleteReadError):
             return None
         _, kind, number = thrift.read_head(reader)
-        (_, place), = [next(reader.fields())]
+        ((_, place),) = [next(reader.fields())]
         if kind == thrift.EXCEPTION:
             return number, "exception " + reader.text().decode()
         if place:
             return number, {1: "nack", 2: "error"}[place]
         args = thrift.read_args(reader, {1: thrift.STRING, 2: thrift.MAP})
         same = " unchanged" if args[2].get(b"unchanged") == b"1" else ""
-        return number, f"satisfied {len(args[1])}{same}" if args[1] or same else f"well {bool(reader.frame[-3])}"
+        return number, f"satisfied {len(args[1])}{same}" if args[
+            1
+        ] or same else f"well {bool(reader.frame[-3])}"
 
 
 class Town:
@@ -333,5 +442,9 @@
 
     def pulled(self):
         """Every PULL and KILL that came to a cache."""
-        return sorted(f"{server} {line}" for server, machine in self.machines.items() for line in machine.seen
-                      if line[:4] in ("PULL", "KILL"))
+        return sorted(
+            f"{server} {line}"
+            for server, machine in self.machines.items()
+            for line in machine.seen
+            if line[:4] in ("PULL", "KILL")
+        )
--- a/tests/limits/test_bound.py
+++ b/tests/limits/test_bound.py
@@ -1,6 +1,7 @@
 """All parts of a limit together never pass its whole: over all short histories of three routers, over long ones by seed,
 with processes that crash, freeze and come back, clocks that run apart, datagrams lost, doubled and late. Each property has
 faults planted that it finds."""
+
 import copy
 import itertools
 
@@ -50,7 +51,7 @@
         world.restart(int(n))
     elif kind == "freeze":
         (world.thaw if world.members[1].frozen else world.freeze)(1)
-    elif kind == "turn":        # the demand goes to another
+    elif kind == "turn":  # the demand goes to another
         for n, member in world.members.items():
             member.demand[COLD] = 1.0 if member.demand.get(COLD, 0.0) == 0.0 and n != 1 else 0.0
     else:
@@ -97,7 +98,7 @@
             world.cut = lambda a, b, apart=apart: (a in apart) != (b in apart)
         elif what < 0.85:
             world.cut = lambda a, b: False
-        elif what < 0.95 and member.up:         # one takes another for lost, or for alive again: keepers differ
+        elif what < 0.95 and member.up:  # one takes another for lost, or for alive again: keepers differ
             member.notice(chance.choice([k for k in world.members if k != n]), chance.choice((ALIVE, LOST)))
         world.run(chance.choice((0.05, 0.3, 1.0, 2.0)), lambda: whole(world))
 
@@ -113,18 +114,22 @@
 
 def planted_gift_from_its_arrival(monkeypatch):
     """A keeper counts a gift from when the word came, not from its own word before it."""
+
     def hear(self, now, holder_, number, answers, rows, real=Keeper.hear):
         desk = self.desks.setdefault(holder_, keeper.Desk())
         desk.sent[answers] = now
         real(self, now, holder_, number, answers, rows)
+
     monkeypatch.setattr(Keeper, "hear", hear)
 
 
 def planted_loan_from_its_arrival(monkeypatch):
     """A borrower counts a loan from when it came, not from its asking."""
+
     def granted(self, now, keeper_, number, answers, rows, real=Holder.granted):
         self.said.setdefault(keeper_, {})[answers] = now
         real(self, now, keeper_, number, answers, rows)
+
     monkeypatch.setattr(Holder, "granted", granted)
 
 
@@ -135,16 +140,22 @@
 
 def planted_forgotten_gift(monkeypatch):
     """A holder that gives less than before is bound by the last word alone."""
+
     def gave(self, limit, now, but=None):
-        return sum(gifts[-1][0] for keeper_, gifts in self.given.get(limit, {}).items() if keeper_ != but and gifts)
+        return sum(
+            gifts[-1][0] for keeper_, gifts in self.given.get(limit, {}).items() if keeper_ != but and gifts
+        )
+
     monkeypatch.setattr(Holder, "gave", gave)
 
 
 def planted_loans_not_counted(monkeypatch):
     """A keeper forgets what it lent at its last beat."""
+
     def lend(self, now, real=Keeper.lend):
         self.loans.clear()
         return real(self, now)
+
     monkeypatch.setattr(Keeper, "lend", lend)
 
 
@@ -153,10 +164,17 @@
     monkeypatch.setattr(Holder, "changes_at", lambda self, now: float("inf"))
 
 
-@pytest.mark.parametrize("plant, found_by", [
-    (planted_gift_from_its_arrival, long_histories), (planted_loan_from_its_arrival, long_histories),
-    (planted_no_start, lambda: short_histories(2)), (planted_forgotten_gift, long_histories),
-    (planted_loans_not_counted, long_histories), (planted_used_past_its_end, long_histories)])
+@pytest.mark.parametrize(
+    "plant, found_by",
+    [
+        (planted_gift_from_its_arrival, long_histories),
+        (planted_loan_from_its_arrival, long_histories),
+        (planted_no_start, lambda: short_histories(2)),
+        (planted_forgotten_gift, long_histories),
+        (planted_loans_not_counted, long_histories),
+        (planted_used_past_its_end, long_histories),
+    ],
+)
 def test_planted_faults_are_found(monkeypatch, plant, found_by):
     plant(monkeypatch)
     with pytest.raises(AssertionError, match="of the whole"):
@@ -180,11 +198,11 @@
         world.tell_all(gone, LOST)
         world.run(LEND / 3, lambda: whole(world))
     world.run(TERM, lambda: whole(world))
-    assert world.members[1].part() > 0.35           # lent again by whoever keeps it now
+    assert world.members[1].part() > 0.35  # lent again by whoever keeps it now
 
 
 def test_without_any_fellow_that_answers_each_has_its_own_part_again():
     world = lending()
     world.cut = lambda a, b: True
-    world.run(TERM + 2.5, lambda: whole(world))     # what was said last has a second of life, a gift TERM
+    world.run(TERM + 2.5, lambda: whole(world))  # what was said last has a second of life, a gift TERM
     assert [round(member.part(), 3) for member in world.members.values()] == [0.333] * 3
--- a/tests/limits/test_rig.py
+++ b/tests/limits/test_rig.py
@@ -1,5 +1,6 @@
 """Real routers that share limits, with faults in and between them. Boxes note when each query came: over all routers no
 more may reach a cold one in any window than what pushes it over, whoever dies, sleeps or is cut off meanwhile."""
+
 import asyncio
 
 import pytest
@@ -9,20 +10,32 @@
 from brookhinge.standin.rig import Rig
 
 LONG = 60.0
-WINDOW_S, WORK_S = 1.0, 0.1         # by the rig's settings, and what each query below is expected to take
-FALLS = 3.0 * 0.3 * 4 * WINDOW_S / WORK_S       # multiple x share at the start x power x window, in queries
-ROOM = FALLS + 3.0 * FALLS ** 0.5 + 3.0
+WINDOW_S, WORK_S = 1.0, 0.1  # by the rig's settings, and what each query below is expected to take
+FALLS = 3.0 * 0.3 * 4 * WINDOW_S / WORK_S  # multiple x share at the start x power x window, in queries
+ROOM = FALLS + 3.0 * FALLS**0.5 + 3.0
 
 
 def play(script, folder, routers=8, first=""):
     async def run():
-        async with Rig(folder, routers=routers, boxes=3, aim_s=WORK_S, flow_kb_s=500.0, warm_s=20.0, patience_s=2.0,
-                       more="share_limits = true", first=first) as rig:
+        async with Rig(
+            folder,
+            routers=routers,
+            boxes=3,
+            aim_s=WORK_S,
+            flow_kb_s=500.0,
+            warm_s=20.0,
+            patience_s=2.0,
+            more="share_limits = true",
+            first=first,
+        ) as rig:
             assert await rig.until(rig.one_view, LONG)
             await asyncio.sleep(START + 0.5)
             await script(rig)
             for name, box in rig.boxes.items():
-                assert box.most_in(WINDOW_S) <= ROOM, f"{name} got {box.most_in(WINDOW_S)} within {WINDOW_S} s"
+                assert box.most_in(WINDOW_S) <= ROOM, (
+                    f"{name} got {box.most_in(WINDOW_S)} within {WINDOW_S} s"
+                )
+
     asyncio.run(run())
 
 
@@ -47,12 +60,17 @@
     async def script(rig):
         await rig.cold(*rig.box_names)
         async with Load(rig, uneven(rig)) as load:
+
             async def busy():
                 return await lent(rig, "n1") > 2.0 / 8
+
             assert await rig.until(busy, LONG)
             before = sum(len(box.came) for box in rig.boxes.values())
-            assert await rig.until(lambda: sum(len(box.came) for box in rig.boxes.values()) > before + 60, LONG)
+            assert await rig.until(
+                lambda: sum(len(box.came) for box in rig.boxes.values()) > before + 60, LONG
+            )
         assert load.kinds["n1"].get("lost", 0) == 0
+
     play(script, tmp_path)
 
 
@@ -61,23 +79,24 @@
         async with Load(rig, flood(rig)):
             await rig.cold(*rig.box_names)
             await asyncio.sleep(2.0)
-            first = await keeper(rig)                   # who lends most of it, and has parts of its own away
+            first = await keeper(rig)  # who lends most of it, and has parts of its own away
             await rig.kill(first)
             await asyncio.sleep(0.5)
-            second = await keeper(rig, but=first)       # frozen for longer than a lease
+            second = await keeper(rig, but=first)  # frozen for longer than a lease
             rig.freeze(second)
             await asyncio.sleep(LEND + 0.5)
             rig.thaw(second)
-            rig.freeze("n1")                            # who was lent the most
+            rig.freeze("n1")  # who was lent the most
             await asyncio.sleep(LEND + 0.5)
             rig.thaw("n1")
-            await rig.start(first)                      # under its name, with what it gave away still out
+            await rig.start(first)  # under its name, with what it gave away still out
             half = set(rig.names[:4])
             rig.wires.cut = lambda a, b: (a in half) != (b in half)
             await asyncio.sleep(2.0)
             rig.wires.cut = lambda a, b: False
-            await rig.cold("s-1")                       # another process at the address, while parts of it are out
+            await rig.cold("s-1")  # another process at the address, while parts of it are out
             await asyncio.sleep(2.0)
+
     play(script, tmp_path)
 
 
@@ -93,6 +112,7 @@
                 await rig.end(name)
                 await rig.start(name)
             await asyncio.sleep(2.0)
+
     play(script, tmp_path)
 
 
@@ -101,7 +121,10 @@
         async with Load(rig, flood(rig)):
             await rig.cold(*rig.box_names)
             await asyncio.sleep(4.0)
-    lavish = "import brookhinge.limits.keeper as k; k.Keeper.lend = lambda self, now: {limit: {holder: 1.0 for holder, " \
-             "(need, until) in self.needs[limit].items() if need > 0 and until > now} for limit in self.wanting(now)}"
+
+    lavish = (
+        "import brookhinge.limits.keeper as k; k.Keeper.lend = lambda self, now: {limit: {holder: 1.0 for holder, "
+        "(need, until) in self.needs[limit].items() if need > 0 and until > now} for limit in self.wanting(now)}"
+    )
     with pytest.raises(AssertionError, match="within"):
         play(script, tmp_path, first=lavish)
--- a/tests/limits/test_shared.py
+++ b/tests/limits/test_shared.py
@@ -1,4 +1,5 @@
 """Parts of limits in the decisions, and a keeper's ways: short traces."""
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -24,7 +25,11 @@
 
 def test_a_process_that_starts_uses_nothing_then_the_least_then_its_own():
     holder = Holder(100.0)
-    assert [round(holder.part(LIMIT, 0.25, 100.0 + age), 3) for age in (0.0, SILENT, START)] == [0.0, LEAST * 0.25, 0.25]
+    assert [round(holder.part(LIMIT, 0.25, 100.0 + age), 3) for age in (0.0, SILENT, START)] == [
+        0.0,
+        LEAST * 0.25,
+        0.25,
+    ]
     assert Holder(100.0, alone=True).part(LIMIT, 1.0, 100.0) == 1.0
 
 
@@ -32,17 +37,25 @@
     holder = Holder(-START)
     _, rows = holder.word(0.0, 7, {LIMIT: (0.25, 0.0)}, {LIMIT})
     assert rows == [(LIMIT, 0.0, 0.25 * (1 - LEAST))]
-    assert [holder.part(LIMIT, 0.25, at) for at in (0.0, TERM - 0.01, TERM)] == [0.25 * LEAST, 0.25 * LEAST, 0.25]
+    assert [holder.part(LIMIT, 0.25, at) for at in (0.0, TERM - 0.01, TERM)] == [
+        0.25 * LEAST,
+        0.25 * LEAST,
+        0.25,
+    ]
 
 
 def test_a_loan_counts_from_the_asking():
     holder = Holder(-START)
     number, _ = holder.word(10.0, 7, {LIMIT: (0.25, 0.5)}, {})
     holder.granted(11.0, 7, 1, number, [(LIMIT, 0.3)])
-    assert [round(holder.part(LIMIT, 0.25, at), 3) for at in (11.0, 10.0 + LEND - 0.01, 10.0 + LEND)] == [0.55, 0.55, 0.25]
-    holder.granted(12.0, 7, 2, number, [(LIMIT, 0.3)])          # late by more than its life
+    assert [round(holder.part(LIMIT, 0.25, at), 3) for at in (11.0, 10.0 + LEND - 0.01, 10.0 + LEND)] == [
+        0.55,
+        0.55,
+        0.25,
+    ]
+    holder.granted(12.0, 7, 2, number, [(LIMIT, 0.3)])  # late by more than its life
     assert holder.part(LIMIT, 0.25, 12.0) == 0.25
-    holder.granted(12.0, 8, 1, number, [(LIMIT, 0.3)])          # by one that was never asked
+    holder.granted(12.0, 8, 1, number, [(LIMIT, 0.3)])  # by one that was never asked
     assert holder.part(LIMIT, 0.25, 12.0) == 0.25
 
 
@@ -50,7 +63,7 @@
     keeper = Keeper()
     keeper.hear(0.0, 1, 1, 0, [(LIMIT, 0.5, 0.0)])
     assert keeper.lend(0.0) == {}
-    keeper.hear(0.1, 2, 1, 0, [(LIMIT, 0.0, 0.2)])              # a gift that answers no word of this keeper has no age
+    keeper.hear(0.1, 2, 1, 0, [(LIMIT, 0.0, 0.2)])  # a gift that answers no word of this keeper has no age
     assert keeper.lend(0.2) == {}
     number, _ = keeper.number(0.2, 2)
     keeper.hear(0.3, 2, 2, number, [(LIMIT, 0.0, 0.2)])
@@ -62,7 +75,10 @@
     for holder, need, gift in ((1, 0.05, 0.0), (2, 0.0, 0.2)):
         number, _ = keeper.number(0.0, holder)
         keeper.hear(0.0, holder, 1, number, [(LIMIT, need, gift)])
-    assert {holder: round(part, 3) for holder, part in keeper.lend(BEAT)[LIMIT].items()} == {1: 0.125, 2: 0.075}
+    assert {holder: round(part, 3) for holder, part in keeper.lend(BEAT)[LIMIT].items()} == {
+        1: 0.125,
+        2: 0.075,
+    }
 
 
 def test_saved_at_the_part_that_held_while_it_was_saved():
--- a/tests/membership/test_cli.py
+++ b/tests/membership/test_cli.py
@@ -1,4 +1,5 @@
 """The operator's look at a fleet of real routers, and what may not be imported where it is off."""
+
 import asyncio
 import json
 import subprocess
@@ -9,7 +10,9 @@
 
 
 def run(*args):
-    done = subprocess.run([sys.executable, "-m", "brookhinge", *args], capture_output=True, text=True, timeout=30)
+    done = subprocess.run(
+        [sys.executable, "-m", "brookhinge", *args], capture_output=True, text=True, timeout=30
+    )
     return done.returncode, done.stdout, done.stderr
 
 
@@ -19,15 +22,32 @@
             assert await rig.until(rig.one_view, 60.0)
             await rig.kill("n3")
             assert await rig.until(rig.one_view, 60.0)
-            told = await asyncio.to_thread(lambda: [
-                run("fleet", "show", "--file", str(tmp_path / "fleet.hcl"), *rest)
-                for rest in (("--router", "n2", "--json"), (), ("--router", "n3"), ("--router", "n9"))])
-            drawn = await asyncio.to_thread(run, "fleet", "watch", "--file", str(tmp_path / "fleet.hcl"), "--rounds", "2",
-                                            "--every", "0.2")
+            told = await asyncio.to_thread(
+                lambda: [
+                    run("fleet", "show", "--file", str(tmp_path / "fleet.hcl"), *rest)
+                    for rest in (("--router", "n2", "--json"), (), ("--router", "n3"), ("--router", "n9"))
+                ]
+            )
+            drawn = await asyncio.to_thread(
+                run,
+                "fleet",
+                "watch",
+                "--file",
+                str(tmp_path / "fleet.hcl"),
+                "--rounds",
+                "2",
+                "--every",
+                "0.2",
+            )
             return told, drawn
+
     (seen, text, dead, none), drawn = asyncio.run(script())
     rows = json.loads(seen[1])[0]["members"]
-    assert [(row["member"], row["state"]) for row in rows] == [("n1", "alive"), ("n2", "alive"), ("n3", "lost")]
+    assert [(row["member"], row["state"]) for row in rows] == [
+        ("n1", "alive"),
+        ("n2", "alive"),
+        ("n3", "lost"),
+    ]
     assert text[1].splitlines()[0].startswith("n1 believes (") and "n3" in text[1]
     assert dead[0] == 1 and "no answer from" in dead[2] and dead[2].count("\n") == 1
     assert none[0] == 2 and 'no block fleet "n9"' in none[2]
@@ -35,28 +55,37 @@
 
 
 def test_off_imports_nothing_of_it():
-    code = "import sys, brookhinge.net.program, brookhinge.net.service; print([m for m in sys.modules if m.startswith(" \
-           "('msgspec', 'rich', 'brookhinge.membership', 'brookhinge.operator'))])"
+    code = (
+        "import sys, brookhinge.net.program, brookhinge.net.service; print([m for m in sys.modules if m.startswith("
+        "('msgspec', 'rich', 'brookhinge.membership', 'brookhinge.operator'))])"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
     assert done.stdout == "[]\n"
 
 
 def test_a_block_that_is_missing_refuses_the_start(tmp_path):
     file = tmp_path / "f.hcl"
-    file.write_text('fleet "a" {\n  listen = "127.0.0.1:0"\n  join = ["127.0.0.1:1"]\n  site = "s"\n  key = "xyz"\n}\n')
+    file.write_text(
+        'fleet "a" {\n  listen = "127.0.0.1:0"\n  join = ["127.0.0.1:1"]\n  site = "s"\n  key = "xyz"\n}\n'
+    )
     code, _, why = run("check", str(file))
     assert code == 2 and 'line 5: fleet "a": key: expected 32 to 128 hex digits' in why
 
 
 def test_a_script_is_played_and_a_bad_one_named(tmp_path):
     script = tmp_path / "s.hcl"
-    script.write_text('rig {\n  routers = 3\n}\nstep {\n  until = "one view"\n  within_s = 60\n}\nstep {\n  kill = ["n3"]\n}\n'
-                      'step {\n  until = "one view"\n  within_s = 60\n}\n')
+    script.write_text(
+        'rig {\n  routers = 3\n}\nstep {\n  until = "one view"\n  within_s = 60\n}\nstep {\n  kill = ["n3"]\n}\n'
+        'step {\n  until = "one view"\n  within_s = 60\n}\n'
+    )
     code, out, err = run("standin", "fleet", str(script))
     assert code == 0 and "kill n3" in out and out.count("one view after") == 2, out + err
     assert out.splitlines()[-1].split()[:4] == ["n3", "False", "0", "0"]
     script.write_text('step {\n  kill = ["n9"]\n}\n')
-    assert run("standin", "fleet", str(script))[::2] == (2, f"brookhinge: {script}: line 1: step: no router n9\n")
+    assert run("standin", "fleet", str(script))[::2] == (
+        2,
+        f"brookhinge: {script}: line 1: step: no router n9\n",
+    )
     script.write_text('step {\n  kill = ["n1"]\n  heal = true\n}\n')
     assert "expected one of wires, kill" in run("standin", "fleet", str(script))[2]
 
@@ -66,27 +95,37 @@
         async with Rig(tmp_path, routers=2, boxes=1, more='metrics = "127.0.0.1:0"') as rig:
             assert await rig.until(rig.one_view, 60.0)
             port = next(line["metrics"] for line in rig.log("n1", "fleet") if line["change"] == "listening")
-            return await asyncio.to_thread(lambda: urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics").read().decode())
+            return await asyncio.to_thread(
+                lambda: urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics").read().decode()
+            )
+
     told = asyncio.run(script())
-    assert 'brookhinge_fleet_members{state="alive"} 2.0' in told and 'brookhinge_fleet_sharers{where="all"} 2.0' in told
+    assert (
+        'brookhinge_fleet_members{state="alive"} 2.0' in told
+        and 'brookhinge_fleet_sharers{where="all"} 2.0' in told
+    )
     assert 'brookhinge_fleet_changes_total{kind="joined"} 1.0' in told
 
 
 def test_limits_and_verdicts_are_shown(tmp_path):
     async def script():
-        async with Rig(tmp_path, routers=2, boxes=1, more="share_limits = true\nshare_verdicts = true") as rig:
+        async with Rig(
+            tmp_path, routers=2, boxes=1, more="share_limits = true\nshare_verdicts = true"
+        ) as rig:
             assert await rig.until(rig.one_view, 60.0)
             await rig.cold("s-1")
             caller = await rig.caller("n1")
             await caller.ask("0000000000000007")
             assert await rig.until(lambda: rig.parts("n1"), 60.0)
             for word in ("limits", "verdicts"):
-                yield await asyncio.to_thread(run, "fleet", word, "--file", str(tmp_path / "fleet.hcl"), "--router", "n1",
-                                              "--json")
+                yield await asyncio.to_thread(
+                    run, "fleet", word, "--file", str(tmp_path / "fleet.hcl"), "--router", "n1", "--json"
+                )
             caller.close()
 
     async def all_of():
         return [json.loads(out)[0] async for code, out, _ in script() if code == 0]
+
     limits, verdicts = asyncio.run(all_of())
     assert [(row["kind"], row["server"], row["own"]) for row in limits["limits"]] == [("cache", "s-1", 0.5)]
     assert verdicts == {"router": "n1", "verdicts": []}
--- a/tests/membership/test_fellows.py
+++ b/tests/membership/test_fellows.py
@@ -1,11 +1,12 @@
 """Fellows of one fleet in virtual time: crashes, freezes, cuts, names used twice. What changed, in short traces."""
+
 import pytest
 
 from brookhinge.membership.fellow import Pace
 from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED
 from brookhinge.standin.virtual import Net
 
-SETTLE = 12.0       # seconds in which up to 64 fellows hold one view again, by the note
+SETTLE = 12.0  # seconds in which up to 64 fellows hold one view again, by the note
 
 
 def fleet(count, seed=1, **net):
@@ -21,7 +22,9 @@
 
 
 def changes(net, *words):
-    return sorted({(change, name) for h in net.hosts.values() for _, change, name, _ in h.log if change in words})
+    return sorted(
+        {(change, name) for h in net.hosts.values() for _, change, name, _ in h.log if change in words}
+    )
 
 
 def quiet(net, seconds=5.0):
@@ -62,7 +65,7 @@
     assert changes(net, "lost") == [("lost", "n3"), ("lost", "n5"), ("lost", "n8")]
     quiet(net, 0.0)
     for n in (3, 5, 8):
-        net.hosts[n].start(1_000_000 + n, [("10.0.0.1", s) for s in (1, 2)])    # a clock that stood still
+        net.hosts[n].start(1_000_000 + n, [("10.0.0.1", s) for s in (1, 2)])  # a clock that stood still
     assert net.run(SETTLE, net.one_view)
     assert changes(net, "restarted") == [("restarted", "n3"), ("restarted", "n5"), ("restarted", "n8")]
     quiet(net, 20.0)
@@ -96,7 +99,7 @@
     net.cut = lambda a, b: (a <= 8) != (b <= 8)
     net.run(30.0)
     assert states(net, 1)["n12"] == LOST and states(net, 12)["n1"] == LOST
-    net.add(20, seeds=(2,))                                 # a join on one side, a crash and a leave on the other
+    net.add(20, seeds=(2,))  # a join on one side, a crash and a leave on the other
     net.kill(11)
     net.hosts[13].fellow.leave(net.now, net.hosts[13])
     net.run(20.0)
@@ -154,7 +157,7 @@
     other = net.add(66, seeds=(2, 3), name="n4")
     net.run(SETTLE)
     assert other.fellow.out and [line[1:3] for line in other.log if line[1] == "taken"] == [("taken", "n4")]
-    assert not net.hosts[4].fellow.out and other.sent < 100     # they don't answer each other's answers for good
+    assert not net.hosts[4].fellow.out and other.sent < 100  # they don't answer each other's answers for good
     assert all(states(net, n)["n4"] == ALIVE for n in (1, 2, 3, 5, 6))
     v = net.hosts[1].fellow.view
     assert v.address[v.index["n4"]] == ("10.0.0.1", 4)
@@ -187,7 +190,9 @@
     for n in range(4, 204):
         net.run(0.005)
         net.add(n)
-    assert net.run(SETTLE, lambda: int(net.now * 1000) % 50 == 0 and net.one_view() or net.now > 14.5 and net.one_view())
+    assert net.run(
+        SETTLE, lambda: int(net.now * 1000) % 50 == 0 and net.one_view() or net.now > 14.5 and net.one_view()
+    )
     assert changes(net, "lost", "taken") == []
 
 
@@ -271,8 +276,12 @@
     fellow, v = net.hosts[1].fellow, net.hosts[1].fellow.view
     first, last = (v.names[i] for i in sorted(v.index[f"n{n}"] for n in (2, 3, 4, 5))[::3])
     for name, state, age in ((first, LOST, Pace.remember - 1.0), (last, SUSPECTED, 0.0)):
-        fellow.believe(net.now, (*v.claim(v.index[name], net.now)[:4], state, *v.claim(v.index[name], net.now)[5:9], age),
-                       "n9", net.hosts[1])
+        fellow.believe(
+            net.now,
+            (*v.claim(v.index[name], net.now)[:4], state, *v.claim(v.index[name], net.now)[5:9], age),
+            "n9",
+            net.hosts[1],
+        )
     fellow.forget(net.now + 2.0)
     assert first not in v.index
     assert [v.names[i] for i in fellow.suspicions] == [last]
--- a/tests/membership/test_memory.py
+++ b/tests/membership/test_memory.py
@@ -1,4 +1,5 @@
 """What a router that starts is told by a fellow: in the decisions, and among real processes."""
+
 import asyncio
 
 from helpers import Bench
@@ -27,9 +28,13 @@
         old.serve("abc"[i % 3])
     old.router.rings.rings[0][1][0] = 300
     told(old, new)
-    assert new.router.rings.rings[0][1] == old.router.rings.rings[0][1] and new.router.sending == old.router.sending
+    assert (
+        new.router.rings.rings[0][1] == old.router.rings.rings[0][1]
+        and new.router.sending == old.router.sending
+    )
     assert {key: list(doc.holders) for key, doc in new.router.docs.items()} == {
-        key: list(doc.holders) for key, doc in old.router.docs.items()}
+        key: list(doc.holders) for key, doc in old.router.docs.items()
+    }
     target = new.ask("a")[0].split()[2]
     assert target in [str(old.router.fleet.ids[c]) for c in old.router.docs["a", 0].holders]
 
@@ -45,14 +50,21 @@
     new.call("purged", 5, 0.0, "")
     new.call("purged", -1, 0.0, "a")
     told(old, new)
-    assert new.router.sending[0] == mean and ("a", 0) not in new.router.docs and ("b", 0) not in new.router.docs
+    assert (
+        new.router.sending[0] == mean and ("a", 0) not in new.router.docs and ("b", 0) not in new.router.docs
+    )
 
 
 def test_rows_that_fit_nothing_change_nothing():
     new = Taught()
     before = [list(ends) for _, ends, _ in new.router.rings.rings]
-    rows = [("ring", 21, 2, "", 5000, 1000), ("ring", 99, 2, "", 300, 1000), ("takes", "other", 0, "", 0.5, 99.0),
-            ("holder", "x", 0, 99, 0, 9.0), ("song", "x", 0, "", 0, 0)]
+    rows = [
+        ("ring", 21, 2, "", 5000, 1000),
+        ("ring", 99, 2, "", 300, 1000),
+        ("takes", "other", 0, "", 0.5, 99.0),
+        ("holder", "x", 0, 99, 0, 9.0),
+        ("song", "x", 0, "", 0, 0),
+    ]
     new.router.round(new.now, [("remember", (rows,))], new.trace)
     assert [ends for _, ends, _ in new.router.rings.rings] == before and not new.router.docs
 
@@ -81,8 +93,10 @@
         memory.round(k * 0.5, [], writer)
     assert {row[0] for row in writer.posted} == {1, 2} and [row[1] for row in writer.posted] == ["recall"] * 4
     memory.round(2.0, [(2, "memory", (0, 1), [("takes", "page", 0, "", 0.1, 9.0)])], writer)
-    assert writer.events == [("remember", [("takes", "page", 0, "", 0.1, 9.0)])] and memory.next_at() == float("inf")
-    memory.round(2.1, [(3, "recall", (0, 0), ())], writer)         # from now on it answers, in pieces
+    assert writer.events == [
+        ("remember", [("takes", "page", 0, "", 0.1, 9.0)])
+    ] and memory.next_at() == float("inf")
+    memory.round(2.1, [(3, "recall", (0, 0), ())], writer)  # from now on it answers, in pieces
     assert [len(row[3]) for row in writer.posted[4:]] == [10, 10, 3]
 
 
@@ -98,7 +112,7 @@
     async def script():
         async with Rig(tmp_path, routers=3, boxes=3, more="share_memory = true") as rig:
             assert await rig.until(rig.one_view, 60.0)
-            await asyncio.sleep(3.5)                                # those who began together have done asking
+            await asyncio.sleep(3.5)  # those who began together have done asking
             caller = await rig.caller("n1")
             for _ in range(3):
                 for n in range(20):
@@ -106,5 +120,9 @@
             caller.close()
             await rig.end("n2")
             await rig.start("n2")
-            return await rig.until(lambda: rig.log("n2", "remembered"), 60.0) and rig.log("n2", "remembered")[0]["rows"] > 0
+            return (
+                await rig.until(lambda: rig.log("n2", "remembered"), 60.0)
+                and rig.log("n2", "remembered")[0]["rows"] > 0
+            )
+
     assert asyncio.run(script())
--- a/tests/membership/test_model.py
+++ b/tests/membership/test_model.py
@@ -1,6 +1,7 @@
 """All short histories of three fellows: at each step the oldest or newest datagram comes, is lost or is doubled, a timer
 runs out, one leaves or crashes. Afterwards the wires are good and time passes: what must hold then holds after every one of
 them. Each property has a fault planted that it finds."""
+
 import copy
 import itertools
 import random
@@ -20,8 +21,19 @@
 
     def __init__(self):
         self.now, self.wires, self.up, self.words = 0.0, [], [True] * 3, []
-        self.fellows = [Fellow(f"n{k}", ("10.0.0.1", k + 1), "z", 1, 1000 + k, [("10.0.0.1", 1), ("10.0.0.1", 2)],
-                               random.Random(k), 0.0) for k in range(3)]
+        self.fellows = [
+            Fellow(
+                f"n{k}",
+                ("10.0.0.1", k + 1),
+                "z",
+                1,
+                1000 + k,
+                [("10.0.0.1", 1), ("10.0.0.1", 2)],
+                random.Random(k),
+                0.0,
+            )
+            for k in range(3)
+        ]
         self.said, self.writing = [[] for _ in range(3)], 0
 
     def send(self, address, method, values, news, words):
@@ -107,7 +119,7 @@
     assert one.digest() == two.digest(), steps
     third = {world.state(0, "n2"), world.state(1, "n2")}
     if "leave" in steps:
-        assert third <= {LEFT, LOST}, steps         # its word may have been lost with it
+        assert third <= {LEFT, LOST}, steps  # its word may have been lost with it
     elif "crash" in steps:
         assert third == {LOST}, steps
     else:
@@ -163,8 +175,9 @@
     monkeypatch.setattr(Fellow, "next_probed", lambda self: None)
 
 
-@pytest.mark.parametrize("plant, found_by", [
-    (planted_old_news, leaver), (planted_no_refuting, check), (planted_no_probing, check)])
+@pytest.mark.parametrize(
+    "plant, found_by", [(planted_old_news, leaver), (planted_no_refuting, check), (planted_no_probing, check)]
+)
 def test_planted_faults_are_found(monkeypatch, plant, found_by):
     plant(monkeypatch)
     with pytest.raises(AssertionError):
--- a/tests/membership/test_post.py
+++ b/tests/membership/test_post.py
@@ -1,4 +1,5 @@
 """Datagrams: what was written is read once; nothing that was torn, forged, doubled or is another's is believed."""
+
 import random
 
 from hypothesis import given, settings, strategies as st
@@ -29,7 +30,7 @@
     numbers.sort(key=lambda n: n + chance.random() * 40)
     came = [n for n in numbers if guard.fresh(1, n)]
     assert sorted(came) == list(range(1, 400))
-    assert not guard.fresh(1, 100)                          # later than a window: not believed, new or not
+    assert not guard.fresh(1, 100)  # later than a window: not believed, new or not
 
 
 def test_wrong_key_other_site_other_version(monkeypatch):
@@ -44,13 +45,15 @@
         data = a.write(ME, 0, "sing", (1, 2, 3), [ME], [])
         asked = a.write(ME, 5, "ping", (7, 9, 3, 1), [ME], [("drain", "s", 1)])
     assert b.read(data) == (ME, 0, (ME,), (), "foreign", ()) and b.counts["foreign"] == 1
-    assert b.read(asked) == (ME, 0, (ME,), (), "ping", (7, 9, 3, 1))       # a probe is read by any version
+    assert b.read(asked) == (ME, 0, (ME,), (), "ping", (7, 9, 3, 1))  # a probe is read by any version
 
 
 def test_never_too_long():
     a, b = pair()
-    long = ("n" * 64, 2 ** 62, 2 ** 45, 2 ** 45, 0, "h" * 64, 65535, "z" * 64, 1, 1e9)
-    data = a.write(long, 2 ** 63, "buckets", tuple(2 ** 63 + k for k in range(64)), [long] * 8, [("w" * 60,) * 6] * 6)
+    long = ("n" * 64, 2**62, 2**45, 2**45, 0, "h" * 64, 65535, "z" * 64, 1, 1e9)
+    data = a.write(
+        long, 2**63, "buckets", tuple(2**63 + k for k in range(64)), [long] * 8, [("w" * 60,) * 6] * 6
+    )
     assert len(data) <= MOST_BYTES and b.read(data)[4] == "buckets"
 
 
@@ -65,14 +68,17 @@
     """100,000 by a seeded mutator; every second one is signed anew, as by a fellow gone wrong."""
     chance, b, read = random.Random(9), Post("s", KEY), 0
     a = Post("s", KEY)
-    whole = [a.write(ME, 5, "ping", (1, 0, 0, 0), [ME], [("drain", "s", 1)]), a.write(ME, 5, "rows", (), [ME] * 4, []),
-             a.write(ME, 5, "buckets", tuple(range(64)), [], [])]
+    whole = [
+        a.write(ME, 5, "ping", (1, 0, 0, 0), [ME], [("drain", "s", 1)]),
+        a.write(ME, 5, "rows", (), [ME] * 4, []),
+        a.write(ME, 5, "buckets", tuple(range(64)), [], []),
+    ]
     for k in range(100_000):
         data = bytearray(chance.choice(whole))
         for _ in range(chance.randrange(1, 4)):
             at = chance.randrange(16, len(data))
             if chance.random() < 0.2:
-                del data[at:at + chance.randrange(1, 9)]
+                del data[at : at + chance.randrange(1, 9)]
             else:
                 data[at] = chance.randrange(256)
             if len(data) < 18:
--- a/tests/membership/test_rig.py
+++ b/tests/membership/test_rig.py
@@ -1,10 +1,11 @@
 """Real routers as processes on loopback, with faults in and between them. Waiting is until it holds, at most so long; how
 long it took is measured by the benchmark, not here."""
+
 import asyncio
 
 from brookhinge.standin.rig import OFF, OTHER_VERSION, Rig
 
-LONG = 60.0     # for a slow machine; the note's bounds are a fraction of it
+LONG = 60.0  # for a slow machine; the note's bounds are a fraction of it
 
 
 def play(script, folder, **rig_):
@@ -12,6 +13,7 @@
         async with Rig(folder, **rig_) as rig:
             assert await rig.until(rig.one_view, LONG)
             await script(rig)
+
     asyncio.run(run())
 
 
@@ -37,8 +39,9 @@
         await asyncio.sleep(2.0)
         rig.thaw("n6")
         assert await rig.until(rig.one_view, LONG)
-        assert lost(rig, "n6") <= {"n3", "n5", "n8"}        # who slept takes nobody for dead
+        assert lost(rig, "n6") <= {"n3", "n5", "n8"}  # who slept takes nobody for dead
         assert {line["member"] for line in rig.log("n1", "fleet") if line["change"] == "back"} == {"n6"}
+
     play(script, tmp_path, routers=12)
 
 
@@ -53,26 +56,31 @@
         assert await rig.until(lambda: believes(rig, "n1", "n4", "left"), LONG)
         rig.wires.cut = lambda a, b: False
         assert await rig.until(rig.one_view, LONG)
-        assert await rig.until(lambda: believes(rig, "n7", "n4", "left"), LONG)     # no old news revives a leaver
+        assert await rig.until(
+            lambda: believes(rig, "n7", "n4", "left"), LONG
+        )  # no old news revives a leaver
         assert await rig.until(lambda: believes(rig, "n1", "n8", "lost"), LONG)
+
     play(script, tmp_path, routers=8)
 
 
 def test_bad_wires_condemn_nobody_for_long(tmp_path):
     async def script(rig):
-        rig.wires.cut = lambda a, b: {a, b} == {"n2", "n5"}     # all but one can reach it
+        rig.wires.cut = lambda a, b: {a, b} == {"n2", "n5"}  # all but one can reach it
         rig.wires.loss, rig.wires.double, rig.wires.corrupt, rig.wires.delay_s = 0.2, 0.1, 0.02, 0.05
         await asyncio.sleep(10.0)
-        rig.wires.cut = lambda a, b: a == "n3"              # what it sends is lost, what it is sent comes
+        rig.wires.cut = lambda a, b: a == "n3"  # what it sends is lost, what it is sent comes
         rig.wires.loss = rig.wires.corrupt = 0.0
         assert await rig.until(lambda: believes(rig, "n1", "n3", "lost"), LONG)
         rig.wires.cut = lambda a, b: False
         assert await rig.until(rig.one_view, LONG)
+
     play(script, tmp_path, routers=6)
 
 
 def test_a_drain_told_to_one_router_alone_binds_all(tmp_path):
     """The command channels of all others are dead: without fellows they would go on asking the box."""
+
     async def script(rig):
         callers = [await rig.caller(name) for name in rig.names]
 
@@ -80,6 +88,7 @@
             for k in range(rounds):
                 await asyncio.gather(*(c.ask(f"{7919 * (k % 40) + n:016x}") for n, c in enumerate(callers)))
                 await asyncio.sleep(0.02)
+
         await ask(20)
         for name in rig.names[1:]:
             rig.channels[name].end()
@@ -94,6 +103,7 @@
         assert rig.boxes["s-1"].counts["queries"] == after and rig.boxes["s-2"].counts["queries"] > others
         for caller in callers:
             caller.close()
+
     play(script, tmp_path, routers=6, boxes=2)
 
 
@@ -104,15 +114,18 @@
         await rig.kill("n6")
         await rig.start("n4", OFF.format(off=-3600))
         assert await rig.until(lambda: believes(rig, "n1", "n4", "alive"), LONG)
-        await rig.start("n5", key="f" * 32)                 # its datagrams are nobody's
-        await rig.start("n6", under="n2")                   # a name in use: the older process keeps it
-        assert await rig.until(lambda: [line for line in rig.log("n6", "fleet") if line["change"] == "taken"], LONG)
+        await rig.start("n5", key="f" * 32)  # its datagrams are nobody's
+        await rig.start("n6", under="n2")  # a name in use: the older process keeps it
+        assert await rig.until(
+            lambda: [line for line in rig.log("n6", "fleet") if line["change"] == "taken"], LONG
+        )
         assert await rig.until(lambda: believes(rig, "n1", "n2", "alive"), LONG)
         assert await rig.until(lambda: rig.one_view(["n1", "n2", "n3", "n4"]), LONG)
-        for name in ("n5", "n6"):                           # both serve all the same, alone
+        for name in ("n5", "n6"):  # both serve all the same, alone
             caller = await rig.caller(name)
             assert (await caller.ask("0000000000000007"))[0] == "satisfied"
             caller.close()
+
     play(script, tmp_path, routers=6, boxes=1)
 
 
@@ -123,13 +136,17 @@
             await rig.start(name)
         assert await rig.until(rig.one_view, LONG)
         assert [lost(rig, name) for name in rig.names] == [set()] * 8
-        assert all([line["here"] for line in rig.log(name, "fleet") if line["change"] == "sharers"][-1:] in ([], [8])
-                   for name in rig.names)
+        assert all(
+            [line["here"] for line in rig.log(name, "fleet") if line["change"] == "sharers"][-1:] in ([], [8])
+            for name in rig.names
+        )
+
     play(script, tmp_path, routers=8, boxes=1)
 
 
 def test_routers_of_two_message_versions_know_one_another(tmp_path):
     """Each reads of the other claims and probes, and no more: one view, and nobody is taken for dead."""
+
     async def script(rig):
         for name in ("n4", "n5"):
             await rig.end(name)
@@ -138,6 +155,7 @@
         await asyncio.sleep(4.0)
         assert lost(rig, "n1") == lost(rig, "n2") == lost(rig, "n3") == set()
         assert await rig.until(lambda: rig.one_view(["n1", "n2", "n3"], others=("n4", "n5")), LONG)
-        await rig.kill("n2")                    # the others of its version still find it out
+        await rig.kill("n2")  # the others of its version still find it out
         assert await rig.until(lambda: believes(rig, "n1", "n2", "lost"), LONG)
+
     play(script, tmp_path, routers=5, boxes=1)
--- a/tests/membership/test_tight.py
+++ b/tests/membership/test_tight.py
@@ -1,4 +1,5 @@
 """What fellows tell of servers: it tightens at once, and nothing it says loosens."""
+
 from hypothesis import given, settings, strategies as st
 
 from helpers import Bench
@@ -14,10 +15,10 @@
     t = Tight(1000.0)
     assert t.told(row()) == (row(), None)
     assert t.hear(("draining", "s", 0)) == row(health="draining")
-    assert t.hear(("draining", "s", 0)) is None                         # once
-    assert t.told(row())[0] == row(health="draining")                   # the own channel is behind
-    assert t.told(row(health="draining")) == (row(health="draining"), None)     # the fellows know
-    assert t.told(row())[0] == row()                                    # it says so itself: it is ready again
+    assert t.hear(("draining", "s", 0)) is None  # once
+    assert t.told(row())[0] == row(health="draining")  # the own channel is behind
+    assert t.told(row(health="draining")) == (row(health="draining"), None)  # the fellows know
+    assert t.told(row())[0] == row()  # it says so itself: it is ready again
 
 
 def test_a_late_word_of_a_drain_that_is_over_holds_nothing():
@@ -55,8 +56,16 @@
 
 
 @settings(max_examples=300, deadline=None)
-@given(st.lists(st.tuples(st.sampled_from(["told", "hear"]), st.sampled_from(["ready", "draining", "gone"]),
-                          st.sampled_from([None, 1.0, 2.0])), max_size=12))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["told", "hear"]),
+            st.sampled_from(["ready", "draining", "gone"]),
+            st.sampled_from([None, 1.0, 2.0]),
+        ),
+        max_size=12,
+    )
+)
 def test_hearing_never_loosens(steps):
     t, now = Tight(0.0), {}
     for how, health, born in steps:
@@ -73,11 +82,18 @@
 
 def test_purges_are_taken_once():
     t = Tight(0.0)
-    assert [t.purge_is_new(3, "", 5), t.purge_is_new(3, "", 5), t.purge_is_new(3, "", 6)] == [True, False, True]
+    assert [t.purge_is_new(3, "", 5), t.purge_is_new(3, "", 5), t.purge_is_new(3, "", 6)] == [
+        True,
+        False,
+        True,
+    ]
 
 
 def test_more_sharers_make_a_cold_budget_smaller_at_once():
     b = Bench(routers=4)
     rate = [cold.whole(0.5, 0.0, 4.0, 0.1) * cold.part(0, 0.0) for cold in b.router.cold.values()]
     b.call("fellows", 8, 16)
-    assert [cold.whole(0.5, 0.0, 4.0, 0.1) * cold.part(0, 0.0) for cold in b.router.cold.values()] == [rate[0] / 2, rate[1] / 4]
+    assert [cold.whole(0.5, 0.0, 4.0, 0.1) * cold.part(0, 0.0) for cold in b.router.cold.values()] == [
+        rate[0] / 2,
+        rate[1] / 4,
+    ]
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -1,4 +1,5 @@
 """Claims about one router, merged in any order: the same view everywhere."""
+
 import random
 
 from hypothesis import given, settings, strategies as st
@@ -17,9 +18,19 @@
 
 def test_what_changes_is_said_once():
     v = View(600.0)
-    assert told(v, claim(), claim(), claim(state=SUSPECTED), claim(), claim(inc=11), claim(state=LOST),
-                claim(inc=11, state=LOST), claim(inc=12), claim(inc=12, state=LEFT), claim(inc=12)) == [
-        "joined", None, "suspected", None, "cleared", None, "lost", "back", "left", None]
+    assert told(
+        v,
+        claim(),
+        claim(),
+        claim(state=SUSPECTED),
+        claim(),
+        claim(inc=11),
+        claim(state=LOST),
+        claim(inc=11, state=LOST),
+        claim(inc=12),
+        claim(inc=12, state=LEFT),
+        claim(inc=12),
+    ) == ["joined", None, "suspected", None, "cleared", None, "lost", "back", "left", None]
 
 
 def test_a_leaver_never_comes_back_by_old_news_but_its_successor_does():
@@ -27,7 +38,7 @@
     told(v, claim(), claim(state=LEFT))
     assert told(v, claim(inc=9), claim(state=LOST), claim(uid=2, inc=9)) == [None, None, None]
     assert told(v, claim(uid=2, inc=11)) == ["restarted"] and v.state == [ALIVE]
-    assert told(v, claim(inc=10, state=LEFT)) == [None]     # the older process's word, late
+    assert told(v, claim(inc=10, state=LEFT)) == [None]  # the older process's word, late
 
 
 def test_another_router_at_an_old_address_is_another():
@@ -36,8 +47,9 @@
     assert v.names == ["a", "b"] and v.address == [("10.0.0.1", 5)] * 2
 
 
-claims = st.builds(claim, name=st.sampled_from("ab"), uid=st.integers(1, 3), inc=st.integers(10, 13),
-                   state=st.integers(0, 3))
+claims = st.builds(
+    claim, name=st.sampled_from("ab"), uid=st.integers(1, 3), inc=st.integers(10, 13), state=st.integers(0, 3)
+)
 
 
 @settings(max_examples=400, deadline=None)
@@ -58,7 +70,10 @@
 def test_digests_follow_what_is_known():
     chance, v = random.Random(3), View(600.0)
     for k in range(300):
-        told(v, claim(f"n{chance.randrange(20)}", chance.randrange(3), chance.randrange(9), chance.randrange(4)))
+        told(
+            v,
+            claim(f"n{chance.randrange(20)}", chance.randrange(3), chance.randrange(9), chance.randrange(4)),
+        )
     fresh = View(600.0)
     told(fresh, *(v.claim(i, 0.0) for i in range(len(v.names))))
     assert fresh.digest() == v.digest()
@@ -76,8 +91,8 @@
     trace.append(sharers(v, 0.0, 8.0, 6))
     told(v, claim("a", 1, state=LOST), now=1.0)
     trace += [sharers(v, now, 8.0, 3) for now in (1.0, 8.9, 9.1)]
-    trace.append(sharers(v, 9.1, 8.0, 6))                   # the settings tell of more than were heard of
-    told(v, claim("c", 33, inc=20), now=20.0)               # killed and restarted, nobody heard it leave
+    trace.append(sharers(v, 9.1, 8.0, 6))  # the settings tell of more than were heard of
+    told(v, claim("c", 33, inc=20), now=20.0)  # killed and restarted, nobody heard it leave
     trace += [sharers(v, now, 8.0, 2) for now in (20.0, 28.1)]
     assert trace == [6, 5, 3, 3, 2, 5, 3, 2]
 
@@ -86,5 +101,8 @@
     """Each has given the other up for longer than a lease; both still divide by all that the settings tell."""
     sides = [View(600.0), View(600.0)]
     for side, mine in zip(sides, ("ab", "cd")):
-        told(side, *(claim(name, k + 1, state=ALIVE if name in mine else LOST) for k, name in enumerate("abcd")))
+        told(
+            side,
+            *(claim(name, k + 1, state=ALIVE if name in mine else LOST) for k, name in enumerate("abcd")),
+        )
     assert sum(2 / sharers(side, 100.0, 8.0, 4) for side in sides) <= 1.0
--- a/tests/rollout/rolled.py
+++ b/tests/rollout/rolled.py
@@ -1,4 +1,5 @@
 """A script played on kept routers under load."""
+
 import asyncio
 
 from brookhinge.standin.load import Load
@@ -9,10 +10,12 @@
 
 def play(script, folder, rate=12.0, **rig_):
     """What became of the queries, by router."""
+
     async def run():
         async with Rolling(folder, **{"boxes": 2, "patience_s": 2.0, **rig_}) as rig:
             async with Load(rig, dict.fromkeys(rig.names, rate), objects=200) as load:
                 await script(rig, load)
             await asyncio.sleep(0.2)
             return load.kinds
+
     return asyncio.run(run())
--- a/tests/rollout/test_journal.py
+++ b/tests/rollout/test_journal.py
@@ -1,4 +1,5 @@
 """A rollout's journal, torn at every byte, on a full disk, damaged in the middle."""
+
 import errno
 import os
 
@@ -6,7 +7,11 @@
 
 from brookhinge.rollout.journal import FORM, Damaged, Journal, line_of, read
 
-RECORDS = [{"form": FORM, "what": "form", "plan": "p"}, {"what": "epoch", "epoch": 7}, {"what": "change", "router": "n1"}]
+RECORDS = [
+    {"form": FORM, "what": "form", "plan": "p"},
+    {"what": "epoch", "epoch": 7},
+    {"what": "change", "router": "n1"},
+]
 
 
 def test_torn_at_every_byte(tmp_path):
@@ -31,7 +36,7 @@
         read(bytes(data))
     with pytest.raises(Damaged, match="form 9"):
         read(line_of(0, {"form": 9}))
-    again = line_of(0, RECORDS[0]) + line_of(2, RECORDS[2])     # a record that is lost is damage as well
+    again = line_of(0, RECORDS[0]) + line_of(2, RECORDS[2])  # a record that is lost is damage as well
     assert read(again)[0] == RECORDS[:1]
 
 
@@ -42,6 +47,7 @@
         if full:
             raise OSError(errno.ENOSPC, "no space left")
         os.fsync(number)
+
     journal = Journal(tmp_path / "j", sync)
     journal.write(RECORDS[0])
     full.append(True)
--- a/tests/rollout/test_judge.py
+++ b/tests/rollout/test_judge.py
@@ -1,4 +1,5 @@
 """The judge in numbers: what is common condemns nobody, what is worse is found, and looking often does not raise false alarms."""
+
 import math
 import random
 
@@ -34,8 +35,12 @@
 
 def test_a_change_that_does_nothing_is_stopped_once_in_a_hundred_at_most():
     """Looked at after every window, with troubles going on."""
-    troubled = [lambda t: 0.0, lambda t: 0.3 if 90 < t < 120 else 0.0, lambda t: 0.1 * (t % 30 < 5),
-                lambda t: 0.05 * math.sin(t / 9.0) + 0.05]
+    troubled = [
+        lambda t: 0.0,
+        lambda t: 0.3 if 90 < t < 120 else 0.0,
+        lambda t: 0.1 * (t % 30 < 5),
+        lambda t: 0.05 * math.sin(t / 9.0) + 0.05,
+    ]
     words = [rollout(seed, trouble=troubled[seed % 4])[0] for seed in range(60)]
     assert words.count(WORSE) <= 1 and words.count(NO_WORSE) + words.count(BETTER) > 30
 
@@ -80,6 +85,11 @@
 
 def test_places_are_compared_each_with_itself():
     """All new routers stand where it is bad for all: no difference."""
-    told = [("good", False, 100, 95.0), ("bad", False, 100, 50.0), ("bad", True, 10, 5.0), ("alone", True, 10, 0.0)]
+    told = [
+        ("good", False, 100, 95.0),
+        ("bad", False, 100, 50.0),
+        ("bad", True, 10, 5.0),
+        ("alone", True, 10, 0.0),
+    ]
     assert difference(told) == 0.0
     assert difference([("a", True, 10, 5.0)]) is None
--- a/tests/rollout/test_model.py
+++ b/tests/rollout/test_model.py
@@ -1,6 +1,7 @@
 """A coordinator, its keepers and their processes in virtual time, by seed: commands and reports lost, doubled, late, cut off;
 coordinators and keepers killed and started again; processes that crash. What must hold is looked at after every event, and
 once the faults are over there is an end. Each property has a fault planted that it finds."""
+
 import heapq
 import random
 
@@ -14,9 +15,28 @@
 
 
 def plan(**other):
-    base = dict(name="p", old="v1", to="v2", stages=(0.25, 0.5, 1.0), key=b"", seed=3, alpha=0.01, window_s=0.5, before_s=6.0,
-                warm_s=1.0, least_s=5.0, most_s=25.0, ready_s=6.0, alone_s=8.0, untold="go", versions={}, keepers={},
-                figures=(("worth", 1.0, 0.05),), routers=tuple((n, f"k{k % 2}") for k, n in enumerate(NAMES)), digest="")
+    base = dict(
+        name="p",
+        old="v1",
+        to="v2",
+        stages=(0.25, 0.5, 1.0),
+        key=b"",
+        seed=3,
+        alpha=0.01,
+        window_s=0.5,
+        before_s=6.0,
+        warm_s=1.0,
+        least_s=5.0,
+        most_s=25.0,
+        ready_s=6.0,
+        alone_s=8.0,
+        untold="go",
+        versions={},
+        keepers={},
+        figures=(("worth", 1.0, 0.05),),
+        routers=tuple((n, f"k{k % 2}") for k, n in enumerate(NAMES)),
+        digest="",
+    )
     return Plan(**{**base, **other})
 
 
@@ -24,8 +44,12 @@
     def __init__(self, seed, quality=lambda version: 0.9, **told):
         self.chance, self.now, self.queue, self.serial = random.Random(seed), 0.0, [], 0
         self.plan, self.quality = plan(**told), quality
-        self.records, self.disks = [], {"k0": [], "k1": []}         # what is durable
-        self.processes, self.number, self.said = {}, 0, []          # number -> [router, version, ready, draining, totals]
+        self.records, self.disks = [], {"k0": [], "k1": []}  # what is durable
+        self.processes, self.number, self.said = (
+            {},
+            0,
+            [],
+        )  # number -> [router, version, ready, draining, totals]
         self.faults, self.cut = 0.0, set()
         self.core, self.places, self.epoch, self.gone_back = None, {}, 0, None
         for k in self.disks:
@@ -41,7 +65,9 @@
 
     def keeper(self, k):
         """A keeper starts, or starts again: it finds the processes that live."""
-        made = self.places[k] = Place([n for n, at in self.plan.routers if at == k], "v1", self.disks[k], self.plan.alone_s)
+        made = self.places[k] = Place(
+            [n for n, at in self.plan.routers if at == k], "v1", self.disks[k], self.plan.alone_s
+        )
         for number, (name, version, ready, draining, _) in sorted(self.processes.items()):
             if name in made.slots and not draining:
                 old = made.slots[name].process
@@ -101,10 +127,16 @@
         if k in self.cut or self.chance.random() < self.faults:
             return
         for _ in range(1 + (self.chance.random() < self.faults)):
-            self.at(0.01 + (3.0 * self.chance.random() if self.chance.random() < self.faults else 0.0), work, *args)
+            self.at(
+                0.01 + (3.0 * self.chance.random() if self.chance.random() < self.faults else 0.0),
+                work,
+                *args,
+            )
 
     def command(self, name, version, sure, serial):
-        self.carry(dict(self.plan.routers)[name], self.commanded, name, version, self.core.epoch, sure, serial)
+        self.carry(
+            dict(self.plan.routers)[name], self.commanded, name, version, self.core.epoch, sure, serial
+        )
 
     def commanded(self, name, version, epoch, sure, serial):
         k = dict(self.plan.routers)[name]
@@ -128,8 +160,14 @@
             self.round(k)
             for name in made.slots:
                 version, state, number, crashes = made.state(name)
-                totals = {key: tuple(v) for key, v in self.processes[number][4].items()} if number in self.processes else {}
-                self.carry(k, self.heard, ("report", name, version, state, number, crashes, totals, made.epoch, True))
+                totals = (
+                    {key: tuple(v) for key, v in self.processes[number][4].items()}
+                    if number in self.processes
+                    else {}
+                )
+                self.carry(
+                    k, self.heard, ("report", name, version, state, number, crashes, totals, made.epoch, True)
+                )
         for name, version, ready, draining, totals in self.processes.values():
             if ready and not draining:
                 totals["worth"][0] += 50
@@ -157,7 +195,7 @@
         for name, count in total.items():
             assert count <= 3, f"{count} processes of {name}"
         allowed, backed = set(), False
-        for record in self.records:         # who may run the new one, by what is durable
+        for record in self.records:  # who may run the new one, by what is durable
             if record["what"] == "change":
                 assert not backed, "forward after back"
                 allowed.add(record["router"])
@@ -167,10 +205,14 @@
         assert begun <= allowed, f"{begun - allowed} run the new one unasked"
         stages, passed = stages_of(self.plan), sum(r["what"] == "passed" for r in self.records)
         changed = [r["router"] for r in self.records if r["what"] == "change"]
-        assert set(changed) <= {name for stage in stages[:passed + 1] for name in stage}, "more than the stage's share"
+        assert set(changed) <= {name for stage in stages[: passed + 1] for name in stage}, (
+            "more than the stage's share"
+        )
 
     def all_run(self, version):
-        return all(made.state(name)[:2] == (version, "ready") for made in self.places.values() for name in made.slots)
+        return all(
+            made.state(name)[:2] == (version, "ready") for made in self.places.values() for name in made.slots
+        )
 
 
 def calm(world, seconds=400.0):
@@ -208,11 +250,11 @@
         what = chance.random()
         k = chance.choice(("k0", "k1"))
         if what < 0.15:
-            world.core = None                               # the coordinator is killed
+            world.core = None  # the coordinator is killed
         elif what < 0.4 and world.core is None:
             world.coordinate()
         elif what < 0.5:
-            world.places.pop(k, None)                       # a keeper is killed; its processes live on
+            world.places.pop(k, None)  # a keeper is killed; its processes live on
         elif what < 0.65 and k not in world.places:
             world.keeper(k)
         elif what < 0.75:
@@ -233,7 +275,9 @@
 def test_long_histories_hold_and_end():
     ends = [world.core.end for world in histories()]
     assert set(ends) == {"done", "back"}
-    assert all(end == "back" for seed, end in enumerate(ends) if seed % 3 == 0)     # worse ones never get through
+    assert all(
+        end == "back" for seed, end in enumerate(ends) if seed % 3 == 0
+    )  # worse ones never get through
 
 
 def planted_forward_after_back(monkeypatch):
@@ -243,22 +287,32 @@
     def recall(self, record):
         if record.get("what") != "back":
             real(self, record)
+
     monkeypatch.setattr(Coordinator, "recall", recall)
 
 
 def planted_old_epochs_act(monkeypatch):
     """A keeper that heeds any coordinator, also one that was superseded, and any late word."""
+
     def told(self, now, writer, name, version, epoch, sure, serial):
         slot = self.slots[name]
         slot.heard_at = now
         self.note(writer, what="router", router=name, version=version, sure=sure)
+
     monkeypatch.setattr(Place, "told", told)
 
 
 def planted_unasked(monkeypatch):
     """The whole stage is commanded before it is written down."""
-    monkeypatch.setattr(Coordinator, "should", lambda self, name: self.plan.to if not self.going_back and (
-        name in self.sure or name in self.changed or name in self.group()) else self.plan.old)
+    monkeypatch.setattr(
+        Coordinator,
+        "should",
+        lambda self, name: (
+            self.plan.to
+            if not self.going_back and (name in self.sure or name in self.changed or name in self.group())
+            else self.plan.old
+        ),
+    )
 
 
 def late_word():
@@ -272,7 +326,7 @@
     assert world.run(60.0, lambda: world.core.end == "back" and world.all_run("v1"))
     world.commanded(name, "v2", epoch, False, serial)
     world.commanded(name, "v2", epoch - 1, False, serial + 999)
-    world.core = None                       # nobody is there to say it again
+    world.core = None  # nobody is there to say it again
     world.run(3.0)
     assert world.all_run("v1"), "a late word started the new one again"
 
@@ -281,8 +335,14 @@
     late_word()
 
 
-@pytest.mark.parametrize("plant, found_by", [(planted_forward_after_back, histories), (planted_old_epochs_act, late_word),
-                                             (planted_unasked, histories)])
+@pytest.mark.parametrize(
+    "plant, found_by",
+    [
+        (planted_forward_after_back, histories),
+        (planted_old_epochs_act, late_word),
+        (planted_unasked, histories),
+    ],
+)
 def test_planted_faults_are_found(monkeypatch, plant, found_by):
     plant(monkeypatch)
     with pytest.raises(AssertionError):
@@ -302,19 +362,19 @@
     stages, places = stages_of(told), dict(told.routers)
     assert [len(stage) for stage in stages] == [1, 3, 16, 20]
     for stage in stages:
-        assert max(sum(places[name] == k for name in stage) for k in ("k0", "k1", "k2", "k3")) <= -(-len(stage) // 4)
+        assert max(sum(places[name] == k for name in stage) for k in ("k0", "k1", "k2", "k3")) <= -(
+            -len(stage) // 4
+        )
     assert stages == stages_of(told) and stages != stages_of(told._replace(seed=4))
 
 
-
-
 def test_aborted_in_the_middle_of_a_change_it_stays_where_it_is():
     world = World(3)
     assert world.run(200.0, lambda: sum(r["what"] == "change" for r in world.records) == 2)
-    world.inbox.append(("asked", "abort"))          # one is draining its old process just now
+    world.inbox.append(("asked", "abort"))  # one is draining its old process just now
     assert world.run(5.0, lambda: world.core.end == "left")
     world.run(5.0)
     changes = len(world.records)
-    world.coordinate()                              # one that is started again does nothing more either
+    world.coordinate()  # one that is started again does nothing more either
     world.run(30.0)
     assert [r["what"] for r in world.records[changes:]] == ["epoch"] and world.core.end == "left"
--- a/tests/rollout/test_rig.py
+++ b/tests/rollout/test_rig.py
@@ -1,4 +1,5 @@
 """Rollouts among real processes: routers, their keepers and a coordinator, some of which are killed."""
+
 import json
 
 from brookhinge.standin.channel import CommandChannel
@@ -15,6 +16,7 @@
         assert await rig.ended(roll, LONG) == 0, rig.text("roll")
         assert set(rig.versions().values()) == {"v2"} and rig.status()["phase"] == "done"
         assert rig.text("roll").count('"event":"passed"') == 2
+
     kinds = play(script, tmp_path, stages="[0.5, 1.0]")
     assert sum(told.get("satisfied", 0) for told in kinds.values()) > 300
     # a query on its way in the very moment in which its connection is closed is not taken: one at the most, by chance
@@ -23,6 +25,7 @@
 
 def test_settings_that_can_change_in_place_restart_nobody(tmp_path):
     """Another command channel: read again by SIGHUP, in the same stages."""
+
     async def script(rig, load):
         other = CommandChannel([dict(row) for row in rig.channels["n1"].hosts.values()])
         address = "%s:%d" % await other.listen()
@@ -33,8 +36,11 @@
         assert await rig.ended(roll, LONG) == 0, rig.text("roll")
         assert set(rig.versions().values()) == {"v2"} and len(other.polls) > 0
         said = rig.text("k1") + rig.text("k2")
-        assert said.count('"event":"settings"') == 4 and said.count('"event":"took over"') == 4     # those of the start
+        assert (
+            said.count('"event":"settings"') == 4 and said.count('"event":"took over"') == 4
+        )  # those of the start
         other.end()
+
     play(script, tmp_path, stages="[0.5, 1.0]", same_program=True)
 
 
@@ -47,4 +53,5 @@
         rig.ask("back")
         assert await rig.ended(roll, LONG) == 1, rig.text("roll")
         assert set(rig.versions().values()) == {"v1"}
+
     play(script, tmp_path)
--- a/tests/rollout/test_rig_deaths.py
+++ b/tests/rollout/test_rig_deaths.py
@@ -1,4 +1,5 @@
 """Rollouts among real processes whose coordinators and keepers are killed, doubled and put to sleep."""
+
 import asyncio
 import signal
 
@@ -17,6 +18,7 @@
             first = await rig.roll()
         assert await rig.ended(first, LONG) == 0, rig.text("roll")
         assert set(rig.versions().values()) == {"v2"}
+
     play(script, tmp_path, stages="[0.5, 1.0]")
 
 
@@ -24,12 +26,13 @@
     async def script(rig, load):
         older = await rig.roll("one")
         assert await rig.until(lambda: rig.status("one"), LONG)
-        same = await rig.roll("one")                        # on the same journal: refused at once
+        same = await rig.roll("one")  # on the same journal: refused at once
         assert await rig.ended(same, LONG) == 1 and "in use by another process" in rig.text("one")
         await rig.roll("two")
         assert await rig.ended(older, LONG) == 1, rig.text("one")
         assert rig.status("one")["phase"] == "superseded"
         assert await rig.until(lambda: "v2" in rig.versions("two").values(), LONG), rig.text("two")
+
     play(script, tmp_path)
 
 
@@ -43,10 +46,13 @@
         await rig.keep("k1")
         assert await rig.until(lambda: rig.text("k1").count('"event":"found"') == 2, LONG), rig.text("k1")
         await rig.roll()
-        assert await rig.until(lambda: "v2" in [rig.versions().get(n) for n in rig.places["k1"]], LONG), rig.text("k1")
+        assert await rig.until(lambda: "v2" in [rig.versions().get(n) for n in rig.places["k1"]], LONG), (
+            rig.text("k1")
+        )
         assert await rig.until(lambda: rig.text("k1").count('"event":"took over"') > 2, LONG)
         rig.ask("back")
         assert await rig.until(rig.settled("v1"), LONG)
+
     play(script, tmp_path, stages="[0.5, 1.0]")
 
 
@@ -57,13 +63,15 @@
         roll.kill()
         await roll.wait()
         assert await rig.until(lambda: '"event":"alone"' in rig.text("k1") + rig.text("k2"), LONG)
-        roll = await rig.roll("watch")                      # looks only: it stands before its first change for long
+        roll = await rig.roll("watch")  # looks only: it stands before its first change for long
         assert await rig.until(rig.settled("v1", "watch"), LONG)
+
     play(script, tmp_path, most_s=60.0, alone_s=3.0, untold="pause")
 
 
 def test_a_keeper_that_sleeps_holds_the_change_up_and_nothing_else(tmp_path):
     """Cut off from half of the keepers a coordinator changes nothing more; when they are back it goes on."""
+
     async def script(rig, load):
         roll = await rig.roll()
         assert await rig.until(lambda: "v2" in rig.versions().values(), LONG)
@@ -73,7 +81,8 @@
         before = load.kinds["n2"].get("satisfied", 0)
         await asyncio.sleep(3.0)
         assert rig.text("roll").count('"event":"change"') == held and roll.returncode is None
-        assert load.kinds["n2"].get("satisfied", 0) > before        # its routers serve on
+        assert load.kinds["n2"].get("satisfied", 0) > before  # its routers serve on
         rig.keepers["k2"].send_signal(signal.SIGCONT)
         assert await rig.ended(roll, LONG) == 0, rig.text("roll")
+
     play(script, tmp_path, stages="[0.5, 1.0]", alone_s=60.0, most_s=30.0)
--- a/tests/rollout/test_rig_worse.py
+++ b/tests/rollout/test_rig_worse.py
@@ -1,4 +1,5 @@
 """Changes that are worse, among real processes: each is stopped in its first stage and taken back; what is common is not."""
+
 import asyncio
 
 import pytest
@@ -10,20 +11,25 @@
 from tests.rollout.rolled import LONG, play
 
 
-@pytest.mark.parametrize("version, worse", [
-    pytest.param(rolling.FAILS.format(part=0.5), "", id="half nacked"),
-    pytest.param(rolling.CRASHES.format(after_s=3.0), "", id="crash"),
-    pytest.param(rolling.NEVER_READY, "", id="never ready"),
-    pytest.param(rolling.LATE.format(late_s=0.6), "", id="late"),
-    pytest.param(rolling.LEAKS.format(kb=200), "", id="leaks")])
+@pytest.mark.parametrize(
+    "version, worse",
+    [
+        pytest.param(rolling.FAILS.format(part=0.5), "", id="half nacked"),
+        pytest.param(rolling.CRASHES.format(after_s=3.0), "", id="crash"),
+        pytest.param(rolling.NEVER_READY, "", id="never ready"),
+        pytest.param(rolling.LATE.format(late_s=0.6), "", id="late"),
+        pytest.param(rolling.LEAKS.format(kb=200), "", id="leaks"),
+    ],
+)
 def test_a_change_that_is_worse_is_stopped_and_taken_back(tmp_path, version, worse):
     async def script(rig, load):
         roll = await rig.roll()
         assert await rig.ended(roll, LONG) == 1, rig.text("roll")
         assert set(rig.versions().values()) == {"v1"} and rig.status()["phase"] == "back"
-        assert rig.text("roll").count('"event":"change"') <= 2      # stopped in its first stage
+        assert rig.text("roll").count('"event":"change"') <= 2  # stopped in its first stage
         for name in rig.names:
             assert await rig.until(lambda name=name: rig.accepts(name), 30.0)
+
     play(script, tmp_path, version=version, worse=worse, untold="back")
 
 
@@ -32,11 +38,13 @@
         roll = await rig.roll()
         assert await rig.ended(roll, LONG) == 1, rig.text("roll")
         assert set(rig.versions().values()) == {"v1"}
+
     play(script, tmp_path, spoil=lambda text: text.replace('"seed"', '"sead"'), untold="back")
 
 
 def test_troubles_in_the_middle_of_a_stage_condemn_no_change(tmp_path):
     """A box fails half of its answers for a while, and traffic doubles: old and new routers see both."""
+
     async def script(rig, load):
         roll = await rig.roll()
         assert await rig.until(lambda: "v2" in rig.versions().values(), LONG)
@@ -46,18 +54,22 @@
             rig.boxes["s-1"].fails = 0.0
             assert await rig.ended(roll, LONG) == 0, rig.text("roll")
         assert set(rig.versions().values()) == {"v2"}
+
     play(script, tmp_path, stages="[0.5, 1.0]")
 
 
 def test_a_rollout_among_cold_boxes_passes_no_limit(tmp_path):
     """Boxes start cold under several times what they bear while routers are changed one after another: an old and a new
     process of one name never use two parts."""
+
     async def script(rig, load):
         await asyncio.sleep(START)
         roll = await rig.roll()
         assert await rig.until(lambda: "v2" in rig.versions().values(), LONG)
         await rig.cold(*rig.box_names)
-        assert await rig.until(lambda: rig.text("k1").count("took over") + rig.text("k2").count("took over") > 5, LONG)
+        assert await rig.until(
+            lambda: rig.text("k1").count("took over") + rig.text("k2").count("took over") > 5, LONG
+        )
         await asyncio.sleep(4.0)
         for name, box in rig.boxes.items():
             # as for the moment of the start, which is the least that it bears later
@@ -65,5 +77,14 @@
             most = max(sum(at - WINDOW_S < other <= at for other in early) for at in early)
             assert most <= ROOM and len(early) > 20, f"{name} got {most} of {len(early)} within {WINDOW_S} s"
         roll.terminate()
-    play(script, tmp_path, rate=50.0, aim_s=WORK_S, flow_kb_s=500.0, warm_s=20.0, more="share_limits = true",
-         stages="[0.5, 1.0]")
+
+    play(
+        script,
+        tmp_path,
+        rate=50.0,
+        aim_s=WORK_S,
+        flow_kb_s=500.0,
+        warm_s=20.0,
+        more="share_limits = true",
+        stages="[0.5, 1.0]",
+    )
--- a/tests/store/simfiles.py
+++ b/tests/store/simfiles.py
@@ -1,5 +1,6 @@
 """A file layer that forgets: what was not synced may be lost, torn at any byte or written in another order at a crash,
 and so may names in the folder. Any call can be told to fail, or to be the last one before the crash."""
+
 import errno
 import os
 
@@ -18,7 +19,7 @@
 def put(data, offset, piece):
     if len(data) < offset:
         data.extend(b"\0" * (offset - len(data)))
-    data[offset:offset + len(piece)] = piece
+    data[offset : offset + len(piece)] = piece
 
 
 class SimFiles:
@@ -44,10 +45,16 @@
         """Power is lost and comes back: what the disk shows then."""
         for inode in {id(i): i for i in [*self.names_.values(), *self.durable_names.values()]}.values():
             data = bytearray(inode.durable)
-            for offset, piece in self.chance.sample(inode.pending, self.chance.randint(0, len(inode.pending))):
-                put(data, offset, piece[:self.chance.randint(0, len(piece))] if self.chance.random() < 0.5 else piece)
+            for offset, piece in self.chance.sample(
+                inode.pending, self.chance.randint(0, len(inode.pending))
+            ):
+                put(
+                    data,
+                    offset,
+                    piece[: self.chance.randint(0, len(piece))] if self.chance.random() < 0.5 else piece,
+                )
             inode.data, inode.durable, inode.pending = data, bytearray(data), []
-        for name, inode in self.steps[:self.chance.randint(0, len(self.steps))]:
+        for name, inode in self.steps[: self.chance.randint(0, len(self.steps))]:
             if inode is None:
                 self.durable_names.pop(name, None)
             else:
@@ -56,7 +63,7 @@
         self.handles, self.locked, self.stop_at, self.fail = {}, False, None, {}
 
     def inode(self, handle):
-        if handle not in self.handles:      # of before the crash
+        if handle not in self.handles:  # of before the crash
             raise OSError(errno.EBADF, "bad file descriptor")
         return self.handles[handle]
 
@@ -98,15 +105,16 @@
         def store(piece):
             put(inode.data, offset, piece)
             inode.pending.append((offset, piece))
-        self.step("write", lambda: store(piece[:self.chance.randint(0, len(piece))]))
+
+        self.step("write", lambda: store(piece[: self.chance.randint(0, len(piece))]))
         if self.short:
-            store(piece[:self.short])
+            store(piece[: self.short])
             raise OSError(errno.ENOSPC, "no space left")
         store(piece)
 
     def read(self, handle, offset, size):
         self.step("read")
-        return bytes(self.inode(handle).data[offset:offset + size])
+        return bytes(self.inode(handle).data[offset : offset + size])
 
     def sync(self, handle):
         self.step("sync")
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -1,5 +1,6 @@
 """The two tiers on a loop: a disk that fails or stalls delays no answer and comes back by trial; admission, health and
 the order of eviction by themselves."""
+
 import asyncio
 import errno
 import random
@@ -38,8 +39,12 @@
 
     async def run():
         disk = DiskTier(files, 60 * CHUNK, 5 * CHUNK, say=say)
-        store = Store(memory, disk, say=say, **{"stall_s": 0.05, "sync_s": 0.02, "snapshot_s": 0.05,
-                                                "health": Health(first_s=0.1), **other})
+        store = Store(
+            memory,
+            disk,
+            say=say,
+            **{"stall_s": 0.05, "sync_s": 0.02, "snapshot_s": 0.05, "health": Health(first_s=0.1), **other},
+        )
         await store.start()
         await store.opened
         try:
@@ -47,6 +52,7 @@
         finally:
             files.delay = None
             await store.close()
+
     return asyncio.run(run())
 
 
@@ -73,6 +79,7 @@
         store.memory.drop((b"o1", 0))
         again = await store.get(b"o1", 0)
         return fresh.aside, again.aside, again.dated, store.renew(b"o2", 0, found._replace(dated=9.0), 8.0)
+
     files = SimFiles(random.Random(1))
     assert played(first, files) == (True, False, 1)
     assert played(second, files) == (False, False, 9.0, None)
@@ -89,7 +96,7 @@
         began = time.monotonic()
         late = await store.get(b"o1", 0)
         took = time.monotonic() - began
-        for n in range(2000):       # its queue is bounded, and nothing is queued while it is off
+        for n in range(2000):  # its queue is bounded, and nothing is queued while it is off
             store.put(copy(b"p%d" % n, 3000))
         waiting = store.writer.waiting()
         purge = store.purge_object(b"o2", 99.0)
@@ -99,13 +106,27 @@
         hold.set()
         await until(lambda: store.health.on)
         back = await store.get(b"o1", 0)
-        return late, took < 0.5, waiting <= 256, back.body == copy(b"o1").body, lines[1:3], \
-            b"o2" in store.disk.ledger.objects
+        return (
+            late,
+            took < 0.5,
+            waiting <= 256,
+            back.body == copy(b"o1").body,
+            lines[1:3],
+            b"o2" in store.disk.ledger.objects,
+        )
+
     assert played(scene, memory=1 << 19) == (None, True, True, True, ["disk off stall", "disk on"], True)
 
 
-@pytest.mark.parametrize("call, error, why", [("write", errno.ENOSPC, "full"), ("write", errno.EIO, "write"),
-                                              ("sync", errno.EIO, "sync"), ("read", errno.EIO, "read")])
+@pytest.mark.parametrize(
+    "call, error, why",
+    [
+        ("write", errno.ENOSPC, "full"),
+        ("write", errno.EIO, "write"),
+        ("sync", errno.EIO, "sync"),
+        ("read", errno.EIO, "read"),
+    ],
+)
 def test_a_disk_that_fails_turns_off_and_comes_back(call, error, why):
     async def scene(store, files, lines):
         for n in range(8):
@@ -119,13 +140,14 @@
         await until(lambda: not store.health.on)
         assert await store.get(b"p0", 0)
         turns = store.health.turns
-        await asyncio.sleep(0.3)            # trials fail; each waits longer
+        await asyncio.sleep(0.3)  # trials fail; each waits longer
         assert not store.health.on and 1 <= store.health.turns - turns <= 3 or call == "read"
         files.fail = {}
         await until(lambda: store.health.on)
         store.put(copy(b"q"))
         await until(lambda: store.disk.look(b"q", 0))
         return lines[1]
+
     assert played(scene) == f"disk off {why}"
 
 
@@ -148,11 +170,12 @@
         files.delay = lambda call: time.sleep(0.005)
         await store.start()
         await asyncio.sleep(0.01)
-        assert await store.purge_object(b"o3", 80.0) is True      # when the trial is over, not before
+        assert await store.purge_object(b"o3", 80.0) is True  # when the trial is over, not before
         assert store.health.on
         files.delay = None
         files.crash()
         return files
+
     assert played(scene, files) == (False, None)
     asyncio.run(again())
     disk = DiskTier(files, 60 * CHUNK, 5 * CHUNK)
@@ -165,6 +188,7 @@
         store.put(copy(b"o"))
         await store.purge_group(3, 5.0)
         return await store.get(b"o", 0), store.put(copy(b"o", dated=5.0)), store.put(copy(b"o", dated=5.1))
+
     assert played(scene) == (None, False, True)
 
 
@@ -176,16 +200,20 @@
         assert found.aside
         store.put(copy(b"p"))
         return (await store.get(b"p", 0)).aside
+
     assert played(scene) is False
 
 
-@pytest.mark.parametrize("bad", [dict(rank=4), dict(group=257), dict(dated=float("nan")), dict(tag=b"x" * 2000)])
+@pytest.mark.parametrize(
+    "bad", [dict(rank=4), dict(group=257), dict(dated=float("nan")), dict(tag=b"x" * 2000)]
+)
 def test_what_cannot_be_kept_is_refused(bad):
     async def scene(store, files, lines):
         with pytest.raises(ValueError, match=next(iter(bad))):
             store.put(copy(b"o", **bad))
         store.put(copy(b"o"))
         return (await store.get(b"o", 0)).size
+
     assert played(scene) == 900
 
 
@@ -200,7 +228,7 @@
         used = [n for n in used if n != name] + [name]
         gone = [n for n in before if n not in memory.rank and n != name]
         assert all(before[n] <= rank for n in gone)
-        for n in gone:      # whatever stayed is of a higher rank, or was used later
+        for n in gone:  # whatever stayed is of a higher rank, or was used later
             assert all(memory.rank[m] > before[n] or used.index(m) > used.index(n) for m in memory.rank)
         assert kept == (name in memory.rank)
 
@@ -233,14 +261,18 @@
     assert not admission.admit(giant, 100_000, 0, iter(small))
     assert not admission.admit(rare, 1000, 0, iter(small))
     assert admission.admit(liked, 1000, 0, iter(small))
-    assert not admission.admit(liked, 1000, 0, iter([]))        # nothing may go for it
+    assert not admission.admit(liked, 1000, 0, iter([]))  # nothing may go for it
     assert Admission(64, room=0.5).admit(rare, 1000, 2500, iter([]))
 
 
 def test_health_turns_off_waits_longer_each_time_and_survives_a_clock_that_steps_back():
     health, trace = Health(first_s=1.0, longest_s=8.0), []
     health.proved(-100.0)
-    assert not health.fault(1.0, "read", "x") and not health.fault(2.0, "read", "x") and health.fault(3.0, "read", "x")
+    assert (
+        not health.fault(1.0, "read", "x")
+        and not health.fault(2.0, "read", "x")
+        and health.fault(3.0, "read", "x")
+    )
     now = 3.0
     for _ in range(5):
         trace.append((health.state, health.pause_s))
--- a/tests/store/test_tier.py
+++ b/tests/store/test_tier.py
@@ -1,5 +1,6 @@
 """The disk tier against a plain model: what it serves is byte-exact, never older than a purge taken, and set aside after
 a start; through crashes at every write, lost and torn writes, planted damage and a disk that refuses."""
+
 import errno
 import itertools
 import random
@@ -38,18 +39,22 @@
         self.tier.open()
 
     def made(self):
-        return DiskTier(self.files, LIMIT, SEGMENT, say=lambda event, **values: self.said.append((event, values)))
+        return DiskTier(
+            self.files, LIMIT, SEGMENT, say=lambda event, **values: self.said.append((event, values))
+        )
 
     def put(self, key, size, rank=1):
         self.now += 1
         tag = b"t%d" % self.now
         body = body_of(key, tag, size)
         self.versions[key, tag] = body
-        return self.tier.write(Copy(key[0], key[1], tag, self.now, key[0][-1] % 2, rank, size, body), surely=True)
+        return self.tier.write(
+            Copy(key[0], key[1], tag, self.now, key[0][-1] % 2, rank, size, body), surely=True
+        )
 
     def purge(self, kind, name):
         self.now += 1
-        self.pending = {(kind, name): self.now}     # it may be known after a crash, or not
+        self.pending = {(kind, name): self.now}  # it may be known after a crash, or not
         self.tier.purge(kind, name, self.now)
         self.purges[kind, name], self.pending = self.now, {}
 
@@ -70,7 +75,9 @@
         body = self.versions[key, found.tag]
         assert found.body == body[start:stop], (key, found.tag)
         assert found.size == len(body)
-        assert found.dated > max(self.purges.get((OBJECT, key[0]), 0), self.purges.get((GROUP, key[0][-1] % 2), 0))
+        assert found.dated > max(
+            self.purges.get((OBJECT, key[0]), 0), self.purges.get((GROUP, key[0][-1] % 2), 0)
+        )
         return found.tag, found.aside
 
     def check(self):
@@ -153,13 +160,25 @@
 
 
 TestTiers = Tiers.TestCase
-TestTiers.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True,
-                              suppress_health_check=list(HealthCheck))
+TestTiers.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
 
 A, B = KEYS[0], KEYS[2]
-SHORT = {"put A": lambda w: w.put(A, 700), "put A'": lambda w: w.put(A, CHUNK + 9), "put B": lambda w: w.put(B, 3 * CHUNK),
-         "purge A": lambda w: w.purge(OBJECT, A[0]), "purge 0": lambda w: w.purge(GROUP, A[0][-1] % 2),
-         "snap": lambda w: w.tier.snapshot(), "sync": lambda w: w.tier.sync(), "crash": lambda w: w.reopen()}
+SHORT = {
+    "put A": lambda w: w.put(A, 700),
+    "put A'": lambda w: w.put(A, CHUNK + 9),
+    "put B": lambda w: w.put(B, 3 * CHUNK),
+    "purge A": lambda w: w.purge(OBJECT, A[0]),
+    "purge 0": lambda w: w.purge(GROUP, A[0][-1] % 2),
+    "snap": lambda w: w.tier.snapshot(),
+    "sync": lambda w: w.tier.sync(),
+    "crash": lambda w: w.reopen(),
+}
 
 
 def test_all_short_sequences():
@@ -240,8 +259,8 @@
     i = world.tier.index
     places = {key: i.place[i.find(key_of(*key))] * 16 for key in KEYS}
     world.tier.sync()
-    world.files.names_["s-00000001.seg"].data[places[KEYS[2]] + 5] ^= 255      # its head
-    world.files.names_["s-00000001.seg"].data[places[KEYS[4]] + 500] ^= 255    # its bytes
+    world.files.names_["s-00000001.seg"].data[places[KEYS[2]] + 5] ^= 255  # its head
+    world.files.names_["s-00000001.seg"].data[places[KEYS[4]] + 500] ^= 255  # its bytes
     assert [world.served(key) is None for key in KEYS] == [False, False, True, False, True, False]
     assert world.tier.counts["damaged"] == 2 and segment.number in world.tier.suspects
     assert world.tier.look_over() == (1, 0) and world.tier.suspects == set()
@@ -256,19 +275,20 @@
     body = random.Random(5).randbytes(3 * CHUNK + 100)
 
     def part(first, last, tag=b"v1", dated=5.0):
-        piece = body[first * CHUNK:last * CHUNK]
+        piece = body[first * CHUNK : last * CHUNK]
         tier.write(Copy(b"o", 0, tag, dated, 0, 1, len(body), piece, first * CHUNK), surely=True)
+
     part(1, 2)
     held = tier.look(b"o", 0)
     assert held.missing(0, len(body)) == [(0, CHUNK), (2 * CHUNK, len(body))]
-    assert tier.read(b"o", 0, CHUNK + 5, CHUNK + 90).body == body[CHUNK + 5:CHUNK + 90]
+    assert tier.read(b"o", 0, CHUNK + 5, CHUNK + 90).body == body[CHUNK + 5 : CHUNK + 90]
     assert tier.read(b"o", 0, 0, 10) is None and tier.read(b"o", 0) is None
     part(2, 4)
     part(0, 1)
     assert tier.read(b"o", 0).body == body and tier.read(b"o", 0, 60000, 140000).body == body[60000:140000]
-    part(0, 1, b"v2", 6.0)          # another version: nothing of the first is mixed into it
+    part(0, 1, b"v2", 6.0)  # another version: nothing of the first is mixed into it
     assert tier.look(b"o", 0).missing(0, len(body)) == [(CHUNK, len(body))]
-    part(1, 4, b"v1", 5.0)          # an older one comes late
+    part(1, 4, b"v1", 5.0)  # an older one comes late
     assert tier.look(b"o", 0).chunks == 1
     part(0, 4, b"v2", 6.0)
     assert tier.read(b"o", 0).body == body and tier.index.entries == 1
@@ -288,8 +308,17 @@
     check_accounts(world.tier)
 
 
-@pytest.mark.parametrize("call, error", [("write", errno.ENOSPC), ("write", errno.EIO), ("sync", errno.EIO),
-                                         ("create", errno.EACCES), ("sync_folder", errno.EIO), ("rename", errno.EIO)])
+@pytest.mark.parametrize(
+    "call, error",
+    [
+        ("write", errno.ENOSPC),
+        ("write", errno.EIO),
+        ("sync", errno.EIO),
+        ("create", errno.EACCES),
+        ("sync_folder", errno.EIO),
+        ("rename", errno.EIO),
+    ],
+)
 def test_a_disk_that_refuses_costs_no_more_than_what_was_not_durable(call, error):
     world = World(3)
     world.put(A, 900)
@@ -303,7 +332,9 @@
             assert fault.errno == error
     world.files.fail = {}
     assert world.served(A)
-    if call == "sync":      # it said that B may be lost: B is not known any more, also if the next sync is said to be good
+    if (
+        call == "sync"
+    ):  # it said that B may be lost: B is not known any more, also if the next sync is said to be good
         assert world.served(B) is None
     world.tier.trial()
     world.put(KEYS[3], 900)
@@ -336,7 +367,7 @@
         world.tier.purge(OBJECT, A[0], world.now + 1)
     assert world.served(A) is None
     world.files.fail = {}
-    world.tier.trial()      # the ledger is written anew before the disk is trusted again
+    world.tier.trial()  # the ledger is written anew before the disk is trusted again
     world.reopen()
     assert world.served(A) is None and world.tier.ledger.objects
 
@@ -367,7 +398,10 @@
 
 
 def test_whose_folder_it_is(tmp_path):
-    one, two = DiskTier(Files(tmp_path / "s"), LIMIT, SEGMENT), DiskTier(Files(tmp_path / "s"), LIMIT, SEGMENT)
+    one, two = (
+        DiskTier(Files(tmp_path / "s"), LIMIT, SEGMENT),
+        DiskTier(Files(tmp_path / "s"), LIMIT, SEGMENT),
+    )
     one.open()
     with pytest.raises(Owned, match="in use by process"):
         two.open()
@@ -402,7 +436,12 @@
     other = (tmp_path / "b" / "s-00000001.seg").read_bytes()
     length = (len(other) - 32) // 4
     # the second record comes from the other store, the third is the first one again
-    forged = mixed[:32 + length] + other[32 + length:32 + 2 * length] + mixed[32:32 + length] + mixed[32 + 3 * length:]
+    forged = (
+        mixed[: 32 + length]
+        + other[32 + length : 32 + 2 * length]
+        + mixed[32 : 32 + length]
+        + mixed[32 + 3 * length :]
+    )
     (tmp_path / "a" / "s-00000001.seg").write_bytes(forged)
     for snap in (tmp_path / "a").glob("*.snap"):
         snap.unlink()
--- a/tests/store/test_tools.py
+++ b/tests/store/test_tools.py
@@ -1,4 +1,5 @@
 """brookhinge store inspect|verify|compact: each planted damage is named; a store in use, or none, is refused."""
+
 import json
 import random
 import subprocess
@@ -12,7 +13,9 @@
 
 
 def run(*args):
-    done = subprocess.run([sys.executable, "-m", "brookhinge", "store", *args], capture_output=True, text=True, timeout=30)
+    done = subprocess.run(
+        [sys.executable, "-m", "brookhinge", "store", *args], capture_output=True, text=True, timeout=30
+    )
     return done.returncode, done.stdout, done.stderr
 
 
@@ -32,9 +35,17 @@
     return made(tmp_path / "s")
 
 
-@pytest.mark.parametrize("name, place, what", [
-    ("s-00000001.seg", 40, "a head"), ("s-00000001.seg", 25_000, "bytes"), ("s-00000002.seg", 700_000, "bytes"),
-    ("s-00000002.seg", 10, "the file's head"), ("purges.log", 50, "a purge"), ("index-00000001.snap", 3000, "a picture")])
+@pytest.mark.parametrize(
+    "name, place, what",
+    [
+        ("s-00000001.seg", 40, "a head"),
+        ("s-00000001.seg", 25_000, "bytes"),
+        ("s-00000002.seg", 700_000, "bytes"),
+        ("s-00000002.seg", 10, "the file's head"),
+        ("purges.log", 50, "a purge"),
+        ("index-00000001.snap", 3000, "a picture"),
+    ],
+)
 def test_each_planted_damage_is_found(store, name, place, what):
     assert run("verify", str(store), "--json") == (0, "[]\n", "")
     path = store / name
@@ -49,7 +60,12 @@
     path = store / "s-00000001.seg"
     data = path.read_bytes()
     length = (len(data) - 32) // 20
-    path.write_bytes(data[:32] + data[32 + length:32 + 2 * length] + data[32:32 + length] + data[32 + 2 * length:-100])
+    path.write_bytes(
+        data[:32]
+        + data[32 + length : 32 + 2 * length]
+        + data[32 : 32 + length]
+        + data[32 + 2 * length : -100]
+    )
     assert {row["place"] for row in json.loads(run("verify", str(store), "--json")[1])} >= {32}
 
 
--- a/tests/storm/test_decisions.py
+++ b/tests/storm/test_decisions.py
@@ -1,5 +1,6 @@
 """What the decisions make of retries and promised places: new queries first on a cold fleet, promises kept within its
 budget, and nobody shut out for good."""
+
 from brookhinge.storm.plan import Returns
 from helpers import CACHES, Bench
 
@@ -30,7 +31,7 @@
     b.now = 10.0
     wait = b.router.returns.place(10.0, "w", (0, "a", 0), 0.1, 1.0, lambda at: 1.0)
     assert ask(b, since=0.2, who="w", at=10.01) == ["q1 nack"] and not b.router.queries
-    assert ask(b, since=0.2, who="v", at=10.02)[0].startswith("q2 push")       # somebody else is free to ask
+    assert ask(b, since=0.2, who="v", at=10.02)[0].startswith("q2 push")  # somebody else is free to ask
     assert ask(b, since=0.2, who="w", at=10.0 + wait)[0].startswith("q3 push")
     assert b.router.queries[3].invited
 
@@ -59,14 +60,14 @@
 
 
 def test_late_retries_have_what_nobody_else_needs():
-    late, = sent([(5.0, False)], seconds=6.0, rate=20)
+    (late,) = sent([(5.0, False)], seconds=6.0, rate=20)
     assert late > 10
 
 
 def test_who_was_told_to_come_is_served_and_borrows_no_more_than_its_bound():
     fresh, told = sent([(0.0, False), (5.0, True)])
-    only_told, = sent([(5.0, True)], rate=400)
-    only_fresh, = sent([(0.0, False)], rate=400)
+    (only_told,) = sent([(5.0, True)], rate=400)
+    (only_fresh,) = sent([(0.0, False)], rate=400)
     print(fresh, told, only_told, only_fresh)
     # in 2 s a window of 1 s more, one query of each of three caches, and chance
     assert told > fresh > 0.2 * only_fresh and only_told < 1.7 * only_fresh
--- a/tests/storm/test_lineage.py
+++ b/tests/storm/test_lineage.py
@@ -1,4 +1,5 @@
 """A client's retry is known as such, never runs beside its first try, and wrong guesses cost nobody an answer."""
+
 import random
 
 from hypothesis import HealthCheck, settings
@@ -29,17 +30,22 @@
     assert kinds(d.ask(client=1)) == ["pull q0.1 r1 s-21 from s-12 rank 1"]
     assert d.ask(client=1) == [] and d.ask(client=2) == []
     assert d.end(0, 1, "satisfied", b"x") == [
-        "satisfy 1 1 b'x' False", "satisfy 1 2 b'x' False", "satisfy 2 3 b'x' False"]
+        "satisfy 1 1 b'x' False",
+        "satisfy 1 2 b'x' False",
+        "satisfy 2 3 b'x' False",
+    ]
     assert not d.reducer.queries and not d.reducer.waiting and not d.reducer.lineage.of_query
 
 
 def test_what_is_no_retry_runs_by_itself(tmp_path):
     d = desk(tmp_path, A, B, A)
     d.ask(client=1)
-    assert len(d.ask(client=2)) == 1                    # another address
-    assert len(d.ask(client=1, key=b"bb")) == 1         # another object
-    assert len(d.ask(client=3, tag=b"t")) == 1          # holds another copy: the answer may not fit it
-    assert len(d.ask(client=1, kind=b"order", key=b"cc")) == len(d.ask(client=1, kind=b"order", key=b"cc")) == 1
+    assert len(d.ask(client=2)) == 1  # another address
+    assert len(d.ask(client=1, key=b"bb")) == 1  # another object
+    assert len(d.ask(client=3, tag=b"t")) == 1  # holds another copy: the answer may not fit it
+    assert (
+        len(d.ask(client=1, kind=b"order", key=b"cc")) == len(d.ask(client=1, kind=b"order", key=b"cc")) == 1
+    )
     assert d.reducer.counts["beside"] == 0
 
 
@@ -55,7 +61,9 @@
     d.ask(client=2, number=2, allow=0.5)
     d.ask(client=3, number=3)
     lines = d.hear(("forgotten", (1, 1)))
-    assert [line.split()[0] for line in lines] == ["kill", "pull"] and " q1.1 " in lines[1]     # one of both, not two
+    assert [line.split()[0] for line in lines] == ["kill", "pull"] and " q1.1 " in lines[
+        1
+    ]  # one of both, not two
     assert d.reducer.queries[2].beside == 1
     assert kinds(d.end(1, 1, "broken")) == ["pull q1.2 r2 s-22 from s-12 rank 1"]
     assert d.end(1, 2, "broken") == ["nack 2 2 0.0", "nack 3 3 0.0"] and not d.reducer.waiting
@@ -85,6 +93,7 @@
     def ask(now, query):
         seen = lineage.asked(now, query, A, 1, NAME)
         trace.append((seen.kind, round(seen.since, 3)))
+
     ask(0.0, 1)
     lineage.ended(0.5, 1, "refused")
     ask(0.75, 2)
@@ -95,7 +104,7 @@
     lineage.ended(11.2, 4, None)
     ask(11.3, 5)
     lineage.ended(11.4, 5, "refused")
-    ask(3.0, 6)         # the clock stepped back
+    ask(3.0, 6)  # the clock stepped back
     assert trace == [("new", 0.0), ("again", 0.75), ("again", 5.9), ("new", 0.0), ("new", 0.0), ("new", 0.0)]
 
 
@@ -116,6 +125,7 @@
     def begin(self, seed):
         import tempfile
         from pathlib import Path
+
         with tempfile.TemporaryDirectory() as folder:
             self.d = desk(Path(folder), A, A, B)
         self.chance, self.owed, self.numbers, self.now = random.Random(seed), {}, 0, 1.0
@@ -134,20 +144,54 @@
         self.now = end
         self.take(self.d.hear(*events, at=self.now))
 
-    @rule(client=st.integers(1, 3), key=st.sampled_from([b"aa", b"bb"]), allow=st.sampled_from([0.05, 0.3, 1.0]))
+    @rule(
+        client=st.integers(1, 3), key=st.sampled_from([b"aa", b"bb"]), allow=st.sampled_from([0.05, 0.3, 1.0])
+    )
     def ask(self, client, key, allow):
         self.numbers += 1
         self.owed[client, self.numbers] = self.now + 0.01 + allow
-        self.step(("query", (client, self.numbers, b"r%d" % self.numbers, b"page", key, b"0", 0, 4, 100.0, allow, None,
-                             b"", self.now + 0.01)))
+        self.step(
+            (
+                "query",
+                (
+                    client,
+                    self.numbers,
+                    b"r%d" % self.numbers,
+                    b"page",
+                    key,
+                    b"0",
+                    0,
+                    4,
+                    100.0,
+                    allow,
+                    None,
+                    b"",
+                    self.now + 0.01,
+                ),
+            )
+        )
 
     @rule(result=st.sampled_from(["satisfied", "miss", "full", "errored", "broken", "unreachable"]))
     def answer(self, result):
         out = [(n, q.pushes) for n, q in self.d.reducer.queries.items() if q.out]
         if out:
             query, push = self.chance.choice(out)
-            self.step(("ended", (query, push, result, 2, 0.0, None, b"x" if result == "satisfied" else b"", False,
-                                 self.now)))
+            self.step(
+                (
+                    "ended",
+                    (
+                        query,
+                        push,
+                        result,
+                        2,
+                        0.0,
+                        None,
+                        b"x" if result == "satisfied" else b"",
+                        False,
+                        self.now,
+                    ),
+                )
+            )
 
     @rule()
     def forget(self):
@@ -184,5 +228,10 @@
 
 
 TestAnswers = Answers.TestCase
-TestAnswers.settings = settings(max_examples=80, stateful_step_count=40, deadline=None, derandomize=True,
-                                suppress_health_check=list(HealthCheck))
+TestAnswers.settings = settings(
+    max_examples=80,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
--- a/tests/storm/test_signs.py
+++ b/tests/storm/test_signs.py
@@ -1,4 +1,5 @@
 """A storm is told from a busy hour and from one bad client; the door keeps the loop's time and the descriptors' share."""
+
 import random
 
 import pytest
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,4 +1,5 @@
 """Guards: each failure found, as the decisions that answer it."""
+
 from helpers import CACHES, Bench, track
 
 from brookhinge.decide import Doc, Way
@@ -72,8 +73,10 @@
     b = Bench(routers=8)
     for c in (-1, 21):
         b.router.crowding.timed(c, 0.0, 10.0, 6.0)
-    went = {way: sum(b.router.crowding.open(c, 0.0, 1.0, b.router.chance, way) for _ in range(4000)) / 4000
-            for way, c in ((False, 21), (True, -1))}
+    went = {
+        way: sum(b.router.crowding.open(c, 0.0, 1.0, b.router.chance, way) for _ in range(4000)) / 4000
+        for way, c in ((False, 21), (True, -1))
+    }
     assert went[False] > 0.8 > 0.7 > went[True]
 
 
@@ -119,7 +122,9 @@
     for i in range(2):
         if "push" in b.ask("a")[0]:
             b.end(b.next, "satisfied", note=1, took=1.0)
-    assert "".join(b.ask("a")[0].split()[1][0] for _ in range(5)) == "ppppn"     # push or nack; the first: none is out
+    assert (
+        "".join(b.ask("a")[0].split()[1][0] for _ in range(5)) == "ppppn"
+    )  # push or nack; the first: none is out
     assert "".join(b.ask("a", at=60.0 + i)[0].split()[1][0] for i in range(2)) == "pp"
 
 
@@ -133,7 +138,9 @@
             b.end(b.next, "satisfied", note=2, took=2.0)
     assert b.ask("a") + b.end(b.next, "miss") == ["q9 push 21 from 21 rank 1", "q9 nack"]
     assert b.ask("c", size=5.0) + b.end(b.next, "miss") == [
-        "q10 push 23 from 23 rank 1", "q10 push 23 from 12 rank 1"]
+        "q10 push 23 from 23 rank 1",
+        "q10 push 23 from 12 rank 1",
+    ]
 
 
 def test_ageing_copies_serve_while_fills_fail():
@@ -161,8 +168,9 @@
         slow = (b.serve(f"k{i % 16}", note=2 if i < 16 else 1) if i < 32 else b.ask(f"k{i % 16}"))[0]
         if i >= 32:
             b.end(b.next, "satisfied", took=1.2 if "push 21 " in slow else 0.1, note=1)
-    assert says(b)[:1] == ["say resting cache 21: satisfied"] and not any("cache 2%d" % n in s for n in (2, 3, 4)
-                                                                        for s in says(b))
+    assert says(b)[:1] == ["say resting cache 21: satisfied"] and not any(
+        "cache 2%d" % n in s for n in (2, 3, 4) for s in says(b)
+    )
 
 
 def test_holder_whose_copy_has_aged_counts_as_a_fill():
@@ -207,6 +215,7 @@
 
 def test_a_slow_cache_that_is_quick_again_comes_back_at_once():
     """Fleet seed 20: its crowd was remembered, and each good answer of its trials counted as a failure."""
+
     def fault(took):
         b = Bench(tells="all", routers=2)
         b.serve("k"), b.serve("k"), b.ask("k")
@@ -214,25 +223,33 @@
         b.router.crowding.timed(c, b.now, 4.0, 36.0)
         b.end(b.next, "satisfied", note=1, took=took)
         return b.router.health.fault.get(c, 0.0)
+
     assert (fault(0.11) > 0.0, fault(0.5) > 0.0) == (False, True)
 
 
 def test_what_a_lone_crowded_cache_sheds_goes_to_others_and_is_nacked_where_all_are_crowded():
     """Fleet seeds 11 and 20: until a slow cache rested, all that its crowd shed was nacked beside idle caches."""
+
     def shed(others):
         b = Bench(routers=2)
         for c, crowd in ((21, 9.0), (22, others), (23, others), (24, others)):
             b.router.crowding.timed(b.router.fleet.index[c], b.now, 4.0, 4.0 * crowd)
             b.router.fleet.inflight[b.router.fleet.index[c]] = 1
-        home = next(part for part in range(99) if b.router.rings.home(b.router.docs.setdefault(
-            ("k", part), Doc("k", part, 0)).code)[0] == b.router.fleet.index[21])
+        home = next(
+            part
+            for part in range(99)
+            if b.router.rings.home(b.router.docs.setdefault(("k", part), Doc("k", part, 0)).code)[0]
+            == b.router.fleet.index[21]
+        )
         return b.ask("k", part=home)[0].split(" from")[0]
+
     assert (shed(0.0), shed(9.0)) == ("q1 push 24", "q1 nack")
 
 
 def test_what_a_cold_cache_can_do_is_judged_by_answers_of_the_warm():
     """Hunt h99c0b0 (depot-fare-cache-later): in a jam the last warm caches were sent many times what they could do;
     taken for their power, it let cold fellows be pushed over."""
+
     def power(result):
         b = Bench(weight=0.0, routers=40)
         for part in range(60):
@@ -240,6 +257,7 @@
             while b.next in b.router.queries:
                 b.end(b.next, result, took=0.3)
         return b.router.power(b.router.fleet.index[21])
+
     assert power("timeout") == 1.0 < power("satisfied")
 
 
@@ -262,7 +280,11 @@
     for n in range(500):
         b.serve(f"k{n}", at=n * 0.01)
         b.call("purged", f"g{n}", 0.0, "", at=n * 1.0 + 0.005)
-    assert len(b.router.docs) <= 200 and "k499" in {key for key, _ in b.router.docs} and len(b.router.groups) < 10
+    assert (
+        len(b.router.docs) <= 200
+        and "k499" in {key for key, _ in b.router.docs}
+        and len(b.router.groups) < 10
+    )
 
 
 def own(b, key, count, **ask):
@@ -286,18 +308,26 @@
 
 
 def test_no_copy_in_memory_outlives_its_age_a_purge_or_its_room():
-    b = Bench(machine=Bounds(1, 256, 100_000, 400_000), tracks=[track(fresh_s=5.0, stale_s=3.0), track(effect="referenced")])
+    b = Bench(
+        machine=Bounds(1, 256, 100_000, 400_000),
+        tracks=[track(fresh_s=5.0, stale_s=3.0), track(effect="referenced")],
+    )
+
     def kept(key, made, size=100, **ask):
         b.ask(key, **ask)
         while b.next in b.router.queries:
-            b.end(b.next, "satisfied" if b.router.queries[b.next].source != b.router.queries[b.next].server else "miss",
-                  copy=(made, size))
+            b.end(
+                b.next,
+                "satisfied" if b.router.queries[b.next].source != b.router.queries[b.next].server else "miss",
+                copy=(made, size),
+            )
+
     kept("k", 0.0)
     assert own(b, "k", 1, at=7.8) == ["own"] and own(b, "k", 1, at=7.95) == ["nack"]
     kept("m", 8.0, at=8.0), b.call("purged", "", 0.0, "m", at=8.5)
     assert own(b, "m", 1, at=8.6) == ["nack"] and len(b.trace.kept) == 1
-    kept("m", 8.4, at=9.0)          # what a cache answers from before the purge is not kept either
-    kept("n", 9.0, track=1)         # nor what has an effect
+    kept("m", 8.4, at=9.0)  # what a cache answers from before the purge is not kept either
+    kept("n", 9.0, track=1)  # nor what has an effect
     assert len(b.trace.kept) == 1
     for n in range(9):
         kept(f"b{n}", 9.0, 30_000)
@@ -340,7 +370,7 @@
     stuck_origin(b)
     lines = b.ask("z")
     assert lines == ["q7 push 23 from 12 rank 1 held"]
-    b.end(b.next, "satisfied", note=2)                      # held by the parent: served as ever
+    b.end(b.next, "satisfied", note=2)  # held by the parent: served as ever
     shut = 0
     for i in range(20):
         b.now += 0.05
@@ -348,7 +378,7 @@
         shut += b.end(b.next, "miss", note=8) == [f"q{b.next} nack"]
         if b.next in b.router.queries:
             b.end(b.next, "errored", note=7, over=True)
-    assert 15 <= shut < 20                                  # some go, or nobody would see it recover
+    assert 15 <= shut < 20  # some go, or nobody would see it recover
     b.now += 12.0
     for i in range(8):
         b.serve("y", part=i, note=3)
@@ -362,7 +392,7 @@
         b.ask("a", part=i)
     b.now += 0.2
     assert "held" not in b.ask("a", part=10)[0]
-    b.now += 0.5                                            # past the contract time of each
+    b.now += 0.5  # past the contract time of each
     assert "held" in b.ask("a", part=11)[0]
 
 
@@ -388,7 +418,15 @@
 def test_way_to_the_origin_follows_what_comes_back():
     way = Way()
     told = []
-    for now, good in ((0.0, True), (0.5, False), (1.0, False), (1.5, False), (2.0, False), (9.0, True), (14.0, True)):
+    for now, good in (
+        (0.0, True),
+        (0.5, False),
+        (1.0, False),
+        (1.5, False),
+        (2.0, False),
+        (9.0, True),
+        (14.0, True),
+    ):
         way.count(now, good)
         told.append(round(way.open(now), 2))
     assert told == [1.0, 0.37, 0.11, 0.05, 0.02, 0.53, 1.0]
@@ -404,9 +442,10 @@
         b.router.round(now, [("roster", ("changes", [b.row(1, "ready", born=born)]))], b)
         c = b.router.fleet.index[1]
         return c, budget.whole(now, born, power, 0.1) * budget.part(c, born)
+
     c, rate = told(10.0, 9.9)
     assert budget.take(c, 10.0, 9.9, power, 0.1, 0.1, b.router.chance) is False
-    c, rate = told(100.0, 99.9)                 # its second start: nothing is left of what came since the first
+    c, rate = told(100.0, 99.9)  # its second start: nothing is left of what came since the first
     assert budget.take(c, 100.0, 99.9, power, 0.1, 0.1, b.router.chance) is False
     c, rate = told(200.0, 199.9)
     assert budget.take(c, 200.0 + 0.2 / rate, 199.9, power, 0.1, 0.1, b.router.chance) is True
@@ -418,7 +457,7 @@
     b = Bench()
     for i in range(10):
         b.serve("a", part=i)
-    assert 0.1 < b.router.sending[0] < 0.2          # each takes 0.1 s, the first guess was 0.3
+    assert 0.1 < b.router.sending[0] < 0.2  # each takes 0.1 s, the first guess was 0.3
     for i in range(40):
         b.serve("b", part=i)
     assert 0.1 < b.router.sending[0] < 0.125
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -1,16 +1,25 @@
 """Parsers and encoders: bytes in any pieces, what can't be read, what is written."""
+
 import pytest
 
 from brookhinge.engine import commands
 from brookhinge.net import cachewire, http, thrift
 
-SERVE = bytes.fromhex("80010001 00000005") + b"serve" + bytes.fromhex(
-    "00000007 0d0001 0b0b 00000001 00000003") + b"ref" + bytes.fromhex("00000002") + b"9b" + bytes.fromhex(
-    "0b0002 00000002") + b"hi" + bytes.fromhex("08000900000001 00")
+SERVE = (
+    bytes.fromhex("80010001 00000005")
+    + b"serve"
+    + bytes.fromhex("00000007 0d0001 0b0b 00000001 00000003")
+    + b"ref"
+    + bytes.fromhex("00000002")
+    + b"9b"
+    + bytes.fromhex("0b0002 00000002")
+    + b"hi"
+    + bytes.fromhex("08000900000001 00")
+)
 
 
 def pieces(data, size):
-    return [data[i:i + size] for i in range(0, len(data), size)]
+    return [data[i : i + size] for i in range(0, len(data), size)]
 
 
 @pytest.mark.parametrize("size", [1, 3, 1000])
@@ -26,12 +35,20 @@
     assert thrift.read_args(reader, {1: thrift.MAP, 2: thrift.STRING}) == {1: {b"ref": b"9b"}, 2: b"hi"}
 
 
-@pytest.mark.parametrize("frame, why", [
-    (b"\0\0\0\x05serve\x01\0\0\0\x07", "not strict binary"), (SERVE[:30], "cut off"),
-    (SERVE.replace(bytes.fromhex("00000003"), bytes.fromhex("7fffffff"), 1), "cut off"),
-    (SERVE.replace(bytes.fromhex("08000900000001 00"), bytes.fromhex("05000900")), "unknown type 5"),
-    (SERVE.replace(bytes.fromhex("08000900000001 00"), bytes.fromhex("0c0009") * 12), "nested too deep"),
-    (SERVE.replace(bytes.fromhex("00000001 00000003"), bytes.fromhex("ffffffff 00000003")), "a count of -1")])
+@pytest.mark.parametrize(
+    "frame, why",
+    [
+        (b"\0\0\0\x05serve\x01\0\0\0\x07", "not strict binary"),
+        (SERVE[:30], "cut off"),
+        (SERVE.replace(bytes.fromhex("00000003"), bytes.fromhex("7fffffff"), 1), "cut off"),
+        (SERVE.replace(bytes.fromhex("08000900000001 00"), bytes.fromhex("05000900")), "unknown type 5"),
+        (SERVE.replace(bytes.fromhex("08000900000001 00"), bytes.fromhex("0c0009") * 12), "nested too deep"),
+        (
+            SERVE.replace(bytes.fromhex("00000001 00000003"), bytes.fromhex("ffffffff 00000003")),
+            "a count of -1",
+        ),
+    ],
+)
 def test_a_frame_that_cannot_be_read(frame, why):
     with pytest.raises(thrift.Unreadable) as fault:
         reader = thrift.Reader(frame)
@@ -59,13 +76,25 @@
 
 def test_what_a_client_is_answered():
     assert thrift.answer(b"serve", 7, b"hi", {b"unchanged": b"1"}, True).hex() == (
-        "0000003e" "80010002" "00000005" + b"serve".hex() + "00000007" "0c0000" "0b0001" "00000002" + b"hi".hex()
-        + "0d0002" "0b0b" "00000001" "00000009" + b"unchanged".hex() + "00000001" + b"1".hex() + "020003" "01" "00" "00")
-    assert thrift.thrown(7, 1, {}).hex() == "0000001f" "80010002" "00000005" + b"serve".hex() + (
-        "00000007" "0c0001" "0d0001" "0b0b" "00000000" "00" "00")
+        "0000003e"
+        "80010002"
+        "00000005" + b"serve".hex() + "00000007"
+        "0c0000"
+        "0b0001"
+        "00000002" + b"hi".hex() + "0d0002"
+        "0b0b"
+        "00000001"
+        "00000009" + b"unchanged".hex() + "00000001" + b"1".hex() + "020003"
+        "01"
+        "00"
+        "00"
+    )
+    assert thrift.thrown(7, 1, {}).hex() == "0000001f8001000200000005" + b"serve".hex() + (
+        "000000070c00010d00010b0b000000000000"
+    )
     assert thrift.exception(b"x", 7, 1, "no").hex() == (
-        "0000001e" "80010003" "00000001" + b"x".hex() + "00000007" "0b0001" "00000002" + b"no".hex() + "080002" "00000001"
-        "00")
+        "0000001e8001000300000001" + b"x".hex() + "000000070b000100000002" + b"no".hex() + "0800020000000100"
+    )
 
 
 ANSWERS = b"a1 data n=hit,l=util:0.5 5\r\nab\r\nc\r\na2 absent - 0\r\n\r\n"
@@ -75,12 +104,22 @@
 def test_answers_in_any_pieces(size):
     answers = cachewire.Answers()
     assert [a for piece in pieces(ANSWERS, size) for a in answers.feed(piece)] == [
-        (b"a1", b"data", {b"n": b"hit", b"l": b"util:0.5"}, b"ab\r\nc"), (b"a2", b"absent", {}, b"")]
-
-
-@pytest.mark.parametrize("line", [
-    b"a1 data -\r\n", b"a1 data - x\r\n", b"a1 data - -1\r\n", b"a1 data - 240001\r\n", b"a1 data - 2\r\nabcd",
-    b"a" * 5000])
+        (b"a1", b"data", {b"n": b"hit", b"l": b"util:0.5"}, b"ab\r\nc"),
+        (b"a2", b"absent", {}, b""),
+    ]
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"a1 data -\r\n",
+        b"a1 data - x\r\n",
+        b"a1 data - -1\r\n",
+        b"a1 data - 240001\r\n",
+        b"a1 data - 2\r\nabcd",
+        b"a" * 5000,
+    ],
+)
 def test_an_answer_that_cannot_be_read(line):
     with pytest.raises(cachewire.Unreadable):
         cachewire.Answers().feed(line)
@@ -88,23 +127,42 @@
 
 def test_results_notes_and_load():
     read = cachewire.read_result
-    assert read(b"data", {b"n": b"origin_failed", b"first": b"12", b"l": b"util:0.5;x0:1", b"dated": b"1500", b"digest": b"ab"},
-                [b"x0", b"util", b"x1"]) == ("satisfied", 10, 0.012, [1.0, 0.5, 0.0], 1.5, b"ab", None)
+    assert read(
+        b"data",
+        {
+            b"n": b"origin_failed",
+            b"first": b"12",
+            b"l": b"util:0.5;x0:1",
+            b"dated": b"1500",
+            b"digest": b"ab",
+        },
+        [b"x0", b"util", b"x1"],
+    ) == ("satisfied", 10, 0.012, [1.0, 0.5, 0.0], 1.5, b"ab", None)
     assert [read(word, {}, [])[0] for word in (b"unchanged", b"absent", b"full", b"failed", b"moot")] == [
-        "satisfied", "miss", "full", "errored", "moot"]
+        "satisfied",
+        "miss",
+        "full",
+        "errored",
+        "moot",
+    ]
     for word, fields in ((b"maybe", {}), (b"data", {b"first": b"soon"}), (b"data", {b"l": b"util:x"})):
         with pytest.raises(cachewire.Unreadable):
             read(word, fields, [b"util"])
 
 
 def test_what_a_cache_is_sent():
-    assert cachewire.pull(b"9b1f", b"page", b"7f3a", b"03", 1.2345, "s-11", 2, 0.5004, True, True, True, b"4be0", b"x") == (
+    assert cachewire.pull(
+        b"9b1f", b"page", b"7f3a", b"03", 1.2345, "s-11", 2, 0.5004, True, True, True, b"4be0", b"x"
+    ) == (
         b"PULL 9b1f sort=page,asset=7f3a,slice=03,patience=1234,parent=s-11,shelf=2,accept=500,"
-        b"hints=merge+local+revalidate,got=4be0 1\r\nx\r\n")
-    assert cachewire.pull(b"9b1f", b"page", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b"") == (
-        b"PULL 9b1f sort=page,asset=7f3a,slice=3,patience=1 0\r\n\r\n")
+        b"hints=merge+local+revalidate,got=4be0 1\r\nx\r\n"
+    )
+    assert cachewire.pull(
+        b"9b1f", b"page", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b""
+    ) == (b"PULL 9b1f sort=page,asset=7f3a,slice=3,patience=1 0\r\n\r\n")
     assert b",patience=1,op=1ff975 0\r\n" in cachewire.pull(
-        b"9b1f", b"order", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b"", mark=b"1ff975")
+        b"9b1f", b"order", b"7f3a", b"3", 0.0, None, 0, 0.0, False, False, False, None, b"", mark=b"1ff975"
+    )
     assert cachewire.kill(b"9b1f") + cachewire.echo(b"t") == b"KILL 9b1f\r\nECHO t\r\n"
 
 
@@ -112,10 +170,15 @@
 
 
 @pytest.mark.parametrize("size", [1, 4, 1000])
-@pytest.mark.parametrize("wire, kept", [
-    (HEAD + b"Content-Length: 5\r\n\r\n{...}", True), (HEAD + b"Connection: close\r\ncontent-length:5\r\n\r\n{...}", False),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"Content-Length: 5\r\n\r\n{...}", True),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2;x=1\r\n{.\r\n3\r\n..}\r\n0\r\n\r\n", True)])
+@pytest.mark.parametrize(
+    "wire, kept",
+    [
+        (HEAD + b"Content-Length: 5\r\n\r\n{...}", True),
+        (HEAD + b"Connection: close\r\ncontent-length:5\r\n\r\n{...}", False),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"Content-Length: 5\r\n\r\n{...}", True),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2;x=1\r\n{.\r\n3\r\n..}\r\n0\r\n\r\n", True),
+    ],
+)
 def test_an_answer_of_the_channel_in_any_pieces(wire, kept, size):
     answer = http.Answer()
     assert [done for piece in pieces(wire, size) if (done := answer.feed(piece))] == [(200, b"{...}", kept)]
@@ -129,16 +192,26 @@
         http.Answer().ended()
 
 
-@pytest.mark.parametrize("wire", [
-    b"what\r\n\r\n", HEAD + b"no colon\r\n\r\n", HEAD + b"Content-Length: x\r\n\r\n",
-    HEAD + b"Content-Length: 99999999\r\n\r\n", HEAD + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
-    HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n", b"h" * 20000])
+@pytest.mark.parametrize(
+    "wire",
+    [
+        b"what\r\n\r\n",
+        HEAD + b"no colon\r\n\r\n",
+        HEAD + b"Content-Length: x\r\n\r\n",
+        HEAD + b"Content-Length: 99999999\r\n\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n",
+        b"h" * 20000,
+    ],
+)
 def test_an_answer_of_the_channel_that_cannot_be_read(wire):
     with pytest.raises(http.Unreadable):
         http.Answer().feed(wire)
 
 
-@pytest.mark.parametrize("body", [b"", b"[]", b"null", b"{}", b'{"cursor":"x","cmds":[]}', b'{"cursor":1,"cmds":{}}'])
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b"null", b"{}", b'{"cursor":"x","cmds":[]}', b'{"cursor":1,"cmds":{}}']
+)
 def test_commands_that_cannot_be_read(body):
     with pytest.raises(commands.NoCommands):
         commands.read_commands(body, 0.0)
@@ -146,4 +219,5 @@
 
 def test_the_request_to_the_channel():
     assert http.request("h:1", 41, 2000) == (
-        b"GET /cmd/next?resume=41&block=2000 HTTP/1.1\r\nHost: h:1\r\nAccept: application/json\r\n\r\n")
+        b"GET /cmd/next?resume=41&block=2000 HTTP/1.1\r\nHost: h:1\r\nAccept: application/json\r\n\r\n"
+    )
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,4 +1,5 @@
 """The ordinary path: home, holders, sibling fills, parents, sub-ranges."""
+
 from brookhinge.decide import Rings
 from helpers import Bench, track
 
@@ -26,7 +27,7 @@
         "q8 push 21 from 12 rank 1",
         "q9 push 21 from 12 rank 2",
         "q10 push 22 from 21 rank 2 held",  # utility above 1: the next sorted cache, from the holder
-        "q11 push 22 from 12 rank 2",       # two holders are half of four caches: spread, no more copies
+        "q11 push 22 from 12 rank 2",  # two holders are half of four caches: spread, no more copies
         "q12 push 22 from 12 rank 2",
         "q13 push 21 from 12 rank 2",
     ]
@@ -53,7 +54,7 @@
         "q1 push 21 from 12 rank 1",
         "q1 push 21 from 11 rank 1",
         "q1 push 21 from 1 rank 1",
-        "q1 push 21 from 21 rank 1",        # another router may have had it filled meanwhile
+        "q1 push 21 from 21 rank 1",  # another router may have had it filled meanwhile
     ]
 
 
@@ -62,7 +63,16 @@
     rings = Rings()
     rings.seat([0, 1])
     points, ends, loads = rings.rings[0]
-    for irh, load in ((0, 135), (100, 175), (300, 100), (400, 60), (450, 30), (500, 25), (600, 100), (900, 175)):
+    for irh, load in (
+        (0, 135),
+        (100, 175),
+        (300, 100),
+        (400, 60),
+        (450, 30),
+        (500, 25),
+        (600, 100),
+        (900, 175),
+    ):
         loads[irh] = load
     rings.cycle(lambda c: 1.0)
     assert ends == [301, 1000]
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,4 +1,5 @@
 """The reducer: events in, effects out, as printed traces."""
+
 from helpers import Desk, host, listed
 
 from brookhinge.engine.commands import read_commands
@@ -78,13 +79,23 @@
 
 def test_a_connection_that_breaks_the_protocol_ends_with_all_that_is_open_on_it(tmp_path):
     """Two queries under one number can't be told apart in the answers: neither is satisfied. Others notice nothing."""
+
     def call(number, name=b"", client=1):
-        return ("query", (client, number, name or b"r%d" % number, b"page", b"aa", b"0", 0, 4, 100.0, 1.0, None, b"", 0.0))
-    for bad, why in (((call(1), call(1, b"z")), "the number 1 again"), ((call(-1),), "the number -1 again"),
-                     ((call(1, b"r"), call(2, b"r")), "an id that is open"),
-                     ([call(n) for n in range(1, 40)], "over 32 queries open"),
-                     ([e for n in range(1, 35) for e in (call(n), ("forgotten", (1, n)))],
-                      "33 queries withdrawn and none satisfied")):
+        return (
+            "query",
+            (client, number, name or b"r%d" % number, b"page", b"aa", b"0", 0, 4, 100.0, 1.0, None, b"", 0.0),
+        )
+
+    for bad, why in (
+        ((call(1), call(1, b"z")), "the number 1 again"),
+        ((call(-1),), "the number -1 again"),
+        ((call(1, b"r"), call(2, b"r")), "an id that is open"),
+        ([call(n) for n in range(1, 40)], "over 32 queries open"),
+        (
+            [e for n in range(1, 35) for e in (call(n), ("forgotten", (1, n)))],
+            "33 queries withdrawn and none satisfied",
+        ),
+    ):
         d = Desk(tmp_path)
         assert d.hear(call(1, b"other", 2)) == ["pull q0.1 other s-21 from s-12 rank 1 for 0.979"]
         assert d.hear(*bad) == [f"shut 1 {why}"]
@@ -132,18 +143,25 @@
     assert d.hear(*commands(listed(4, [host("s-22", health="draining")], whole=False))) == []
     assert d.ask() == ["pull q2.1 r3 s-22 from s-12 rank 2 for 0.999"]
     assert d.hear(*commands({"cursor": 5, "play": 1})) == [
-        "say command skipped {'cursor': 5, 'why': \"KeyError 'drop': {'cursor': 5, 'play': 1}\"}"]
+        "say command skipped {'cursor': 5, 'why': \"KeyError 'drop': {'cursor': 5, 'play': 1}\"}"
+    ]
     assert d.reducer.cursor == 5
 
 
 def test_a_start_or_an_address_makes_another_server(tmp_path):
     """A machine that restarted or a newcomer under its old address must not get what was meant for the first."""
     d = Desk(tmp_path)
-    assert d.hear(*commands(listed(4, [host("s-21", born_ms=5000)], whole=False), start=3.0)) == ["retire s-21"]
+    assert d.hear(*commands(listed(4, [host("s-21", born_ms=5000)], whole=False), start=3.0)) == [
+        "retire s-21"
+    ]
     assert d.reducer.dials["s-21"] == (("127.0.0.1", 9), 2.0)
     assert d.hear(*commands(listed(5, [host("s-21", health="removed")], whole=False))) == ["retire s-21"]
     assert d.hear(*commands(listed(6, [host("s-22")]))) == [
-        "retire s-01", "retire s-11", "retire s-12", "retire s-23"]
+        "retire s-01",
+        "retire s-11",
+        "retire s-12",
+        "retire s-23",
+    ]
     assert list(d.reducer.dials) == ["s-22"]
 
 
@@ -159,7 +177,9 @@
 def test_a_fault_of_the_decisions_costs_its_query_alone(tmp_path):
     d = Desk(tmp_path)
     place, d.router.place = d.router.place, lambda query, q: place(query, q) if query else 1 / 0
-    told = [("query", (1, n, b"r%d" % n, b"page", b"aa", b"0", 0, 4, 100.0, 1.0, None, b"", 0.01)) for n in (1, 2)]
+    told = [
+        ("query", (1, n, b"r%d" % n, b"page", b"aa", b"0", 0, 4, 100.0, 1.0, None, b"", 0.01)) for n in (1, 2)
+    ]
     said, *done = d.hear(*told)
     assert said.startswith("say decisions {'text': 'ZeroDivisionError: division by zero (<lambda>, line")
     assert done == ["error 1 1", "pull q1.1 r2 s-21 from s-12 rank 2 for 0.989"]
