--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,4 +1,5 @@
 """A service on sockets among stand-ins: what clients hear and what comes to cache servers."""
+
 import asyncio
 import json
 import os
@@ -21,6 +22,7 @@
     async def play():
         async with Town(folder, **town) as t:
             return await asyncio.wait_for(scene(t), 20)
+
     return asyncio.run(play())
 
 
@@ -40,9 +42,11 @@
 def test_served_unchanged_and_well(tmp_path):
     async def scene(t):
         asked = [t.caller.ask(1), t.caller.call(b"isWell"), t.caller.ask(2, ver="4be0c1927d55a6f3")]
-        t.machines["s-21"].act = t.machines["s-22"].act = t.machines["s-23"].act = \
-            lambda line: "unchanged" if "got=4be0" in line[2] else "data"
+        t.machines["s-21"].act = t.machines["s-22"].act = t.machines["s-23"].act = lambda line: (
+            "unchanged" if "got=4be0" in line[2] else "data"
+        )
         return asked, sorted([await t.caller.hear() for _ in asked])
+
     asked, heard = played(scene, tmp_path)
     assert heard == [(1, "satisfied 19"), (2, "well True"), (3, "satisfied 0 unchanged")]
 
@@ -55,27 +59,47 @@
         t.caller.ask(1, piece="007", lookup="00ab" * 4, ver="aa")
         await t.caller.hear()
         return lines
-    line, = played(scene, tmp_path)
+
+    (line,) = played(scene, tmp_path)
     name, fields = line.split()[1:3]
     fields = dict(f.split("=") for f in fields.split(","))
     assert name == f"{1:016x}" and 0 < int(fields.pop("patience")) < 3000
     assert fields.pop("parent") in ("s-11", "s-12")
-    assert fields == {"sort": "page", "asset": "00ab" * 4, "slice": "007", "shelf": "1", "hints": "merge", "got": "aa"}
-
-
-@pytest.mark.parametrize("fields, why", [
-    ({"service": None}, "service: missing or unusable"), ({"service": "tune"}, "service: no such class"),
-    ({"ref": "xyz"}, "ref: missing or unusable"), ({"allow": "-1"}, "allow: missing or unusable"),
-    ({"lookup": "a,b"}, "lookup: missing or unusable"), ({"piece": ""}, "piece: missing or unusable"),
-    ({"room": "much"}, "room: missing or unusable"), ({"ver": "a b"}, "ver: missing or unusable"),
-    ({"lot": "x"}, "lot: missing or unusable"), ({"lot": "256"}, "lot: out of range"), ({"allow": "0"}, "allow: out of range"),
-    ({"allow": "900000"}, "allow: out of range"), ({"room": "0.0"}, "room: out of range")])
+    assert fields == {
+        "sort": "page",
+        "asset": "00ab" * 4,
+        "slice": "007",
+        "shelf": "1",
+        "hints": "merge",
+        "got": "aa",
+    }
+
+
+@pytest.mark.parametrize(
+    "fields, why",
+    [
+        ({"service": None}, "service: missing or unusable"),
+        ({"service": "tune"}, "service: no such class"),
+        ({"ref": "xyz"}, "ref: missing or unusable"),
+        ({"allow": "-1"}, "allow: missing or unusable"),
+        ({"lookup": "a,b"}, "lookup: missing or unusable"),
+        ({"piece": ""}, "piece: missing or unusable"),
+        ({"room": "much"}, "room: missing or unusable"),
+        ({"ver": "a b"}, "ver: missing or unusable"),
+        ({"lot": "x"}, "lot: missing or unusable"),
+        ({"lot": "256"}, "lot: out of range"),
+        ({"allow": "0"}, "allow: out of range"),
+        ({"allow": "900000"}, "allow: out of range"),
+        ({"room": "0.0"}, "room: out of range"),
+    ],
+)
 def test_a_call_that_cannot_be_taken_is_answered_under_its_number(tmp_path, fields, why):
     async def scene(t):
         t.caller.ask(1, **fields)
         bad = await t.caller.hear()
         t.caller.ask(2)
         return bad, await t.caller.hear()
+
     assert played(scene, tmp_path) == ((1, "exception " + why), (2, "satisfied 19"))
 
 
@@ -83,12 +107,17 @@
     async def scene(t):
         t.caller.call(b"sing")
         heard = [await t.caller.hear()]
-        for bad in (b"\0\0\0\x05hello", b"\x7f\0\0\0", thrift.INT.pack(20) + thrift.message(b"serve", 1, 9)[4:20] + b"\r" * 4):
+        for bad in (
+            b"\0\0\0\x05hello",
+            b"\x7f\0\0\0",
+            thrift.INT.pack(20) + thrift.message(b"serve", 1, 9)[4:20] + b"\r" * 4,
+        ):
             other = await Caller.connect(t.address)
             other.writer.write(bad)
             heard.append(await other.hear())
         t.caller.ask(1)
         return heard + [await t.caller.hear()]
+
     assert played(scene, tmp_path) == [(1, "exception no method sing"), None, None, None, (2, "satisfied 19")]
 
 
@@ -103,12 +132,17 @@
         await until(lambda: len(t.pulled()) == 4)
         t.caller.call(b"isWell")
         return await t.caller.hear(), sorted(line[5:9] for line in t.pulled()), t.service.reducer.queries
+
     assert played(scene, tmp_path, machines=caches(act="silent")) == (
-        (3, "well True"), ["KILL", "KILL", "PULL", "PULL"], {})
+        (3, "well True"),
+        ["KILL", "KILL", "PULL", "PULL"],
+        {},
+    )
 
 
 def test_a_silent_server_is_found_by_echo_and_delays_no_other(tmp_path):
     """Open connections of a machine that vanished stay open: its pushes must not wait for their whole time."""
+
     async def scene(t):
         t.service.reducer.router.retries = 10.0
         t.caller.ask(1)
@@ -120,11 +154,13 @@
             t.caller.ask(n, lookup=f"{n:016x}")
         heard = [await t.caller.hear() for _ in range(7)]
         return {text for _, text in heard}, f"cache connection {home} silent" in t.lines
+
     assert played(scene, tmp_path, machines=caches(act="silent")) == ({"satisfied 19"}, True)
 
 
 def test_a_server_that_refuses_proves_that_nothing_ran(tmp_path):
     """A single-use query goes on to another cache; after a reset it may have run and ends in error."""
+
     async def scene(t):
         t.service.reducer.router.retries = 10.0
         for machine in list(t.machines.values())[3:5]:
@@ -136,6 +172,7 @@
         t.machines["s-23"].act = "reset"
         t.caller.ask(20, service="order")
         return set(heard), await t.caller.hear()
+
     assert played(scene, tmp_path) == ({"satisfied 19"}, (13, "error"))
 
 
@@ -146,20 +183,39 @@
         for s in ("s-21", "s-22", "s-23"):
             t.machines[s].act = "data"
         t.caller.ask(2, service="order")
-        return first, await t.caller.hear(), any("unreadable: the line b'what is this'" in line for line in t.lines)
+        return (
+            first,
+            await t.caller.hear(),
+            any("unreadable: the line b'what is this'" in line for line in t.lines),
+        )
+
     assert played(scene, tmp_path, machines=caches(act="garbage")) == (
-        (1, "error"), (2, "satisfied 19"), True)
+        (1, "error"),
+        (2, "satisfied 19"),
+        True,
+    )
 
 
 DATA = b"ID data digest=ab,dated=1 3\r\nyes\r\n"
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"\x00\xff" * 3000, b"ID data - 3000000000\r\n", b"ID data - 2\r\nyes\r\n", b"ID data - -3\r\nyes\r\n",
-    b"ID data - 90\r\nyes\r\n", b"ID dat", b"ID play - 3\r\nyes\r\n"], ids=range(7))
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"\x00\xff" * 3000,
+        b"ID data - 3000000000\r\n",
+        b"ID data - 2\r\nyes\r\n",
+        b"ID data - -3\r\nyes\r\n",
+        b"ID data - 90\r\nyes\r\n",
+        b"ID dat",
+        b"ID play - 3\r\nyes\r\n",
+    ],
+    ids=range(7),
+)
 def test_a_spoilt_answer_ends_its_connection_and_its_queries_go_on(tmp_path, spoilt):
     """Whether it can't be read, can't be so, stops short or never comes: what is open there goes elsewhere in time,
     also while new pushes go on being written."""
+
     async def scene(t):
         t.service.reducer.router.retries = 10.0
         t.service.caches.say = lambda event, **values: said.append(event)
@@ -171,6 +227,7 @@
         for n in range(2, 6):
             t.caller.ask(n, lookup=f"{n:016x}")
         return sorted([await t.caller.hear() for _ in range(5)]), said
+
     heard, said = played(scene, tmp_path)
     assert heard == [(n, "satisfied 3") for n in range(1, 6)] and said == ["cache connection"]
 
@@ -183,14 +240,18 @@
         t.caller.ask(1, replay="1ff975b0a6ce2c84d2617523a0b82bf6")
         t.caller.ask(2, replay="not a mark")
         return [await t.caller.hear(), await t.caller.hear()], lines[0][2].split(",")[-1]
+
     machines = caches(act=lambda line: lines.append(line) or "data")
     assert played(scene, tmp_path, machines=machines) == (
-        [(2, "exception replay: missing or unusable"), (1, "satisfied 19")], "op=1ff975b0a6ce2c84d2617523a0b82bf6")
+        [(2, "exception replay: missing or unusable"), (1, "satisfied 19")],
+        "op=1ff975b0a6ce2c84d2617523a0b82bf6",
+    )
 
 
 def test_a_size_that_is_not_told_is_not_made_up(tmp_path):
     """market-tiles tells none: each query passed for 1 KB, every answer for thousands of times too slow, and a quarter of
     a calm day was nacked."""
+
     async def scene(t):
         router, sizes = t.service.reducer.router, []
         query = router.query
@@ -199,28 +260,52 @@
         t.caller.ask(2, room="0")
         t.caller.ask(3)
         return sorted([await t.caller.hear() for _ in range(3)]), sizes
+
     assert played(scene, tmp_path) == (
-        [(1, "satisfied 19"), (2, "exception room: out of range"), (3, "satisfied 19")], [0.0, 100.0])
+        [(1, "satisfied 19"), (2, "exception room: out of range"), (3, "satisfied 19")],
+        [0.0, 100.0],
+    )
 
 
 def test_second_copies_and_unknown_ids_are_passed_over(tmp_path):
     """An answer that came twice must not end a later push of its query, which is then out unseen."""
+
     async def scene(t):
         lines = []
         for machine in t.machines.values():
-            machine.act = lambda line: lines.append(line) or (
-                b"ID absent - 0\r\n\r\nID absent - 0\r\n\r\n" if len(lines) == 1 else b"no play n=x 2\r\nab\r\n" + DATA + DATA)
+            machine.act = lambda line: (
+                lines.append(line)
+                or (
+                    b"ID absent - 0\r\n\r\nID absent - 0\r\n\r\n"
+                    if len(lines) == 1
+                    else b"no play n=x 2\r\nab\r\n" + DATA + DATA
+                )
+            )
         t.caller.ask(1)
         heard = [await t.caller.hear()]
         t.caller.ask(2)
         return heard + [await t.caller.hear()], len(lines), t.service.caches.where
+
     assert played(scene, tmp_path) == ([(1, "satisfied 3"), (2, "satisfied 3")], 3, {})
 
 
 def test_counts_in_flight_are_what_is_out_on_sockets_over_all_endings(tmp_path):
     """A count that stays after an odd end shuts a cache for ever; one that is missing sends too much."""
-    ends = ["data", "absent", "full", "failed", "moot", "reset", "garbage", "half", "silent", b"ID data - 9\r\nyes\r\n",
-            b"ID absent - 0\r\n\r\n" * 2, DATA, "unchanged"]
+    ends = [
+        "data",
+        "absent",
+        "full",
+        "failed",
+        "moot",
+        "reset",
+        "garbage",
+        "half",
+        "silent",
+        b"ID data - 9\r\nyes\r\n",
+        b"ID absent - 0\r\n\r\n" * 2,
+        DATA,
+        "unchanged",
+    ]
 
     async def scene(t):
         router, seen, agreed = t.service.reducer.router, [], []
@@ -236,13 +321,16 @@
                 other.writer.transport.abort()
                 other = await Caller.connect(t.address)
             if n == 60:
-                t.commands.answers.append(Commands.reply(4, listed(4, [host("s-21", health="removed")], whole=False)))
+                t.commands.answers.append(
+                    Commands.reply(4, listed(4, [host("s-21", health="removed")], whole=False))
+                )
             await asyncio.sleep(0.01)
             out = [q for q in t.service.reducer.queries.values() if q.out]
-            if not t.service.rounds.events:        # what has ended and is not reduced yet
+            if not t.service.rounds.events:  # what has ended and is not reduced yet
                 agreed.append(sum(router.fleet.inflight) == len(out) == len(t.service.caches.where))
         await until(lambda: not t.service.reducer.queries)
         return set(agreed), sum(router.fleet.inflight), router.fills, router.queries, t.service.caches.where
+
     assert played(scene, tmp_path) == ({True}, 0, 0, {}, {})
 
 
@@ -253,11 +341,13 @@
             t.caller.ask(n, lookup=f"{n:016x}")
             heard.add((await t.caller.hear())[1])
         return heard, len(t.service.caches.all) <= 3, {line[:4] for line in t.pulled()}
+
     assert played(scene, tmp_path) == ({"satisfied 19"}, True, {"s-21", "s-22", "s-23"})
 
 
 def test_a_slow_transfer_does_not_hold_up_the_rest(tmp_path):
     """An answer of which half has come blocks its connection; later pushes to that cache go by others."""
+
     async def scene(t):
         t.caller.ask(1)
         heard = [await t.caller.hear()]
@@ -267,22 +357,26 @@
             t.caller.ask(n)
             heard += [await t.caller.hear()] if n > 2 else []
         return heard, {line[:4] for line in t.pulled()}
+
     heard, servers = played(scene, tmp_path)
     assert heard == [(n, "satisfied 19") for n in (1, 3, 4, 5)] and len(servers) == 1
 
 
 def test_a_pushs_time_is_over(tmp_path):
     """The router's own clock ends a push: KILL to the cache, an answer to the client in its time."""
+
     async def scene(t):
         t.caller.ask(1, allow="200")
         heard = await t.caller.hear()
         await until(lambda: len(t.pulled()) == 2)
         return heard, [line[5:9] for line in t.pulled()]
+
     assert played(scene, tmp_path, machines=caches(act="silent")) == ((1, "nack"), ["KILL", "PULL"])
 
 
 def test_a_reused_address_belongs_to_the_new_server(tmp_path):
     """s-21 goes and s-22 comes under its address: nothing for s-22 runs over a connection to s-21."""
+
     async def scene(t):
         t.caller.ask(1)
         await t.caller.hear()
@@ -293,14 +387,20 @@
         await until(lambda: t.service.reducer.cursor == 4)
         t.caller.ask(2)
         return await t.caller.hear(), t.machines["s-21"].made - made >= 1, "s-21" in t.service.reducer.dials
+
     assert played(scene, tmp_path) == ((2, "satisfied 19"), True, False)
 
 
 def test_the_command_channel_fails_in_every_way_and_goes_on(tmp_path):
     """The known list stays in force; asked again from the last event that is known."""
-    bad = [b"", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b"nonsense\r\n\r\n",
-           b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull", Commands.reply(4, {"cursor": 4, "play": {}}),
-           b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{\"cu\r\n14\r\nrsor\":5,\"cmds\":[[]]}\r\n0\r\n\r\n"]
+    bad = [
+        b"",
+        b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull",
+        Commands.reply(4, {"cursor": 4, "play": {}}),
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{"cu\r\n14\r\nrsor":5,"cmds":[[]]}\r\n0\r\n\r\n',
+    ]
 
     async def scene(t):
         await until(lambda: len(t.commands.polls) == 7)
@@ -308,9 +408,13 @@
         heard = await t.caller.hear()
         cursors = [int(poll.partition("resume=")[2].partition("&")[0]) for poll in t.commands.polls]
         return heard, cursors, [line for line in t.lines if "command" in line][-2:]
+
     heard, cursors, said = played(scene, tmp_path, commands=Commands(*bad))
     assert (heard, cursors) == ((1, "satisfied 19"), [3, 3, 3, 3, 3, 4, 5])
-    assert said == ["command skipped 4 KeyError 'drop': {'cursor': 4, 'play': {}}", "command skipped 0 no cursor: []"]
+    assert said == [
+        "command skipped 4 KeyError 'drop': {'cursor': 4, 'play': {}}",
+        "command skipped 0 no cursor: []",
+    ]
 
 
 def test_descriptors_at_their_limit_do_not_end_the_accept_loop(tmp_path):
@@ -333,6 +437,7 @@
             return first, await late[-1].hear()
         finally:
             resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
     first, second = played(scene, tmp_path)
     assert first[1] in ("satisfied 19", "nack") and second[1] in ("satisfied 19", "nack")
 
@@ -348,7 +453,12 @@
             slow.ask(n, lookup=f"{n:016x}", room="1")
         await until(lambda: len(t.service.front.clients) == 1 and not t.service.reducer.queries)
         t.caller.ask(1)
-        return await t.caller.hear(), t.service.front.unread, any("bytes not read" in line for line in t.lines)
+        return (
+            await t.caller.hear(),
+            t.service.front.unread,
+            any("bytes not read" in line for line in t.lines),
+        )
+
     machines = caches(body=b"x" * 240_000)
     assert played(scene, tmp_path, machines=machines) == ((1, "satisfied 240000"), 0, True)
 
@@ -365,9 +475,11 @@
         heard += [await t.caller.hear(), await other.hear(), await other.hear()]
         await t.task
         return heard, [line for line in t.lines if "phase" in line]
+
     assert played(scene, tmp_path, machines=caches(delay=1.0)) == (
         [(2, "well False"), (1, "satisfied 19"), (1, "satisfied 19"), None],
-        ["phase ready", "phase leaving", "phase finishing", "phase ended"])
+        ["phase ready", "phase leaving", "phase finishing", "phase ended"],
+    )
 
 
 def test_the_program_ends_with_0_after_sigterm_and_starts_again_from_nothing(tmp_path):
@@ -376,8 +488,13 @@
         codes = []
         for word in (signal.SIGKILL, signal.SIGTERM):
             program = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "brookhinge", cwd=ROOT, stdout=asyncio.subprocess.PIPE,
-                env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "n1.json")})
+                sys.executable,
+                "-m",
+                "brookhinge",
+                cwd=ROOT,
+                stdout=asyncio.subprocess.PIPE,
+                env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "n1.json")},
+            )
             while b'"listening"' not in (line := await program.stdout.readline()):
                 assert line
             caller = await Caller.connect(("127.0.0.1", int(json.loads(line)["address"].split(":")[1])))
@@ -389,25 +506,33 @@
                 assert await caller.hear() == (2, "satisfied 19")
             codes.append(await program.wait())
         return codes
+
     assert played(scene, tmp_path, machines=caches(delay=0.2)) == [-signal.SIGKILL, 0]
 
 
 def test_sighup_switches_the_command_channel_in_mid_poll_and_a_bad_file_changes_nothing(tmp_path):
     """Without a handler SIGHUP ends the process, and what the new channel tells comes seconds late."""
+
     async def scene(t):
         file, other = tmp_path / "n1.json", await Commands().start()
         file.write_text(json.dumps(t.values))
         program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "brookhinge", cwd=ROOT, stdout=asyncio.subprocess.PIPE,
-            env={**os.environ, "BALANCER_CONFIG": str(file)})
+            sys.executable,
+            "-m",
+            "brookhinge",
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(file)},
+        )
         said = []
 
         async def heard(event):
             while not said or said[-1]["event"] != event:
                 said.append(json.loads(await program.stdout.readline()))
             return said.pop()
+
         await heard("listening")
-        await until(lambda: len(t.commands.polls) == 2)     # the town's own service polls as well
+        await until(lambda: len(t.commands.polls) == 2)  # the town's own service polls as well
         file.write_text(json.dumps({**t.values, "channel": 1}))
         program.send_signal(signal.SIGHUP)
         bad = await heard("configuration")
@@ -417,8 +542,12 @@
         await until(lambda: other.polls)
         program.terminate()
         return bad["why"], other.polls[0].partition("&")[0], await program.wait()
+
     assert played(scene, tmp_path, commands=Commands()) == (
-        "channel: expected a text, got 1", "/cmd/next?resume=3", 0)
+        "channel: expected a text, got 1",
+        "/cmd/next?resume=3",
+        0,
+    )
 
 
 def test_who_says_nothing_or_half_a_query_is_closed_and_who_asked_stays(tmp_path, monkeypatch):
@@ -434,11 +563,13 @@
         heard.append(await t.caller.hear())
         monkeypatch.setattr(front, "IDLE_S", 0.2)
         return heard + [await t.caller.hear()]
+
     assert played(scene, tmp_path) == [(1, "satisfied 19"), None, None, (2, "satisfied 19"), None]
 
 
 def test_at_the_share_of_descriptors_the_silent_and_then_the_longest_idle_make_room(tmp_path):
     """Clients that ask once and hold their connection must not keep others out."""
+
     async def scene(t):
         t.service.front.sockets, held, heard = 20, [], []
         for n in range(60):
@@ -446,7 +577,12 @@
             if n % 2:
                 held[-1].ask(n)
                 heard.append((await held[-1].hear())[1])
-        return set(heard), len(t.service.front.clients) <= 20, any("not accepting" in line for line in t.lines)
+        return (
+            set(heard),
+            len(t.service.front.clients) <= 20,
+            any("not accepting" in line for line in t.lines),
+        )
+
     assert played(scene, tmp_path) == ({"satisfied 19"}, True, False)
 
 
@@ -455,6 +591,7 @@
         call = thrift.message(b"isWell", thrift.CALL, 1, b"\0more")
         t.caller.writer.write(call)
         return await t.caller.hear()
+
     assert played(scene, tmp_path) is None
 
 
@@ -463,6 +600,7 @@
         for n in range(20):
             t.caller.ask(n, room="-1")
         return [await t.caller.hear() for _ in range(20)][-1], await Caller.connect(t.address)
+
     assert played(scene, tmp_path)[0] is None
 
 
@@ -476,11 +614,20 @@
         heard = [await t.caller.hear(), await t.caller.hear()]
         await t.task
         return heard
+
     assert played(scene, tmp_path, machines=caches(act=lambda line: "silent")) == [(1, "error"), None]
 
 
 def test_a_configuration_that_cannot_be_used_ends_the_start_with_one_line():
-    done = subprocess.run([sys.executable, "-m", "brookhinge"], cwd=ROOT, capture_output=True, text=True,
-                          env={k: v for k, v in os.environ.items() if k != "BALANCER_CONFIG"})
+    done = subprocess.run(
+        [sys.executable, "-m", "brookhinge"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env={k: v for k, v in os.environ.items() if k != "BALANCER_CONFIG"},
+    )
     assert (done.returncode, done.stdout, done.stderr) == (
-        2, "", "brookhinge: BALANCER_CONFIG: missing, expected the path of the configuration\n")
+        2,
+        "",
+        "brookhinge: BALANCER_CONFIG: missing, expected the path of the configuration\n",
+    )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,5 @@
 """The simulator's wire: whole batches in, replies out."""
+
 import io
 import json
 
@@ -7,12 +8,25 @@
 from brookhinge import wirehost
 from brookhinge.wire.codec import WireError
 
-OPTIONS = json.dumps({
-    "Az": "edge-1", "Zones": ["hub", "edge-1"], "MachineTypes": ["box", "parent", "origin"], "Unknown": 1,
-    "Classes": [{"Name": "page", "AimNs": 300000000, "DeadlineNs": 3000000000, "Effect": "retryable"}],
-    "Limits": {"MaxAttempts": 4}, "Specifics": {"UpperKind": 1, "MasterKind": 2, "PeersFill": "silent"}})
-START = ["ABOUT 3", "BEGIN 7 " + OPTIONS, "REGISTER 0 2", "ROW 1 - 0 Ready 9 origin hub",
-         "ROW 2 - 0 Ready 21 box edge-1", "TARGETS SAVED 1 0"]
+OPTIONS = json.dumps(
+    {
+        "Az": "edge-1",
+        "Zones": ["hub", "edge-1"],
+        "MachineTypes": ["box", "parent", "origin"],
+        "Unknown": 1,
+        "Classes": [{"Name": "page", "AimNs": 300000000, "DeadlineNs": 3000000000, "Effect": "retryable"}],
+        "Limits": {"MaxAttempts": 4},
+        "Specifics": {"UpperKind": 1, "MasterKind": 2, "PeersFill": "silent"},
+    }
+)
+START = [
+    "ABOUT 3",
+    "BEGIN 7 " + OPTIONS,
+    "REGISTER 0 2",
+    "ROW 1 - 0 Ready 9 origin hub",
+    "ROW 2 - 0 Ready 21 box edge-1",
+    "TARGETS SAVED 1 0",
+]
 ASK = "QUERY r-{0} 0 page - 0 0 4 obj:{0} 64 2000000000"
 
 
@@ -20,7 +34,9 @@
     host = wirehost.Host()
     assert host.batch(1000, []) == []
     assert host.batch(1000, START + [ASK.format("a")]) == [
-        "CONTEXT 3", "FETCH_THROUGH r-a 21 1999001000 9 1 0 0"]
+        "CONTEXT 3",
+        "FETCH_THROUGH r-a 21 1999001000 9 1 0 0",
+    ]
     assert host.batch(2000, ["ABOUT 3", "OUTCOME r-a 0 21 OK 1000 1", "CLIENT_LEFT r-a", "RING old"]) == []
     assert host.instances[3].tid == host.instances[3].out == {}
 
@@ -36,8 +52,16 @@
 def test_a_list_number_means_what_it_meant_at_that_line():
     host = wirehost.Host()
     host.batch(1000, START)
-    lists = ["ABOUT 3", "REGISTER 0 1", "ROW 2 - 0 Terminating 21 box edge-1", "TARGETS INCREMENTAL 2 0",
-             "REGISTER 0 1", "ROW 2 - 0 Ready 22 box edge-1", "TARGETS INCREMENTAL 3 0", ASK.format("a")]
+    lists = [
+        "ABOUT 3",
+        "REGISTER 0 1",
+        "ROW 2 - 0 Terminating 21 box edge-1",
+        "TARGETS INCREMENTAL 2 0",
+        "REGISTER 0 1",
+        "ROW 2 - 0 Ready 22 box edge-1",
+        "TARGETS INCREMENTAL 3 0",
+        ASK.format("a"),
+    ]
     assert host.batch(2000, lists)[1].split()[2] == "22"
 
 
@@ -48,12 +72,15 @@
     assert both.batch(1000, other + START + [ASK.format("a")])[2:] == one
 
 
-@pytest.mark.parametrize("line, expected", [
-    ("QUERY r-a", "expected QUERY with ten values"),
-    ("HELLO", "expected an event, got 'HELLO'"),
-    ("OUTCOME r-a 0 x OK 1 1", "expected a cache server"),
-    ("TARGETS FULL 1 7", "expected a list given by REGISTER"),
-])
+@pytest.mark.parametrize(
+    "line, expected",
+    [
+        ("QUERY r-a", "expected QUERY with ten values"),
+        ("HELLO", "expected an event, got 'HELLO'"),
+        ("OUTCOME r-a 0 x OK 1 1", "expected a cache server"),
+        ("TARGETS FULL 1 7", "expected a list given by REGISTER"),
+    ],
+)
 def test_a_line_that_cannot_be_read_is_named(line, expected):
     host = wirehost.Host()
     host.batch(1000, START + [ASK.format("a")])
@@ -70,4 +97,6 @@
     host = wirehost.Host()
     host.batch(1000, START)
     monkeypatch.setattr(host.instances[3].router, "place", lambda *_: 1 / 0)
-    assert host.batch(2000, ["ABOUT 3", ASK.format("a")])[1].startswith("PANIC ZeroDivisionError: division by zero")
+    assert host.batch(2000, ["ABOUT 3", ASK.format("a")])[1].startswith(
+        "PANIC ZeroDivisionError: division by zero"
+    )
--- a/tests/verdicts/test_fleet.py
+++ b/tests/verdicts/test_fleet.py
@@ -1,4 +1,5 @@
 """A fleet that shares what it sees, in simulated time, among modelled boxes: who rests, when, and for whom."""
+
 import pytest
 
 from brookhinge.standin.sharing import Fleet
@@ -34,13 +35,13 @@
     assert resting(made) == {}
     slots = [sum(at <= t < at + 1.0 for t in came) for at in range(16, 40)]
     first = next(k for k, count in enumerate(slots) if count)
-    assert slots[first] <= 5 and max(slots[:first + 3]) <= 2 * max(slots[-6:])      # trials, then more by and by
+    assert slots[first] <= 5 and max(slots[: first + 3]) <= 2 * max(slots[-6:])  # trials, then more by and by
 
 
 def test_a_cut_in_halves_each_half_judges_for_itself():
     made = fleet()
     made.cut = lambda a, b: (a < 4) != (b < 4)
-    made.broken = {4: 0.8, 5: 0.8, 6: 0.8, 7: 0.8}      # the place of one half is cut off from all boxes
+    made.broken = {4: 0.8, 5: 0.8, 6: 0.8, 7: 0.8}  # the place of one half is cut off from all boxes
     made.play(20.0)
     assert all(not core[1].resting for core in made.cores[:4])
 
--- a/tests/verdicts/test_judge.py
+++ b/tests/verdicts/test_judge.py
@@ -1,4 +1,5 @@
 """What several witnesses make of a server, in small tables."""
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -22,14 +23,16 @@
 
 
 def test_one_witness_condemns_nobody_whatever_it_says():
-    for tries in (10, 1000, 10 ** 9):
+    for tries in (10, 1000, 10**9):
         assert at_fault(seen(s1={**fine(8), 1: (tries, tries)}), 8, 5) == {}
         assert at_fault(seen(s1={1: (tries, tries), 2: (3, 0)}), 8, 5) == {}
         assert at_fault(seen(s1={1: (tries, tries)}), 8, 5) == {}
 
 
 def test_two_are_enough_where_there_are_but_two():
-    assert at_fault({A: {1: (6, 4), 2: (5, 3)}, B: fine(2), C: fine(2)}, 2, 3) == {A: (4 / 6 * 6 + 3 / 5 * 5) / 11}
+    assert at_fault({A: {1: (6, 4), 2: (5, 3)}, B: fine(2), C: fine(2)}, 2, 3) == {
+        A: (4 / 6 * 6 + 3 / 5 * 5) / 11
+    }
     assert at_fault({A: {1: (6, 4), 2: (5, 0)}, B: fine(2), C: fine(2)}, 2, 3) == {}
 
 
@@ -43,8 +46,8 @@
 def test_not_half_of_all_at_once():
     bad = {r: (6, 5) for r in range(1, 9)}
     assert set(at_fault(seen(s1=bad, s2=bad), 8, 5)) == {A, B}
-    assert at_fault(seen(s1=bad, s2=bad, s3=bad), 8, 5) == {}       # the way there or the origin fails
-    assert at_fault({A: bad}, 8, 1) == {}                           # the only one there is
+    assert at_fault(seen(s1=bad, s2=bad, s3=bad), 8, 5) == {}  # the way there or the origin fails
+    assert at_fault({A: bad}, 8, 1) == {}  # the only one there is
 
 
 def test_few_tries_say_nothing():
@@ -58,7 +61,7 @@
     assert outweighs((8, 0)) and not outweighs((7, 0)) and not outweighs((8, 1))
 
 
-witness = st.tuples(st.integers(0, 10 ** 6), st.integers(0, 10 ** 6)).map(lambda t: (t[0], min(t)))
+witness = st.tuples(st.integers(0, 10**6), st.integers(0, 10**6)).map(lambda t: (t[0], min(t)))
 
 
 @settings(max_examples=300, deadline=None)
@@ -103,7 +106,7 @@
 
 def test_a_late_word_is_not_believed():
     evidence = told(ROWS)
-    evidence.hear(20.0, 7, 99, 20.0 - LATE - 0.1 + 1000.0, [(A, 10 ** 6, 10 ** 6)])
+    evidence.hear(20.0, 7, 99, 20.0 - LATE - 0.1 + 1000.0, [(A, 10**6, 10**6)])
     assert evidence.of(A, 20.0) == {}
 
 
