--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,8 @@
 	$(PYTHON) -m pytest -q tests
 
 lint: build
-	.venv/bin/pip -q install ruff==0.17.6
-	.venv/bin/ruff check brookhinge tests examples benchmarks
+	.venv/bin/ruff format --check .
+	.venv/bin/ruff check .
 
 # one router with the configuration of the example; `make toy` in another shell first
 run: build
