--- a/brookhinge/cli/check.py
+++ b/brookhinge/cli/check.py
@@ -30,4 +30,7 @@
     ]
     if told.metrics:
         rows.append({"block": "metrics", "name": "", "listen": "%s:%d" % told.metrics, "store": ""})
+    if told.capacity:
+        size = f"{told.capacity.routers} routers at {len(told.capacity.sites())} sites"
+        rows.append({"block": "capacity", "name": size, "listen": "", "store": ""})
     table(rows, ["block", "name", "listen", "store"], as_json)
--- /dev/null
+++ b/brookhinge/operator/capacity.py
@@ -0,0 +1,185 @@
+"""Schema of the `capacity` block: regions, zones, sites and links of a fleet that `python -m benchmarks.capacity` models.
+
+Delays are milliseconds one way, times are seconds from the start of the measured part, `loss` and `double` are the
+chances of one datagram. Places are written `region`, `region/zone` or `region/zone/number of the site`."""
+
+from itertools import combinations
+from typing import NamedTuple
+
+from brookhinge.operator.hcl import OperatorError
+
+MOST_SITES = 250  # a site is one octet of a loopback address
+MOST_ROUTERS = 5000
+
+
+class Zone(NamedTuple):
+    """One zone of a region and how many sites it has."""
+
+    region: str
+    name: str
+    sites: int
+
+    @property
+    def place(self):
+        return f"{self.region}/{self.name}"
+
+
+class Link(NamedTuple):
+    """The delay of one way between two regions."""
+
+    first: str
+    second: str
+    delay_ms: float
+
+
+class Control(NamedTuple):
+    """One control machine and the site that it stands at."""
+
+    name: str
+    site: str
+
+
+class Cut(NamedTuple):
+    """Datagrams from one place to another are dropped from `at_s` on for `for_s` seconds; an empty `target` is all else."""
+
+    name: str
+    source: str
+    target: str
+    at_s: float
+    for_s: float
+    both: bool
+
+
+class Capacity(NamedTuple):
+    """A checked `capacity` block."""
+
+    routers: int
+    caches: int
+    purges_s: float
+    site_ms: float
+    zone_ms: float
+    region_ms: float
+    loss: float
+    double: float
+    zones: tuple[Zone, ...]
+    links: tuple[Link, ...]  # each pair of regions once
+    controls: tuple[Control, ...]
+    cuts: tuple[Cut, ...]
+
+    def sites(self):
+        """Places of all sites, in the order of the file."""
+        return [f"{zone.place}/{number + 1}" for zone in self.zones for number in range(zone.sites)]
+
+
+def capacity_blocks(must, number, whole, text, path, flag):
+    """The entry of the schema's table of blocks, made of the checks that all blocks share."""
+    delay = number(0, 10_000)
+    settings = {
+        "routers": (whole(1, MOST_ROUTERS), 530),
+        "caches": (whole(1, 10_000), 95),
+        "purges_s": (number(0, 1000), 5.1),
+        "site_ms": (delay, 0.3),
+        "zone_ms": (delay, 2.0),
+        "region_ms": (delay, 5.0),
+        "loss": (number(0, 0.9), 0.0),
+        "double": (number(0, 0.9), 0.0),
+    }
+    cut = {
+        "from": (text, must),
+        "to": (path, ""),
+        "at_s": (number(0, 86_400), must),
+        "for_s": (number(0, 86_400), must),
+        "both": (flag, True),
+    }
+    return (
+        0,
+        settings,
+        {
+            "region": (1, {}, {"zone": (1, {"sites": (whole(1, MOST_SITES), must)}, {})}),
+            "link": (2, {"delay_ms": (delay, must)}, {}),
+            "control": (1, {"site": (text, must)}, {}),
+            "cut": (1, cut, {}),
+        },
+    )
+
+
+def read_capacity(block, schema, take):
+    """A Capacity of a parsed block whose nesting was checked; raises OperatorError with block, key and line."""
+    _, settings, inner = schema
+    values = take(block, settings)
+    regions = [one for one in block.blocks if one.kind == "region"]
+    zones = tuple(zone for region in regions for zone in read_zones(region, inner["region"][2]["zone"], take))
+    if not zones:
+        raise OperatorError(f"line {block.line}: capacity: region: expected one region with a zone at least")
+    names = [region.labels[0] for region in regions]
+    links = read_links(block, names, inner["link"][1], take)
+    capacity = Capacity(**values, zones=zones, links=links, controls=(), cuts=())
+    if len(capacity.sites()) > MOST_SITES:
+        raise OperatorError(
+            f"line {block.line}: capacity: expected {MOST_SITES} sites at most, got {len(capacity.sites())}"
+        )
+    return capacity._replace(
+        controls=tuple(read_controls(block, capacity, inner["control"][1], take)),
+        cuts=tuple(read_cuts(block, capacity, inner["cut"][1], take)),
+    )
+
+
+def read_zones(region, schema, take):
+    """The zones of one region."""
+    take(region, {})
+    for block in region.blocks:
+        for label in (region.labels[0], block.labels[0]):
+            if not label or "/" in label:
+                raise OperatorError(
+                    f"line {block.line}: {block.title()}: expected names without '/', got {label!r:.60}"
+                )
+        yield Zone(region.labels[0], block.labels[0], **take(block, schema[1]))
+
+
+def read_links(block, regions, settings, take):
+    """The delay of each pair of regions; each pair must stand once."""
+    links = {}
+    for inner in (one for one in block.blocks if one.kind == "link"):
+        for label in inner.labels:
+            if label not in regions:
+                raise OperatorError(f"line {inner.line}: {inner.title()}: no region {label!r:.60}")
+        pair = tuple(sorted(inner.labels, key=regions.index))
+        if pair[0] == pair[1] or pair in links:
+            raise OperatorError(f"line {inner.line}: {inner.title()}: expected each pair of regions once")
+        links[pair] = take(inner, settings)["delay_ms"]
+    for pair in combinations(regions, 2):
+        if pair not in links:
+            raise OperatorError(f'line {block.line}: capacity: link "{pair[0]}" "{pair[1]}": missing')
+    return tuple(Link(*pair, delay_ms) for pair, delay_ms in links.items())
+
+
+def read_controls(block, capacity, settings, take):
+    """Control machines; each stands at a site of the layout."""
+    sites = set(capacity.sites())
+    for inner in (one for one in block.blocks if one.kind == "control"):
+        site = take(inner, settings)["site"]
+        if site not in sites:
+            raise OperatorError(
+                f"line {inner.lines['site']}: {inner.title()}: site: expected region/zone/number, got {site!r:.60}"
+            )
+        yield Control(inner.labels[0], site)
+
+
+def read_cuts(block, capacity, settings, take):
+    """Cuts between places of the layout."""
+    sites = capacity.sites()
+    for inner in (one for one in block.blocks if one.kind == "cut"):
+        values = take(inner, settings)
+        for key in ("from", "to"):
+            if values[key] and not any(inside(site, values[key]) for site in sites):
+                raise OperatorError(
+                    f"line {inner.lines[key]}: {inner.title()}: {key}: no such place, got {values[key]!r:.60}"
+                )
+        yield Cut(
+            inner.labels[0], values["from"], values["to"], values["at_s"], values["for_s"], values["both"]
+        )
+
+
+def inside(site, place):
+    """Whether a site stands in a place, which is a region, a zone or that site."""
+    return site == place or site.startswith(place + "/")
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from brookhinge.operator.capacity import Capacity, capacity_blocks, read_capacity
 from brookhinge.operator.hcl import OperatorError, parse
 
 MUST = object()  # no default
@@ -65,6 +66,7 @@
     fleet: dict  # name -> Fleet
     log: str  # least level that is logged
     metrics: tuple  # HOST:PORT on which figures are served, or None
+    capacity: Capacity | None = None  # the layout of a modelled fleet
 
 
 def number(least, most):
@@ -188,6 +190,7 @@
     "fleet": (1, FLEET, {}),
     "log": (0, {"level": (one_of("debug", "info", "warning", "error"), "info")}, {}),
     "metrics": (0, {"listen": (address, MUST)}, {}),
+    "capacity": capacity_blocks(MUST, number, whole, text, path, flag),
 }
 
 
@@ -251,8 +254,11 @@
     for key, line in top.lines.items():
         raise OperatorError(f"line {line}: {key}: expected a block, got a key outside of any")
     check_blocks(top, BLOCKS)
-    boxes, fleet, level, metrics = {}, {}, "info", None
+    boxes, fleet, level, metrics, capacity = {}, {}, "info", None, None
     for block in top.blocks:
+        if block.kind == "capacity":
+            capacity = read_capacity(block, BLOCKS["capacity"], take)
+            continue
         values = take(block, BLOCKS[block.kind][1])
         if block.kind == "box":
             inner = next((b for b in block.blocks if b.kind == "store"), None)
@@ -278,7 +284,7 @@
             raise OperatorError(
                 f'box "{name}": store: dir: {stand.store.dir!r} is that of box "{dirs[stand.store.dir]}" too'
             )
-    return Told(boxes, fleet, level, metrics)
+    return Told(boxes, fleet, level, metrics, capacity)
 
 
 def read_file(name, read=read_text):
--- /dev/null
+++ b/brookhinge/standin/capacity/hollow.py
@@ -0,0 +1,216 @@
+"""A hollow router: the control path of a router as in service (membership, limits, verdicts, notices) on real UDP, without
+its data path. What queries would ask of the cache servers is drawn by seed."""
+
+import asyncio
+import collections
+import random
+import time
+
+from brookhinge.limits.limits import Limits
+from brookhinge.membership.talk import Talk
+from brookhinge.operator.schema import Fleet
+from brookhinge.standin.capacity.links import LinkedTransport, Links, Traffic
+from brookhinge.standin.capacity.messages import RouterSample
+from brookhinge.verdicts.verdicts import Verdicts
+
+FLEET, KEY = "capacity", bytes.fromhex("0123456789abcdef" * 2)
+LEASE_S = 10.0
+GROUP_OF_OBJECTS = -1  # of a purge that names an object
+UNEVEN = 0.8  # sigma of the lognormal spread of a router's queries to one server
+JOIN_TRIES = 50  # to take the port of the process before, each a tenth of a second apart
+
+
+class CountedTalk(Talk):
+    """Membership on UDP whose datagrams take the links and are counted."""
+
+    def __init__(self, links, traffic, held, *args):
+        """held: it says and takes nothing until `begin()`."""
+        super().__init__(*args)
+        self.links, self.traffic, self.held = links, traffic, held
+
+    def begin(self):
+        """Starts to speak."""
+        if self.held:
+            self.held = False
+            self.turn()
+
+    def datagram_received(self, data, address):
+        """Counts a datagram and takes it."""
+        if self.held:
+            return
+        self.traffic.count_received(data)
+        super().datagram_received(data, address)
+
+    def turn(self):
+        """The first one comes before anything was sent: from there on datagrams take the links."""
+        if self.transport is not None and not isinstance(self.transport, LinkedTransport):
+            self.transport = LinkedTransport(self.transport, self.links, self.traffic)
+        if not self.held:
+            super().turn()
+
+
+class HollowRouter:
+    """One router of a site. `arrivals` holds when each purge came into force: {number: moment}."""
+
+    def __init__(self, layout, site, number, seed, purge_log=None):
+        """purge_log: makes the client of the purge log (see worker.py), None: purges are told among peers."""
+        self.layout, self.site, self.number, self.seed = layout, site, number, seed
+        self.name, self.host = site.name_of(number), site.host_of(number)
+        self.traffic = Traffic()
+        self.links = Links(layout, site.index, f"{seed} {self.name}")
+        self.chance = random.Random(f"hollow {seed} {self.name}")
+        self.address, self.talk, self.client, self.started_at = None, None, None, None
+        self.purge_log = purge_log
+        self.arrivals, self.changes, self.room = {}, collections.Counter(), 0.0
+        self.servers = self.servers_of_zone()
+
+    def servers_of_zone(self):
+        """Names of the cache servers of its zone."""
+        zones = [zone.place for zone in self.layout.capacity.zones]
+        place = zones.index(self.site.zone)
+        return [f"s{k + 1}" for k in range(place, self.layout.capacity.caches, len(zones))]
+
+    async def start(self, join, hold=False):
+        """Starts it, or starts it anew at the address that it had; back when its socket is bound. hold: see CountedTalk."""
+        for attempt in range(JOIN_TRIES):
+            try:
+                await self.start_talk(join, hold)
+                break
+            except OSError:
+                if attempt == JOIN_TRIES - 1:
+                    raise
+                await asyncio.sleep(0.1)
+        self.arrivals.clear()
+        if self.purge_log is not None:
+            self.client = await self.purge_log(self)
+        self.started_at = time.monotonic()
+
+    async def start_talk(self, join, hold):
+        """Membership with the cores that join it in service."""
+        settings = Fleet(
+            name=self.name,
+            listen=self.address or (self.host, 0),
+            advertise=None,
+            join=tuple(map(tuple, join)),
+            site=FLEET,
+            key=KEY,
+            zone=self.site.zone,
+            lease_s=LEASE_S,
+            metrics=None,
+            share_limits=True,
+            share_memory=False,
+            share_verdicts=True,
+        )
+        in_zone = sum(site.routers for site in self.layout.sites if site.zone == self.site.zone)
+        talk = CountedTalk(
+            self.links,
+            self.traffic,
+            hold,
+            settings,
+            f"{self.seed} {self.name}",
+            (in_zone, self.layout.routers),
+            self.event,
+            self.log,
+        )
+        talk.add(self.make_limits)
+        talk.add(self.make_verdicts)
+        self.talk = talk
+        self.address = tuple(await talk.start())
+
+    def make_limits(self, talk, now):
+        """Limits as in service; queries are drawn."""
+        view, version = talk.fellow.view, talk.fellow.version
+        return Limits(view, self.name, self.site.zone, version, lambda: talk.counted, self.demand, now)
+
+    def make_verdicts(self, talk, now):
+        """Verdicts as in service; no server fails."""
+        view, version = talk.fellow.view, talk.fellow.version
+        return Verdicts(
+            view,
+            self.name,
+            self.site.zone,
+            version,
+            lambda: talk.counted[0],
+            dict,
+            lambda: len(self.servers),
+            now,
+        )
+
+    def demand(self):
+        """What was asked of each server of the zone: (kind, server, start, rate, whole)."""
+        if not self.room:
+            return []
+        here = self.talk.counted[0]
+        return [
+            ("room", server, 0, self.room / here * self.chance.lognormvariate(0.0, UNEVEN), 1.0)
+            for server in self.servers
+        ]
+
+    def event(self, method, values):
+        """What membership tells the decisions: a purge told by a peer is in force from here on."""
+        if method == "heard" and values[0] == "purge":
+            self.in_force(int(values[1][1], 16))
+
+    def in_force(self, purge):
+        """A purge is in force at this router."""
+        self.arrivals.setdefault(purge, time.monotonic())
+
+    def log(self, event, **values):
+        """Changes of members are counted."""
+        self.changes[values.get("change", event)] += 1
+
+    def purge(self, number):
+        """Its own command channel tells of a purge; it tells its peers."""
+        self.in_force(number)
+        self.talk.spread("purge", GROUP_OF_OBJECTS, f"{number:016x}", round(time.time() * 1000))
+
+    def drain(self, server):
+        """Its own command channel tells that a server drains; it tells its peers."""
+        self.talk.spread("draining", server, round(time.time() * 1000))
+
+    def kill(self):
+        """Ends without a word."""
+        if self.talk.timer is not None:
+            self.talk.timer.cancel()
+        self.talk.transport.close()
+        self.started_at = None
+        if self.client is not None:
+            self.client.kill()
+
+    async def restart(self, join, graceful):
+        """Ends and starts anew, after a word of leaving if graceful."""
+        if self.started_at is not None and graceful:
+            await self.talk.leave()
+        if self.started_at is not None:
+            self.kill()
+        await self.start(join)
+
+    @property
+    def up(self):
+        """Whether it runs."""
+        return self.started_at is not None
+
+    def claim(self):
+        """What it says of itself to its peers."""
+        view = self.talk.fellow.view
+        return view.claim(view.index[self.name], time.monotonic())
+
+    def fill(self, claims):
+        """Takes claims of the whole fleet, as if it had long known it."""
+        view, now = self.talk.fellow.view, time.monotonic()
+        for claim in claims:
+            view.take(now, tuple(claim), self.name)
+
+    def sample(self):
+        """Its counters up to now."""
+        traffic = self.traffic
+        return RouterSample(
+            self.name,
+            self.up,
+            traffic.sent,
+            traffic.sent_bytes,
+            traffic.received,
+            traffic.received_bytes,
+            self.talk.counted[1],
+            len(self.talk.fellow.view.living()),
+        )
