python -m benchmarks.capacity: phases of a fleet on sockets and in virtual time

Idle, ordinary purges, burst, peak, changes, a site starting, rolling restart, failures, a region and a zone cut off and back; the same scenario on sockets and in virtual time.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,75 @@
+"""What a fleet's control plane costs and how soon a purge is in force everywhere, at any size:
+
+    python -m benchmarks.capacity --short                 under a minute
+    python -m benchmarks.capacity --routers 530 --seed 7  one size; --file takes a layout other than deploy/capacity.hcl
+    python -m benchmarks.capacity --keep benchmarks/results/capacity     all sizes, three seeds, some minutes
+    python -m benchmarks.capacity --page                  docs/CAPACITY.md from what is kept
+
+Hollow routers, the control path of a router as in service, on loopback sockets and in virtual time (simulated): see
+brookhinge/standin/capacity. Bytes are those of UDP datagrams with 28 for IP and UDP headers, sent and received. Last line:
+one JSON object; docs/operators/capacity.md says how to read it."""
+
+import argparse
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+from brookhinge.operator import OperatorError
+from brookhinge.standin.capacity.driver import ProcessFailed, TooLarge
+from brookhinge.standin.capacity.layout import read_layout
+from brookhinge.standin.capacity.runs import Plan, long_run, short_run, single_run
+
+LAYOUT = Path(__file__).parents[1] / "deploy" / "capacity.hcl"
+
+
+def options():
+    """The options of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.capacity")
+    parser.add_argument("--file", default=str(LAYOUT), help="a file with a capacity block")
+    parser.add_argument("--short", action="store_true", help="under a minute")
+    parser.add_argument("--routers", type=int, help="so many routers, over the sites of the file")
+    parser.add_argument("--seed", type=int, default=7)
+    parser.add_argument(
+        "--loss", type=float, help="chance of a datagram to be lost, in the place of the file's"
+    )
+    parser.add_argument(
+        "--virtual", action="store_true", help="with --routers: in virtual time, without sockets"
+    )
+    parser.add_argument("--keep", help="all sizes and seeds; figures, table and charts under this name")
+    parser.add_argument("--page", action="store_true", help="write docs/CAPACITY.md from what is kept")
+    return parser.parse_args()
+
+
+def tell(line):
+    """A line of progress, where a terminal shows it."""
+    if sys.stderr.isatty():
+        print(line, file=sys.stderr, flush=True)
+
+
+def main():
+    """Runs what the options ask for; 2 where the layout can't be used, 1 where a process failed, 130 on an interrupt."""
+    given = options()
+    if given.page:
+        from brookhinge.standin.capacity.page import write_page
+
+        return write_page()
+    try:
+        layout = read_layout(given.file, given.routers, given.loss)
+        plan = Plan(given.file, layout, given.seed, given.loss, tell)
+        run = long_run if given.keep else short_run if given.short else single_run
+        figures = asyncio.run(run(plan, given))
+    except (OperatorError, TooLarge, ValueError) as fault:
+        print(f"capacity: {fault}", file=sys.stderr)
+        return 2
+    except ProcessFailed as fault:
+        print(f"capacity: {fault}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 130
+    print(json.dumps(figures))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brookhinge/standin/capacity/driver.py
+++ b/brookhinge/standin/capacity/driver.py
@@ -13,6 +13,7 @@
     Fill,
     Mark,
     Message,
+    Purge,
     Sample,
     SetCuts,
     Setup,
@@ -21,6 +22,7 @@
     write,
 )
 
+PEERS, LOG = "peers", "log"  # mechanisms by which routers hear of purges
 MOST_PROCESSES, MOST_MEMORY_MB = 300, 12 * 1024
 PROCESS_MB, ROUTER_MB = 45, 4  # what a process and each router in it are reckoned to hold
 ANSWER_S = 60.0  # a process that has not answered by then has failed
@@ -171,6 +173,17 @@
         for process in self.sites.values():
             process.send(command)
 
+    def purge(self, planned):
+        """A source tells a purge: a router's command channel, or a control machine where there is a log."""
+        if self.mechanism == PEERS:
+            self.sites[planned.site].send(Purge(planned.number, planned.router))
+        else:
+            self.controls[planned.control].send(Purge(planned.number, 0))
+
+    async def control_arrivals(self):
+        """What control machines know of the purges that they were told first."""
+        return await asyncio.gather(*(process.ask(Collect()) for process in self.controls.values()))
+
     def set_cuts(self, cuts):
         """Cuts in force from now on."""
         self.cuts = list(cuts)
--- a/brookhinge/standin/capacity/hollow.py
+++ b/brookhinge/standin/capacity/hollow.py
@@ -114,13 +114,21 @@
         )
         talk.add(self.make_limits)
         talk.add(self.make_verdicts)
-        self.talk = talk
         self.address = tuple(await talk.start())
+        self.talk = talk
 
     def make_limits(self, talk, now):
         """Limits as in service; queries are drawn."""
         view, version = talk.fellow.view, talk.fellow.version
-        return Limits(view, self.name, self.site.zone, version, lambda: talk.counted, self.demand, now)
+        return Limits(
+            view,
+            self.name,
+            self.site.zone,
+            version,
+            lambda: talk.counted,
+            lambda: self.demand(talk.counted[0]),
+            now,
+        )
 
     def make_verdicts(self, talk, now):
         """Verdicts as in service; no server fails."""
@@ -136,11 +144,10 @@
             now,
         )
 
-    def demand(self):
-        """What was asked of each server of the zone: (kind, server, start, rate, whole)."""
+    def demand(self, here):
+        """What was asked of each server of the zone, which so many routers share: (kind, server, start, rate, whole)."""
         if not self.room:
             return []
-        here = self.talk.counted[0]
         return [
             ("room", server, 0, self.room / here * self.chance.lognormvariate(0.0, UNEVEN), 1.0)
             for server in self.servers
--- a/brookhinge/standin/capacity/measure.py
+++ b/brookhinge/standin/capacity/measure.py
@@ -94,3 +94,14 @@
         "missed": missed,
         "expected": expected,
     }
+
+
+def catch_up(records, routers, healed):
+    """What became, at routers that were cut off, of the purges told meanwhile: how many never came, and how long after the
+    links healed the last one did."""
+    came = [
+        record.in_force[name] for record in records.values() for name in routers if name in record.in_force
+    ]
+    missed = len(records) * len(routers) - len(came)
+    last = max((at - healed for at in came), default=0.0)
+    return {"missed_while_away": missed, "catch_up_s": round(max(0.0, last), 3) if not missed else None}
--- /dev/null
+++ b/brookhinge/standin/capacity/runs.py
@@ -0,0 +1,184 @@
+"""Which runs a command takes: one size, the short form, or all sizes and seeds. Each run plays the mechanism that the fleet
+had before (`peers`) and the one that it has (`log`) on the same seed."""
+
+import asyncio
+import datetime
+import gc
+import multiprocessing
+import os
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from typing import Callable, NamedTuple
+
+from brookhinge.standin.capacity import results
+from brookhinge.standin.capacity.driver import LOG, PEERS
+from brookhinge.standin.capacity.layout import Layout, read_layout
+from brookhinge.standin.capacity.scenario import Durations, Scenario
+from brookhinge.standin.capacity.stage import SocketStage, VirtualStage
+from brookhinge.standin.capacity.virtual import PeerFleet
+
+SIZES = (66, 132, 265, 530, 1060)
+LARGEST_ON_SOCKETS = {PEERS: 132, LOG: 530}  # what half of a machine with 8 cores carries
+SEEDS = (7, 8, 9)
+SHORT_SOCKETS, SHORT_VIRTUAL = 66, (132, 530)
+SHORT = Durations(settle=2.0, idle=2.0, ordinary=3.0, burst=0.0)
+STANDARD = Durations(settle=4.0, idle=4.0, ordinary=6.0, burst=3.0)
+FULL = Durations(
+    settle=4.0,
+    idle=4.0,
+    ordinary=6.0,
+    burst=3.0,
+    peak=4.0,
+    changes=4.0,
+    site_start=6.0,
+    rolling=5.0,
+    failures=6.0,
+    zone=10.0,
+    cut=20.0,
+)
+SPAWN = multiprocessing.get_context("spawn")
+VIRTUAL_AT_ONCE = 2  # virtual runs beside each other
+
+
+class Plan(NamedTuple):
+    """What a command asks for."""
+
+    file: str
+    layout: Layout
+    seed: int
+    loss: float | None
+    tell: Callable[[str], None]
+
+
+class VirtualJob(NamedTuple):
+    """One virtual run, as it is handed to a process."""
+
+    file: str
+    routers: int
+    seed: int
+    loss: float | None
+    mechanism: str
+    durations: Durations
+
+
+def mechanisms():
+    """Those that this text has, the one before first."""
+    try:
+        import brookhinge.purgelog  # noqa: F401
+    except ImportError:
+        return (PEERS,)
+    return PEERS, LOG
+
+
+def virtual_fleet(layout, seed, mechanism):
+    """A fleet in virtual time."""
+    if mechanism == PEERS:
+        return PeerFleet(layout, seed)
+    from brookhinge.standin.capacity.virtual_log import LogFleet
+
+    return LogFleet(layout, seed)
+
+
+async def play(stage, mechanism, seed, durations, tell):
+    """One run on a stage; its row."""
+    async with stage:
+        phases = await Scenario(stage, seed, durations, tell).run()
+        state = stage.state()
+    return {
+        "kind": stage.kind,
+        "mechanism": mechanism,
+        "scenario": "phases",
+        "routers": stage.layout.routers,
+        "sites": sum(site.routers > 0 for site in stage.layout.sites),
+        "seed": seed,
+        "loss": stage.layout.capacity.loss,
+        "date": datetime.datetime.now(datetime.timezone.utc).strftime("%Y-%m-%d %H:%M UTC"),
+        "command": "python -m benchmarks.capacity " + " ".join(sys.argv[1:]),
+        "revision": results.revision(),
+        "machine_load": round(os.getloadavg()[0], 1),
+        "state": state,
+        "phases": phases,
+    }
+
+
+async def play_on_sockets(plan, layout, seed, mechanism, durations):
+    """One run on sockets."""
+    return await play(SocketStage(layout, seed, mechanism, plan.tell), mechanism, seed, durations, plan.tell)
+
+
+def play_virtually(job):
+    """One run in virtual time; also called in a process of its own."""
+    gc.disable()  # a collection would count for whichever router happens to run
+    layout = read_layout(job.file, job.routers, job.loss)
+    stage = VirtualStage(virtual_fleet(layout, job.seed, job.mechanism))
+    return asyncio.run(play(stage, job.mechanism, job.seed, job.durations, lambda line: None))
+
+
+async def play_jobs(plan, jobs, keep=lambda rows: None):
+    """Virtual runs, a few at a time; rows in the order of the jobs."""
+    loop, rows = asyncio.get_running_loop(), []
+    with ProcessPoolExecutor(VIRTUAL_AT_ONCE, max_tasks_per_child=1, mp_context=SPAWN) as pool:
+        for done in asyncio.as_completed([loop.run_in_executor(pool, play_virtually, job) for job in jobs]):
+            row = await done
+            plan.tell(f"virtual, {row['mechanism']}, {row['routers']} routers, seed {row['seed']}: done")
+            keep([row])
+            rows.append(row)
+    return rows
+
+
+def last_line(plan, rows, routers):
+    """The JSON object of a command."""
+    known = mechanisms()
+    return results.last_line(rows, routers, plan.seed, plan.layout.capacity.loss, known[0], known[-1])
+
+
+async def single_run(plan, given):
+    """One size on sockets, or in virtual time, with the mechanism before and the one as it is."""
+    rows = []
+    for mechanism in mechanisms():
+        if given.virtual:
+            job = VirtualJob(plan.file, plan.layout.routers, plan.seed, plan.loss, mechanism, FULL)
+            rows += await play_jobs(plan, [job])
+        elif plan.layout.routers <= LARGEST_ON_SOCKETS[mechanism]:
+            rows.append(await play_on_sockets(plan, plan.layout, plan.seed, mechanism, FULL))
+        else:
+            plan.tell(
+                f"{mechanism}: {plan.layout.routers} routers are more than a machine carries on sockets"
+            )
+    return last_line(plan, rows, plan.layout.routers)
+
+
+async def short_run(plan, given):
+    """Under a minute: a small fleet on sockets, two sizes in virtual time."""
+    known = mechanisms()
+    sizes = (given.routers,) if given.routers else SHORT_VIRTUAL
+    jobs = [
+        VirtualJob(plan.file, size, plan.seed, plan.loss, mechanism, SHORT)
+        for size in reversed(sizes)
+        for mechanism in known
+    ]
+    rows = await play_jobs(plan, jobs)
+    small = Layout(plan.layout.capacity, min(SHORT_SOCKETS, *sizes))
+    rows.append(await play_on_sockets(plan, small, plan.seed, known[-1], SHORT))
+    return last_line(plan, rows, max(sizes))
+
+
+async def long_run(plan, given):
+    """All sizes and seeds, or the size that --routers names; each row is kept as soon as it is there."""
+    seeds, sizes = SEEDS, (given.routers,) if given.routers else SIZES
+
+    def keep(rows):
+        results.keep(rows, given.keep + ".json")
+
+    for mechanism in mechanisms():
+        for size in sizes:
+            layout = Layout(plan.layout.capacity, size)
+            for seed in seeds if size <= LARGEST_ON_SOCKETS[mechanism] else ():
+                keep([await play_on_sockets(plan, layout, seed, mechanism, FULL)])
+        jobs = [
+            VirtualJob(plan.file, size, seed, plan.loss, mechanism, STANDARD)
+            for size in sizes
+            for seed in seeds
+        ]
+        await play_jobs(plan, jobs, keep)
+    return last_line(plan, results.load(given.keep + ".json"), max(sizes))
--- a/brookhinge/standin/capacity/virtual.py
+++ b/brookhinge/standin/capacity/virtual.py
@@ -181,6 +181,10 @@
         for endpoint in self.endpoints:
             endpoint.plan(endpoint.next_at())
 
+    def leave(self):
+        """Tells its peers that it goes."""
+        self.peer.core.leave(self.fleet.network.now, self.peer)
+
     def kill(self):
         """Ends without a word."""
         self.processor_before_s = self.processor_s()
@@ -272,11 +276,29 @@
         for router in self.routers.values():
             router.links.cut(cuts)
 
-    def restart(self, name):
-        """A router starts anew without a word of leaving."""
+    def drain(self, server, name):
+        """A router's command channel tells of a drain."""
+        router = self.routers[name]
+        if router.started_at is not None:
+            router.peer.spread("draining", server, BORN_MS + round(1000 * self.network.now))
+
+    def kill(self, name):
+        """A router ends without a word."""
         router = self.routers[name]
         if router.started_at is not None:
             router.kill()
+
+    def known_members(self):
+        """Router that is up -> how many it believes alive or suspects."""
+        up = [router for router in self.routers.values() if router.started_at is not None]
+        return {router.name: len(router.peer.core.view.living()) for router in up}
+
+    def restart(self, name, graceful=False):
+        """A router starts anew, after a word of leaving if graceful."""
+        router = self.routers[name]
+        if router.started_at is not None and graceful:
+            router.leave()
+        self.kill(name)
         router.start(self.join_addresses())
         router.begin()
 
--- a/brookhinge/standin/capacity/worker.py
+++ b/brookhinge/standin/capacity/worker.py
@@ -143,7 +143,8 @@
     def restarted(self, task):
         """A restart that failed ends the process with its reason."""
         self.tasks.discard(task)
-        task.result()
+        if not task.cancelled():
+            task.result()
 
     def sample(self, _):
         """Counters up to now."""
