--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -2,7 +2,7 @@
 
     python -m benchmarks.fleet_view --keep benchmarks/results/fleet_view
 
-In virtual time (simulated): the daemon's own fellows on a network that loses datagrams, 2 ms apart; beside them all-to-all
+In virtual time (simulated): the daemon's own peers on a network that loses datagrams, 2 ms apart; beside them all-to-all
 heartbeats on the same network. Then real routers as processes on loopback, the same figures. Seconds, bytes a member a
 second; a fleet knows when 99% of those who live do. Last line: one JSON object."""
 
@@ -17,8 +17,8 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from benchmarks import kept
-from brookhinge.membership.fellow import Fellow
-from brookhinge.membership.post import Post
+from brookhinge.membership.codec import Codec
+from brookhinge.membership.peer import Peer
 from brookhinge.membership.view import ALIVE, LOST, SUSPECTED
 from brookhinge.standin.rig import Rig
 from brookhinge.standin.virtual import Net
@@ -27,7 +27,7 @@
 
 
 def state_of(host, name):
-    v = host.fellow.view
+    v = host.peer.view
     i = v.index.get(name)
     return None if i is None else v.state[i]
 
@@ -69,9 +69,11 @@
     before = sum(h.bytes for h in net.hosts.values())
     net.run(10.0)
     told["bytes_s"] = (sum(h.bytes for h in net.hosts.values()) - before) / count / 10.0
-    net.hosts[2].fellow.spread(net.now, "draining", ("s-1", 5), net.hosts[2])
-    word = ("draining", "s-1", 5)
-    told["drain_first"], told["drain_most"] = first_and_most(net, lambda h: h.n == 2 or word in h.words, 10.0)
+    net.hosts[2].peer.spread(net.now, "draining", ("s-1", 5), net.hosts[2])
+    notice = ("draining", "s-1", 5)
+    told["drain_first"], told["drain_most"] = first_and_most(
+        net, lambda h: h.n == 2 or notice in h.notices, 10.0
+    )
     net.kill(5)
     told["crash_first"], told["crash_most"] = first_and_most(net, lambda h: state_of(h, "n5") == LOST, 60.0)
     net.add(count + 1)
@@ -113,17 +115,17 @@
 
 
 class Timed:
-    """A fellow's writer that makes datagrams as the daemon does."""
+    """A peer's writer that makes datagrams as the daemon does."""
 
-    def __init__(self, host, post):
-        self.host, self.post = host, post
+    def __init__(self, host, codec):
+        self.host, self.codec = host, codec
 
-    def send(self, address, method, values, news, words):
-        v = self.host.fellow.view
-        self.post.write(
-            v.claim(v.index[self.host.name], self.host.net.now), v.digest(), method, values, news, words
+    def send(self, address, method, values, news, notices):
+        v = self.host.peer.view
+        self.codec.write(
+            v.claim(v.index[self.host.name], self.host.net.now), v.digest(), method, values, news, notices
         )
-        self.host.send(address, method, values, news, words)
+        self.host.send(address, method, values, news, notices)
 
     def __getattr__(self, name):
         return getattr(self.host, name)
@@ -132,27 +134,27 @@
 def cost(count, seconds):
     """One member among so many: the part of a core that datagrams and rounds take, and KB that its view holds."""
     net, key = fleet(1, count, 0.0), b"k" * 16
-    host, posts = net.hosts[1], {}
-    mine = Timed(host, Post("s", key))
-    fellow, total = host.fellow, [0.0]
-    round_ = fellow.round
+    host, codecs = net.hosts[1], {}
+    mine = Timed(host, Codec("s", key))
+    peer, total = host.peer, [0.0]
+    round_ = peer.round
 
     def timed(now, inbox, writer):
         wires = [
-            posts.setdefault(m[0][1], Post("s", key)).write(m[0], m[1], m[4], m[5], list(m[2]), list(m[3]))
+            codecs.setdefault(m[0][1], Codec("s", key)).write(m[0], m[1], m[4], m[5], list(m[2]), list(m[3]))
             for m in inbox
         ]
         began = time.process_time()
-        round_(now, [m for m in map(mine.post.read, wires) if m is not None], mine)
+        round_(now, [m for m in map(mine.codec.read, wires) if m is not None], mine)
         total[0] += time.process_time() - began
 
-    fellow.round = timed
+    peer.round = timed
     net.run(seconds)
-    del fellow.round
+    del peer.round
     tracemalloc.start()
-    held = Fellow("n0", ("10.0.0.1", 9999), "z", 1, 1, [], random.Random(1), 0.0)
+    held = Peer("n0", ("10.0.0.1", 9999), "z", 1, 1, [], random.Random(1), 0.0)
     for n, other in net.hosts.items():
-        v = other.fellow.view
+        v = other.peer.view
         held.round(0.0, [(v.claim(v.index[other.name], 0.0), 0, (), (), "tell", ())], mine)
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
@@ -201,7 +203,7 @@
             began = time.time()
             await asyncio.sleep(2.0)
             took = sorted(
-                line["at"] - began for name in rig.names if name != "n2" for line in rig.log(name, "heard")
+                line["at"] - began for name in rig.names if name != "n2" for line in rig.log(name, "notice")
             )
             told["drain_first"], told["drain_most"] = (
                 (took[0], took[int(0.99 * (len(took) - 1))]) if took else (9, 9)
--- a/brookhinge/cli/__init__.py
+++ b/brookhinge/cli/__init__.py
@@ -10,7 +10,7 @@
     "box": ("brookhinge.cli.box", "A cache server on the two-tier store."),
     "ask": ("brookhinge.cli.ask", "Asks a router for an object, and comes back when told."),
     "explain": ("brookhinge.cli.explain", "Tells the storms in a router's log as a story."),
-    "fleet": ("brookhinge.cli.fleet", "What a router believes of its fellows: show, watch."),
+    "fleet": ("brookhinge.cli.fleet", "What a router believes of its peers: show, watch."),
     "keep": ("brookhinge.cli.keep", "Keeps one place's routers running, and changes them when told."),
     "roll": (
         "brookhinge.cli.roll",
--- a/brookhinge/cli/fleet.py
+++ b/brookhinge/cli/fleet.py
@@ -39,7 +39,7 @@
 
 @click.group("fleet")
 def command():
-    """What a router believes of its fellows."""
+    """What a router believes of its peers."""
 
 
 @command.command("show")
--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -766,7 +766,7 @@
         track = self.tracks[q.track]
         return track.contract_s + track.stretch * (q.expect or q.doc.best or self.sending[q.track])
 
-    def fellows(self, here, everywhere):    # so many share the limits from here on, where they tell it
+    def peers(self, here, everywhere):    # so many share the limits from here on, where they tell it
         self.cold["cache"].routers, self.cold["parent"].routers = here, everywhere
         self.crowding.routers = self.among = here
 
--- a/brookhinge/engine/__init__.py
+++ b/brookhinge/engine/__init__.py
@@ -6,4 +6,4 @@
     phases.py     starting, ready, leaving, finishing, ended
     log.py        one JSON line an event
 
-Fronts, upstreams and talk among fellows join it; it imports none of them. Times are seconds since the start."""
+Fronts, upstreams and talk among peers join it; it imports none of them. Times are seconds since the start."""
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -3,9 +3,9 @@
 Events and effects are (method, values). The reducer holds the Router, runs one round of it a loop pass and is
 its writer: decisions become effects. Times are seconds since the start. It knows nothing of any wire.
 
-Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected, among fellows
-also heard, fellows, parts, verdicts and remember.
-Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say; among fellows also spread.
+Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected, among peers
+also notice, peers, parts, verdicts and remember.
+Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say; among peers also spread.
 """
 
 import heapq
@@ -310,16 +310,16 @@
             seen.add(server)
             row = server, health, weight, born, cell, kind, self.zones.get(zone, -1)
             if self.tight is not None:
-                row, word = self.tight.told(row)
-                if word is not None:
-                    self.effects.append(("spread", word))
+                row, notice = self.tight.receive_row(row)
+                if notice is not None:
+                    self.effects.append(("spread", notice))
             rows.append(row)
             self.redial(server, (address, born) if row[1] != "gone" else None)
         if complete:
             for server in [s for s in self.dials if s not in seen]:
                 self.redial(server, None)
             if self.tight is not None:
-                self.effects += [("spread", word) for word in self.tight.absent(seen)]
+                self.effects += [("spread", notice) for notice in self.tight.absent(seen)]
         self.inbox.append(("roster", ("full" if complete else "changes", rows)))
 
     def redial(self, server, dial):
@@ -342,8 +342,8 @@
                     return
             self.inbox.append(("purged", (group, max(0.0, self.now - moment), key)))
 
-    def heard(self, kind, values):
-        """A fellow's word. It can only tighten, and binds in this very pass."""
+    def notice(self, kind, values):
+        """A peer's notice. It can only tighten, and binds in this very pass."""
         if kind == "purge":
             group, key, stamp = values
             if self.tight.purge_is_new(group, key, stamp):
@@ -351,16 +351,16 @@
                     ("purged", (group, max(0.0, self.now - stamp / 1000.0 + self.tight.start), key))
                 )
             return
-        row = self.tight.hear((kind, *values))
+        row = self.tight.receive_notice((kind, *values))
         if row is not None:
             if row[1] == "gone":
                 self.redial(row[0], None)
             self.inbox.append(("roster", ("changes", [row])))
-            self.effects.append(("say", ("heard", {"server": row[0], "health": row[1]})))
+            self.effects.append(("say", ("notice", {"server": row[0], "health": row[1]})))
 
-    def fellows(self, here, all_):
+    def peers(self, here, all_):
         """By how many routers this place's limits and the whole fleet's are divided from here on."""
-        self.inbox.append(("fellows", (here, all_)))
+        self.inbox.append(("peers", (here, all_)))
 
     def parts(self, rows):
         """What this router may use of limits that the fleet shares: (kind, server, start in ms, part or None) each."""
@@ -388,7 +388,7 @@
         self.inbox.append(("verdicts", (told,)))
 
     def remember(self, rows):
-        """What a fellow knows that has run for longer."""
+        """What a peer knows that has run for longer."""
         self.inbox.append(("remember", (rows,)))
         self.effects.append(("say", ("remembered", {"rows": len(rows)})))
 
@@ -473,9 +473,9 @@
             if q.beside is None:
                 self.lineage.ended(self.now, query, how)
             else:
-                fellows = self.waiting.get(q.beside, [])
-                if query in fellows:
-                    fellows.remove(query)
+                peers = self.waiting.get(q.beside, [])
+                if query in peers:
+                    peers.remove(query)
             for other in self.waiting.pop(query, ()):
                 if other in self.queries:
                     self.on_its_own(other)
--- a/brookhinge/limits/terms.py
+++ b/brookhinge/limits/terms.py
@@ -7,7 +7,7 @@
 LEAST = (
     0.5  # of its own part a holder never gives away: a process that takes its name's place may use so much
 )
-SILENT = 1.0  # a process that has just started uses nothing of its own: its fellows have to hear of it first
+SILENT = 1.0  # a process that has just started uses nothing of its own: its peers have to hear of it first
 START = TERM * (1.0 + DRIFT) + SILENT  # and only the least until what a predecessor gave away has ended
 HEAD = 1.25  # a holder keeps, or asks for, so many times what was asked of it lately
 FADE = 5.0  # over which that is averaged: a router with few queries is asked in lumps
--- a/brookhinge/membership/__init__.py
+++ b/brookhinge/membership/__init__.py
@@ -2,10 +2,10 @@
 docs/design/membership.md.
 
     view.py     what is known of each router, and which of two claims about it holds
-    fellow.py   the protocol of one router: round(now, inbox, writer), no I/O, no clock, no chance of its own
+    peer.py     the protocol of one router: round(now, inbox, writer), no I/O, no clock, no chance of its own
     counting.py by how many a limit of the whole fleet is divided
-    post.py     datagrams: keyed checksum, guard against replays, bytes to calls and back
-    talk.py     joins a fellow to UDP on an asyncio loop
+    codec.py    datagrams: keyed checksum, guard against replays, bytes to calls and back
+    talk.py     joins a peer to UDP on an asyncio loop
 
 Times are float seconds of one monotonic clock per process; no moment of another process's clock is ever compared.
 After SWIM (Das, Gupta, Motivala, DSN 2002) and Lifeguard (Dadgar, Phillips, Currey, DSN-W 2018)."""
--- a/brookhinge/membership/codec.py
+++ b/brookhinge/membership/codec.py
@@ -1,10 +1,10 @@
-"""Datagrams of fellows: bytes to calls and back, keyed, guarded against replays. No I/O.
+"""Datagrams of peers: bytes to calls and back, keyed, guarded against replays. No I/O.
 
     datagram   = checksum (16 bytes: BLAKE2b keyed with the fleet's key, over the rest) + MessagePack array
     array      = [form, site, sequence, claim, version, call, news, rest]
     call       = [0], or a probe: [1, nonce, uid, incarnation, state], or its answer: [2, nonce]
     news       = claims about others
-    rest       = [digest, words, method, values], MessagePack in turn: a reader of another version stops before it
+    rest       = [digest, notices, method, values], MessagePack in turn: a reader of another version stops before it
 
 `form` stays 1 for good: any version reads who sent a datagram, at which version it speaks, what it claims of others, and
 answers its probes; so routers of two versions hold one view and don't take each other for dead. Lengths are bounded
@@ -35,14 +35,14 @@
     "recall": 2,
     "memory": 2,
 }
-MAIL = (
+CORE_METHODS = (
     "want",
     "lend",
     "evidence",
     "table",
     "recall",
     "memory",
-)  # of cores beside the fellow: rows stand in the place of words
+)  # of the cores that share the socket: rows stand in the place of notices
 
 Claim = tuple[str, int, int, int, int, str, int, str, int, float]
 Head = tuple[int, str, int, Claim, int, list[int], list[Claim], bytes]
@@ -73,7 +73,7 @@
         return new
 
 
-class Post:
+class Codec:
     """What one router writes and reads. counts: why datagrams were dropped."""
 
     def __init__(self, site, key):
@@ -82,7 +82,7 @@
             ("sent", "taken", "torn", "forged", "again", "other_site", "unread", "foreign", "too_long"), 0
         )
 
-    def write(self, claim, digest, method, values, news, words):
+    def write(self, claim, digest, method, values, news, notices):
         """One datagram, or None if it would be too long (news are left out before it is given up)."""
         while True:
             probe = method in PROBES
@@ -95,21 +95,21 @@
                     VERSION,
                     (PROBES[method], *values) if probe else (0,),
                     news,
-                    pack.encode((digest, words, method, () if probe else values)),
+                    pack.encode((digest, notices, method, () if probe else values)),
                 )
             )
             if len(body) + 16 <= MOST_BYTES:
                 break
-            if not news and not words:
+            if not news and not notices:
                 self.counts["too_long"] += 1
                 return None
-            news, words = (news[:-1], words) if news else (news, words[:-1])
+            news, notices = (news[:-1], notices) if news else (news, notices[:-1])
         self.sequence += 1
         self.counts["sent"] += 1
         return hashlib.blake2b(body, digest_size=16, key=self.key).digest() + body
 
     def read(self, data):
-        """A message for Fellow.round, or None. Of another version: what its sender claims, and nothing else."""
+        """A message for Peer.round, or None. Of another version: what its sender claims, and nothing else."""
         why, message = self.look(data)
         self.counts[why] += 1
         return message
@@ -133,18 +133,18 @@
                 if probe is not None and len(call) != METHODS[probe] + 1:
                     return "unread", None
                 return "foreign", (claim, 0, tuple(news), (), probe or "foreign", tuple(call[1:]))
-            digest, words, method, values = rest.decode(inner)
+            digest, notices, method, values = rest.decode(inner)
             if probe is not None:
                 method, values = probe, call[1:]
         except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
             return "unread", None
         if (
             METHODS.get(method) != len(values)
-            or not all(simple(word) for word in words)
+            or not all(simple(notice) for notice in notices)
             or not fits(method, values)
         ):
             return "unread", None
-        return "taken", (claim, digest, tuple(news), tuple(words), method, tuple(values))
+        return "taken", (claim, digest, tuple(news), tuple(notices), method, tuple(values))
 
 
 def sound(claim):
@@ -160,14 +160,14 @@
     )
 
 
-def simple(word):
-    """A word is a short row of texts and numbers."""
+def simple(notice):
+    """A notice is a short row of texts and numbers."""
     return (
-        0 < len(word) <= 8
-        and isinstance(word[0], str)
+        0 < len(notice) <= 8
+        and isinstance(notice[0], str)
         and all(
             isinstance(part, (int, float)) or isinstance(part, str) and len(part) <= MOST_TEXT
-            for part in word
+            for part in notice
         )
     )
 
--- a/brookhinge/membership/counting.py
+++ b/brookhinge/membership/counting.py
@@ -4,16 +4,16 @@
 from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED
 
 
-def sharers(view, now, lease_s, told, zone=None):
+def sharers(view, now, lease_s, configured, zone=None):
     """Routers that may be using a share of a limit now.
 
-    told     as many as the settings say there are: those not heard of yet may be there unseen
-    lease_s  how long a router goes on using a figure once it can't hear the others
-    zone     where one place's limit is meant: those that stand there; else all
+    configured  as many as the settings say there are: those not known yet may be there unseen
+    lease_s     how long a router goes on using a figure once it receives nothing from the others
+    zone        where one place's limit is meant: those that stand there; else all
 
     Who is alive or suspected counts. Who was lost counts until `lease_s` after it was last believed alive: it may only
-    be cut off. So does a process that was replaced under its name without a word of leaving. Below what the settings
-    tell, only a word of leaving frees a share: two sides of a cut that each gave the other up would together use twice
+    be cut off. So does a process that was replaced under its name without a claim of leaving. Below what the settings
+    tell, only a claim of leaving frees a share: two sides of a cut that each gave the other up would together use twice
     the whole."""
     using = sum(now - at < lease_s and zone in (None, there) for at, there in view.ghosts)
     left = 0
@@ -22,4 +22,4 @@
             continue
         using += state in (ALIVE, SUSPECTED) or state == LOST and now - since < lease_s
         left += state == LEFT
-    return max(using, told - left, 1)
+    return max(using, configured - left, 1)
--- a/brookhinge/membership/look.py
+++ b/brookhinge/membership/look.py
@@ -4,39 +4,39 @@
 import random
 import time
 
-from brookhinge.membership.post import Post
+from brookhinge.membership.codec import Codec
 
 TRIES, WAIT_S = 4, 0.4
 MEMBERS, LIMITS, VERDICTS = range(3)  # what can be asked for
 
 
 class Onlooker(asyncio.DatagramProtocol):
-    def __init__(self, post):
-        self.post, self.answers = post, asyncio.Queue()
+    def __init__(self, codec):
+        self.codec, self.answers = codec, asyncio.Queue()
 
     def datagram_received(self, data, address):
-        message = self.post.read(data)
+        message = self.codec.read(data)
         if message is not None and message[4] == "seen":
             self.answers.put_nowait(message)
 
 
 async def look(address, site, key, what=MEMBERS):
     """(rows, digest) of the router that listens at address, in order; None if nothing answers. Rows of members: (member,
-    state, seconds since, by whose word, zone, address); of limits and verdicts as their cores' `shown` says. A view that
+    state, seconds since, by whose claim, zone, address); of limits and verdicts as their cores' `shown` says. A view that
     changes while it is read is read again."""
     uid = random.getrandbits(62)
-    post = Post(site, key)
+    codec = Codec(site, key)
     transport, onlooker = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: Onlooker(post), remote_addr=address
+        lambda: Onlooker(codec), remote_addr=address
     )
     me = ("?", uid, 0, 0, 0, *transport.get_extra_info("sockname")[:2], "", 1, 0.0)
     rows, tries, digest = [], 0, None
     try:
         while tries < TRIES:
-            transport.sendto(post.write(me, 0, "look", (len(rows), what), [], []))
+            transport.sendto(codec.write(me, 0, "look", (len(rows), what), [], []))
             end = time.monotonic() + WAIT_S
             try:
-                _, seen, _, words, _, (at, total) = await asyncio.wait_for(
+                _, seen, _, shown, _, (at, total) = await asyncio.wait_for(
                     onlooker.answers.get(), max(0.01, end - time.monotonic())
                 )
             except asyncio.TimeoutError:
@@ -47,7 +47,7 @@
                 continue
             digest = seen
             if at == len(rows):
-                rows += words
+                rows += shown
             if len(rows) >= total:
                 return sorted(rows), digest
         return None
--- a/brookhinge/membership/memory.py
+++ b/brookhinge/membership/memory.py
@@ -1,10 +1,10 @@
-"""What a router that has just started is told by a fellow of its place: sub-ranges of the beacon rings, what queries take, and
+"""What a router that has just started is told by a peer of its place: sub-ranges of the beacon rings, what queries take, and
 which caches hold what is asked for most. No I/O, no clock. It loosens nothing: a cache is asked for what it holds with the
 oldest copy that will do as ever, and a wrong hint costs a miss.
 
     memory.round(now, inbox, writer)
     known()                             rows of what this router knows: (kind, text, number, text, number, number) each
-    writer.event_of("remember", rows)   what a fellow knows, in pieces"""
+    writer.event_of("remember", rows)   what a peer knows, in pieces"""
 
 import xxhash
 
@@ -39,10 +39,10 @@
             self.ask(now, writer)
 
     def ask(self, now, writer):
-        """One fellow after another, until one answers; whoever has nobody to ask has begun with the others."""
+        """One peer after another, until one answers; whoever has nobody to ask has begun with the others."""
         self.at = now + AGAIN_S
         v = self.view
-        fellows = [
+        peers = [
             i
             for i in range(len(v.names))
             if v.state[i] == ALIVE
@@ -53,10 +53,8 @@
         self.tries += 1
         if self.tries > TRIES:
             self.done = True
-        elif fellows:
-            order = sorted(
-                fellows, key=lambda i: xxhash.xxh64_intdigest(f"{self.name} {v.names[i]}".encode())
-            )
+        elif peers:
+            order = sorted(peers, key=lambda i: xxhash.xxh64_intdigest(f"{self.name} {v.names[i]}".encode()))
             writer.post_to(order[self.tries % len(order)], "recall", (0, 0), [])
 
     def tell(self, now, writer):
@@ -64,7 +62,7 @@
 
 
 class Remembering:
-    """Goes before Router: beside its calls it takes `remember`, and `memory()` tells what a fellow may want."""
+    """Goes before Router: beside its calls it takes `remember`, and `memory()` tells what a peer may want."""
 
     def memory(self):
         rows = [
--- a/brookhinge/membership/metrics.py
+++ b/brookhinge/membership/metrics.py
@@ -10,7 +10,7 @@
         self.talk = talk
 
     def collect(self):
-        talk, states = self.talk, list(self.talk.fellow.view.state)
+        talk, states = self.talk, list(self.talk.peer.view.state)
         members = GaugeMetricFamily(
             "brookhinge_fleet_members", "routers by what is believed of them", labels=["state"]
         )
@@ -26,13 +26,13 @@
         yield GaugeMetricFamily(
             "brookhinge_fleet_local_health",
             "0: probes come back; up to 8: this router is slow or its link is",
-            talk.fellow.health,
+            talk.peer.health,
         )
         yield GaugeMetricFamily(
-            "brookhinge_fleet_out", "1: an older process holds this router's name", int(talk.fellow.out)
+            "brookhinge_fleet_out", "1: an older process holds this router's name", int(talk.peer.out)
         )
         for name, told, help_ in (
-            ("datagrams", talk.post.counts, "sent, taken, or why one was dropped"),
+            ("datagrams", talk.codec.counts, "sent, taken, or why one was dropped"),
             ("changes", talk.changes, "of members, as in the log"),
         ):
             counts = CounterMetricFamily(f"brookhinge_fleet_{name}", help_, labels=["kind"])
--- a/brookhinge/membership/peer.py
+++ b/brookhinge/membership/peer.py
@@ -1,10 +1,10 @@
 """One router's part in the fleet's view: SWIM's probing and news, Lifeguard's local health, full exchange by buckets.
 
-    fellow.round(now, inbox, writer)     inbox: (sender's claim, digests, news, words, method, values), as post.py reads
-    writer.send(address, method, values, news, words)
-    writer.told(change, name, by)        joined, suspected, cleared, lost, back, left, restarted, moved, taken ...
-    writer.word(kind, values, by)        tightening news of the decisions, once each: see `spread`
-    fellow.next_at()                     when a round is due though nothing came
+    peer.round(now, inbox, writer)     inbox: (sender's claim, digests, news, notices, method, values), as codec.py reads
+    writer.send(address, method, values, news, notices)
+    writer.changed(change, name, by)        joined, suspected, cleared, lost, back, left, restarted, moved, taken ...
+    writer.notice(kind, values, by)        tightening news of the decisions, once each: see `spread`
+    peer.next_at()                     when a round is due though nothing came
 
 No I/O and no clock; chance is the caller's. Times are seconds of the caller's monotonic clock."""
 
@@ -12,10 +12,10 @@
 
 from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED, View
 
-NEWS, WORDS = 8, 6  # claims and words in one datagram: it stays under 1,400 bytes
-WORDS_KEPT, KEEP_S = 512, 30.0
-AGAIN = 2  # words of late that ride on a probe though they were told often enough
-HELPERS, EAGER = 3, 4  # who are asked to probe for another; to whom a word goes on at once
+NEWS, NOTICES = 8, 6  # claims and notices in one datagram: it stays under 1,400 bytes
+NOTICES_KEPT, NOTICE_KEPT_S = 512, 30.0
+REPEATED_NOTICES = 2  # notices of late that ride on a probe though they were told often enough
+HELPERS, EAGER = 3, 4  # who are asked to probe for another; to whom a notice goes on at once
 
 
 class Pace:
@@ -45,14 +45,14 @@
         return self.since + max(self.shortest, self.longest - (self.longest - self.shortest) * part)
 
 
-class Fellow:
+class Peer:
     def __init__(self, name, address, zone, version, born, seeds, chance, now):
         """born: milliseconds of the wall clock at the start; seeds: addresses to join by, any of which will do."""
         self.name, self.chance, self.seeds = name, chance, [s for s in seeds if s != address]
         self.uid, self.version = chance.getrandbits(62), version
         self.view = View(Pace.remember)
         self.view.take(now, (name, self.uid, born, born, ALIVE, *address, zone, version, 0.0), name)
-        self.suspicions, self.news, self.words, self.seen = {}, {}, {}, {}
+        self.suspicions, self.news, self.notices, self.seen = {}, {}, {}, {}
         self.health, self.order, self.probing, self.helping, self.nonce = 0, [], None, {}, 0
         self.last = now
         self.probe_at = now + Pace.probe * chance.random()
@@ -64,11 +64,11 @@
     # what others call
 
     def spread(self, now, kind, values, writer):
-        """Tells all fellows something that tightens a rule: a drain, a purge, a server gone."""
-        self.hear_word(now, (kind, *values), self.name, writer)
+        """Tells all peers something that tightens a rule: a drain, a purge, a server gone."""
+        self.receive_notice(now, (kind, *values), self.name, writer)
 
     def leave(self, now, writer):
-        """The word of leaving goes to as many as will carry it on."""
+        """The claim of leaving goes to as many as will carry it on."""
         me = self.view.index[self.name]
         name, uid, born, inc, _, *rest = self.view.claim(me, now)
         if not self.out:
@@ -78,7 +78,7 @@
         self.out = True
 
     def members(self):
-        """(name, state, since, by whose word, address, zone, version) of each."""
+        """(name, state, since, by whose claim, address, zone, version) of each."""
         v = self.view
         return list(zip(v.names, v.state, v.since, v.by, v.address, v.zone, v.version))
 
@@ -89,7 +89,7 @@
         times += [self.probing[3]] if self.probing else []
         times += [s.ends() for s in self.suspicions.values()]
         times += [until for _, _, until in self.helping.values()]
-        times += [self.gossip_at] if self.news or any(n for n, _, _ in self.words.values()) else []
+        times += [self.gossip_at] if self.news or any(n for n, _, _ in self.notices.values()) else []
         times += [self.seek_at] if self.alone() else []
         times += [self.contest[1]] if self.contest else []
         return min(times)
@@ -103,7 +103,7 @@
             self.woke(now, now - self.last)
         self.last = now
         for message in inbox:
-            self.hear(now, message, writer)
+            self.receive(now, message, writer)
             if self.out:
                 return
         self.contested(now, writer)
@@ -115,7 +115,9 @@
         if now >= self.forget_at:
             self.forget_at = now + 10.0
             self.forget(now)
-            self.words = {key: word for key, word in self.words.items() if now - word[1] < KEEP_S}
+            self.notices = {
+                key: notice for key, notice in self.notices.items() if now - notice[1] < NOTICE_KEPT_S
+            }
 
     def forget(self, now):
         """Who has been gone for long is dropped; places close up, and what is kept by place moves with them."""
@@ -143,15 +145,15 @@
         if self.contest:
             self.contest = (self.contest[0], self.contest[1] + gap, self.contest[2])
 
-    def hear(self, now, message, writer):
-        claim, digests, news, words, method, values = message
+    def receive(self, now, message, writer):
+        claim, digests, news, notices, method, values = message
         if claim[1] == self.uid:
             return
-        told = self.believe(now, claim, claim[0], writer)
+        change = self.believe(now, claim, claim[0], writer)
         for one in news:
             self.believe(now, one, claim[0], writer)
-        for word in words:
-            self.hear_word(now, word, claim[0], writer)
+        for notice in notices:
+            self.receive_notice(now, notice, claim[0], writer)
         if self.out:
             return
         i = self.view.index.get(claim[0])
@@ -170,7 +172,7 @@
             self.ping(i, 0, writer)
         elif self.view.state[i] != ALIVE and method != "tell":
             self.send(i, "tell", (), writer, [self.view.claim(i, now)])
-        if told in ("joined", "restarted", "back"):
+        if change in ("joined", "restarted", "back"):
             self.catch_up(now, i, foreign, writer)
         if method not in ("tell", "rows", "buckets") and not foreign:
             self.compare(now, i, digests, writer)
@@ -224,7 +226,7 @@
         if self.view.state[i] == SUSPECTED:
             self.suspicions[i] = Suspicion(now, by, len(self.view.names))
         if change != "renewed":
-            writer.told(change, name, by)
+            writer.changed(change, name, by)
         return change
 
     def denied(self, now, inc, state):
@@ -241,7 +243,7 @@
             self.news[me] = self.repeats()
 
     def call(self, now, i, state, writer):
-        """This router's own word that a member is suspected or lost."""
+        """This router's own claim that a member is suspected or lost."""
         claim = self.view.claim(i, now)
         self.believe(now, (*claim[:4], state, *claim[5:]), self.name, writer)
 
@@ -269,7 +271,7 @@
     def acked(self, nonce, writer):
         if self.contest and nonce == self.contest[0]:
             self.out = True
-            writer.told("taken", self.name, "%s:%d" % self.contest[2][5:7])
+            writer.changed("taken", self.name, "%s:%d" % self.contest[2][5:7])
         elif self.probing and nonce == self.probing[1]:
             self.probing, self.health = None, max(0, self.health - 1)
         elif nonce in self.helping:
@@ -341,7 +343,14 @@
             if v.version[i] != self.version
             else []
         )
-        self.send(i, "ping", (nonce, 0 if anybody else v.uid[i], v.inc[i], v.state[i]), writer, first, AGAIN)
+        self.send(
+            i,
+            "ping",
+            (nonce, 0 if anybody else v.uid[i], v.inc[i], v.state[i]),
+            writer,
+            first,
+            REPEATED_NOTICES,
+        )
 
     def next_probed(self):
         """Each in turn, in an order drawn anew each time all were probed."""
@@ -376,58 +385,58 @@
         return self.chance.sample(living, min(count, len(living)))
 
     def cargo(self, now, first=(), again=0):
-        """What rides along on a datagram: news and words told least often so far. again: so many words besides that have
-        been told often enough: who has not heard one by then would else never do."""
-        claims, words = list(first), []
+        """What rides along on a datagram: news and notices told least often so far. again: so many notices besides that have
+        been told often enough: who has not received one by then would else never do."""
+        claims, notices = list(first), []
         for i in sorted(self.news, key=self.news.get, reverse=True)[: NEWS - len(claims)]:
             self.news[i] -= 1
             if self.news[i] <= 0:
                 del self.news[i]
             claims.append(self.view.claim(i, now))
-        for key in sorted((k for k, w in self.words.items() if w[0] > 0), key=lambda k: -self.words[k][0])[
-            :WORDS
-        ]:
-            left, at, word = self.words[key]
-            self.words[key] = left - 1, at, word
-            words.append(word)
-        told = [word for left, _, word in self.words.values() if left <= 0]
-        words += self.chance.sample(told, min(again, len(told), WORDS - len(words)))
-        return claims, words
+        for key in sorted(
+            (k for k, w in self.notices.items() if w[0] > 0), key=lambda k: -self.notices[k][0]
+        )[:NOTICES]:
+            left, at, notice = self.notices[key]
+            self.notices[key] = left - 1, at, notice
+            notices.append(notice)
+        settled = [notice for left, _, notice in self.notices.values() if left <= 0]
+        notices += self.chance.sample(settled, min(again, len(settled), NOTICES - len(notices)))
+        return claims, notices
 
     def send(self, i, method, values, writer, first=(), again=0):
         writer.send(self.view.address[i], method, values, *self.cargo(self.last, first, again))
 
     def gossip(self, now, writer):
         self.gossip_at = now + Pace.gossip
-        if self.news or any(left > 0 for left, _, _ in self.words.values()):
+        if self.news or any(left > 0 for left, _, _ in self.notices.values()):
             for i in self.some(HELPERS):
                 self.send(i, "tell", (), writer)
 
-    def hear_word(self, now, word, by, writer):
-        """A word that tightens binds at once, is told once, and goes on at once."""
-        if word in self.seen:
+    def receive_notice(self, now, notice, by, writer):
+        """A notice that tightens binds at once, is told once, and goes on at once."""
+        if notice in self.seen:
             return
-        if len(self.words) >= WORDS_KEPT:
-            del self.words[next(iter(self.words))]
-        self.seen[word] = None
-        while len(self.seen) > 4 * WORDS_KEPT:
+        if len(self.notices) >= NOTICES_KEPT:
+            del self.notices[next(iter(self.notices))]
+        self.seen[notice] = None
+        while len(self.seen) > 4 * NOTICES_KEPT:
             del self.seen[next(iter(self.seen))]
-        self.words[word] = self.repeats(), now, word
+        self.notices[notice] = self.repeats(), now, notice
         if by != self.name:
-            writer.word(word[0], word[1:], by)
+            writer.notice(notice[0], notice[1:], by)
         for i in self.some(EAGER):
             self.send(i, "tell", (), writer)
 
     def catch_up(self, now, i, foreign, writer):
-        """Who has just come, or come back, has heard none of the words of late; of another version, it gets the view."""
+        """Who has just come, or come back, has received none of the notices of late; of another version, it gets the view."""
         if foreign:
             if now >= self.exchange_at:
                 self.exchange_at = now + Pace.exchange
                 self.rows(now, i, range(len(self.view.names)), writer)
             return
-        words = [word for _, _, word in self.words.values()]
-        for at in range(0, len(words), WORDS):
-            writer.send(self.view.address[i], "tell", (), [], words[at : at + WORDS])
+        notices = [notice for _, _, notice in self.notices.values()]
+        for at in range(0, len(notices), NOTICES):
+            writer.send(self.view.address[i], "tell", (), [], notices[at : at + NOTICES])
 
     # exchange
 
--- a/brookhinge/membership/talk.py
+++ b/brookhinge/membership/talk.py
@@ -1,4 +1,4 @@
-"""Joins a fellow to UDP on an asyncio loop. Decides nothing: datagrams in, rounds, datagrams out, changes to the log."""
+"""Joins a peer to UDP on an asyncio loop. Decides nothing: datagrams in, rounds, datagrams out, changes to the log."""
 
 import asyncio
 import collections
@@ -8,13 +8,13 @@
 import time
 
 from brookhinge.membership.counting import sharers
-from brookhinge.membership.fellow import Fellow
+from brookhinge.membership.codec import CORE_METHODS, VERSION, Codec
 from brookhinge.membership.look import MEMBERS
-from brookhinge.membership.post import MAIL, VERSION, Post
+from brookhinge.membership.peer import Peer
 from brookhinge.membership.view import STATES
 
 READ = 256  # datagrams of one pass of the loop that go into one round; the rest is the next one's
-LEAVING_S = 0.05  # after the word of leaving, so that it is out before the socket closes
+LEAVING_S = 0.05  # after the claim of leaving, so that it is out before the socket closes
 
 
 def steady():
@@ -23,35 +23,35 @@
 
 
 class Talk(asyncio.DatagramProtocol):
-    """One router among its fellows: `await start()`, `spread(kind, values)`, `await leave()`.
+    """One router among its peers: `await start()`, `spread(kind, values)`, `await leave()`.
 
     block    `fleet` of the operator's file: name, listen, join, site, key, zone, lease_s
-    sharers  how many routers the settings tell of: at this place, and in all
-    event    called with (method, values) for the reducer: `heard` and `fellows`
+    configured  how many routers the settings tell of: at this place, and in all
+    event    called with (method, values) for the reducer: `notice` and `peers`
     log      called as log(event, **values)
 
-    What else fellows talk about joins by `add`: a core with `methods`, round(now, inbox, writer), next_at(), and
+    What else peers talk about joins by `add`: a core with `methods`, round(now, inbox, writer), next_at(), and
     tell(now, writer), which is called before a round of the decisions once its `shrinks_at` is past."""
 
-    def __init__(self, block, seed, sharers_told, event, log):
+    def __init__(self, block, seed, configured, event, log):
         self.block, self.event, self.log, self.seed = block, event, log, seed
-        self.post, self.inbox, self.due, self.timer, self.transport = (
-            Post(block.site, block.key),
+        self.codec, self.inbox, self.due, self.timer, self.transport = (
+            Codec(block.site, block.key),
             [],
             False,
             None,
             None,
         )
-        self.makers, self.cores, self.mail = [], [], {}
+        self.makers, self.cores, self.core_of = [], [], {}
         self.changes, self.server = collections.Counter(), None
-        self.told_of, self.counted, self.count_at = sharers_told, sharers_told, 0.0
+        self.configured, self.counted, self.count_at = configured, configured, 0.0
 
     async def start(self):
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.block.listen)
         address = self.block.advertise or self.transport.get_extra_info("sockname")[:2]
         born = round(time.time() * 1000)  # two starts with one seed are two processes all the same
-        self.fellow = Fellow(
+        self.peer = Peer(
             self.block.name,
             address,
             self.block.zone,
@@ -73,22 +73,22 @@
             **({"metrics": self.server.server_port} if self.server else {}),
         )
         self.cores = [make(self, steady()) for make in self.makers]
-        self.mail = {method: core for core in self.cores for method in core.methods}
-        self.letters = {id(core): [] for core in self.cores}
+        self.core_of = {method: core for core in self.cores for method in core.methods}
+        self.core_inboxes = {id(core): [] for core in self.cores}
         self.turn()
         return address
 
     def datagram_received(self, data, address):
-        message = self.post.read(data)
+        message = self.codec.read(data)
         if message is None:
             return
         if message[0][0].startswith("?"):
             return self.shown(message, address)
         if len(self.inbox) < READ:
             claim, digest, news, rows, method, values = message
-            if method in MAIL:  # its sender is a member as any other, the rest is not the fellow's
-                if method in self.mail:
-                    self.letters[id(self.mail[method])].append((claim[1], method, values, rows))
+            if method in CORE_METHODS:  # its sender is a member as any other, the rest is not the peer's
+                if method in self.core_of:
+                    self.core_inboxes[id(self.core_of[method])].append((claim[1], method, values, rows))
                 message = claim, digest, news, (), "tell", ()
             self.inbox.append(message)
         if not self.due:
@@ -103,15 +103,15 @@
         self.due, inbox, self.inbox = False, self.inbox, []
         if self.transport is None or self.transport.is_closing():
             return
-        self.fellow.round(time.monotonic(), inbox, self)
+        self.peer.round(time.monotonic(), inbox, self)
         now = time.monotonic()
         if now >= self.count_at:
             self.count(now)
-        wait = self.fellow.next_at() - now
-        for core in self.cores if not self.fellow.out else ():
-            letters, self.letters[id(core)] = self.letters[id(core)], []
+        wait = self.peer.next_at() - now
+        for core in self.cores if not self.peer.out else ():
+            core_inbox, self.core_inboxes[id(core)] = self.core_inboxes[id(core)], []
             at = steady()
-            core.round(at, letters, self)
+            core.round(at, core_inbox, self)
             wait = min(wait, core.next_at() - at)
         if self.timer is not None:
             self.timer.cancel()
@@ -128,24 +128,24 @@
     def count(self, now):
         """How many share the limits, looked at after each change and each second."""
         self.count_at = now + 1.0
-        view, lease = self.fellow.view, self.block.lease_s
+        view, lease = self.peer.view, self.block.lease_s
         counted = (
-            sharers(view, now, lease, self.told_of[0], self.block.zone),
-            sharers(view, now, lease, self.told_of[1]),
+            sharers(view, now, lease, self.configured[0], self.block.zone),
+            sharers(view, now, lease, self.configured[1]),
         )
         if counted != self.counted:
             self.counted = counted
             self.log("fleet", change="sharers", here=counted[0], all=counted[1])
-            self.event("fellows", counted)
+            self.event("peers", counted)
 
     def spread(self, kind, *values):
-        self.fellow.spread(time.monotonic(), kind, values, self)
+        self.peer.spread(time.monotonic(), kind, values, self)
 
     async def leave(self):
-        """Tells the fellows that this router goes, and closes."""
+        """Tells the peers that this router goes, and closes."""
         if self.transport is None:  # it never got to join
             return
-        self.fellow.leave(time.monotonic(), self)
+        self.peer.leave(time.monotonic(), self)
         await asyncio.sleep(LEAVING_S)
         if self.timer is not None:
             self.timer.cancel()
@@ -158,7 +158,7 @@
         claim, _, _, _, method, values = message
         if method != "look":
             return
-        v, now, (at, what) = self.fellow.view, time.monotonic(), values
+        v, now, (at, what) = self.peer.view, time.monotonic(), values
         if what == MEMBERS:
             rows = [
                 (
@@ -173,8 +173,8 @@
             ]
         else:
             rows = next((core.shown(steady()) for core in self.cores if core.look == what), [])
-        data = self.post.write(
-            v.claim(v.index[self.fellow.name], now),
+        data = self.codec.write(
+            v.claim(v.index[self.peer.name], now),
             v.digest(),
             "seen",
             (at, len(rows)),
@@ -184,17 +184,17 @@
         if data is not None:
             self.transport.sendto(data, address)
 
-    # the fellow's writer
+    # the peer's writer
 
-    def send(self, address, method, values, news, words):
-        v = self.fellow.view
-        data = self.post.write(
-            v.claim(v.index[self.fellow.name], time.monotonic()), v.digest(), method, values, news, words
+    def send(self, address, method, values, news, notices):
+        v = self.peer.view
+        data = self.codec.write(
+            v.claim(v.index[self.peer.name], time.monotonic()), v.digest(), method, values, news, notices
         )
         if data is not None:
             self.transport.sendto(data, address)
 
-    def told(self, change, name, by):
+    def changed(self, change, name, by):
         self.count_at = 0.0
         self.changes[change] += 1
         if change == "taken":
@@ -206,19 +206,19 @@
                 why="an older process holds this name: this one stays out of the fleet",
             )
         else:
-            self.log("fleet", change=change, member=name, by=by, members=len(self.fellow.view.living()))
+            self.log("fleet", change=change, member=name, by=by, members=len(self.peer.view.living()))
 
-    def word(self, kind, values, by):
-        self.event("heard", (kind, values))
+    def notice(self, kind, values, by):
+        self.event("notice", (kind, values))
 
     # the cores' writer
 
     def add(self, make):
-        """make(talk, now): a core, made when the fellow is."""
+        """make(talk, now): a core, made when the peer is."""
         self.makers.append(make)
 
     def post_to(self, place, method, values, rows):
-        self.send(self.fellow.view.address[place], method, values, [], rows)
+        self.send(self.peer.view.address[place], method, values, [], rows)
 
     def event_of(self, method, *values):
         self.event(method, values)
--- a/brookhinge/membership/view.py
+++ b/brookhinge/membership/view.py
@@ -2,7 +2,7 @@
 
 A claim is (name, uid, born, inc, state, host, port, zone, version, age):
     uid      a process: drawn at its start        born   its start by its own wall clock, ms: tells the older of two
-    inc      raised by the process itself alone, over all it has heard under its name: the newer word about it wins
+    inc      raised by the process itself alone, over all it has received under its name: the newer claim about it wins
     age      seconds since it left or was lost; 0.0 else
 Claims merge in any order and any number to the same view: the properties in tests/membership hold it to that."""
 
@@ -34,7 +34,7 @@
             self.by,
         ) = self.arrays
         self.digests = [0] * BUCKETS
-        self.ghosts = []  # (when its process was last believed alive, its zone): replaced under its name unheard
+        self.ghosts = []  # (when its process was last believed alive, its zone): replaced under its name, no leave received
 
     def claim(self, i, now):
         gone = self.state[i] in (LOST, LEFT)
@@ -56,7 +56,7 @@
         return (inc, uid, state) > (self.inc[i], self.uid[i], self.state[i])
 
     def take(self, now, claim, by):
-        """Merges a claim heard from `by`; what changed, in a word, or None."""
+        """Merges a claim received from `by`; the name of the change, or None."""
         name, uid, born, inc, state, host, port, zone, version, age = claim
         if state in (LOST, LEFT) and age > self.remember_s:
             return None
@@ -68,11 +68,11 @@
             ):
                 array.append(value)
             self.mix(i)
-            return "heard of as " + STATES[state] if state in (LOST, LEFT) else "joined"
+            return "known as " + STATES[state] if state in (LOST, LEFT) else "joined"
         if not self.holds(i, uid, inc, state):
             return None
         old, other, moved = self.state[i], uid != self.uid[i], (host, port) != self.address[i]
-        if other and old in (ALIVE, SUSPECTED):  # nobody heard it leave: what it was lent may still be out
+        if other and old in (ALIVE, SUSPECTED):  # no leave was received: what it was lent may still be out
             self.ghosts.append((now, self.zone[i]))
         elif other and old == LOST:
             self.ghosts.append((self.since[i], self.zone[i]))
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -119,10 +119,10 @@
 
                 self.talk.add(
                     lambda talk, now: Limits(
-                        talk.fellow.view,
+                        talk.peer.view,
                         fleet.name,
                         fleet.zone,
-                        talk.fellow.version,
+                        talk.peer.version,
                         lambda: talk.counted,
                         self.reducer.demand,
                         now,
@@ -131,10 +131,10 @@
             if fleet.share_memory:
                 self.talk.add(
                     lambda talk, now: Memory(
-                        talk.fellow.view,
+                        talk.peer.view,
                         fleet.name,
                         fleet.zone,
-                        talk.fellow.version,
+                        talk.peer.version,
                         self.reducer.router.memory,
                         now,
                     )
@@ -145,10 +145,10 @@
                 own = self.reducer.router.fleet
                 self.talk.add(
                     lambda talk, now: Verdicts(
-                        talk.fellow.view,
+                        talk.peer.view,
                         fleet.name,
                         fleet.zone,
-                        talk.fellow.version,
+                        talk.peer.version,
                         lambda: talk.counted[0],
                         self.reducer.seen,
                         lambda: len(own.own),
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -40,20 +40,20 @@
 
 
 class Fleet(NamedTuple):
-    """One router among its fellows: see brookhinge/membership."""
+    """One router among its peers: see brookhinge/membership."""
 
     name: str
     listen: tuple  # UDP
-    advertise: tuple  # where fellows reach it, if that is elsewhere; else None
-    join: tuple  # addresses of fellows, any of which will do
-    site: str  # fellows of another site are not listened to
+    advertise: tuple  # where peers reach it, if that is elsewhere; else None
+    join: tuple  # addresses of peers, any of which will do
+    site: str  # peers of another site are not listened to
     key: bytes  # of the checksums of all datagrams; the same for the whole fleet
     zone: str  # where it stands
     lease_s: float  # how long a router that was lost still counts
     metrics: tuple  # HOST:PORT on which its figures are served, or None
     share_limits: bool  # parts of limits move to where the queries are: see brookhinge/limits
     share_memory: (
-        bool  # who starts is told by a fellow what that one knows: see brookhinge/membership/memory.py
+        bool  # who starts is told by a peer what that one knows: see brookhinge/membership/memory.py
     )
     share_verdicts: bool  # what all saw of a server counts: see brookhinge/verdicts
 
--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -39,7 +39,7 @@
 """
 OFF = "import time; real = time.time; time.time = lambda: real() + {off}"  # a wall clock that is off
 OTHER_VERSION = (
-    "import brookhinge.membership.post as post; post.VERSION = 2"  # a program that speaks other messages
+    "import brookhinge.membership.codec as codec; codec.VERSION = 2"  # a program that speaks other messages
 )
 MAIN = "; import sys; sys.argv = ['brookhinge']; from brookhinge.__main__ import main; sys.exit(main())"
 
@@ -50,7 +50,7 @@
 
 
 class Wire(asyncio.DatagramProtocol):
-    """The way to one router: fellows know it by this address."""
+    """The way to one router: peers know it by this address."""
 
     def __init__(self, wires, name):
         self.wires, self.name = wires, name
--- a/brookhinge/standin/script.py
+++ b/brookhinge/standin/script.py
@@ -153,7 +153,7 @@
                     "router": name,
                     "up": name in rig.processes,
                     **{state: states.count(state) for state in ("alive", "suspected", "lost", "left")},
-                    "drains heard": len(rig.log(name, "heard")),
+                    "drains heard": len(rig.log(name, "notice")),
                 }
             )
     return rows, good
--- a/brookhinge/standin/virtual.py
+++ b/brookhinge/standin/virtual.py
@@ -1,27 +1,27 @@
-"""Fellows of one fleet in virtual time on a network that loses, delays, doubles and cuts, all by one seed. The fellows
+"""Peers of one fleet in virtual time on a network that loses, delays, doubles and cuts, all by one seed. The peers
 are those of the daemon; only the clock and the wires are stood in for."""
 
 import heapq
 import random
 
-from brookhinge.membership.fellow import Fellow
-from brookhinge.membership.post import PROBES
+from brookhinge.membership.codec import PROBES
+from brookhinge.membership.peer import Peer
 from brookhinge.membership.view import ALIVE, SUSPECTED
 
 
 class Host:
-    """One process: its fellow, its writer, and what it was told."""
+    """One process: its peer, its writer, and what it received."""
 
     def __init__(self, net, n, name, version=1):
         self.net, self.n, self.name, self.up, self.frozen, self.starts = net, n, name, True, False, 0
         self.version = version
-        self.log, self.words, self.due, self.sent, self.bytes = [], {}, None, 0, 0
+        self.log, self.notices, self.due, self.sent, self.bytes = [], {}, None, 0, 0
         self.inbox = []
 
     def start(self, born, seeds, zone="z"):
         self.starts += 1
         self.up, self.frozen, self.due, self.inbox = True, False, None, []
-        self.fellow = Fellow(
+        self.peer = Peer(
             self.name,
             ("10.0.0.1", self.n),
             zone,
@@ -35,16 +35,16 @@
 
     # the writer
 
-    def send(self, address, method, values, news, words):
-        net, v = self.net, self.fellow.view
+    def send(self, address, method, values, news, notices):
+        net, v = self.net, self.peer.view
         me = v.index.get(self.name)
         self.sent += 1
-        self.bytes += 150 + 60 * len(news) + 40 * len(words) + (520 if method == "buckets" else 0)
+        self.bytes += 150 + 60 * len(news) + 40 * len(notices) + (520 if method == "buckets" else 0)
         to = net.hosts.get(address[1])
         if to is None or not to.up or net.cut(self.n, to.n) or net.chance.random() < net.loss:
             return
-        message = (v.claim(me, net.now), v.digest(), tuple(news), tuple(words), method, values)
-        if to.version != self.version:  # as post.py reads it there
+        message = (v.claim(me, net.now), v.digest(), tuple(news), tuple(notices), method, values)
+        if to.version != self.version:  # as codec.py reads it there
             message = (
                 message[0],
                 0,
@@ -55,11 +55,11 @@
         for _ in range(1 + (net.chance.random() < net.double)):
             net.push(net.now + net.delay * (0.5 + net.chance.random()), to, message)
 
-    def told(self, change, name, by):
+    def changed(self, change, name, by):
         self.log.append((self.net.now, change, name, by))
 
-    def word(self, kind, values, by):
-        self.words[(kind, *values)] = self.net.now
+    def notice(self, kind, values, by):
+        self.notices[(kind, *values)] = self.net.now
 
 
 class Net:
@@ -99,8 +99,8 @@
                 continue
             if message is None:
                 host.due = None
-            host.fellow.round(self.now, [message] if message else [], host)
-            self.plan(host, max(self.now, host.fellow.next_at()))
+            host.peer.round(self.now, [message] if message else [], host)
+            self.plan(host, max(self.now, host.peer.next_at()))
             if until and until():
                 return True
         self.now = end
@@ -113,19 +113,19 @@
         host = self.hosts[n]
         host.frozen, host.due = False, None
         inbox, host.inbox = host.inbox, []
-        host.fellow.round(self.now, inbox, host)
-        self.plan(host, max(self.now, host.fellow.next_at()))
+        host.peer.round(self.now, inbox, host)
+        self.plan(host, max(self.now, host.peer.next_at()))
 
     def kill(self, n):
         self.hosts[n].up = False
 
     def living(self):
-        return [h for h in self.hosts.values() if h.up and not h.frozen and not h.fellow.out]
+        return [h for h in self.hosts.values() if h.up and not h.frozen and not h.peer.out]
 
     def one_view(self):
         """Whether all that live hold just each other for living."""
         living = self.living()
         names = {h.name for h in living}
         return all(
-            {m for m, state, *_ in h.fellow.members() if state in (ALIVE, SUSPECTED)} == names for h in living
+            {m for m, state, *_ in h.peer.members() if state in (ALIVE, SUSPECTED)} == names for h in living
         )
--- a/brookhinge/verdicts/judge.py
+++ b/brookhinge/verdicts/judge.py
@@ -2,10 +2,10 @@
 
 One router's trouble is not a server's: who sees most servers fail speaks of itself. One router, whatever it says, condemns
 nobody: its tries count no more than the median witness's twice over, and three must have seen failures themselves (or all
-there are, but two at least). Not more than two in five servers rest for what fellows saw: then the cause lies elsewhere."""
+there are, but two at least). Not more than two in five servers rest for what peers saw: then the cause lies elsewhere."""
 
 BAD, WELL = 0.3, 0.1  # share of failures past which a server is at fault, under which it is well
-USUAL = 2.0  # and so many times the median of its fellows
+USUAL = 2.0  # and so many times the median of its peers
 WITNESSES, MOST = 3, 0.4
 TRIES = 6  # of all witnesses together, before anything is said
 OWN = 8  # tries of one's own that went well outweigh what others saw
@@ -62,12 +62,12 @@
 
 
 def outweighs(own):
-    """Whether what a router saw itself, (tries, failed), goes before what its fellows saw fail."""
+    """Whether what a router saw itself, (tries, failed), goes before what its peers saw fail."""
     return own[0] >= OWN and share(*own) < WELL
 
 
 def own_trouble(seen, me):
-    """Servers that this router alone sees fail while its fellows see them well: the fault lies on its own way there."""
+    """Servers that this router alone sees fail while its peers see them well: the fault lies on its own way there."""
     found = []
     for server, witnesses in seen.items():
         tries, failed = witnesses.get(me, (0, 0))
--- a/brookhinge/verdicts/shared.py
+++ b/brookhinge/verdicts/shared.py
@@ -1,4 +1,4 @@
-"""The decisions where verdicts are shared: tries and failures of caches are counted for the fellows, and what all saw comes
+"""The decisions where verdicts are shared: tries and failures of caches are counted for the peers, and what all saw comes
 in beside own experience. No I/O, no clock."""
 
 from brookhinge.decide import Health
@@ -15,20 +15,22 @@
     def __init__(self, chance):
         super().__init__()
         self.chance, self.counts, self.how, self.used = chance, {}, {}, {}
-        self.slow = False  # the answer that is judged came, late beside the fellows': that is each router's own measure
+        self.slow = (
+            False  # the answer that is judged came, late beside the peers': that is each router's own measure
+        )
 
-    def judge(self, c, now, failed, weight, fellows):
+    def judge(self, c, now, failed, weight, peers):
         tries, bad = self.counts.get(c, (0, 0.0))
         self.counts[c] = tries + 1, bad + (weight if failed and not self.slow else 0.0)
         if c in self.how:
             self.used[c] = self.how[c][1]  # one answer a turn
-        return super().judge(c, now, failed, weight, fellows)
+        return super().judge(c, now, failed, weight, peers)
 
     def told(self, c, how, now, until):
         if how == "well":
             self.how.pop(c, None)
             self.rest_until.pop(c, None)
-        elif how == "alone":  # nobody has seen anything of it lately: as without fellows
+        elif how == "alone":  # nobody has seen anything of it lately: as without peers
             self.how.pop(c, None)
             self.rest_until[c] = now
         else:
--- a/brookhinge/verdicts/verdicts.py
+++ b/brookhinge/verdicts/verdicts.py
@@ -57,7 +57,7 @@
     def next_at(self):
         return self.beat_at
 
-    def fellows(self):
+    def peers(self):
         v = self.view
         return [
             i
@@ -68,7 +68,7 @@
     def collector(self, server):
         text = "%s %d " % server
         return max(
-            self.fellows(),
+            self.peers(),
             default=None,
             key=lambda i: xxhash.xxh64_intdigest((text + self.view.names[i]).encode()),
         )
@@ -119,7 +119,7 @@
             totals[self.uid] = now, self.number, round(now * 1000), *mine[server]
         self.heard[server] = totals
         uids = sorted(totals, key=lambda uid: (-totals[uid][3], uid))[:KEPT]
-        places, tries = self.fellows(), sum(told[3] for told in totals.values())
+        places, tries = self.peers(), sum(told[3] for told in totals.values())
         until, count, before = self.pace.get(server, (0.0, 0, -1))
         if now >= until:
             count = min(len(places), 2 * count) if count and tries == before else 1
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -11,19 +11,19 @@
 #   listen = "127.0.0.1:9100"
 # }
 
-# A router among its fellows: `BROOKHINGE_FLEET=deploy/operator.hcl` beside BALANCER_CONFIG; the block of its own name
+# A router among its peers: `BROOKHINGE_FLEET=deploy/operator.hcl` beside BALANCER_CONFIG; the block of its own name
 # counts. See docs/operators/membership.md. The platform bars talk among routers: there it stays off.
 # fleet "n1" {
 #   listen  = "127.0.0.1:7301"                       # UDP
 #   join    = ["127.0.0.1:7301", "127.0.0.1:7302"]   # any of them will do; nobody there yet is no error
-#   site    = "tender-portal"                        # fellows of another site are not listened to
+#   site    = "tender-portal"                        # peers of another site are not listened to
 #   key     = "00112233445566778899aabbccddeeff"     # the same in the whole fleet: 32 to 128 hex digits
 #   zone    = "edge-1"
 #   lease_s = 10                                     # so long a lost router still counts in limits
 #   metrics = "127.0.0.1:9101"                       # figures of the fleet for Prometheus
 #   share_limits   = true                            # docs/operators/limits.md
 #   share_verdicts = true
-#   share_memory   = true                            # who starts is told what a fellow knows
+#   share_memory   = true                            # who starts is told what a peer knows
 # }
 
 # A cache box: `brookhinge box --file deploy/operator.hcl --name s-1`. See docs/operators/store.md.
--- a/tests/limits/test_bound.py
+++ b/tests/limits/test_bound.py
@@ -201,7 +201,7 @@
     assert world.members[1].part() > 0.35  # lent again by whoever keeps it now
 
 
-def test_without_any_fellow_that_answers_each_has_its_own_part_again():
+def test_without_any_peer_that_answers_each_has_its_own_part_again():
     world = lending()
     world.cut = lambda a, b: True
     world.run(TERM + 2.5, lambda: whole(world))  # what was said last has a second of life, a gift TERM
--- a/tests/membership/test_codec.py
+++ b/tests/membership/test_codec.py
@@ -4,21 +4,21 @@
 
 from hypothesis import given, settings, strategies as st
 
-from brookhinge.membership import post
-from brookhinge.membership.post import MOST_BYTES, Guard, Post
+from brookhinge.membership import codec
+from brookhinge.membership.codec import MOST_BYTES, Codec, Guard
 
 ME = ("n1", 7, 100, 100, 0, "127.0.0.1", 9000, "east", 1, 0.0)
 KEY = b"k" * 16
 
 
 def pair(key=KEY, site="s"):
-    return Post("s", KEY), Post(site, key)
+    return Codec("s", KEY), Codec(site, key)
 
 
 def test_read_as_written_and_once():
     a, b = pair()
-    words = [("drain", "s-1", 5)]
-    data = a.write(ME, 77, "ask", (1, "127.0.0.1", 9001, 3), [ME], words)
+    notices = [("drain", "s-1", 5)]
+    data = a.write(ME, 77, "ask", (1, "127.0.0.1", 9001, 3), [ME], notices)
     assert b.read(data) == (ME, 77, (ME,), (("drain", "s-1", 5),), "ask", (1, "127.0.0.1", 9001, 3))
     assert b.read(data) is None and b.counts["again"] == 1
 
@@ -40,8 +40,8 @@
     assert b.read(a.write(ME, 0, "ping", (1, 0, 0, 0), [], [])) is None and b.counts["other_site"] == 1
     a, b = pair()
     with monkeypatch.context() as later:
-        later.setattr(post, "VERSION", 2)
-        later.setattr(post, "METHODS", {**post.METHODS, "sing": 3})
+        later.setattr(codec, "VERSION", 2)
+        later.setattr(codec, "METHODS", {**codec.METHODS, "sing": 3})
         data = a.write(ME, 0, "sing", (1, 2, 3), [ME], [])
         asked = a.write(ME, 5, "ping", (7, 9, 3, 1), [ME], [("drain", "s", 1)])
     assert b.read(data) == (ME, 0, (ME,), (), "foreign", ()) and b.counts["foreign"] == 1
@@ -60,14 +60,14 @@
 @settings(max_examples=300, deadline=None)
 @given(st.binary(max_size=1500))
 def test_noise_is_dropped(data):
-    b = Post("s", KEY)
+    b = Codec("s", KEY)
     assert b.read(data) is None and sum(b.counts.values()) == 1
 
 
 def test_mutated_datagrams_are_dropped_also_under_a_right_checksum():
-    """100,000 by a seeded mutator; every second one is signed anew, as by a fellow gone wrong."""
-    chance, b, read = random.Random(9), Post("s", KEY), 0
-    a = Post("s", KEY)
+    """100,000 by a seeded mutator; every second one is signed anew, as by a peer gone wrong."""
+    chance, b, read = random.Random(9), Codec("s", KEY), 0
+    a = Codec("s", KEY)
     whole = [
         a.write(ME, 5, "ping", (1, 0, 0, 0), [ME], [("drain", "s", 1)]),
         a.write(ME, 5, "rows", (), [ME] * 4, []),
@@ -85,9 +85,9 @@
                 break
         data = bytes(data)
         if k % 2:
-            data = post.hashlib.blake2b(data[16:], digest_size=16, key=KEY).digest() + data[16:]
+            data = codec.hashlib.blake2b(data[16:], digest_size=16, key=KEY).digest() + data[16:]
         message = b.read(data)
         if message is not None:
             read += 1
-            assert post.sound(message[0]) and message[4] in (*post.METHODS, "foreign")
+            assert codec.sound(message[0]) and message[4] in (*codec.METHODS, "foreign")
     assert b.counts["forged"] > 49_000 and read < 20_000 and sum(b.counts.values()) == 100_000
--- a/tests/membership/test_memory.py
+++ b/tests/membership/test_memory.py
@@ -1,4 +1,4 @@
-"""What a router that starts is told by a fellow: in the decisions, and among real processes."""
+"""What a router that starts is told by a peer: in the decisions, and among real processes."""
 
 import asyncio
 
@@ -87,7 +87,7 @@
     return Memory(view, "n0", "z", 1, lambda: [("takes", "page", 0, "", 0.1, 9.0)] * 23, 0.0), Writer()
 
 
-def test_one_fellow_after_another_is_asked_until_one_answers():
+def test_one_peer_after_another_is_asked_until_one_answers():
     memory, writer = core((ALIVE, ALIVE, ALIVE, LOST))
     for k in range(4):
         memory.round(k * 0.5, [], writer)
@@ -108,7 +108,7 @@
     assert writer.posted == [] and memory.done
 
 
-def test_a_router_that_starts_among_processes_knows_what_its_fellow_knew(tmp_path):
+def test_a_router_that_starts_among_processes_knows_what_its_peer_knew(tmp_path):
     async def script():
         async with Rig(tmp_path, routers=3, boxes=3, more="share_memory = true") as rig:
             assert await rig.until(rig.one_view, 60.0)
--- a/tests/membership/test_model.py
+++ b/tests/membership/test_model.py
@@ -1,4 +1,4 @@
-"""All short histories of three fellows: at each step the oldest or newest datagram comes, is lost or is doubled, a timer
+"""All short histories of three peers: at each step the oldest or newest datagram comes, is lost or is doubled, a timer
 runs out, one leaves or crashes. Afterwards the wires are good and time passes: what must hold then holds after every one of
 them. Each property has a fault planted that it finds."""
 
@@ -8,7 +8,7 @@
 
 import pytest
 
-from brookhinge.membership.fellow import Fellow
+from brookhinge.membership.peer import Peer
 from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED, View
 
 DEPTH = 3
@@ -17,12 +17,12 @@
 
 
 class World:
-    """Three fellows, what is under way between them, and one clock."""
+    """Three peers, what is under way between them, and one clock."""
 
     def __init__(self):
-        self.now, self.wires, self.up, self.words = 0.0, [], [True] * 3, []
-        self.fellows = [
-            Fellow(
+        self.now, self.wires, self.up, self.notices = 0.0, [], [True] * 3, []
+        self.peers = [
+            Peer(
                 f"n{k}",
                 ("10.0.0.1", k + 1),
                 "z",
@@ -36,21 +36,21 @@
         ]
         self.said, self.writing = [[] for _ in range(3)], 0
 
-    def send(self, address, method, values, news, words):
-        v = self.fellows[self.writing].view
+    def send(self, address, method, values, news, notices):
+        v = self.peers[self.writing].view
         mine = v.claim(v.index[f"n{self.writing}"], self.now)
-        self.wires.append((address[1] - 1, (mine, v.digest(), tuple(news), tuple(words), method, values)))
+        self.wires.append((address[1] - 1, (mine, v.digest(), tuple(news), tuple(notices), method, values)))
 
-    def told(self, change, name, by):
+    def changed(self, change, name, by):
         self.said[self.writing].append((change, name))
 
-    def word(self, kind, values, by):
-        self.words.append(self.writing)
+    def notice(self, kind, values, by):
+        self.notices.append(self.writing)
 
     def round(self, k, inbox):
         if self.up[k]:
             self.writing = k
-            self.fellows[k].round(self.now, inbox, self)
+            self.peers[k].round(self.now, inbox, self)
 
     def take(self, at, keep=False):
         if self.wires:
@@ -58,7 +58,7 @@
             self.round(to, [message])
 
     def timer(self):
-        due = [(f.next_at(), k) for k, f in enumerate(self.fellows) if self.up[k]]
+        due = [(f.next_at(), k) for k, f in enumerate(self.peers) if self.up[k]]
         at, k = min(due)
         if at < float("inf"):
             self.now = max(self.now, at)
@@ -79,7 +79,7 @@
             self.up[2] = False
         elif self.up[2]:
             self.writing = 2
-            self.fellows[2].leave(self.now, self)
+            self.peers[2].leave(self.now, self)
 
     def quiet(self, seconds):
         end = self.now + seconds
@@ -90,7 +90,7 @@
             self.timer()
 
     def state(self, k, name):
-        v = self.fellows[k].view
+        v = self.peers[k].view
         return v.state[v.index[name]] if name in v.index else None
 
 
@@ -114,7 +114,7 @@
 
 def settled(world, steps):
     """What must hold once things are quiet."""
-    one, two = world.fellows[0].view, world.fellows[1].view
+    one, two = world.peers[0].view, world.peers[1].view
     assert [world.state(0, "n1"), world.state(1, "n0")] == [ALIVE, ALIVE], steps
     assert one.digest() == two.digest(), steps
     third = {world.state(0, "n2"), world.state(1, "n2")}
@@ -123,7 +123,7 @@
     elif "crash" in steps:
         assert third == {LOST}, steps
     else:
-        assert third == {ALIVE} and one.digest() == world.fellows[2].view.digest(), steps
+        assert third == {ALIVE} and one.digest() == world.peers[2].view.digest(), steps
     assert len(world.wires) < 9, steps
 
 
@@ -144,7 +144,7 @@
     """Old datagrams of the leaver itself, kept back, doubled and late."""
     world = joined()
     world.timer()
-    world.fellows[2].view.since[0] = 0.0
+    world.peers[2].view.since[0] = 0.0
     world.writing = 2
     world.send(("10.0.0.1", 1), "ping", (1, 0, 0, 0), [], [])
     world.send(("10.0.0.1", 2), "ping", (1, 0, 0, 0), [], [])
@@ -167,12 +167,12 @@
 
 def planted_no_refuting(monkeypatch):
     """Nobody answers what is said of it."""
-    monkeypatch.setattr(Fellow, "assert_self", lambda self, now, inc: None)
-    monkeypatch.setattr(Fellow, "acked", lambda self, nonce, writer: None)
+    monkeypatch.setattr(Peer, "assert_self", lambda self, now, inc: None)
+    monkeypatch.setattr(Peer, "acked", lambda self, nonce, writer: None)
 
 
 def planted_no_probing(monkeypatch):
-    monkeypatch.setattr(Fellow, "next_probed", lambda self: None)
+    monkeypatch.setattr(Peer, "next_probed", lambda self: None)
 
 
 @pytest.mark.parametrize(
@@ -187,4 +187,4 @@
 def test_suspicions_end_one_way_or_the_other():
     for steps, world in itertools.islice(histories(2), 0, None, 1):
         world.quiet(QUIET_S)
-        assert all(SUSPECTED not in f.view.state for k, f in enumerate(world.fellows) if world.up[k]), steps
+        assert all(SUSPECTED not in f.view.state for k, f in enumerate(world.peers) if world.up[k]), steps
--- a/tests/membership/test_peers.py
+++ b/tests/membership/test_peers.py
@@ -1,12 +1,12 @@
-"""Fellows of one fleet in virtual time: crashes, freezes, cuts, names used twice. What changed, in short traces."""
+"""Peers of one fleet in virtual time: crashes, freezes, cuts, names used twice. What changed, in short traces."""
 
 import pytest
 
-from brookhinge.membership.fellow import Pace
+from brookhinge.membership.peer import Pace
 from brookhinge.membership.view import ALIVE, LEFT, LOST, SUSPECTED
 from brookhinge.standin.virtual import Net
 
-SETTLE = 12.0  # seconds in which up to 64 fellows hold one view again, by the note
+SETTLE = 12.0  # seconds in which up to 64 peers hold one view again, by the note
 
 
 def fleet(count, seed=1, **net):
@@ -18,7 +18,7 @@
 
 
 def states(net, n):
-    return {name: state for name, state, *_ in net.hosts[n].fellow.members()}
+    return {name: state for name, state, *_ in net.hosts[n].peer.members()}
 
 
 def changes(net, *words):
@@ -77,7 +77,7 @@
     net.kill(4)
     net.hosts[4].start(1_000_004 - 3_600_000, [("10.0.0.1", 1)])
     assert net.run(SETTLE, net.one_view)
-    assert [h.fellow.out for h in net.hosts.values()] == [False] * 6
+    assert [h.peer.out for h in net.hosts.values()] == [False] * 6
 
 
 def test_who_was_frozen_takes_nobody_for_dead_and_is_taken_back():
@@ -101,13 +101,13 @@
     assert states(net, 1)["n12"] == LOST and states(net, 12)["n1"] == LOST
     net.add(20, seeds=(2,))  # a join on one side, a crash and a leave on the other
     net.kill(11)
-    net.hosts[13].fellow.leave(net.now, net.hosts[13])
+    net.hosts[13].peer.leave(net.now, net.hosts[13])
     net.run(20.0)
     net.cut = lambda a, b: False
     assert net.run(10.0, net.one_view)
     net.run(5.0)
     assert [states(net, 1)[n] for n in ("n11", "n13", "n20")] == [LOST, LEFT, ALIVE]
-    assert len({h.fellow.view.digest() for h in net.living()}) == 1
+    assert len({h.peer.view.digest() for h in net.living()}) == 1
 
 
 def test_cut_one_way_only():
@@ -144,7 +144,7 @@
 
 def test_leaving_is_by_word_and_for_good():
     net = fleet(8)
-    net.hosts[4].fellow.leave(net.now, net.hosts[4])
+    net.hosts[4].peer.leave(net.now, net.hosts[4])
     net.run(2.0)
     assert all(states(net, n)["n4"] == LEFT for n in range(1, 9) if n != 4)
     assert changes(net, "lost", "suspected") == []
@@ -156,10 +156,10 @@
     net = fleet(6)
     other = net.add(66, seeds=(2, 3), name="n4")
     net.run(SETTLE)
-    assert other.fellow.out and [line[1:3] for line in other.log if line[1] == "taken"] == [("taken", "n4")]
-    assert not net.hosts[4].fellow.out and other.sent < 100  # they don't answer each other's answers for good
+    assert other.peer.out and [line[1:3] for line in other.log if line[1] == "taken"] == [("taken", "n4")]
+    assert not net.hosts[4].peer.out and other.sent < 100  # they don't answer each other's answers for good
     assert all(states(net, n)["n4"] == ALIVE for n in (1, 2, 3, 5, 6))
-    v = net.hosts[1].fellow.view
+    v = net.hosts[1].peer.view
     assert v.address[v.index["n4"]] == ("10.0.0.1", 4)
 
 
@@ -176,7 +176,7 @@
 def test_rolling_restart_of_all():
     net = fleet(12)
     for n in range(1, 13):
-        net.hosts[n].fellow.leave(net.now, net.hosts[n])
+        net.hosts[n].peer.leave(net.now, net.hosts[n])
         net.run(0.05)
         net.kill(n)
         net.run(0.5)
@@ -198,14 +198,14 @@
 
 def test_words_reach_all_at_once_and_late_comers_too():
     net = fleet(32, loss=0.1)
-    net.hosts[7].fellow.spread(net.now, "drain", ("s-1", 5), net.hosts[7])
+    net.hosts[7].peer.spread(net.now, "drain", ("s-1", 5), net.hosts[7])
     at = net.now
     net.run(0.5)
-    assert sum(("drain", "s-1", 5) in h.words for h in net.hosts.values()) >= 31
+    assert sum(("drain", "s-1", 5) in h.notices for h in net.hosts.values()) >= 31
     net.loss = 0.0
     net.add(40)
     net.run(3.0)
-    assert ("drain", "s-1", 5) in net.hosts[40].words and at < net.hosts[40].words[("drain", "s-1", 5)]
+    assert ("drain", "s-1", 5) in net.hosts[40].notices and at < net.hosts[40].notices[("drain", "s-1", 5)]
 
 
 def test_a_word_reaches_the_last_one_too():
@@ -214,8 +214,8 @@
     for n in range(1, 65):
         net.add(n)
     net.run(15.0)
-    net.hosts[2].fellow.spread(net.now, "draining", ("s-1", 5), net.hosts[2])
-    assert net.run(10.0, lambda: sum(("draining", "s-1", 5) in h.words for h in net.hosts.values()) == 63)
+    net.hosts[2].peer.spread(net.now, "draining", ("s-1", 5), net.hosts[2])
+    assert net.run(10.0, lambda: sum(("draining", "s-1", 5) in h.notices for h in net.hosts.values()) == 63)
 
 
 def test_datagrams_stay_few_in_a_large_fleet():
@@ -236,10 +236,10 @@
         net.kill(n)
     net.run(60.0)
     assert states(net, 1) == {"n1": ALIVE, "n4": ALIVE, "n5": ALIVE}
-    assert all(state in (ALIVE, SUSPECTED) for state in net.hosts[4].fellow.view.state)
+    assert all(state in (ALIVE, SUSPECTED) for state in net.hosts[4].peer.view.state)
 
 
-def test_fellows_of_two_versions_hold_one_another_for_alive():
+def test_peers_of_two_versions_hold_one_another_for_alive():
     """Claims and probes are read by any version: nobody is taken for dead, who dies is, who froze comes back."""
     net = fleet(4)
     for n in (7, 8, 9):
@@ -273,16 +273,16 @@
 
 def test_forgetting_one_leaves_the_suspicion_of_another_with_its_own():
     net = fleet(5)
-    fellow, v = net.hosts[1].fellow, net.hosts[1].fellow.view
+    peer, v = net.hosts[1].peer, net.hosts[1].peer.view
     first, last = (v.names[i] for i in sorted(v.index[f"n{n}"] for n in (2, 3, 4, 5))[::3])
     for name, state, age in ((first, LOST, Pace.remember - 1.0), (last, SUSPECTED, 0.0)):
-        fellow.believe(
+        peer.believe(
             net.now,
             (*v.claim(v.index[name], net.now)[:4], state, *v.claim(v.index[name], net.now)[5:9], age),
             "n9",
             net.hosts[1],
         )
-    fellow.forget(net.now + 2.0)
+    peer.forget(net.now + 2.0)
     assert first not in v.index
-    assert [v.names[i] for i in fellow.suspicions] == [last]
-    assert all(i < len(v.names) for i in fellow.news)
+    assert [v.names[i] for i in peer.suspicions] == [last]
+    assert all(i < len(v.names) for i in peer.news)
--- a/tests/membership/test_rig.py
+++ b/tests/membership/test_rig.py
@@ -79,7 +79,7 @@
 
 
 def test_a_drain_told_to_one_router_alone_binds_all(tmp_path):
-    """The command channels of all others are dead: without fellows they would go on asking the box."""
+    """The command channels of all others are dead: without peers they would go on asking the box."""
 
     async def script(rig):
         callers = [await rig.caller(name) for name in rig.names]
--- a/tests/membership/test_tight.py
+++ b/tests/membership/test_tight.py
@@ -1,4 +1,4 @@
-"""What fellows tell of servers: it tightens at once, and nothing it says loosens."""
+"""What peers tell of servers: it tightens at once, and nothing it says loosens."""
 
 from hypothesis import given, settings, strategies as st
 
@@ -11,55 +11,55 @@
     return (server, health, 4.0, born, 0, "box", 1)
 
 
-def test_a_drain_heard_binds_until_the_own_channel_has_caught_up():
+def test_a_drain_received_binds_until_the_own_channel_has_caught_up():
     t = Tight(1000.0)
-    assert t.told(row()) == (row(), None)
-    assert t.hear(("draining", "s", 0)) == row(health="draining")
-    assert t.hear(("draining", "s", 0)) is None  # once
-    assert t.told(row())[0] == row(health="draining")  # the own channel is behind
-    assert t.told(row(health="draining")) == (row(health="draining"), None)  # the fellows know
-    assert t.told(row())[0] == row()  # it says so itself: it is ready again
+    assert t.receive_row(row()) == (row(), None)
+    assert t.receive_notice(("draining", "s", 0)) == row(health="draining")
+    assert t.receive_notice(("draining", "s", 0)) is None  # once
+    assert t.receive_row(row())[0] == row(health="draining")  # the own channel is behind
+    assert t.receive_row(row(health="draining")) == (row(health="draining"), None)  # the peers know
+    assert t.receive_row(row())[0] == row()  # it says so itself: it is ready again
 
 
-def test_a_late_word_of_a_drain_that_is_over_holds_nothing():
+def test_a_late_notice_of_a_drain_that_is_over_holds_nothing():
     t = Tight(1000.0)
     for health in ("ready", "draining", "ready"):
-        t.told(row(health=health))
-    assert t.hear(("draining", "s", 0)) is None and t.told(row())[0] == row()
-    assert t.hear(("gone", "s", 0)) == row(health="gone")
+        t.receive_row(row(health=health))
+    assert t.receive_notice(("draining", "s", 0)) is None and t.receive_row(row())[0] == row()
+    assert t.receive_notice(("gone", "s", 0)) == row(health="gone")
 
 
 def test_of_another_start_nothing_is_believed():
     t = Tight(1000.0)
-    t.told(row(born=5.0))
-    assert t.hear(("gone", "s", 0)) is None and t.told(row(born=5.0))[0] == row(born=5.0)
-    assert t.hear(("gone", "s", 1005000)) == row(health="gone", born=5.0)
-    assert t.told(row(born=9.0))[0] == row(born=9.0)
+    t.receive_row(row(born=5.0))
+    assert t.receive_notice(("gone", "s", 0)) is None and t.receive_row(row(born=5.0))[0] == row(born=5.0)
+    assert t.receive_notice(("gone", "s", 1005000)) == row(health="gone", born=5.0)
+    assert t.receive_row(row(born=9.0))[0] == row(born=9.0)
 
 
-def test_heard_before_the_own_channel_lists_it():
+def test_received_before_the_own_channel_lists_it():
     t = Tight(0.0)
-    assert t.hear(("gone", "new", 7000)) is None
-    assert t.told(row("new", born=7.0))[0] == row("new", "gone", 7.0)
+    assert t.receive_notice(("gone", "new", 7000)) is None
+    assert t.receive_row(row("new", born=7.0))[0] == row("new", "gone", 7.0)
 
 
-def test_a_whole_list_that_leaves_one_out_is_a_word():
+def test_a_whole_list_that_leaves_one_out_is_a_notice():
     t = Tight(0.0)
-    t.told(row("a")), t.told(row("b"))
+    t.receive_row(row("a")), t.receive_row(row("b"))
     assert t.absent({"b"}) == [("gone", "a", 0)] and t.absent({"b"}) == []
 
 
-def test_words_that_are_no_words():
+def test_notices_that_are_no_notices():
     t = Tight(0.0)
-    t.told(row())
-    assert t.hear(("ready", "s", 0)) is None and t.hear(("draining", 5, 0)) is None
+    t.receive_row(row())
+    assert t.receive_notice(("ready", "s", 0)) is None and t.receive_notice(("draining", 5, 0)) is None
 
 
 @settings(max_examples=300, deadline=None)
 @given(
     st.lists(
         st.tuples(
-            st.sampled_from(["told", "hear"]),
+            st.sampled_from(["row", "notice"]),
             st.sampled_from(["ready", "draining", "gone"]),
             st.sampled_from([None, 1.0, 2.0]),
         ),
@@ -69,12 +69,12 @@
 def test_hearing_never_loosens(steps):
     t, now = Tight(0.0), {}
     for how, health, born in steps:
-        if how == "told":
-            used, _ = t.told(row(health=health, born=born))
+        if how == "row":
+            used, _ = t.receive_row(row(health=health, born=born))
             assert WORSE[used[1]] >= WORSE[health]
             now = {"health": used[1], "born": born} if health != "gone" else {}
         else:
-            used = t.hear((health, "s", t.stamp(born)))
+            used = t.receive_notice((health, "s", t.stamp(born)))
             if used is not None:
                 assert now["born"] == born and WORSE[used[1]] > WORSE[now["health"]]
                 now["health"] = used[1]
@@ -92,7 +92,7 @@
 def test_more_sharers_make_a_cold_budget_smaller_at_once():
     b = Bench(routers=4)
     rate = [cold.whole(0.5, 0.0, 4.0, 0.1) * cold.part(0, 0.0) for cold in b.router.cold.values()]
-    b.call("fellows", 8, 16)
+    b.call("peers", 8, 16)
     assert [cold.whole(0.5, 0.0, 4.0, 0.1) * cold.part(0, 0.0) for cold in b.router.cold.values()] == [
         rate[0] / 2,
         rate[1] / 4,
--- a/tests/verdicts/test_judge.py
+++ b/tests/verdicts/test_judge.py
@@ -66,7 +66,7 @@
 
 @settings(max_examples=300, deadline=None)
 @given(st.lists(witness, min_size=5, max_size=5), st.integers(1, 8))
-def test_a_liar_among_fellows_who_see_well_condemns_nobody(lies, liar):
+def test_a_liar_among_peers_who_see_well_condemns_nobody(lies, liar):
     told = {server: {**fine(8), liar: lie} for server, lie in zip((A, B, C, D, E), lies)}
     assert at_fault(told, 8, 5) == {}
 
