--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import json
+import signal
 import sys
 from pathlib import Path
 
@@ -49,6 +50,7 @@
 
 def main():
     """Runs what the options ask for; 2 where the layout can't be used, 1 where a process failed, 130 on an interrupt."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     given = options()
     if given.page:
         from brookhinge.standin.capacity.page import write_page
--- a/brookhinge/standin/capacity/hollow.py
+++ b/brookhinge/standin/capacity/hollow.py
@@ -119,7 +119,7 @@
 
     def make_limits(self, talk, now):
         """Limits as in service; queries are drawn."""
-        view, version = talk.fellow.view, talk.fellow.version
+        view, version = talk.peer.view, talk.peer.version
         return Limits(
             view,
             self.name,
@@ -132,7 +132,7 @@
 
     def make_verdicts(self, talk, now):
         """Verdicts as in service; no server fails."""
-        view, version = talk.fellow.view, talk.fellow.version
+        view, version = talk.peer.view, talk.peer.version
         return Verdicts(
             view,
             self.name,
@@ -155,7 +155,7 @@
 
     def event(self, method, values):
         """What membership tells the decisions: a purge told by a peer is in force from here on."""
-        if method == "heard" and values[0] == "purge":
+        if method == "notice" and values[0] == "purge":
             self.in_force(int(values[1][1], 16))
 
     def in_force(self, purge):
@@ -199,12 +199,12 @@
 
     def claim(self):
         """What it says of itself to its peers."""
-        view = self.talk.fellow.view
+        view = self.talk.peer.view
         return view.claim(view.index[self.name], time.monotonic())
 
     def fill(self, claims):
         """Takes claims of the whole fleet, as if it had long known it."""
-        view, now = self.talk.fellow.view, time.monotonic()
+        view, now = self.talk.peer.view, time.monotonic()
         for claim in claims:
             view.take(now, tuple(claim), self.name)
 
@@ -219,5 +219,5 @@
             traffic.received,
             traffic.received_bytes,
             self.talk.counted[1],
-            len(self.talk.fellow.view.living()),
+            len(self.talk.peer.view.living()),
         )
--- a/brookhinge/standin/capacity/scenario.py
+++ b/brookhinge/standin/capacity/scenario.py
@@ -152,4 +152,4 @@
         back = await self.measured(f"{name}_back", min(10.0, seconds), self.work.steady(min(10.0, seconds)))
         back["one_view_s"] = await self.one_view_since(healed)
         records, started = await stage.records([planned.number for planned in purges])
-        back.update(measure.catch_up(records, names & {n for n in started if started[n]}, healed))
+        back.update(measure.catch_up(records, {name for name in names if started[name] is not None}, healed))
--- a/brookhinge/standin/capacity/virtual.py
+++ b/brookhinge/standin/capacity/virtual.py
@@ -6,8 +6,8 @@
 import time
 from typing import NamedTuple
 
-from brookhinge.membership.fellow import Fellow
-from brookhinge.membership.post import VERSION, Post
+from brookhinge.membership.codec import VERSION, Codec
+from brookhinge.membership.peer import Peer
 from brookhinge.standin.capacity.hollow import FLEET, GROUP_OF_OBJECTS, KEY
 from brookhinge.standin.capacity.links import Links, Traffic
 from brookhinge.standin.capacity.measure import Counters, PurgeRecord
@@ -103,8 +103,8 @@
     def __init__(self, network, router, join, born_ms, starts, on_notice):
         super().__init__(network, Address(router.host, MEMBERSHIP_PORT), router.links, router.traffic)
         self.name, self.on_notice, self.changes = router.name, on_notice, {}
-        self.codec = Post(FLEET, KEY)
-        self.core = Fellow(
+        self.codec = Codec(FLEET, KEY)
+        self.core = Peer(
             router.name,
             tuple(self.address),
             router.site.zone,
@@ -140,17 +140,17 @@
 
     # the core's writer
 
-    def send(self, address, method, values, news, words):
+    def send(self, address, method, values, news, notices):
         """A message of the core onto its links."""
-        data = self.codec.write(self.claim(), self.core.view.digest(), method, values, news, words)
+        data = self.codec.write(self.claim(), self.core.view.digest(), method, values, news, notices)
         if data is not None:
             self.network.send(self, data, address)
 
-    def told(self, change, name, by):
+    def changed(self, change, name, by):
         """A change of a member."""
         self.changes[change] = self.changes.get(change, 0) + 1
 
-    def word(self, kind, values, by):
+    def notice(self, kind, values, by):
         """A notice of a peer."""
         self.on_notice(kind, values)
 
--- /dev/null
+++ b/tests/capacity/test_measure.py
@@ -0,0 +1,36 @@
+"""Figures of a phase: rates by router, which purges count as missed, what was caught up with after a cut."""
+
+from brookhinge.standin.capacity.measure import Counters, PurgeRecord, catch_up, cost, purges
+
+
+def test_cost_is_median_and_worst_a_second():
+    before = {name: Counters(0.0, 0, 0, 0, 0, 0.0) for name in "abc"}
+    after = {
+        "a": Counters(2.0, 2, 200, 0, 0, 0.02),
+        "b": Counters(2.0, 4, 400, 2, 200, 0.04),
+        "c": Counters(2.0, 0, 0, 0, 0, 0.0),
+    }
+    figures = cost(before, after)
+    assert figures["bytes_s"] == {"median": 100.0, "worst": 300.0}
+    assert figures["messages_s"] == {"median": 1.0, "worst": 3.0}
+    assert figures["core_share"] == {"median": 0.01, "worst": 0.02}
+
+
+def test_routers_that_started_later_or_are_down_do_not_count():
+    records = {1: PurgeRecord(10.0, {"a": 10.1, "b": 10.4}, 10.6)}
+    since = {"a": 0.0, "b": 1.0, "late": 11.0, "down": None}
+    figures = purges(records, since)
+    assert figures["missed"] == 0 and figures["expected"] == 2
+    assert figures["all_s"]["worst"] == 0.4 and figures["known_s"]["worst"] == 0.6
+
+
+def test_a_purge_that_never_came_or_came_too_late_is_missed():
+    records = {1: PurgeRecord(10.0, {"a": 10.1}), 2: PurgeRecord(10.0, {"a": 10.1, "b": 25.0})}
+    figures = purges(records, {"a": 0.0, "b": 0.0}, until=10.0)
+    assert figures["missed"] == 2 and figures["known"] == 0 and figures["known_s"]["worst"] is None
+
+
+def test_catching_up_is_no_figure_while_something_is_missed():
+    records = {1: PurgeRecord(1.0, {"x": 9.0}), 2: PurgeRecord(2.0, {"x": 9.5, "y": 9.2})}
+    assert catch_up(records, {"x"}, 8.0) == {"missed_while_away": 0, "catch_up_s": 1.5}
+    assert catch_up(records, {"x", "y"}, 8.0) == {"missed_while_away": 1, "catch_up_s": None}
