Purge log in the modelled fleet, on sockets and in virtual time

A purge binds a router when it comes or when the router sets aside what it holds; both are measured, and what a source knows.

--- a/brookhinge/standin/capacity/messages.py
+++ b/brookhinge/standin/capacity/messages.py
@@ -18,6 +18,11 @@
     mechanism: str  # `peers` or `log`
     site: int = -1  # of a site's process
     control: int = -1  # of a control machine's
+    controls: list[tuple[str, int]] = []  # addresses of all control machines, with the log
+
+
+class StartControl(Message):
+    """Starts the control machine. -> Done"""
 
 
 class StartRouters(Message):
@@ -119,13 +124,15 @@
 
 class Arrivals(Message):
     """Moments of the monotonic clock. in_force: purge -> {router: when}; started: router -> when it last started, None if it
-    is not up; submitted and known: purge -> when; missing: purge -> {router: reason} as the source names it."""
+    is not up; submitted and known: purge -> when; excused: purge -> those whom the source names as not having it; rules:
+    router -> (when, CopyRule) of the purge log."""
 
-    in_force: dict[int, dict[str, float]]
-    started: dict[str, float | None]
-    submitted: dict[int, float]
+    in_force: dict[int, dict[str, float]] = {}
+    started: dict[str, float | None] = {}
+    submitted: dict[int, float] = {}
     known: dict[int, float] = {}
-    missing: dict[int, dict[str, str]] = {}
+    excused: dict[int, list[str]] = {}
+    rules: dict[str, list[tuple[float, str]]] = {}
 
 
 class Done(Message):
@@ -140,6 +147,7 @@
 
 Command = (
     Setup
+    | StartControl
     | StartRouters
     | Fill
     | Begin
--- a/brookhinge/standin/capacity/stage.py
+++ b/brookhinge/standin/capacity/stage.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from typing import NamedTuple
 
 from brookhinge.standin.capacity.driver import FleetProcesses
 from brookhinge.standin.capacity.measure import PurgeRecord, counters_of_samples
@@ -10,6 +11,14 @@
 POLL_S = 0.25  # between two looks for something that is waited for
 
 
+class Fates(NamedTuple):
+    """PurgeRecord by number, router -> when it last started (None: not up), router -> rules of the purge log."""
+
+    records: dict[int, PurgeRecord]
+    started: dict[str, float | None]
+    rules: dict[str, list]
+
+
 class SocketStage:
     """A fleet of processes on loopback sockets."""
 
@@ -83,6 +92,11 @@
         self.lag_s = max(self.lag_s, *(sample.lag_s for sample in self.samples.values()))
         return counters_of_samples(self.samples)
 
+    async def control_counters(self):
+        """Counters of all control machines."""
+        samples = await self.fleet.control_samples()
+        return counters_of_samples(samples)
+
     async def known(self):
         """Router that is up -> how many it believes alive or suspects."""
         samples = await self.fleet.samples()
@@ -90,7 +104,7 @@
         return {router.name: router.known for router in routers if router.up}
 
     async def records(self, numbers):
-        """(PurgeRecord by number, router -> when it last started) as of now."""
+        """What became of purges as of now."""
         arrivals = await self.fleet.arrivals()
         controls = await self.fleet.control_arrivals()
         sources = [*arrivals.values(), *controls]
@@ -105,7 +119,8 @@
             for one in arrivals.values():
                 in_force.update(one.in_force.get(number, {}))
             records[number] = PurgeRecord(submitted[number], in_force, known.get(number))
-        return records, started
+        rules = {name: rules for one in arrivals.values() for name, rules in one.rules.items()}
+        return Fates(records, started, rules)
 
     def state(self):
         """What the processes hold and how late they were."""
@@ -182,8 +197,12 @@
         return self.fleet.known_members()
 
     async def records(self, numbers):
-        """(PurgeRecord by number, router -> when it last started) as of now."""
-        return self.fleet.records(numbers), self.fleet.started()
+        """What became of purges as of now."""
+        return Fates(self.fleet.records(numbers), self.fleet.started(), self.fleet.rules())
+
+    async def control_counters(self):
+        """Counters of all control machines."""
+        return self.fleet.control_counters()
 
     def state(self):
         """Nothing that a process holds is measured in virtual time."""
