--- /dev/null
+++ b/brookhinge/purgelog/distributor.py
@@ -0,0 +1,338 @@
+"""The routers that read the logs at one control machine: pushes of new entries, acknowledgements, leases. No I/O, no
+clock.
+
+A reader counts in the reported floors from its first message until it has left, has caught up at another machine, or its
+lease has ended; then it counts among the lost, by name, for a while longer."""
+
+import math
+
+from brookhinge.purgelog.batching import split
+from brookhinge.purgelog.messages import Horizon, Push, Report, Segment, Unknown
+from brookhinge.purgelog.positions import (
+    FAR_AHEAD,
+    START,
+    Position,
+    covers,
+    flatten,
+    sound_vector,
+    unflatten,
+)
+
+PUSH_GAP_S = 0.05  # between two pushes to a reader of what is new
+FIRST_RETRY_S, SHORTEST_RETRY_S, LONGEST_RETRY_S = (
+    0.3,
+    0.06,
+    0.4,
+)  # till a push that is not acknowledged is sent again
+FORGET_S = 60.0  # how long a lost reader is reported
+FROZEN_S = 1.0  # between two ticks: this process stood still, and leases did not run meanwhile
+PUSH_BYTES = 1100
+NAMES_TOLD, NAME_BYTES_TOLD = 4, 120  # names of each kind in a report
+MOVED_TOLD = 8  # readers told to the other machines in one sync
+RTT_WEIGHT = 0.2
+BACKOFF = 1.5  # of the round trip, when a retry was due
+
+
+class Reader:
+    """One router that reads here."""
+
+    def __init__(self, name, process, session, address, positions, fresh, now):
+        self.name, self.process, self.session, self.address = name, process, session, address
+        self.positions = positions  # acknowledged
+        self.fresh = fresh  # it has just started: it needs the heads and no history
+        self.sent, self.sent_at = list(positions), -math.inf
+        self.sent_again = [False] * len(positions)
+        self.waits_since = [None] * len(
+            positions
+        )  # for each source: since when an acknowledgement is waited for
+        self.heard_at = now
+        self.echo, self.owed = 0, False  # its last message, and whether that waits for an answer
+        self.rtt_s = None
+        self.caught_up = False
+
+    def retry_s(self):
+        if self.rtt_s is None:
+            return FIRST_RETRY_S
+        return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, 1.3 * self.rtt_s + 0.02))
+
+    def acknowledge(self, now, positions, gap):
+        """gap: the reader saw a gap and asks for what it lacks."""
+        self.fresh = False
+        for source, position in enumerate(positions):
+            if position > self.positions[source]:
+                self.progress(now, source, position)
+        if gap:
+            for source in range(len(self.sent)):
+                self.send_again(source)
+
+    def progress(self, now, source, position):
+        """A later position of one source is acknowledged."""
+        self.positions[source] = position
+        if position < self.sent[source]:
+            self.waits_since[source] = now
+            return
+        self.sent[source], waited = position, self.waits_since[source]
+        self.waits_since[source] = None
+        again, self.sent_again[source] = self.sent_again[source], False
+        if waited is not None and not again and self.sent_at == waited:
+            self.measure(now)
+
+    def measure(self, now):
+        """The round trip of the last push; what was sent twice does not count (Karn's rule)."""
+        sample = now - self.sent_at
+        self.rtt_s = sample if self.rtt_s is None else self.rtt_s + RTT_WEIGHT * (sample - self.rtt_s)
+
+    def send_again(self, source):
+        """From the last acknowledged position on."""
+        if self.sent[source] > self.positions[source]:
+            self.sent[source], self.sent_again[source] = self.positions[source], True
+        self.waits_since[source] = None
+
+    def retry_late(self, now):
+        """Sends again what was not acknowledged in time, and waits longer the next time: the round trip may have been
+        taken for shorter than it is."""
+        late = [s for s, at in enumerate(self.waits_since) if at is not None and now - at >= self.retry_s()]
+        for source in late:
+            self.send_again(source)
+        if late and self.rtt_s is not None:
+            self.rtt_s *= BACKOFF
+
+    def retry_at(self):
+        """When the next of these times is over; infinite where nothing is waited for."""
+        return min(
+            (since + self.retry_s() for since in self.waits_since if since is not None), default=math.inf
+        )
+
+    def sending(self, now, batches):
+        """These go out now."""
+        self.sent_at = now
+        for batch in batches:
+            end = Position(batch.epoch, batch.after_index + len(batch.entries))
+            self.sent[batch.source] = max(self.sent[batch.source], end)
+            if self.waits_since[batch.source] is None:
+                self.waits_since[batch.source] = now
+
+
+class Lost:
+    """A reader whose lease ended."""
+
+    def __init__(self, reader, now):
+        self.process, self.session, self.positions, self.at = (
+            reader.process,
+            reader.session,
+            reader.positions,
+            now,
+        )
+
+
+class Distributor:
+    def __init__(self, machine, boot, logs, lease_s, now):
+        self.machine, self.boot, self.logs, self.lease_s = machine, boot, logs, lease_s
+        self.readers, self.lost, self.moved = {}, {}, {}
+        self.last_tick_at, self.number = now, 0
+        self.implausible = 0
+
+    def heads(self):
+        return [log.head for log in self.logs]
+
+    # messages of routers
+
+    def subscribe(self, now, process, address, message):
+        """A router begins to read here; its Reader, or None where the message does not count."""
+        if not self.plausible(message.positions):
+            return None
+        for other in [r for r in self.readers.values() if r.name == message.name and r.process != process]:
+            if other.heard_at < now - self.lease_s:
+                self.lose(now, other)
+        reader = self.readers.get(process)
+        if reader is not None and reader.session > message.session:
+            return None
+        if reader is None or reader.session < message.session:
+            positions = unflatten(message.positions) or [START] * len(self.logs)
+            fresh = not message.positions
+            reader = Reader(message.name, process, message.session, address, positions, fresh, now)
+            self.readers[process] = reader
+            lost = self.lost.get(message.name)
+            if lost is not None and lost.process == process:
+                del self.lost[message.name]
+        self.heard(now, reader, message.number, True)
+        return reader
+
+    def poll(self, now, process, address, message, writer):
+        """A router acknowledges and asks for more; its Reader, or None."""
+        reader = self.readers.get(process)
+        if reader is None or reader.session != message.session:
+            writer.send(address, Unknown(message.session))
+            return None
+        if not self.plausible(message.positions):
+            return None
+        if message.positions:
+            reader.acknowledge(now, unflatten(message.positions), message.gap)
+        self.heard(now, reader, message.number, message.answer)
+        if not reader.caught_up and covers(reader.positions, self.heads()):
+            reader.caught_up = True
+            self.moved[reader.name] = reader.process, reader.session, now
+        return reader
+
+    def plausible(self, numbers):
+        """Whether the positions in a datagram can be those of a router: none runs far ahead of the logs."""
+        sound = not numbers or sound_vector(numbers, len(self.logs))
+        if sound and numbers:
+            ahead = (p.index - log.head.index for p, log in zip(unflatten(numbers), self.logs))
+            sound = max(ahead) < FAR_AHEAD
+        self.implausible += not sound
+        return sound
+
+    def heard(self, now, reader, number, answer):
+        reader.heard_at = now
+        if number > reader.echo:
+            reader.echo = number
+            reader.owed = reader.owed or answer
+
+    def leave(self, process, message):
+        reader = self.readers.get(process)
+        if reader is not None and reader.session <= message.session:
+            del self.readers[process]
+
+    def backfill(self, request, address, writer):
+        """Fingerprints of what follows on a position, as far as this machine holds them."""
+        if not 0 <= request.source < len(self.logs):
+            return
+        position = Position(request.epoch, request.index)
+        digest = self.logs[request.source].digest_after(position)
+        if digest is None:
+            writer.send(address, Horizon(request.number, request.source))
+        else:
+            writer.send(
+                address, Segment(request.number, request.source, *digest.through, digest.fingerprints)
+            )
+
+    # messages of other machines
+
+    def gone_elsewhere(self, name, process, session):
+        """A router has caught up at another machine: it counts there."""
+        reader = self.readers.get(process)
+        if reader is not None and reader.session < session:
+            del self.readers[process]
+            if self.moved.get(name, (0,))[0] == process:
+                del self.moved[name]
+        self.lost.pop(name, None)
+
+    # time
+
+    def tick(self, now, quorum, writer):
+        self.end_leases(now)
+        for reader in self.readers.values():
+            self.push(now, reader, quorum, writer)
+
+    def end_leases(self, now):
+        gap = now - self.last_tick_at
+        self.last_tick_at = now
+        if gap > FROZEN_S:
+            for reader in self.readers.values():
+                reader.heard_at += gap
+        for reader in [r for r in self.readers.values() if now - r.heard_at > self.lease_s]:
+            self.lose(now, reader)
+        self.lost = {name: lost for name, lost in self.lost.items() if now - lost.at < FORGET_S}
+        self.moved = {name: moved for name, moved in self.moved.items() if now - moved[2] < self.lease_s}
+
+    def lose(self, now, reader):
+        del self.readers[reader.process]
+        self.lost[reader.name] = Lost(reader, now)
+
+    def push(self, now, reader, quorum, writer):
+        """Sends a reader what it lacks, what it has not acknowledged in time, or the answer that it waits for."""
+        reader.retry_late(now)
+        new = reader.fresh or any(log.head > sent for log, sent in zip(self.logs, reader.sent))
+        if not reader.owed and not (new and now - reader.sent_at >= PUSH_GAP_S):
+            return
+        batches = self.lacking(reader)
+        if batches is None:
+            if quorum is not None:
+                self.restart(now, reader, quorum, writer)
+            return
+        for part in split(batches, PUSH_BYTES) or [[]]:
+            writer.send(reader.address, self.message(now, reader, quorum, False, part))
+        if batches:
+            reader.sending(now, batches)
+        reader.owed = False
+
+    def lacking(self, reader):
+        """Batches that the reader was not sent; None: it has to go on from the heads."""
+        if reader.fresh:
+            return None
+        batches = []
+        for log, sent in zip(self.logs, reader.sent):
+            if sent >= log.head:
+                continue
+            following = log.since(sent)
+            if following is None:
+                return None
+            batches += following
+        return batches
+
+    def restart(self, now, reader, quorum, writer):
+        """The reader goes on from the heads; a retry rate keeps this from being sent with each entry."""
+        if now - reader.sent_at < FIRST_RETRY_S and not reader.owed:
+            return
+        reader.sent_at, reader.owed = now, False
+        writer.send(reader.address, self.message(now, reader, quorum, True, []))
+
+    def message(self, now, reader, quorum, restart, batches):
+        if quorum is None:
+            return Push(reader.session, reader.echo, -1, [], [], False, batches)
+        age_ms = math.ceil(1000 * (now - quorum.at))
+        heads = flatten(quorum.heads)
+        return Push(reader.session, reader.echo, age_ms, heads, quorum.boots, restart, batches)
+
+    def next_at(self, now):
+        """When a push is due though nothing comes."""
+        times = [now + self.lease_s]
+        for reader in self.readers.values():
+            if reader.fresh:
+                times.append(reader.sent_at + FIRST_RETRY_S)
+            elif reader.owed or any(log.head > sent for log, sent in zip(self.logs, reader.sent)):
+                times.append(max(now, reader.sent_at + PUSH_GAP_S))
+            else:
+                times.append(reader.retry_at())
+        return min(times)
+
+    # what is reported
+
+    def report(self):
+        """What this machine vouches for now."""
+        self.number += 1
+        heads = self.heads()
+        floors, lost_floors = list(heads), list(heads)
+        for reader in self.readers.values():
+            floors = [min(pair) for pair in zip(floors, reader.positions)]
+        for lost in self.lost.values():
+            lost_floors = [min(pair) for pair in zip(lost_floors, lost.positions)]
+        behind = [r.name for r in self.readers.values() if not covers(r.positions, heads)]
+        return Report(
+            self.machine,
+            self.boot,
+            self.number,
+            flatten(floors),
+            flatten(lost_floors),
+            len(self.readers),
+            few(behind),
+            few(self.lost),
+        )
+
+    def moved_lately(self, number):
+        """Some of the readers that have caught up here lately, others with each number."""
+        rows = [(name, process, session) for name, (process, session, _) in self.moved.items()]
+        first = number * MOVED_TOLD % max(1, len(rows))
+        return (rows[first:] + rows[:first])[:MOVED_TOLD]
+
+
+def few(names):
+    """Some names, few enough for a datagram."""
+    told, room = [], NAME_BYTES_TOLD
+    for name in names:
+        room -= len(name.encode())
+        if len(told) == NAMES_TOLD or room < 0:
+            break
+        told.append(name)
+    return told
--- /dev/null
+++ b/brookhinge/purgelog/progress.py
@@ -0,0 +1,123 @@
+"""Whether an entry is in force at every router, or who is missing and why. No I/O, no clock.
+
+In force at a router: it has applied the entry, or it cannot use any copy from before it (its proof has ended)."""
+
+import enum
+from typing import NamedTuple
+
+from brookhinge.purgelog.positions import unflatten
+
+MARGIN_S = 0.5  # beyond the bound of a proof: clocks that run at rates 1% apart, and the time a message takes to handle
+FORGET_S = 60.0  # a machine out of reach for so long is no longer named
+
+
+class Outcome(enum.IntEnum):
+    PENDING = 0  # somebody has not acknowledged it yet
+    IN_FORCE = 1  # at every router
+    IN_FORCE_EXCEPT = 2  # at every router but those named, whose leases have ended
+
+
+class Why(enum.StrEnum):
+    NOT_ACCEPTED = "not held by a majority"
+    BEHIND = "has not acknowledged it"
+    SILENT = "its control machine has not reported"
+    SETTLING = "its control machine has just started"
+    LEASE_ENDED = "its lease has ended"
+    OUT_OF_REACH = "control machine out of reach"
+
+
+class Progress(NamedTuple):
+    outcome: Outcome
+    missing: list  # (name of a router or machine, Why)
+
+
+class Known(NamedTuple):
+    """The last report of a machine, and since when its process has been known."""
+
+    report: object
+    since: float
+
+
+class Tracker:
+    """Keeps the reports of all machines for one source. proof_s: how long a router may use copies on a proof."""
+
+    def __init__(self, replication, names, proof_s, now):
+        self.replication, self.names = replication, names
+        self.settle_s = proof_s + MARGIN_S
+        self.known, self.retired = {}, set()
+        self.started_at = now
+
+    def receive(self, now, report):
+        """The later report of a machine holds; another process of it has to settle first."""
+        if (report.machine, report.boot) in self.retired or not 0 <= report.machine < len(self.names):
+            return
+        known = self.known.get(report.machine)
+        if known is None or known.report.boot != report.boot:
+            if known is not None:
+                self.retired.add((report.machine, known.report.boot))
+            self.known[report.machine] = Known(report, now)
+        elif report.number > known.report.number:
+            self.known[report.machine] = Known(report, known.since)
+        elif report.number == known.report.number and report.behind + report.lost:
+            self.known[report.machine] = Known(report, known.since)
+
+    def to_tell(self, own):
+        """Reports for the other machines: the own one, and those received, without names."""
+        relayed = [
+            known.report.__class__(
+                report.machine,
+                report.boot,
+                report.number,
+                report.floors,
+                report.lost_floors,
+                report.routers,
+                [],
+                [],
+            )
+            for machine, known in self.known.items()
+            if machine != own.machine
+            for report in [known.report]
+        ]
+        return [own, *relayed]
+
+    def progress(self, now, position):
+        """The Progress of an entry of the own log."""
+        if self.replication.accepted() < position:
+            return Progress(Outcome.PENDING, [(self.names[self.replication.machine], Why.NOT_ACCEPTED)])
+        pending, excused = [], []
+        for machine, name in enumerate(self.names):
+            self.look(now, machine, name, position, pending, excused)
+        if pending:
+            return Progress(Outcome.PENDING, pending + excused)
+        return Progress(Outcome.IN_FORCE_EXCEPT if excused else Outcome.IN_FORCE, excused)
+
+    def look(self, now, machine, name, position, pending, excused):
+        known, source = self.known.get(machine), self.replication.machine
+        if known is not None and not self.at_least(known.report.lost_floors, source, position):
+            excused += [(router, Why.LEASE_ENDED) for router in known.report.lost or [name]]
+        if known is not None and self.at_least(known.report.floors, source, position):
+            if now - max(known.since, self.started_at) < self.settle_s:
+                pending.append((name, Why.SETTLING))
+            return
+        silent_s = self.out_of_reach_s(now, machine)
+        if silent_s >= self.settle_s:
+            if silent_s < FORGET_S:
+                excused.append((name, Why.OUT_OF_REACH))
+        elif known is None or silent_s > 1.0 or not known.report.behind:
+            pending.append((name, Why.SILENT))
+        else:
+            pending += [(router, Why.BEHIND) for router in known.report.behind]
+
+    @staticmethod
+    def at_least(numbers, source, position):
+        return unflatten(numbers)[source] >= position
+
+    def out_of_reach_s(self, now, machine):
+        """For how long no majority can have held with that machine: the majority-th longest silence."""
+        replication = self.replication
+        if machine == replication.machine:
+            return 0.0
+        silences = [min(now - replication.peers[machine].heard_at, now - self.started_at)]
+        silences += [peer.silence_s[machine] for m, peer in replication.peers.items() if m != machine]
+        silences.sort(reverse=True)
+        return silences[replication.majority - 1]
--- /dev/null
+++ b/brookhinge/purgelog/replication.py
@@ -0,0 +1,216 @@
+"""Quorum reads, epochs and replication among the control machines. No I/O, no clock, no chance.
+
+Every machine is the one writer of its own log and holds those of all others. An entry is accepted once a majority holds
+it. A read that a majority answered after it was asked has seen every entry accepted before it was asked: two majorities
+share a machine. A source opens an epoch at a majority before it appends; a majority takes nothing of an older epoch then,
+so a process that was frozen or cut off meanwhile can have nothing accepted (Lamport 1998; Ongaro and Ousterhout 2014)."""
+
+import math
+from typing import NamedTuple
+
+from brookhinge.purgelog.batching import split
+from brookhinge.purgelog.log import SourceLog
+from brookhinge.purgelog.messages import Append, Batch
+from brookhinge.purgelog.positions import (
+    FAR_AHEAD,
+    MOST_INDEX,
+    START,
+    Position,
+    merged,
+    sound_vector,
+    unflatten,
+)
+
+FRESH_S = 0.6  # answers to syncs sent within so long count in a quorum read
+BEHIND_S = (
+    0.3  # a peer that lacks entries for so long gets them from any machine, not from their source alone
+)
+RECOVERY_S = 1.0  # a source that has restarted waits so long for its own history from the others
+NUMBERS_KEPT = 256  # syncs whose sending time is remembered
+APPEND_BYTES = 1150
+
+
+class Quorum(NamedTuple):
+    """What a majority held at least at some moment: no entry accepted before it stands behind `heads`."""
+
+    at: float  # that moment, by the clock of this machine
+    heads: list
+    boots: list  # process ids of the machines that answered; 0 for the others
+
+
+class Opening(NamedTuple):
+    """An epoch that this source has asked a majority to promise."""
+
+    epoch: int
+    number: int  # of the last sync before it
+    at: float
+
+
+class PeerState:
+    """What one machine knows of another."""
+
+    def __init__(self, machines):
+        self.boot, self.number, self.heard_at, self.first_heard_at = 0, 0, -math.inf, -math.inf
+        self.echoed_number, self.echoed_at = 0, -math.inf
+        self.positions, self.promises = [START] * machines, [0] * machines
+        self.silence_s = [0.0] * machines
+        self.behind_since = [None] * machines
+        self.retired = set()  # process ids that stood here before
+
+    def begin(self, boot, now):
+        """Another process answers under this machine's name."""
+        if self.boot:
+            self.retired.add(self.boot)
+        retired = self.retired
+        self.__init__(len(self.positions))
+        self.retired, self.boot, self.first_heard_at = retired, boot, now
+
+
+class Replication:
+    def __init__(self, machine, machines, boot, now):
+        self.machine, self.machines, self.boot = machine, machines, boot
+        self.majority = machines // 2 + 1
+        self.logs = [SourceLog(source) for source in range(machines)]
+        self.promises = [0] * machines
+        self.peers = {m: PeerState(machines) for m in range(machines) if m != machine}
+        self.epoch, self.opening = 0, None  # of the own log; 0: none is open
+        self.number, self.sent_at = 0, {}
+        self.started_at = now
+
+    # sending
+
+    def next_number(self, now):
+        """The number of the next sync; its sending time is remembered for the echo."""
+        self.number += 1
+        self.sent_at[self.number] = now
+        self.sent_at.pop(self.number - NUMBERS_KEPT, None)
+        return self.number
+
+    def positions(self):
+        return [log.head for log in self.logs]
+
+    def silence_ms(self, now):
+        """For each machine the milliseconds since it was heard, at most since this process started."""
+        heard = [now if m == self.machine else self.peers[m].heard_at for m in range(self.machines)]
+        return [round(1000 * (now - max(self.started_at, at))) for at in heard]
+
+    def appends(self, now, peer):
+        """Append messages with what a peer lacks, as far as this machine is to send it."""
+        batches = []
+        for source, log in enumerate(self.logs):
+            if log.head <= peer.positions[source]:
+                peer.behind_since[source] = None
+                continue
+            if peer.behind_since[source] is None:
+                peer.behind_since[source] = now
+            if source != self.machine and now - peer.behind_since[source] < BEHIND_S:
+                continue
+            following = log.since(peer.positions[source])
+            batches += [Batch(source, log.head.epoch, *log.head, [])] if following is None else following
+        return [Append(self.machine, part) for part in split(batches, APPEND_BYTES)]
+
+    # receiving
+
+    def receive_sync(self, now, sender, sync):
+        """Takes a sync from another machine; whether it was the newest of a process that still counts."""
+        peer = self.peers.get(sync.machine)
+        if peer is None or sender in peer.retired or not self.sound(sync):
+            return False
+        if sender != peer.boot:
+            peer.begin(sender, now)
+        if sync.number <= peer.number:
+            return False
+        peer.number, peer.heard_at = sync.number, now
+        peer.positions = unflatten(sync.positions)
+        peer.promises = list(sync.promises)
+        peer.silence_s = [ms / 1000.0 for ms in sync.silence_ms]
+        if sync.echo in self.sent_at and sync.echo > peer.echoed_number:
+            peer.echoed_number, peer.echoed_at = sync.echo, self.sent_at[sync.echo]
+        self.promises = [max(pair) for pair in zip(self.promises, sync.promises)]
+        return True
+
+    def sound(self, sync):
+        return (
+            len(sync.promises) == len(sync.silence_ms) == self.machines
+            and sound_vector(sync.positions, self.machines)
+            and min(*sync.promises, *sync.silence_ms) >= 0
+        )
+
+    def receive_append(self, message):
+        """Takes entries from another machine; those that are new here, as (source, entry)."""
+        new = []
+        for batch in message.batches:
+            if not 0 <= batch.source < self.machines or batch.epoch < self.promises[batch.source]:
+                continue
+            log, after = self.logs[batch.source], Position(batch.after_epoch, batch.after_index)
+            if not batch.entries:
+                if after > log.head and self.plausible(log, after):
+                    log.restart(after)
+                continue
+            self.promises[batch.source] = max(self.promises[batch.source], batch.epoch)
+            new += [(batch.source, entry) for entry in log.append(batch) or ()]
+        return new
+
+    @staticmethod
+    def plausible(log, position):
+        """A log that holds something is not led on to a position far ahead of it."""
+        return position.index < (log.head.index + FAR_AHEAD if log.head != START else MOST_INDEX)
+
+    # quorum reads
+
+    def quorum(self, now):
+        """The newest Quorum, or None while no majority answers."""
+        fresh = [m for m, peer in self.peers.items() if now - peer.echoed_at < FRESH_S]
+        if len(fresh) + 1 < self.majority:
+            return None
+        heads, boots = self.positions(), [0] * self.machines
+        boots[self.machine] = self.boot
+        for m in fresh:
+            heads = merged(heads, self.peers[m].positions)
+            boots[m] = self.peers[m].boot
+        return Quorum(min([now, *(self.peers[m].echoed_at for m in fresh)]), heads, boots)
+
+    # the own log
+
+    def open_epoch(self, now):
+        """Opens an epoch of the own log, once a majority has promised to take nothing older."""
+        if self.epoch and self.promises[self.machine] <= self.epoch:
+            return
+        self.epoch = 0
+        if self.opening is None or self.promises[self.machine] > self.opening.epoch:
+            if self.quorum(now) is not None:
+                epoch = 1 + max(self.promises[self.machine], self.logs[self.machine].head.epoch)
+                self.opening = Opening(epoch, self.number, now)
+                self.promises[self.machine] = epoch
+            return
+        self.finish_opening(now)
+
+    def finish_opening(self, now):
+        epoch, number, at = self.opening
+        promised = [
+            peer
+            for peer in self.peers.values()
+            if peer.echoed_number > number and peer.promises[self.machine] == epoch
+        ]
+        if len(promised) + 1 < self.majority:
+            return
+        log = self.logs[self.machine]
+        base = max([log.head, *(peer.positions[self.machine] for peer in promised)])
+        if base > log.head:
+            if now - at < RECOVERY_S:
+                return
+            log.restart(base)
+        self.epoch, self.opening = epoch, None
+
+    def submit(self, entry):
+        """Appends to the own log; the entry's position, or None while no epoch is open."""
+        if not self.epoch or self.promises[self.machine] > self.epoch:
+            return None
+        log = self.logs[self.machine]
+        log.append(Batch(self.machine, self.epoch, *log.head, [entry]))
+        return log.head
+
+    def accepted(self):
+        """The last position of the own log that a majority holds."""
+        held = [self.logs[self.machine].head, *(p.positions[self.machine] for p in self.peers.values())]
+        return sorted(held, reverse=True)[self.majority - 1]
--- /dev/null
+++ b/brookhinge/purgelog/subscriber.py
@@ -0,0 +1,328 @@
+"""One router as a reader of the purge log: what it has applied, until when that is proven to be all, and where it reads.
+No I/O, no clock.
+
+    subscriber.receive(now, message, writer)
+    subscriber.tick(now, writer)                at subscriber.next_at() at the latest
+    writer.send(address, message)
+    writer.entry(entry)                         a new entry: to be applied at once
+    writer.copies(rule, fingerprints)           what follows for copies that this router holds itself, a CopyRule
+
+Proof: a push echoes the number of a message that this router sent at a moment t, and names heads that were all there was
+`age` before the machine received it, or later. Once the router has applied everything up to these heads, it has applied
+every entry accepted before t - age, by its own clock alone (leases after Gray and Cheriton, SOSP 1989). A copy is used
+for `proof_s` after that moment. A purge that it has not applied by then was accepted later."""
+
+import enum
+import math
+
+import xxhash
+
+from brookhinge.purgelog.backfill import Backfill
+from brookhinge.purgelog.messages import Horizon, Leave, Poll, Push, Segment, Subscribe, Unknown
+from brookhinge.purgelog.positions import (
+    FAR_AHEAD,
+    Position,
+    covers,
+    flatten,
+    sound_vector,
+    unflatten,
+)
+
+POLL_S = 0.3  # after the sending of what was echoed last the machine is asked for a newer proof
+FIRST_ANSWER_S, SHORTEST_ANSWER_S, LONGEST_ANSWER_S = 0.4, 0.1, 0.5  # for an answer; after that a retry
+RTT_WEIGHT = 0.2
+RETURN_S = 20.0  # between two tries of the preferred machine, on the mean
+NUMBERS_KEPT = 64  # messages whose sending time is remembered
+
+
+class CopyRule(enum.Enum):
+    """What the router may do with copies of answers that it holds itself."""
+
+    STALE = "no proof: none is used"
+    PROVEN = "used, but those set aside"
+    ASIDE = "those made up to now are set aside: purges may have been missed"
+    READMIT = "those set aside whose fingerprint is not among the missed are used again"
+    DROP = "those set aside are dropped"
+
+
+class Refused(enum.Enum):
+    """Why a message was dropped, as counted in `refused`."""
+
+    UNSOUND = "unsound"
+    GAP = "gap"
+    OLD_EPOCH = "old epoch"
+
+
+def preference(name, region, machines):
+    """Numbers of the control machines as a router prefers them: those of its region first, else spread by hash."""
+
+    def rank(number):
+        machine = machines[number]
+        return machine.region != region, xxhash.xxh64_intdigest(f"{name} {machine.name}".encode())
+
+    return sorted(range(len(machines)), key=rank)
+
+
+class Subscriber:
+    """machines: the control machines (control.Machine), in the settings' order; reached: (host, port) at which this router
+    is reached, or None for where its datagrams come from."""
+
+    def __init__(self, name, machines, proof_s, chance, now, region="", reached=None):
+        self.name, self.machines, self.proof_s, self.chance = name, machines, proof_s, chance
+        self.reached = reached or ("", 0)
+        self.order = preference(name, region, machines)
+        self.choice, self.previous, self.session, self.number = 0, -1, 1, 0
+        self.positions, self.boots = None, [0] * len(machines)
+        self.sent_at, self.answered, self.echoed_at, self.rtt_s = {}, 0, -math.inf, None
+        self.pending = []  # (proven moment, heads, boots): proofs whose entries have not all come
+        self.proven_at, self.stale = -math.inf, True
+        self.backfill = None
+        self.subscribed, self.asked_at, self.tries = False, None, 0
+        self.due_at, self.return_at = now + 0.05 * chance.random(), now + self.pause()
+        self.refused = dict.fromkeys(Refused, 0)
+        self.changes_of_machine = self.restarts = self.entries = 0
+
+    def pause(self):
+        return RETURN_S * (0.5 + self.chance.random())
+
+    def machine(self):
+        """The number of the control machine that this router reads at."""
+        return self.order[self.choice]
+
+    def proof_age(self, now):
+        """Seconds since the last proven moment."""
+        return now - self.proven_at
+
+    # messages
+
+    def receive(self, now, message, writer):
+        match message:
+            case Push():
+                self.receive_push(now, message, writer)
+            case Unknown() if message.session == self.session and self.subscribed:
+                self.subscribe(now, writer)
+            case Segment() | Horizon() if self.backfill is not None:
+                self.backfill.receive(now, message)
+                self.end_backfill(now, writer)
+
+    def receive_push(self, now, push, writer):
+        if not self.sound(push):
+            self.refused[Refused.UNSOUND] += 1
+            return
+        proof = self.proof_of(now, push)
+        if push.session == self.session:
+            self.answer_came(now, push.echo)
+        if push.restart and proof is not None:
+            self.restart(now, proof, writer)
+        if self.positions is None:
+            return
+        gaps = self.refused[Refused.GAP]
+        for batch in push.batches:
+            self.append(batch, writer)
+        if proof is not None:
+            self.pending.append(proof)
+        self.prove(now, writer)
+        if push.batches or push.restart:
+            self.poll(now, False, writer, gap=self.refused[Refused.GAP] > gaps)
+
+    def answer_came(self, now, echo):
+        """The machine read at is there."""
+        if self.asked_at is not None and self.sent_at.get(echo) == self.asked_at:
+            sample = now - self.asked_at
+            self.rtt_s = sample if self.rtt_s is None else self.rtt_s + RTT_WEIGHT * (sample - self.rtt_s)
+        self.subscribed, self.asked_at, self.tries = True, None, 0
+        if echo > self.answered and echo in self.sent_at:
+            self.answered, self.echoed_at = echo, self.sent_at[echo]
+
+    def answer_s(self):
+        """How long an answer is waited for."""
+        if self.rtt_s is None:
+            return FIRST_ANSWER_S
+        return min(LONGEST_ANSWER_S, max(SHORTEST_ANSWER_S, 1.5 * self.rtt_s + 0.05))
+
+    def sound(self, push):
+        """Whether lengths and numbers of a push can be right."""
+        machines = len(self.machines)
+        if push.age_ms >= 0 and not (len(push.boots) == machines and sound_vector(push.heads, machines)):
+            return False
+        if not all(0 <= batch.source < machines and batch.epoch > 0 for batch in push.batches):
+            return False
+        return self.positions is None or self.plausible(push)
+
+    def plausible(self, push):
+        """Whether nothing in a push runs far ahead of what this router holds."""
+        ahead = [after.index - held.index for after, held in zip(unflatten(push.heads), self.positions)]
+        ahead += [batch.after_index - self.positions[batch.source].index for batch in push.batches]
+        newer = [batch.epoch - self.positions[batch.source].epoch for batch in push.batches]
+        newer += [after.epoch - held.epoch for after, held in zip(unflatten(push.heads), self.positions)]
+        return max([0, *ahead, *newer]) < FAR_AHEAD
+
+    def proof_of(self, now, push):
+        """(proven moment, heads, boots) of a push, or None where it proves nothing."""
+        asked_at = self.sent_at.get(push.echo)
+        if asked_at is None or push.age_ms < 0:
+            return None
+        return asked_at - push.age_ms / 1000.0, unflatten(push.heads), push.boots
+
+    def append(self, batch, writer):
+        """Applies what is new of a batch. Entries behind a gap are applied too: they only tighten; the position stays."""
+        held, after = self.positions[batch.source], Position(batch.after_epoch, batch.after_index)
+        if batch.epoch < held.epoch:
+            self.refused[Refused.OLD_EPOCH] += 1
+            return
+        same = batch.epoch == held.epoch
+        follows = after.index <= held.index and (same or after.epoch == held.epoch)
+        entries = batch.entries[held.index - after.index :] if same and follows else batch.entries
+        for entry in entries:
+            self.entries += 1
+            writer.entry(entry)
+        if not follows:
+            self.refused[Refused.GAP] += 1
+        elif entries:
+            self.positions[batch.source] = Position(batch.epoch, after.index + len(batch.entries))
+
+    # proof
+
+    def prove(self, now, writer):
+        """Takes the newest proof whose entries have all been applied."""
+        held = [proof for proof in self.pending if covers(self.positions, proof[1])]
+        if not held:
+            del self.pending[:-NUMBERS_KEPT]
+            return
+        moment, _, boots = max(held, key=lambda proof: proof[0])
+        self.pending = [proof for proof in self.pending if proof[0] > moment and proof not in held]
+        if moment <= self.proven_at:
+            return
+        if self.proven_at > -math.inf and not self.continuous(boots):
+            self.forget(writer)
+        self.boots = [boot or known for boot, known in zip(boots, self.boots)]
+        self.proven_at = moment
+        if self.stale and self.proof_age(now) < self.proof_s:
+            self.stale = False
+            writer.copies(CopyRule.PROVEN, None)
+
+    def continuous(self, boots):
+        """Whether every entry accepted since the last proof stands behind this one too: a majority of the machines has run
+        since then and answered now, and any majority that accepted one shares a machine with it."""
+        same = sum(boot != 0 and boot == known for boot, known in zip(boots, self.boots))
+        return same > len(self.machines) // 2
+
+    def forget(self, writer):
+        """Entries may be gone for good with the machines that held them: so go all copies made up to now."""
+        self.backfill = None
+        writer.copies(CopyRule.ASIDE, None)
+        writer.copies(CopyRule.DROP, None)
+
+    def restart(self, now, proof, writer):
+        """Goes on from the heads. What was made before is set aside until it is known which of it was purged."""
+        moment, heads, boots = proof
+        if self.positions is None:
+            self.positions = heads
+            return
+        if covers(self.positions, heads):
+            return
+        self.restarts += 1
+        missed = [
+            (source, held, head)
+            for source, (held, head) in enumerate(zip(self.positions, heads))
+            if head > held
+        ]
+        self.positions = [max(pair) for pair in zip(self.positions, heads)]
+        writer.copies(CopyRule.ASIDE, None)
+        if self.backfill is None:
+            self.backfill = Backfill(self.order, self.choice, now)
+        self.backfill.extend(missed)
+
+    def end_backfill(self, now, writer):
+        if self.backfill.lost:
+            writer.copies(CopyRule.DROP, None)
+        elif self.backfill.done():
+            writer.copies(CopyRule.READMIT, self.backfill.fingerprints())
+        else:
+            return
+        self.backfill = None
+
+    # time
+
+    def tick(self, now, writer):
+        if not self.stale and self.proof_age(now) >= self.proof_s:
+            self.stale = True
+            writer.copies(CopyRule.STALE, None)
+        if now < self.due_at:
+            return
+        if self.asked_at is not None and now - self.asked_at >= self.answer_s():
+            self.unanswered(now, writer)
+        elif self.choice and now >= self.return_at:
+            self.change_machine(now, 0, writer)
+        elif self.asked_at is None:
+            self.ask(now, writer)
+        if self.backfill is not None:
+            self.request_backfill(now, writer)
+        self.plan(now)
+
+    def request_backfill(self, now, writer):
+        machine, request = self.backfill.tick(now)
+        if request is not None:
+            writer.send(self.machines[machine].address, request)
+        self.end_backfill(now, writer)
+
+    def plan(self, now):
+        asked = self.asked_at is not None
+        times = [self.asked_at + self.answer_s() if asked else self.echoed_at + POLL_S]
+        if not self.stale:
+            times.append(self.proven_at + self.proof_s)
+        if self.backfill is not None:
+            times.append(self.backfill.due_at)
+        self.due_at = max(now + 0.001, min(times))
+
+    def next_at(self):
+        return self.due_at
+
+    def ask(self, now, writer):
+        """For the first time, or where the newest proof has become old."""
+        if not self.subscribed:
+            self.subscribe(now, writer)
+        elif now - self.echoed_at >= POLL_S:
+            self.poll(now, True, writer)
+
+    def unanswered(self, now, writer):
+        """Asks once more, then another machine."""
+        self.tries += 1
+        if self.tries == 1 and self.subscribed:
+            self.poll(now, True, writer)
+        else:
+            self.change_machine(now, (self.choice + 1) % len(self.order), writer)
+
+    def change_machine(self, now, choice, writer):
+        self.previous, self.choice, self.session = self.machine(), choice, self.session + 1
+        self.return_at = now + self.pause()
+        self.changes_of_machine += 1
+        self.subscribe(now, writer)
+
+    def subscribe(self, now, writer):
+        self.subscribed, self.tries = False, 0
+        positions = [] if self.positions is None else flatten(self.positions)
+        number = self.stamp(now)
+        self.asked_at = now
+        message = Subscribe(self.name, self.session, number, self.previous, positions, *self.reached)
+        writer.send(self.machines[self.machine()].address, message)
+        self.plan(now)
+
+    def poll(self, now, answer, writer, gap=False):
+        positions = [] if self.positions is None else flatten(self.positions)
+        number = self.stamp(now)
+        if answer:
+            self.asked_at = now
+        writer.send(self.machines[self.machine()].address, Poll(self.session, number, answer, gap, positions))
+
+    def stamp(self, now):
+        """The number of the next message; its sending time is remembered for the echo."""
+        self.number += 1
+        self.sent_at[self.number] = now
+        self.sent_at.pop(self.number - NUMBERS_KEPT, None)
+        return self.number
+
+    def leave(self, writer):
+        """This router ends as planned: nobody waits for it."""
+        for _ in range(2):  # a datagram may get lost
+            writer.send(self.machines[self.machine()].address, Leave(self.session))
