--- a/brookhinge/cli/__init__.py
+++ b/brookhinge/cli/__init__.py
@@ -11,6 +11,10 @@
     "ask": ("brookhinge.cli.ask", "Asks a router for an object, and comes back when told."),
     "explain": ("brookhinge.cli.explain", "Tells the storms in a router's log as a story."),
     "fleet": ("brookhinge.cli.fleet", "What a router believes of its peers: show, watch."),
+    "control": (
+        "brookhinge.cli.control",
+        "A control machine of the purge log, purges through it, and how far they have got.",
+    ),
     "keep": ("brookhinge.cli.keep", "Keeps one place's routers running, and changes them when told."),
     "roll": (
         "brookhinge.cli.roll",
--- a/brookhinge/cli/check.py
+++ b/brookhinge/cli/check.py
@@ -28,6 +28,10 @@
         {"block": "fleet", "name": name, "listen": "%s:%d" % fleet.listen, "store": ""}
         for name, fleet in told.fleet.items()
     ]
+    rows += [
+        {"block": "control", "name": name, "listen": "%s:%d" % control.listen, "store": ""}
+        for name, control in told.control.items()
+    ]
     if told.metrics:
         rows.append({"block": "metrics", "name": "", "listen": "%s:%d" % told.metrics, "store": ""})
     table(rows, ["block", "name", "listen", "store"], as_json)
--- /dev/null
+++ b/brookhinge/cli/control.py
@@ -0,0 +1,84 @@
+"""brookhinge control serve|purge"""
+
+import asyncio
+import signal
+import sys
+
+import click
+
+from brookhinge.cli import refuse
+from brookhinge.operator import OperatorError, read_file
+
+
+def controls_of(file, name):
+    """The blocks `control` of an operator's file, and the one by that name."""
+    try:
+        told = read_file(file)
+    except OperatorError as fault:
+        refuse(f"{file}: {fault}")
+    if not told.control:
+        refuse(f"{file}: no block control")
+    if name is not None and name not in told.control:
+        refuse(f'{file}: no block control "{name}", there is ' + ", ".join(told.control))
+    return told, told.control, told.control[name] if name is not None else next(iter(told.control.values()))
+
+
+@click.group("control")
+def command():
+    """Control machines: they keep the purge log and tell it to the routers (docs/operators/purgelog.md)."""
+
+
+async def run(name, controls, log):
+    from brookhinge.purgelog.server import ControlServer
+
+    ended = asyncio.Event()
+    for word in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(word, ended.set)
+    server = ControlServer(name, controls, lambda event, **values: log.info(event, **values))
+    await server.start()
+    await ended.wait()
+    server.stop()
+
+
+@command.command("serve")
+@click.option("--file", required=True, type=click.Path(), help="The operator's file with the blocks control.")
+@click.option("--name", required=True, help="Which of them this is.")
+def serve(file, name):
+    """One control machine, until SIGTERM."""
+    from brookhinge.logs import make
+
+    told, controls, block = controls_of(file, name)
+    try:
+        asyncio.run(run(name, controls, make(name, told.log)))
+    except OSError as fault:
+        refuse(f"listen: {'%s:%d' % block.listen}: {fault.strerror}", 1)
+
+
+@command.command("purge")
+@click.option("--file", required=True, type=click.Path(), help="The operator's file with the blocks control.")
+@click.option("--name", help="Which one appends it; the first block's without.")
+@click.option("--object", "key", help="The object's id.")
+@click.option("--group", type=click.IntRange(0), help="Or the number of a group of objects.")
+@click.option("--wait", default=5.0, type=click.FloatRange(0.1, 600), show_default=True, help="Seconds.")
+def purge(file, name, key, group, wait):
+    """Purges an object or a group, and waits until that is in force at every router, or names who is missing."""
+    from brookhinge.purgelog.progress import Outcome
+    from brookhinge.purgelog.submit import NotAppended, submit
+
+    if (key is None) == (group is None):
+        refuse("expected either --object or --group")
+    if key is not None and not 0 < len(key) <= 64:
+        refuse(f"--object: expected 1 to 64 letters, got {key!r:.80}")
+    _, _, block = controls_of(file, name)
+    try:
+        took, status = asyncio.run(submit(block, key or "", -1 if key else group, wait))
+    except NotAppended as fault:
+        refuse(f"{block.name}: {fault}", 1)
+    for missing, why in status.missing:
+        click.echo(f"{missing}: {why}")
+    outcome = Outcome(status.outcome)
+    if outcome is Outcome.PENDING:
+        refuse(f"not in force everywhere after {took:.2f} s", 1)
+    rest = "" if outcome is Outcome.IN_FORCE else " but those above, which use no copy from before it"
+    click.echo(f"in force at every router after {took:.2f} s{rest}")
+    sys.exit(0)
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -4,7 +4,7 @@
 its writer: decisions become effects. Times are seconds since the start. It knows nothing of any wire.
 
 Events in: query, forgotten, client_gone, ended, listed, purged, closing; with a lineage also connected, among peers
-also notice, peers, parts, verdicts and remember.
+also notice, peers, parts, verdicts and remember; with the purge log logged and copy_rule.
 Effects out: pull, kill, satisfy, nack, error, reject, shut, retire, say; among peers also spread.
 """
 
@@ -14,6 +14,7 @@
 
 OPEN = 32  # queries on one connection, by the protocol
 WAIT_END_S = 0.02  # who waits beside a query is told that nothing came so long before its time is over
+PURGE_KIND, DRAINING_KIND = 1, 2  # entries of the purge log: brookhinge/purgelog/messages.py
 PAST = 1024  # ids remembered of queries that are over: each query has a new one
 
 
@@ -358,6 +359,17 @@
             self.inbox.append(("roster", ("changes", [row])))
             self.effects.append(("say", ("notice", {"server": row[0], "health": row[1]})))
 
+    def logged(self, kind, text, number, stamp):
+        """An entry of the purge log. A purge counts from now on by this router's own clock, whatever others' clocks say."""
+        if kind != PURGE_KIND:
+            self.notice("draining" if kind == DRAINING_KIND else "gone", (text, number))
+        elif self.tight.purge_is_new(number, text, stamp):
+            self.inbox.append(("purged", (number, 0.0, text)))
+
+    def copy_rule(self, rule, purges):
+        """What this router may do with copies that it holds itself, as far as it knows all purges."""
+        self.inbox.append(("copy_rule", (rule, purges)))
+
     def peers(self, here, all_):
         """By how many routers this place's limits and the whole fleet's are divided from here on."""
         self.inbox.append(("peers", (here, all_)))
--- a/brookhinge/net/program.py
+++ b/brookhinge/net/program.py
@@ -19,10 +19,11 @@
 
 
 def fleet_of(site, environ):
-    """The block of the operator's file that BROOKHINGE_FLEET names; without one nothing of it is imported."""
+    """The block `fleet` of the operator's file that BROOKHINGE_FLEET names, and its blocks `control`; without a file
+    nothing of it is imported."""
     path = environ.get("BROOKHINGE_FLEET")
     if not path:
-        return None
+        return None, {}
     from brookhinge.operator import OperatorError, read_file
 
     try:
@@ -31,7 +32,7 @@
         raise StartError(f"BROOKHINGE_FLEET: {path}: {fault}") from None
     if site.name not in told.fleet:
         raise StartError(f'BROOKHINGE_FLEET: {path}: no block fleet "{site.name}"')
-    return told.fleet[site.name]
+    return told.fleet[site.name], told.control
 
 
 def kept(environ):
@@ -56,8 +57,8 @@
     return site._replace(bounds=site.bounds._replace(sockets=most))
 
 
-async def serve(site, fleet, kept_, told_again):
-    service = Service(site, fleet=fleet, **kept_)
+async def serve(site, fleet, controls, kept_, told_again):
+    service = Service(site, fleet=fleet, controls=controls, **kept_)
     for word in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(word, service.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, service)
@@ -71,14 +72,14 @@
     signal.signal(signal.SIGHUP, lambda *_: told_again.append(True))
     try:
         site = bounded(read_site(os.environ))
-        fleet, kept_ = fleet_of(site, os.environ), kept(os.environ)
+        (fleet, controls), kept_ = fleet_of(site, os.environ), kept(os.environ)
     except StartError as fault:
         print(f"brookhinge: {fault}", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(site, fleet, kept_, told_again))
+        asyncio.run(serve(site, fleet, controls, kept_, told_again))
     except OSError as fault:
-        where = [site.listen] + ([fleet.listen] if fleet else [])
+        where = [site.listen] + ([fleet.listen, fleet.log_listen] if fleet else [])
         print(
             f"brookhinge: listen: expected an address that is free here, got {where} ({fault.strerror})",
             file=sys.stderr,
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -29,8 +29,9 @@
 class Service:
     """Joins sockets and engine, from start to exit."""
 
-    def __init__(self, site, log=None, fleet=None, handed=None, scores_s=0.0):
-        """fleet: the block of the operator's file under this router's name, or None: it shares nothing. handed: descriptor
+    def __init__(self, site, log=None, fleet=None, controls=None, handed=None, scores_s=0.0):
+        """fleet: the block of the operator's file under this router's name, or None: it shares nothing. controls: its
+        blocks `control` by name. handed: descriptor
         of a listening socket that a keeper holds; scores_s: seconds between two lines of what became of queries, 0: none."""
         self.handed, self.scores_s, scores = handed, scores_s, None
         if scores_s:
@@ -41,7 +42,7 @@
         self.start = time.time()
         self.phases = Phases(self.log)
         kinds, lineage = [], None  # what goes before Router where limits or verdicts are shared
-        returns = self.gate = self.talk = tight = None
+        returns = self.gate = self.talk = self.purge_log = tight = None
         if fleet is not None:
             from brookhinge.membership.tight import Tight
 
@@ -58,6 +59,10 @@
                 from brookhinge.membership.memory import Memory, Remembering
 
                 kinds.append(Remembering)
+            if fleet.purge_log:
+                from brookhinge.purgelog.copies import ProvenCopies
+
+                kinds.append(ProvenCopies)
         if site.storm:
             from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
@@ -155,7 +160,12 @@
                         now,
                     )
                 )
-            self.rounds.join(self.talk, "spread")
+            if fleet.purge_log:
+                from brookhinge.purgelog.client import LogClient
+
+                self.purge_log = LogClient(fleet, controls, self.post, self.log)
+                self.rounds.before.append(self.purge_log.before)
+            self.rounds.join(self, "spread")
         for event in commands:
             self.post(*event)
         self.ended, self.stopped = None, False
@@ -172,6 +182,17 @@
     def say(self, event, values):
         self.log(event, **values)
 
+    def spread(self, kind, *values):
+        """Tells the peers something that tightens a rule; purges only while the log does not tell them."""
+        if kind != "purge" or self.purge_log is None or not self.purge_log.tells():
+            self.talk.spread(kind, *values)
+
+    async def join_fleet(self):
+        """Begins to talk with the peers, and to read the purge log."""
+        if self.purge_log is not None and self.purge_log.closed():
+            await self.purge_log.start()
+        await self.talk.start()
+
     # life
 
     async def run(self):
@@ -182,7 +203,7 @@
         self.rounds.open()  # what is known at the start comes before the first query
         address = self.front.listen(*self.site.listen, self.handed)
         if self.talk is not None and self.handed is None:
-            await self.talk.start()
+            await self.join_fleet()
         self.phases.step("ready")
         gc.collect()
         gc.freeze()
@@ -201,6 +222,8 @@
         self.channel.close()
         await self.front.end(self.last_at())
         self.caches.end_all()
+        if self.purge_log is not None:
+            self.purge_log.stop()
         if self.talk is not None:  # its share of what is limited was in use until here
             await self.talk.leave()
         self.phases.step("ended")
@@ -258,7 +281,7 @@
         """A process that takes over joins the fleet once the one before it has left: they have one name and address."""
         while True:
             try:
-                await self.talk.start()
+                await self.join_fleet()
                 return
             except OSError as fault:
                 if fault.errno != errno.EADDRINUSE:
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -56,6 +56,23 @@
         bool  # who starts is told by a peer what that one knows: see brookhinge/membership/memory.py
     )
     share_verdicts: bool  # what all saw of a server counts: see brookhinge/verdicts
+    region: str  # control machines of the same region are read at first
+    purge_log: bool  # purges come from the control machines: see brookhinge/purgelog
+    log_listen: tuple  # UDP for the purge log; None: the host of `listen`, any port
+    log_advertise: tuple  # where control machines reach that, if elsewhere; else None
+
+
+class Control(NamedTuple):
+    """One control machine of the purge log: see brookhinge/purgelog."""
+
+    name: str
+    listen: tuple  # UDP
+    advertise: tuple  # where routers and other control machines reach it, if that is elsewhere; else None
+    site: str  # routers and control machines of another site are not listened to
+    key: bytes  # of the checksums of all datagrams; the same for the whole fleet
+    region: str
+    proof_s: float  # how long a router uses its own copies on one proof that it knows all purges
+    channel: tuple  # the command channel whose purges it appends, or None
 
 
 class Told(NamedTuple):
@@ -63,6 +80,7 @@
 
     box: dict  # name -> Stand
     fleet: dict  # name -> Fleet
+    control: dict  # name -> Control
     log: str  # least level that is logged
     metrics: tuple  # HOST:PORT on which figures are served, or None
 
@@ -182,10 +200,24 @@
     "share_limits": (flag, False),
     "share_verdicts": (flag, False),
     "share_memory": (flag, False),
+    "region": (path, ""),
+    "purge_log": (flag, False),
+    "log_listen": (address, None),
+    "log_advertise": (address, None),
+}
+CONTROL = {
+    "listen": (address, MUST),
+    "advertise": (address, None),
+    "site": (text, MUST),
+    "key": (key, MUST),
+    "region": (path, ""),
+    "proof_s": (number(1, 60), 3.0),
+    "channel": (address, None),
 }
 BLOCKS = {  # kind: (labels, keys, blocks within)
     "box": (1, BOX, {"store": (0, STORE, {}), "track": (1, TRACK, {})}),
     "fleet": (1, FLEET, {}),
+    "control": (1, CONTROL, {}),
     "log": (0, {"level": (one_of("debug", "info", "warning", "error"), "info")}, {}),
     "metrics": (0, {"listen": (address, MUST)}, {}),
 }
@@ -251,7 +283,7 @@
     for key, line in top.lines.items():
         raise OperatorError(f"line {line}: {key}: expected a block, got a key outside of any")
     check_blocks(top, BLOCKS)
-    boxes, fleet, level, metrics = {}, {}, "info", None
+    boxes, fleet, control, level, metrics = {}, {}, {}, "info", None
     for block in top.blocks:
         values = take(block, BLOCKS[block.kind][1])
         if block.kind == "box":
@@ -268,6 +300,8 @@
             )
         elif block.kind == "fleet":
             fleet[block.labels[0]] = Fleet(name=short(block), **values)
+        elif block.kind == "control":
+            control[block.labels[0]] = Control(name=short(block), **values)
         elif block.kind == "log":
             level = values["level"]
         else:
@@ -278,7 +312,30 @@
             raise OperatorError(
                 f'box "{name}": store: dir: {stand.store.dir!r} is that of box "{dirs[stand.store.dir]}" too'
             )
-    return Told(boxes, fleet, level, metrics)
+    check_purge_log(top, fleet, control)
+    return Told(boxes, fleet, control, level, metrics)
+
+
+LEAST_CONTROLS = 3  # a majority of two is both: the loss of one machine would stop the log
+
+
+def check_purge_log(top, fleet, control):
+    """Control machines make a majority, and who reads the log reads one of its own site and key."""
+    lines = {(block.kind, block.labels[0]): block.line for block in top.blocks if block.labels}
+    one = next(iter(control.values()), None)
+    if control and len(control) < LEAST_CONTROLS:
+        raise OperatorError(
+            f'line {lines["control", one.name]}: control "{one.name}": expected {LEAST_CONTROLS} blocks control at '
+            f"least, got {len(control)}"
+        )
+    readers = [member for member in fleet.values() if member.purge_log]
+    for member in [*control.values(), *readers]:
+        kind = "control" if isinstance(member, Control) else "fleet"
+        where = f'line {lines[kind, member.name]}: {kind} "{member.name}"'
+        if one is None:
+            raise OperatorError(f"{where}: purge_log: expected blocks control in this file, got none")
+        if (member.site, member.key) != (one.site, one.key):
+            raise OperatorError(f'{where}: site, key: expected those of control "{one.name}"')
 
 
 def read_file(name, read=read_text):
--- /dev/null
+++ b/brookhinge/purgelog/client.py
@@ -0,0 +1,89 @@
+"""The router's end of the purge log: joins a Subscriber to UDP, and hands entries and rules to the reducer."""
+
+import random
+import secrets
+
+from brookhinge.membership.talk import steady
+from brookhinge.purgelog.control import Machine
+from brookhinge.purgelog.endpoint import Endpoint
+from brookhinge.purgelog.subscriber import CopyRule, Subscriber
+
+PROCESS_BITS = 62
+
+
+def machines_of(controls):
+    """The control machines that an operator's file names, in the order in which every process numbers them."""
+    return [
+        Machine(name, controls[name].advertise or controls[name].listen, controls[name].region)
+        for name in sorted(controls)
+    ]
+
+
+class LogClient(Endpoint):
+    """block: `fleet` of the operator's file; controls: its blocks `control` by name; event(method, values) takes `logged`
+    (kind, text, number, stamp_ms) and `copy_rule` (CopyRule, PurgeSet or None); log(event, **values)."""
+
+    def __init__(self, block, controls, event, log):
+        super().__init__(block.site, block.key, 1 + secrets.randbits(PROCESS_BITS), log)
+        self.block, self.event, self.machines = block, event, machines_of(controls)
+        self.proof_s = min(control.proof_s for control in controls.values())
+        self.fed = any(control.channel for control in controls.values())
+        self.subscriber, self.machine = None, None
+
+    async def start(self):
+        """Binds and begins to read; (host, port)."""
+        address = await self.open(self.block.log_listen or (self.block.listen[0], 0))
+        chance = random.Random(self.process)
+        self.subscriber = Subscriber(
+            self.block.name,
+            self.machines,
+            self.proof_s,
+            chance,
+            steady(),
+            self.block.region,
+            self.block.log_advertise,
+        )
+        self.log("purge log", change="listening", address="%s:%d" % address)
+        self.turn()
+        return address
+
+    def receive(self, now, sender, address, message):
+        self.subscriber.receive(now, message, self)
+
+    def tick(self, now):
+        self.subscriber.tick(now, self)
+        if self.subscriber.subscribed and self.machine != self.subscriber.machine():
+            self.machine = self.subscriber.machine()
+            self.log("purge log", change="reads at", machine=self.machines[self.machine].name)
+
+    def next_at(self, now):
+        return self.subscriber.next_at()
+
+    def tells(self):
+        """Whether the purges of the command channel come by the log, proven complete."""
+        return self.fed and self.subscriber is not None and not self.subscriber.stale
+
+    def stop(self):
+        """Tells the control machine that this router ends, and closes."""
+        if self.subscriber is not None:
+            self.subscriber.leave(self)
+        self.close()
+
+    # the subscriber's writer, beside send
+
+    def entry(self, entry):
+        self.event("logged", (entry.kind, entry.text, entry.number, entry.stamp_ms))
+
+    def copies(self, rule, purges):
+        self.event("copy_rule", (rule, purges))
+        if rule is not CopyRule.PROVEN or self.subscriber.restarts:
+            self.log("purge log", change=rule.name.lower(), why=rule.value)
+        else:
+            self.log("purge log", change="proven")
+
+    # before a round of the decisions
+
+    def before(self):
+        """A proof that has ended ends before the decisions that would use it."""
+        if self.subscriber is not None and not self.closed():
+            self.subscriber.end_proof(steady(), self)
--- a/brookhinge/purgelog/codec.py
+++ b/brookhinge/purgelog/codec.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from brookhinge.membership.post import Guard
+from brookhinge.membership.codec import Guard
 from brookhinge.purgelog import messages
 
 MOST_BYTES = 1400
--- a/brookhinge/purgelog/control.py
+++ b/brookhinge/purgelog/control.py
@@ -10,7 +10,7 @@
 from brookhinge.purgelog import messages
 from brookhinge.purgelog.distributor import Distributor
 from brookhinge.purgelog.log import RECENT
-from brookhinge.purgelog.positions import START, Position, covers, flatten
+from brookhinge.purgelog.positions import START, Position, covers, flatten, sound_vector
 from brookhinge.purgelog.progress import MARGIN_S, Outcome, Progress, Tracker
 from brookhinge.purgelog.replication import Replication
 
@@ -86,11 +86,17 @@
         if not self.replication.receive_sync(now, sender, sync):
             return
         for report in sync.reports:
-            if len(report.floors) == len(report.lost_floors) == 2 * len(self.machines):
+            if self.sound(report):
                 self.tracker.receive(now, report)
         for name, process, session in sync.moved:
             self.distributor.gone_elsewhere(name, process, session)
 
+    def sound(self, report):
+        machines = len(self.machines)
+        return sound_vector(report.floors, machines) and (
+            not report.lost_floors or sound_vector(report.lost_floors, machines)
+        )
+
     def receive_append(self, now, message, writer):
         new = self.replication.receive_append(message)
         for _, entry in new:
--- a/brookhinge/purgelog/distributor.py
+++ b/brookhinge/purgelog/distributor.py
@@ -303,11 +303,11 @@
         """What this machine vouches for now."""
         self.number += 1
         heads = self.heads()
-        floors, lost_floors = list(heads), list(heads)
+        floors, lost_floors = list(heads), []
         for reader in self.readers.values():
             floors = [min(pair) for pair in zip(floors, reader.positions)]
         for lost in self.lost.values():
-            lost_floors = [min(pair) for pair in zip(lost_floors, lost.positions)]
+            lost_floors = [min(pair) for pair in zip(lost_floors or lost.positions, lost.positions)]
         behind = [r.name for r in self.readers.values() if not covers(r.positions, heads)]
         return Report(
             self.machine,
--- a/brookhinge/purgelog/messages.py
+++ b/brookhinge/purgelog/messages.py
@@ -114,7 +114,7 @@
     boot: int
     number: int  # of the sync in which it was first told: the later report holds
     floors: list[int]  # every router that reads there has acknowledged these, and the machine holds them
-    lost_floors: list[int]  # so had those whose lease ended lately
+    lost_floors: list[int]  # so had those whose lease ended lately; empty: there are none
     routers: int
     behind: list[str]  # names of some that have not acknowledged all
     lost: list[str]  # names of some whose lease ended
--- a/brookhinge/purgelog/progress.py
+++ b/brookhinge/purgelog/progress.py
@@ -93,7 +93,8 @@
 
     def look(self, now, machine, name, position, pending, excused):
         known, source = self.known.get(machine), self.replication.machine
-        if known is not None and not self.at_least(known.report.lost_floors, source, position):
+        lost_floors = known.report.lost_floors if known is not None else []
+        if lost_floors and not self.at_least(lost_floors, source, position):
             excused += [(router, Why.LEASE_ENDED) for router in known.report.lost or [name]]
         if known is not None and self.at_least(known.report.floors, source, position):
             if now - max(known.since, self.started_at) < self.settle_s:
--- a/brookhinge/purgelog/subscriber.py
+++ b/brookhinge/purgelog/subscriber.py
@@ -244,10 +244,14 @@
 
     # time
 
-    def tick(self, now, writer):
+    def end_proof(self, now, writer):
+        """Ends the use of copies once the proof is too old."""
         if not self.stale and self.proof_age(now) >= self.proof_s:
             self.stale = True
             writer.copies(CopyRule.STALE, None)
+
+    def tick(self, now, writer):
+        self.end_proof(now, writer)
         if now < self.due_at:
             return
         if self.asked_at is not None and now - self.asked_at >= self.answer_s():
