--- a/brookhinge/cli/control.py
+++ b/brookhinge/cli/control.py
@@ -77,6 +77,8 @@
     for missing, why in status.missing:
         click.echo(f"{missing}: {why}")
     outcome = Outcome(status.outcome)
+    if outcome is Outcome.LOST:
+        refuse(f"{block.name}: restarted before a majority held the purge: give it again", 1)
     if outcome is Outcome.PENDING:
         refuse(f"not in force everywhere after {took:.2f} s", 1)
     rest = "" if outcome is Outcome.IN_FORCE else " but those above, which use no copy from before it"
--- a/brookhinge/purgelog/client.py
+++ b/brookhinge/purgelog/client.py
@@ -8,7 +8,7 @@
 from brookhinge.purgelog.endpoint import Endpoint
 from brookhinge.purgelog.subscriber import CopyRule, Subscriber
 
-PROCESS_BITS = 62
+PROCESS_BITS = 31  # five bytes in a datagram
 
 
 def machines_of(controls):
--- a/brookhinge/purgelog/control.py
+++ b/brookhinge/purgelog/control.py
@@ -50,7 +50,7 @@
 
     def progress(self, now, position):
         """Progress of an entry that this machine appended."""
-        if position > self.replication.logs[self.machine].head:
+        if not self.replication.epoch:
             return Progress(Outcome.PENDING, [])
         self.tracker.receive(now, self.distributor.report())
         return self.tracker.progress(now, position)
@@ -121,6 +121,7 @@
     # time
 
     def tick(self, now, writer):
+        self.replication.recover(now)
         self.replication.open_epoch(now)
         self.serve(now, writer)
         if now >= self.sync_at:
@@ -155,6 +156,7 @@
                 self.machine,
                 number,
                 peer.number,
+                self.replication.recovered(),
                 list(self.replication.promises),
                 flatten(self.replication.positions()),
                 self.replication.silence_ms(now),
--- a/brookhinge/purgelog/messages.py
+++ b/brookhinge/purgelog/messages.py
@@ -12,6 +12,7 @@
     PURGE = 1  # text: the object's key, number: -1; or text "", number: the group
     DRAINING = 2  # text: a server, number: its start in milliseconds of the Unix clock
     GONE = 3  # the same
+    OPENED = 4  # a source has opened an epoch; number: the epoch. It says nothing to routers
 
 
 class Entry(msgspec.Struct, array_like=True, frozen=True):
@@ -126,6 +127,7 @@
     machine: int
     number: int
     echo: int  # number of the receiver's last sync
+    recovered: bool  # it holds all that a majority held after its start: only then does it count in one
     promises: list[int]  # for each source the epoch below which nothing is taken any more
     positions: list[int]
     silence_ms: list[int]  # for each machine: since it was heard
@@ -137,6 +139,7 @@
     """Entries from one control machine to another."""
 
     machine: int
+    epochs: list[int]  # of the sender's logs: what it sends belongs to them
     batches: list[Batch]
 
 
--- a/brookhinge/purgelog/progress.py
+++ b/brookhinge/purgelog/progress.py
@@ -15,6 +15,7 @@
     PENDING = 0  # somebody has not acknowledged it yet
     IN_FORCE = 1  # at every router
     IN_FORCE_EXCEPT = 2  # at every router but those named, whose leases have ended
+    LOST = 3  # its source restarted before a majority held it: it is to be submitted again
 
 
 class Why(enum.StrEnum):
@@ -82,6 +83,9 @@
 
     def progress(self, now, position):
         """The Progress of an entry of the own log."""
+        log = self.replication.logs[self.replication.machine]
+        if position.index > log.origin.index and log.on_chain(position) != position:
+            return Progress(Outcome.LOST, [])
         if self.replication.accepted() < position:
             return Progress(Outcome.PENDING, [(self.names[self.replication.machine], Why.NOT_ACCEPTED)])
         pending, excused = [], []
--- a/brookhinge/purgelog/replication.py
+++ b/brookhinge/purgelog/replication.py
@@ -3,19 +3,25 @@
 Every machine is the one writer of its own log and holds those of all others. An entry is accepted once a majority holds
 it. A read that a majority answered after it was asked has seen every entry accepted before it was asked: two majorities
 share a machine. A source opens an epoch at a majority before it appends; a majority takes nothing of an older epoch then,
-so a process that was frozen or cut off meanwhile can have nothing accepted (Lamport 1998; Ongaro and Ousterhout 2014)."""
+so a process that was frozen or cut off meanwhile can have nothing accepted (Lamport 1998; Ongaro and Ousterhout 2014).
+
+Nothing is kept on disk. A machine that starts counts in no majority until it has recovered: until it holds what so many
+others hold that each majority it may have been part of shares one with them (Liskov and Cowling 2012). Where a majority
+has started anew there is nothing to recover from: they begin, and the routers, who see their process ids change, drop
+what they held (`subscriber.py`)."""
 
 import math
 from typing import NamedTuple
 
 from brookhinge.purgelog.batching import split
 from brookhinge.purgelog.log import SourceLog
-from brookhinge.purgelog.messages import Append, Batch
+from brookhinge.purgelog.messages import Append, Batch, Entry, Kind
 from brookhinge.purgelog.positions import (
     FAR_AHEAD,
     MOST_INDEX,
     START,
     Position,
+    covers,
     merged,
     sound_vector,
     unflatten,
@@ -25,7 +31,7 @@
 BEHIND_S = (
     0.3  # a peer that lacks entries for so long gets them from any machine, not from their source alone
 )
-RECOVERY_S = 1.0  # a source that has restarted waits so long for its own history from the others
+BEGINNING_S = 1.0  # a machine that begins with others says so for so long: they have to see it too
 NUMBERS_KEPT = 256  # syncs whose sending time is remembered
 APPEND_BYTES = 1150
 
@@ -43,7 +49,6 @@
 
     epoch: int
     number: int  # of the last sync before it
-    at: float
 
 
 class PeerState:
@@ -51,6 +56,7 @@
 
     def __init__(self, machines):
         self.boot, self.number, self.heard_at, self.first_heard_at = 0, 0, -math.inf, -math.inf
+        self.recovered = False
         self.echoed_number, self.echoed_at = 0, -math.inf
         self.positions, self.promises = [START] * machines, [0] * machines
         self.silence_s = [0.0] * machines
@@ -70,6 +76,8 @@
     def __init__(self, machine, machines, boot, now):
         self.machine, self.machines, self.boot = machine, machines, boot
         self.majority = machines // 2 + 1
+        self.others = machines - self.majority + 1  # so many others share a machine with every majority
+        self.recovered_at, self.begun_at = None, None
         self.logs = [SourceLog(source) for source in range(machines)]
         self.promises = [0] * machines
         self.peers = {m: PeerState(machines) for m in range(machines) if m != machine}
@@ -107,7 +115,8 @@
                 continue
             following = log.since(peer.positions[source])
             batches += [Batch(source, log.head.epoch, *log.head, [])] if following is None else following
-        return [Append(self.machine, part) for part in split(batches, APPEND_BYTES)]
+        epochs = [log.head.epoch for log in self.logs]
+        return [Append(self.machine, epochs, part) for part in split(batches, APPEND_BYTES)]
 
     # receiving
 
@@ -121,6 +130,7 @@
         if sync.number <= peer.number:
             return False
         peer.number, peer.heard_at = sync.number, now
+        peer.recovered = sync.recovered
         peer.positions = unflatten(sync.positions)
         peer.promises = list(sync.promises)
         peer.silence_s = [ms / 1000.0 for ms in sync.silence_ms]
@@ -137,17 +147,21 @@
         )
 
     def receive_append(self, message):
-        """Takes entries from another machine; those that are new here, as (source, entry)."""
+        """Takes entries from another machine; those that are new here, as (source, entry). What belongs to an epoch that
+        was promised to be over is refused."""
         new = []
+        if len(message.epochs) != self.machines:
+            return new
         for batch in message.batches:
-            if not 0 <= batch.source < self.machines or batch.epoch < self.promises[batch.source]:
+            if not 0 <= batch.source < self.machines:
+                continue
+            if message.epochs[batch.source] < self.promises[batch.source]:
                 continue
             log, after = self.logs[batch.source], Position(batch.after_epoch, batch.after_index)
             if not batch.entries:
                 if after > log.head and self.plausible(log, after):
                     log.restart(after)
                 continue
-            self.promises[batch.source] = max(self.promises[batch.source], batch.epoch)
             new += [(batch.source, entry) for entry in log.append(batch) or ()]
         return new
 
@@ -156,12 +170,37 @@
         """A log that holds something is not led on to a position far ahead of it."""
         return position.index < (log.head.index + FAR_AHEAD if log.head != START else MOST_INDEX)
 
-    # quorum reads
+    # recovery and quorum reads
+
+    def fresh(self, now):
+        """Numbers of the machines that have answered lately."""
+        return [m for m, peer in self.peers.items() if now - peer.echoed_at < FRESH_S]
+
+    def recover(self, now):
+        """Looks whether this machine may count in a majority now."""
+        if self.recovered_at is not None:
+            return
+        fresh = self.fresh(now)
+        recovered = [m for m in fresh if self.peers[m].recovered]
+        if self.begun_at is not None:
+            if now - self.begun_at >= BEGINNING_S:
+                self.recovered_at = now
+        elif len(recovered) >= self.others:
+            if self.holds_all_of(recovered):
+                self.recovered_at = now
+        elif len(fresh) - len(recovered) + 1 >= self.majority and self.holds_all_of(fresh):
+            self.begun_at = now
+
+    def holds_all_of(self, machines):
+        return all(covers(self.positions(), self.peers[m].positions) for m in machines)
+
+    def recovered(self):
+        return self.recovered_at is not None
 
     def quorum(self, now):
         """The newest Quorum, or None while no majority answers."""
-        fresh = [m for m, peer in self.peers.items() if now - peer.echoed_at < FRESH_S]
-        if len(fresh) + 1 < self.majority:
+        fresh = [m for m in self.fresh(now) if self.peers[m].recovered]
+        if not self.recovered() or len(fresh) + 1 < self.majority:
             return None
         heads, boots = self.positions(), [0] * self.machines
         boots[self.machine] = self.boot
@@ -173,34 +212,33 @@
     # the own log
 
     def open_epoch(self, now):
-        """Opens an epoch of the own log, once a majority has promised to take nothing older."""
+        """Opens an epoch of the own log, once so many others have promised to take nothing older that no majority is left
+        for a process that had this machine's name before."""
         if self.epoch and self.promises[self.machine] <= self.epoch:
             return
         self.epoch = 0
+        if not self.recovered():
+            return
         if self.opening is None or self.promises[self.machine] > self.opening.epoch:
-            if self.quorum(now) is not None:
-                epoch = 1 + max(self.promises[self.machine], self.logs[self.machine].head.epoch)
-                self.opening = Opening(epoch, self.number, now)
-                self.promises[self.machine] = epoch
+            epoch = 1 + max(self.promises[self.machine], self.logs[self.machine].head.epoch)
+            self.opening = Opening(epoch, self.number)
+            self.promises[self.machine] = epoch
             return
-        self.finish_opening(now)
+        self.finish_opening()
 
-    def finish_opening(self, now):
-        epoch, number, at = self.opening
+    def finish_opening(self):
+        """The epoch follows on all that those who promised hold; its first entry tells everybody so."""
+        epoch, number = self.opening
         promised = [
             peer
             for peer in self.peers.values()
-            if peer.echoed_number > number and peer.promises[self.machine] == epoch
+            if peer.recovered and peer.echoed_number > number and peer.promises[self.machine] == epoch
         ]
-        if len(promised) + 1 < self.majority:
-            return
         log = self.logs[self.machine]
-        base = max([log.head, *(peer.positions[self.machine] for peer in promised)])
-        if base > log.head:
-            if now - at < RECOVERY_S:
-                return
-            log.restart(base)
+        if len(promised) < self.others or any(peer.positions[self.machine] > log.head for peer in promised):
+            return
         self.epoch, self.opening = epoch, None
+        self.submit(Entry(Kind.OPENED, "", epoch, 0))
 
     def submit(self, entry):
         """Appends to the own log; the entry's position, or None while no epoch is open."""
@@ -212,5 +250,7 @@
 
     def accepted(self):
         """The last position of the own log that a majority holds."""
-        held = [self.logs[self.machine].head, *(p.positions[self.machine] for p in self.peers.values())]
+        peers = [peer for peer in self.peers.values() if peer.recovered]
+        held = [peer.positions[self.machine] for peer in peers] + [START] * self.majority
+        held.append(self.logs[self.machine].head)
         return sorted(held, reverse=True)[self.majority - 1]
--- a/brookhinge/purgelog/submit.py
+++ b/brookhinge/purgelog/submit.py
@@ -20,7 +20,7 @@
     """One question at a time, asked again until it is answered."""
 
     def __init__(self, block):
-        self.codec = Codec(block.site, block.key, 1 + secrets.randbits(62))
+        self.codec = Codec(block.site, block.key, 1 + secrets.randbits(31))
         self.answers, self.number, self.transport = asyncio.Queue(), 0, None
 
     def datagram_received(self, data, address):
--- a/brookhinge/purgelog/subscriber.py
+++ b/brookhinge/purgelog/subscriber.py
@@ -18,7 +18,7 @@
 import xxhash
 
 from brookhinge.purgelog.backfill import Backfill
-from brookhinge.purgelog.messages import Horizon, Leave, Poll, Push, Segment, Subscribe, Unknown
+from brookhinge.purgelog.messages import Horizon, Kind, Leave, Poll, Push, Segment, Subscribe, Unknown
 from brookhinge.purgelog.positions import (
     FAR_AHEAD,
     Position,
@@ -174,8 +174,9 @@
         follows = after.index <= held.index and (same or after.epoch == held.epoch)
         entries = batch.entries[held.index - after.index :] if same and follows else batch.entries
         for entry in entries:
-            self.entries += 1
-            writer.entry(entry)
+            if entry.kind != Kind.OPENED:
+                self.entries += 1
+                writer.entry(entry)
         if not follows:
             self.refused[Refused.GAP] += 1
         elif entries:
--- a/brookhinge/standin/lognet.py
+++ b/brookhinge/standin/lognet.py
@@ -52,7 +52,7 @@
         return self.net.now + self.offset
 
     def boot(self):
-        return 1 + self.net.chance.getrandbits(60)
+        return 1 + self.net.chance.getrandbits(31)
 
     # the cores' writer
 
@@ -113,7 +113,7 @@
         host.starts += 1
         host.up, host.frozen, host.inbox, host.due = True, False, [], None
         host.process = host.boot()
-        host.codec = Codec(SITE, KEY, host.process)
+        host.codec = Codec(SITE, KEY, host.process) if self.encoded else None
         host.rules, host.applied = [], set()
         now = host.clock()
         if host.number <= len(self.machines):
@@ -172,6 +172,7 @@
             self.handle(host, starts, datagram)
             if self.watched and self.now >= self.watch_at:
                 self.watch()
+            self.check()
             if until is not None and until():
                 return self.now - began
         self.now = end
@@ -190,6 +191,9 @@
             self.deliver(host, *datagram)
         self.wake(host)
 
+    def check(self):
+        """For tests: called after each event."""
+
     def watch(self):
         """Sources look how far their entries have got."""
         self.watch_at = self.now + WATCH_S
