--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -183,8 +183,8 @@
         self.log(event, **values)
 
     def spread(self, kind, *values):
-        """Tells the peers something that tightens a rule; purges only while the log does not tell them."""
-        if kind != "purge" or self.purge_log is None or not self.purge_log.tells():
+        """Tells the peers something that tightens a rule; purges not, where settings say so, while the log tells them."""
+        if kind != "purge" or self.purge_log is None or not self.purge_log.replaces_notices():
             self.talk.spread(kind, *values)
 
     async def join_fleet(self):
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -58,6 +58,9 @@
     share_verdicts: bool  # what all saw of a server counts: see brookhinge/verdicts
     region: str  # control machines of the same region are read at first
     purge_log: bool  # purges come from the control machines: see brookhinge/purgelog
+    purge_notices: (
+        bool  # purges are told to peers though the log tells them: for those that do not read it yet
+    )
     log_listen: tuple  # UDP for the purge log; None: the host of `listen`, any port
     log_advertise: tuple  # where control machines reach that, if elsewhere; else None
 
@@ -70,7 +73,8 @@
     advertise: tuple  # where routers and other control machines reach it, if that is elsewhere; else None
     site: str  # routers and control machines of another site are not listened to
     key: bytes  # of the checksums of all datagrams; the same for the whole fleet
-    region: str
+    region: str  # routers of the same region read here first,
+    serves: tuple  # and those of these regions
     proof_s: float  # how long a router uses its own copies on one proof that it knows all purges
     channel: tuple  # the command channel whose purges it appends, or None
 
@@ -155,6 +159,14 @@
         raise ValueError("a list of HOST:PORT") from None
 
 
+def names(value):
+    if not isinstance(value, list) or not all(
+        isinstance(one, str) and one and one.isprintable() for one in value
+    ):
+        raise ValueError("a list of texts")
+    return tuple(value)
+
+
 def key(value):
     if (
         not isinstance(value, str)
@@ -202,6 +214,7 @@
     "share_memory": (flag, False),
     "region": (path, ""),
     "purge_log": (flag, False),
+    "purge_notices": (flag, True),
     "log_listen": (address, None),
     "log_advertise": (address, None),
 }
@@ -211,6 +224,7 @@
     "site": (text, MUST),
     "key": (key, MUST),
     "region": (path, ""),
+    "serves": (names, ()),
     "proof_s": (number(1, 60), 3.0),
     "channel": (address, None),
 }
--- a/brookhinge/purgelog/client.py
+++ b/brookhinge/purgelog/client.py
@@ -14,8 +14,8 @@
 def machines_of(controls):
     """The control machines that an operator's file names, in the order in which every process numbers them."""
     return [
-        Machine(name, controls[name].advertise or controls[name].listen, controls[name].region)
-        for name in sorted(controls)
+        Machine(name, block.advertise or block.listen, block.region, block.serves)
+        for name, block in sorted(controls.items())
     ]
 
 
@@ -59,9 +59,11 @@
     def next_at(self, now):
         return self.subscriber.next_at()
 
-    def tells(self):
-        """Whether the purges of the command channel come by the log, proven complete."""
-        return self.fed and self.subscriber is not None and not self.subscriber.stale
+    def replaces_notices(self):
+        """Whether peers need not be told of the command channel's purges: all read them in the log, proven complete."""
+        if self.block.purge_notices or not self.fed or self.subscriber is None:
+            return False
+        return not self.subscriber.stale
 
     def stop(self):
         """Tells the control machine that this router ends, and closes."""
--- a/brookhinge/purgelog/control.py
+++ b/brookhinge/purgelog/control.py
@@ -15,6 +15,7 @@
 from brookhinge.purgelog.replication import Replication
 
 SYNC_S = 0.05  # between two syncs to each other machine
+SERVE_S = 0.02  # between two looks at what is due to the routers
 TOLD_KEPT = RECENT  # entries remembered, so that one that all machines read is appended once
 
 
@@ -23,7 +24,8 @@
 
     name: str
     address: tuple  # (host, port)
-    region: str = ""  # routers of the same region prefer it
+    region: str = ""  # routers of the same region prefer it,
+    serves: tuple = ()  # and those of these regions
 
 
 class ControlNode:
@@ -35,7 +37,7 @@
         self.replication = Replication(machine, len(machines), boot, now)
         self.distributor = Distributor(machine, boot, self.replication.logs, proof_s + MARGIN_S, now)
         self.tracker = Tracker(self.replication, [m.name for m in machines], proof_s, now)
-        self.sync_at, self.serving = now, False
+        self.sync_at, self.serve_at, self.serving = now, now, False
         self.told = collections.OrderedDict()
 
     # what a program asks
@@ -123,7 +125,8 @@
     def tick(self, now, writer):
         self.replication.recover(now)
         self.replication.open_epoch(now)
-        self.serve(now, writer)
+        if now >= self.serve_at:
+            self.serve(now, writer)
         if now >= self.sync_at:
             self.sync_at = now + SYNC_S
             self.synchronise(now, writer)
@@ -131,10 +134,11 @@
 
     def next_at(self, now):
         """When tick is due though no message comes."""
-        return min(self.sync_at, self.distributor.next_at(now)) if self.serving else self.sync_at
+        return min(self.sync_at, self.serve_at)
 
     def serve(self, now, writer):
         """Pushes to the routers, once this machine has held all that a majority held at some moment."""
+        self.serve_at = now + SERVE_S
         quorum = self.replication.quorum(now)
         if not self.serving and quorum is not None:
             self.serving = covers(self.replication.positions(), quorum.heads)
--- a/brookhinge/purgelog/distributor.py
+++ b/brookhinge/purgelog/distributor.py
@@ -26,6 +26,9 @@
 )  # till a push that is not acknowledged is sent again
 FORGET_S = 60.0  # how long a lost reader is reported
 FROZEN_S = 1.0  # between two ticks: this process stood still, and leases did not run meanwhile
+MOST_BEHIND = (
+    512  # entries that a reader is led on over; one further behind goes on from the heads and backfills
+)
 PUSH_BYTES = 1100
 NAMES_TOLD, NAME_BYTES_TOLD = 4, 120  # names of each kind in a report
 MOVED_TOLD = 8  # readers told to the other machines in one sync
@@ -53,7 +56,7 @@
     def retry_s(self):
         if self.rtt_s is None:
             return FIRST_RETRY_S
-        return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, 1.3 * self.rtt_s + 0.02))
+        return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, 1.15 * self.rtt_s + 0.02))
 
     def acknowledge(self, now, positions, gap):
         """gap: the reader saw a gap and asks for what it lacks."""
@@ -89,19 +92,16 @@
         self.waits_since[source] = None
 
     def retry_late(self, now):
-        """Sends again what was not acknowledged in time, and waits longer the next time: the round trip may have been
-        taken for shorter than it is."""
+        """Sends again what was not acknowledged in time. The second time in a row the round trip may have been taken for
+        shorter than it is, and more is waited for."""
+        if now - self.sent_at < SHORTEST_RETRY_S:
+            return
+        again = any(self.sent_again)
         late = [s for s, at in enumerate(self.waits_since) if at is not None and now - at >= self.retry_s()]
         for source in late:
             self.send_again(source)
-        if late and self.rtt_s is not None:
-            self.rtt_s *= BACKOFF
-
-    def retry_at(self):
-        """When the next of these times is over; infinite where nothing is waited for."""
-        return min(
-            (since + self.retry_s() for since in self.waits_since if since is not None), default=math.inf
-        )
+        if late and again and self.rtt_s is not None:
+            self.rtt_s = min(LONGEST_RETRY_S, self.rtt_s * BACKOFF)
 
     def sending(self, now, batches):
         """These go out now."""
@@ -243,8 +243,7 @@
     def push(self, now, reader, quorum, writer):
         """Sends a reader what it lacks, what it has not acknowledged in time, or the answer that it waits for."""
         reader.retry_late(now)
-        new = reader.fresh or any(log.head > sent for log, sent in zip(self.logs, reader.sent))
-        if not reader.owed and not (new and now - reader.sent_at >= PUSH_GAP_S):
+        if not reader.owed and (now - reader.sent_at < PUSH_GAP_S or not self.has_new(reader)):
             return
         batches = self.lacking(reader)
         if batches is None:
@@ -257,10 +256,15 @@
             reader.sending(now, batches)
         reader.owed = False
 
+    def has_new(self, reader):
+        return reader.fresh or any(log.head > sent for log, sent in zip(self.logs, reader.sent))
+
     def lacking(self, reader):
         """Batches that the reader was not sent; None: it has to go on from the heads."""
         if reader.fresh:
             return None
+        if sum(log.head.index - sent.index for log, sent in zip(self.logs, reader.sent)) > MOST_BEHIND:
+            return None
         batches = []
         for log, sent in zip(self.logs, reader.sent):
             if sent >= log.head:
@@ -285,18 +289,6 @@
         heads = flatten(quorum.heads)
         return Push(reader.session, reader.echo, age_ms, heads, quorum.boots, restart, batches)
 
-    def next_at(self, now):
-        """When a push is due though nothing comes."""
-        times = [now + self.lease_s]
-        for reader in self.readers.values():
-            if reader.fresh:
-                times.append(reader.sent_at + FIRST_RETRY_S)
-            elif reader.owed or any(log.head > sent for log, sent in zip(self.logs, reader.sent)):
-                times.append(max(now, reader.sent_at + PUSH_GAP_S))
-            else:
-                times.append(reader.retry_at())
-        return min(times)
-
     # what is reported
 
     def report(self):
--- a/brookhinge/purgelog/subscriber.py
+++ b/brookhinge/purgelog/subscriber.py
@@ -58,7 +58,8 @@
 
     def rank(number):
         machine = machines[number]
-        return machine.region != region, xxhash.xxh64_intdigest(f"{name} {machine.name}".encode())
+        near = region in (machine.region, *machine.serves)
+        return not near, xxhash.xxh64_intdigest(f"{name} {machine.name}".encode())
 
     return sorted(range(len(machines)), key=rank)
 
--- a/brookhinge/standin/lognet.py
+++ b/brookhinge/standin/lognet.py
@@ -86,18 +86,20 @@
         encoded=False,
         proof_s=PROOF_S,
         region=None,
+        serves=None,
     ):
         """delay(a, b): seconds one way between two hosts by name; encoded: datagrams are written and read as in service,
         and their bytes are counted."""
         self.seed, self.loss, self.double, self.encoded, self.proof_s = seed, loss, double, encoded, proof_s
         self.delay = delay or (lambda a, b: 0.02)
-        self.region = region or (lambda name: "")
+        self.region, serves = region or (lambda name: ""), serves or {}
         self.chance, self.now, self.queue, self.serial = random.Random(seed), 0.0, [], 0
         self.cut = lambda a, b: False
         self.hosts, self.purges, self.watched, self.watch_at = {}, {}, [], 0.0
         self.datagrams = 0
         self.machines = [
-            Machine(f"c{k + 1}", ("10.0.0.1", k + 1), self.region(f"c{k + 1}")) for k in range(machines)
+            Machine(f"c{k + 1}", ("10.0.0.1", k + 1), self.region(f"c{k + 1}"), serves.get(k, ()))
+            for k in range(machines)
         ]
         self.controls = [self.add(m.name, m.address[1]) for m in self.machines]
         self.routers = [self.add(f"n{k + 1}", machines + k + 1) for k in range(routers)]
