Purge log among real processes: rig with control machines; stand-ins take no port the system gives out

Cause of a failed start, seen in a run: a router of the rig exited with 'Address already in use'; its UDP port had been found free by a TCP socket in the range from which the system serves every connection, and another socket had it by the time. Ports now lie below that range and are tried with both kinds. Earlier starts of many processes that never became one view may have had the same cause (not shown).

--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -37,6 +37,22 @@
   lease_s   = {lease_s}
 {more}}}
 """
+READER = """  region        = "{region}"
+  purge_log     = true
+  purge_notices = false
+  log_listen    = "127.0.0.1:{port}"
+  log_advertise = "127.0.0.1:{relay}"
+"""
+CONTROL = """control "{name}" {{
+  listen    = "127.0.0.1:{port}"
+  advertise = "127.0.0.1:{relay}"
+  site      = "rig"
+  key       = "{key}"
+  region    = "{region}"
+  channel   = "127.0.0.1:{channel}"
+  proof_s   = {proof_s}
+}}
+"""
 OFF = "import time; real = time.time; time.time = lambda: real() + {off}"  # a wall clock that is off
 OTHER_VERSION = (
     "import brookhinge.membership.codec as codec; codec.VERSION = 2"  # a program that speaks other messages
@@ -72,8 +88,9 @@
         )
         self.cut, self.ports, self.ways = lambda a, b: False, {}, {}
 
-    async def open(self, name, port):
-        self.ports[port] = name
+    async def open(self, name, port, sender=None):
+        """A way to the process that listens at port; sender: the process's name where that has more than one way."""
+        self.ports[port] = sender or name
         transport, way = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: Wire(self, name), local_addr=("127.0.0.1", 0)
         )
@@ -83,7 +100,9 @@
 
     def carry(self, way, data, address):
         sender = self.ports.get(address[1])
-        if sender is not None and (self.cut(sender, way.name) or self.chance.random() < self.loss):
+        if sender is not None and (
+            self.cut(sender, way.name.partition("/")[0]) or self.chance.random() < self.loss
+        ):
             return
         if self.chance.random() < self.corrupt:
             at = self.chance.randrange(len(data))
@@ -170,10 +189,25 @@
 
 class Rig:
     """more: lines that each router's block of the operator's file has beside the usual ones; piped: names of routers that
-    reach the boxes over ways of their own (`rig.pipes[router, box]`); first: Python that each router runs first."""
+    reach the boxes over ways of their own (`rig.pipes[router, box]`); first: Python that each router runs first; controls:
+    so many control machines of the purge log, c1 and so on, in two regions as the routers are: the first half stands west,
+    the rest east. Purges that `rig.feed` tells reach boxes and control machines, not the routers' own channels.
+    link_bytes_s: of each router's link; without it a router keeps no copies of its own."""
 
     def __init__(
-        self, folder, routers=6, boxes=2, seed=1, lease_s=5, more="", piped=(), first="", **settings_
+        self,
+        folder,
+        routers=6,
+        boxes=2,
+        seed=1,
+        lease_s=5,
+        more="",
+        piped=(),
+        first="",
+        controls=0,
+        proof_s=3.0,
+        link_bytes_s=0,
+        **settings_,
     ):
         self.folder, self.settings, self.lease_s, self.boxes = Path(folder), settings_, lease_s, {}
         self.more, self.piped, self.pipes, self.seed = (
@@ -183,10 +217,13 @@
             seed,
         )
         self.box_ports, self.first = {}, first
+        self.link_bytes_s = link_bytes_s
         self.names = [f"n{k + 1}" for k in range(routers)]
+        self.control_names, self.proof_s = [f"c{k + 1}" for k in range(controls)], proof_s
         self.box_names = [f"s-{k + 1}" for k in range(boxes)]
         self.wires, self.origin = Wires(seed), Origin((2_000, 8_000), 0.005)
         self.channels, self.ports, self.udp, self.relay, self.processes = {}, {}, {}, {}, {}
+        self.log_ports, self.log_relay, self.controls = {}, {}, {}
 
     async def __aenter__(self):
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -207,12 +244,22 @@
                 pipe = self.pipes[name, box] = Pipe(self.box_ports[box], f"{seed_of(name)} {box}")
                 self.channels[name].hosts[box]["dial"] = f"127.0.0.1:{await pipe.listen()}"
             await self.channels[name].listen()
+        for name in [*self.control_names, *(self.names if self.control_names else ())]:
+            self.log_ports[name] = free_port()
+            self.log_relay[name] = await self.wires.open(f"{name}/log", self.log_ports[name], name)
         self.join = ", ".join(f'"127.0.0.1:{self.relay[name]}"' for name in self.names[:3])
-        (self.folder / "fleet.hcl").write_text("".join(map(self.block, self.names)))
+        blocks = [*map(self.block, self.names), *map(self.control_block, self.control_names)]
+        (self.folder / "fleet.hcl").write_text("".join(blocks))
+        await asyncio.gather(*map(self.start_control, self.control_names))
         await asyncio.gather(*(self.start(name) for name in self.names))
         return self
 
     def block(self, name):
+        reader = ""
+        if self.control_names:
+            reader = READER.format(
+                region=self.region(name), port=self.log_ports[name], relay=self.log_relay[name]
+            )
         return BLOCK.format(
             name=name,
             port=self.udp[name],
@@ -220,9 +267,44 @@
             join=self.join,
             key=KEY,
             lease_s=self.lease_s,
-            more=self.more,
+            more=self.more + reader,
         )
 
+    def region(self, name):
+        """Where a router or control machine stands."""
+        names = self.names if name in self.names else self.control_names
+        return "west" if names.index(name) < (len(names) + 1) // 2 else "east"
+
+    def control_block(self, name):
+        return CONTROL.format(
+            name=name,
+            port=self.log_ports[name],
+            relay=self.log_relay[name],
+            key=KEY,
+            region=self.region(name),
+            channel=self.feed_port,
+            proof_s=self.proof_s,
+        )
+
+    async def start_control(self, name):
+        """Starts a control machine, with nothing in its memory."""
+        args = ["control", "serve", "--file", str(self.folder / "fleet.hcl"), "--name", name]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.controls[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "brookhinge",
+                *args,
+                stdout=log,
+                stderr=log,
+                cwd=Path(__file__).parents[2],
+            )
+
+    async def kill_control(self, name, how=signal.SIGKILL):
+        process = self.controls.pop(name)
+        process.send_signal(how)
+        await process.wait()
+
     async def start_box(self, name):
         """Starts a box, or starts it anew, with nothing in its memory."""
         if name in self.boxes:
@@ -300,6 +382,8 @@
                 "seed": f"{seed_of(name):x}",
                 "channel": "%s:%d" % self.channels[name].server.sockets[0].getsockname()[:2],
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "flow_bytes_per_s": self.link_bytes_s,
+                "link_bytes_per_s": self.link_bytes_s,
                 "known": self.channels[name].answer(0),
                 "settings": {**settings(**self.settings), "Instances": len(self.names)},
             }
@@ -322,10 +406,25 @@
         await self.kill(name, signal.SIGTERM)
 
     def freeze(self, name):
-        self.processes[name].send_signal(signal.SIGSTOP)
+        self.process(name).send_signal(signal.SIGSTOP)
 
     def thaw(self, name):
-        self.processes[name].send_signal(signal.SIGCONT)
+        self.process(name).send_signal(signal.SIGCONT)
+
+    def process(self, name):
+        """The process of a router or control machine."""
+        return self.processes.get(name) or self.controls[name]
+
+    def last_rule(self, name):
+        """What a router logged last of its proof: `proven`, `stale` ..."""
+        rules = ("stale", "proven", "aside", "readmit", "drop")
+        changes = [line["change"] for line in self.log(name, "purge log") if line["change"] in rules]
+        return changes[-1] if changes else None
+
+    def read_at(self, name):
+        """The control machine at which a router reads, as it logged last."""
+        machines = [line["machine"] for line in self.log(name, "purge log") if line["change"] == "reads at"]
+        return machines[-1] if machines else None
 
     async def caller(self, name):
         return await ThriftCaller(("127.0.0.1", self.ports[name])).connect()
@@ -380,7 +479,7 @@
         ]
 
     async def __aexit__(self, *_):
-        await end_all(self.processes.values())
+        await end_all([*self.processes.values(), *self.controls.values()])
         self.wires.close()
         for pipe in self.pipes.values():
             pipe.close()
--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -32,19 +33,36 @@
 """
 
 
+LOWEST_PORT, USUAL_FIRST_EPHEMERAL_PORT = 12000, 32768
 GIVEN = set()  # ports that were handed out: not bound yet, the system may name one again
 
 
 def free_port():
+    """A port of loopback that is free for TCP and UDP. It lies below those that the system gives to sockets of its own
+    choice: such a one could be taken by any connection before the process for which it is meant has started."""
     while True:
-        with socket.socket() as made:
-            made.bind(("127.0.0.1", 0))
-            port = made.getsockname()[1]
-        if port not in GIVEN:
+        port = random.SystemRandom().randrange(LOWEST_PORT, first_ephemeral_port())
+        if port not in GIVEN and all(map(can_bind, (socket.SOCK_STREAM, socket.SOCK_DGRAM), (port, port))):
             GIVEN.add(port)
             return port
 
 
+def first_ephemeral_port():
+    try:
+        return int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    except OSError:
+        return USUAL_FIRST_EPHEMERAL_PORT
+
+
+def can_bind(kind, port):
+    with socket.socket(socket.AF_INET, kind) as made:
+        try:
+            made.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def settings(aim_s=0.3, patience_s=3.0, warm_s=5.0, longest_hint_s=0.0, flow_kb_s=0.0):
     """The settings of a router among boxes of this town."""
     return {
