--- a/brookhinge/membership/metrics.py
+++ b/brookhinge/membership/metrics.py
@@ -39,3 +39,7 @@
             for kind, count in list(told.items()):
                 counts.add_metric([kind], count)
             yield counts
+        if talk.purge_log is not None:
+            from brookhinge.purgelog.metrics import router_figures
+
+            yield from router_figures(talk.purge_log)
--- a/brookhinge/membership/talk.py
+++ b/brookhinge/membership/talk.py
@@ -44,6 +44,7 @@
         )
         self.makers, self.cores, self.core_of = [], [], {}
         self.changes, self.server = collections.Counter(), None
+        self.purge_log = None  # its LogClient, where there is one: its figures are served with these
         self.configured, self.counted, self.count_at = configured, configured, 0.0
 
     async def start(self):
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -163,7 +163,7 @@
             if fleet.purge_log:
                 from brookhinge.purgelog.client import LogClient
 
-                self.purge_log = LogClient(fleet, controls, self.post, self.log)
+                self.purge_log = self.talk.purge_log = LogClient(fleet, controls, self.post, self.log)
                 self.rounds.before.append(self.purge_log.before)
             self.rounds.join(self, "spread")
         for event in commands:
--- a/brookhinge/operator/schema.py
+++ b/brookhinge/operator/schema.py
@@ -77,6 +77,7 @@
     serves: tuple  # and those of these regions
     proof_s: float  # how long a router uses its own copies on one proof that it knows all purges
     channel: tuple  # the command channel whose purges it appends, or None
+    metrics: tuple  # HOST:PORT on which its figures are served, or None
 
 
 class Told(NamedTuple):
@@ -227,6 +228,7 @@
     "serves": (names, ()),
     "proof_s": (number(1, 60), 3.0),
     "channel": (address, None),
+    "metrics": (address, None),
 }
 BLOCKS = {  # kind: (labels, keys, blocks within)
     "box": (1, BOX, {"store": (0, STORE, {}), "track": (1, TRACK, {})}),
--- a/brookhinge/purgelog/server.py
+++ b/brookhinge/purgelog/server.py
@@ -24,6 +24,7 @@
         self.block, self.machines = block, machines_of(controls)
         self.number = sorted(controls).index(name)
         self.node = self.channel = self.following = None
+        self.figures = None  # the server of its figures
         self.intake = Intake(name, sorted(controls))
         self.started_at, self.serving, self.epoch = time.time(), False, 0
 
@@ -34,6 +35,11 @@
         if self.block.channel:
             self.channel = Channel(self.told, self.log, self.block.channel, 0, self.started_at)
             self.following = asyncio.get_running_loop().create_task(self.channel.run())
+        if self.block.metrics:
+            from brookhinge.metrics import publish
+            from brookhinge.purgelog.metrics import ControlFigures
+
+            self.figures, _ = publish(ControlFigures(self), self.block.metrics)
         self.log("purge log", change="listening", address="%s:%d" % address)
         self.turn()
         return address
@@ -74,4 +80,6 @@
         if self.following is not None:
             self.following.cancel()
             self.channel.close()
+        if self.figures is not None:
+            self.figures.shutdown()
         self.close()
--- a/brookhinge/purgelog/submit.py
+++ b/brookhinge/purgelog/submit.py
@@ -46,6 +46,13 @@
                 continue
         raise NotAppended("no answer: not up, another key, or another site")
 
+    async def ask_or(self, status, question, until):
+        """The answer, or the status known so far when none comes in time."""
+        try:
+            return await self.ask(question, until)
+        except NotAppended:
+            return status
+
 
 async def submit(block, key, group, wait_s):
     """Appends a purge at the control machine of that block; (seconds, last Status) once it is in force or the time over."""
@@ -64,7 +71,7 @@
         position = status.epoch, status.index
         while status.outcome == Outcome.PENDING and time.monotonic() < until:
             await asyncio.sleep(POLL_S)
-            status = await asker.ask(lambda number: StatusRequest(number, *position), until)
+            status = await asker.ask_or(status, lambda number: StatusRequest(number, *position), until)
         return time.monotonic() - began, status
     finally:
         transport.close()
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -23,9 +23,25 @@
 #   metrics = "127.0.0.1:9101"                       # figures of the fleet for Prometheus
 #   share_limits   = true                            # docs/operators/limits.md
 #   share_verdicts = true
+#   region         = "west"
+#   purge_log      = true                            # docs/operators/purgelog.md
+#   purge_notices  = false                           # once all routers read the log
 #   share_memory   = true                            # who starts is told what a peer knows
 # }
 
+# Control machines of the purge log, three or more, each `brookhinge control serve --file deploy/operator.hcl --name c1`.
+# See docs/operators/purgelog.md.
+# control "c1" {
+#   listen  = "127.0.0.1:7501"                       # UDP
+#   site    = "tender-portal"                        # site and key as in the blocks fleet
+#   key     = "00112233445566778899aabbccddeeff"
+#   region  = "west"                                 # routers of this region read here first
+#   serves  = ["north"]                              # and those of these
+#   channel = "127.0.0.1:8500"                       # the command channel whose purges it appends
+#   proof_s = 3                                      # how long routers use their own copies on one proof
+#   metrics = "127.0.0.1:9102"
+# }
+
 # A cache box: `brookhinge box --file deploy/operator.hcl --name s-1`. See docs/operators/store.md.
 box "s-1" {
   listen    = "127.0.0.1:9001"
--- a/tests/membership/test_cli.py
+++ b/tests/membership/test_cli.py
@@ -57,7 +57,7 @@
 def test_off_imports_nothing_of_it():
     code = (
         "import sys, brookhinge.net.program, brookhinge.net.service; print([m for m in sys.modules if m.startswith("
-        "('msgspec', 'rich', 'brookhinge.membership', 'brookhinge.operator'))])"
+        "('msgspec', 'rich', 'brookhinge.membership', 'brookhinge.operator', 'brookhinge.purgelog'))])"
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
     assert done.stdout == "[]\n"
