--- a/brookhinge/operator/capacity.py
+++ b/brookhinge/operator/capacity.py
@@ -33,10 +33,16 @@
 
 
 class Control(NamedTuple):
-    """One control machine and the site that it stands at."""
+    """One control machine, the site that it stands at, and regions whose routers prefer it beside those of its own."""
 
     name: str
     site: str
+    serves: tuple[str, ...] = ()
+
+    @property
+    def region(self):
+        """The region that it stands in."""
+        return self.site.split("/", 1)[0]
 
 
 class Cut(NamedTuple):
@@ -71,7 +77,7 @@
         return [f"{zone.place}/{number + 1}" for zone in self.zones for number in range(zone.sites)]
 
 
-def capacity_blocks(must, number, whole, text, path, flag):
+def capacity_blocks(must, number, whole, text, names, path, flag):
     """The entry of the schema's table of blocks, made of the checks that all blocks share."""
     delay = number(0, 10_000)
     settings = {
@@ -97,7 +103,7 @@
         {
             "region": (1, {}, {"zone": (1, {"sites": (whole(1, MOST_SITES), must)}, {})}),
             "link": (2, {"delay_ms": (delay, must)}, {}),
-            "control": (1, {"site": (text, must)}, {}),
+            "control": (1, {"site": (text, must), "serves": (names, ())}, {}),
             "cut": (1, cut, {}),
         },
     )
@@ -155,14 +161,20 @@
 
 def read_controls(block, capacity, settings, take):
     """Control machines; each stands at a site of the layout."""
-    sites = set(capacity.sites())
+    sites, regions = set(capacity.sites()), {zone.region for zone in capacity.zones}
     for inner in (one for one in block.blocks if one.kind == "control"):
-        site = take(inner, settings)["site"]
-        if site not in sites:
+        values = take(inner, settings)
+        if values["site"] not in sites:
             raise OperatorError(
-                f"line {inner.lines['site']}: {inner.title()}: site: expected region/zone/number, got {site!r:.60}"
+                f"line {inner.lines['site']}: {inner.title()}: site: expected region/zone/number, got "
+                f"{values['site']!r:.60}"
             )
-        yield Control(inner.labels[0], site)
+        for region in values["serves"]:
+            if region not in regions:
+                raise OperatorError(
+                    f"line {inner.lines['serves']}: {inner.title()}: serves: no region {region!r:.60}"
+                )
+        yield Control(inner.labels[0], **values)
 
 
 def read_cuts(block, capacity, settings, take):
--- a/brookhinge/standin/capacity/logged.py
+++ b/brookhinge/standin/capacity/logged.py
@@ -5,7 +5,7 @@
 import time
 
 from brookhinge.membership.talk import steady
-from brookhinge.operator.schema import Control
+from brookhinge.operator.schema import CONTROL, MUST, Control
 from brookhinge.purgelog.client import LogClient
 from brookhinge.purgelog.messages import Entry, Kind
 from brookhinge.purgelog.progress import Outcome
@@ -33,16 +33,19 @@
 
 def control_blocks(layout, addresses):
     """`control` blocks of the operator's file by name."""
+    defaults = {key: default for key, (_, default) in CONTROL.items() if default is not MUST}
     return {
         control.name: Control(
-            name=control.name,
-            listen=tuple(address),
-            advertise=None,
-            site=FLEET,
-            key=KEY,
-            region=control.site.split("/")[0],
-            proof_s=PROOF_S,
-            channel=None,
+            **{
+                **defaults,
+                "name": control.name,
+                "listen": tuple(address),
+                "site": FLEET,
+                "key": KEY,
+                "region": control.region,
+                "serves": control.serves,
+                "proof_s": PROOF_S,
+            }
         )
         for control, address in zip(layout.capacity.controls, addresses)
     }
--- a/brookhinge/standin/capacity/virtual.py
+++ b/brookhinge/standin/capacity/virtual.py
@@ -13,6 +13,7 @@
 from brookhinge.standin.capacity.measure import Counters, PurgeRecord
 
 MEMBERSHIP_PORT = 1
+LEAST_WAIT_S = 0.001  # of a timer, as on sockets
 BORN_MS = 1_000_000
 
 
@@ -81,7 +82,7 @@
 
     def plan(self, moment):
         """Wakes at that moment, if not earlier anyway."""
-        moment = max(moment, self.network.now)
+        moment = max(moment, self.network.now + LEAST_WAIT_S)
         if moment != float("inf") and (self.wake_at is None or moment < self.wake_at):
             self.wake_at = moment
             self.network.at(moment, self.wake, moment)
--- a/brookhinge/standin/capacity/virtual_log.py
+++ b/brookhinge/standin/capacity/virtual_log.py
@@ -13,7 +13,7 @@
 from brookhinge.standin.capacity.virtual import Address, Endpoint, PeerFleet
 
 LOG_PORT, CONTROL_PORT = 2, 3
-PROCESS_BITS = 62
+PROCESS_BITS = 31  # as in purgelog.client
 
 
 class LogEndpoint(Endpoint):
@@ -145,7 +145,12 @@
     def __init__(self, layout, seed, chosen=lambda site, number: True, membership=True):
         super().__init__(layout, seed, chosen, membership)
         self.machines = [
-            Machine(control.name, Address(layout.control_host(k), CONTROL_PORT), control.site.split("/")[0])
+            Machine(
+                control.name,
+                Address(layout.control_host(k), CONTROL_PORT),
+                control.region,
+                control.serves,
+            )
             for k, control in enumerate(layout.capacity.controls)
         ]
         self.controls, self.control_starts, self.told = {}, 0, {}
--- a/deploy/capacity.hcl
+++ b/deploy/capacity.hcl
@@ -111,7 +111,8 @@
     delay_ms = 120
   }
 
-  # Machines set aside for control: no two in one zone, so that a zone takes one at most.
+  # Machines set aside for control: no two in one zone, so that a zone takes one at most. `serves` names further regions
+  # whose routers read there first: the nearest ones without a machine of their own.
   control "c1" {
     site = "eu-west/a/1"
   }
@@ -119,13 +120,15 @@
     site = "eu-west/b/1"
   }
   control "c3" {
-    site = "us-east/a/1"
+    site   = "us-east/a/1"
+    serves = ["sa-east"]
   }
   control "c4" {
     site = "us-west/a/1"
   }
   control "c5" {
-    site = "ap-north/a/1"
+    site   = "ap-north/a/1"
+    serves = ["ap-south"]
   }
 
   # Links that fail while the benchmark measures them: `from` and `to` are region, region/zone or region/zone/number;
