--- a/brookhinge/standin/capacity/hollow.py
+++ b/brookhinge/standin/capacity/hollow.py
@@ -161,9 +161,11 @@
         ]
 
     def event(self, method, values):
-        """What membership tells the decisions: a purge told by a peer is in force from here on."""
-        if method == "notice" and values[0] == "purge":
-            self.in_force(int(values[1][1], 16))
+        """What membership tells the decisions: what a peer's notice says is in force from here on."""
+        if method != "notice":
+            return
+        kind, notice = values
+        self.in_force(int(notice[1], 16) if kind == "purge" else notice[1])
 
     def log_event(self, method, values):
         """What the purge log tells the decisions: an entry, or a rule for the copies that a router holds itself."""
@@ -185,9 +187,11 @@
         self.in_force(number)
         self.talk.spread("purge", GROUP_OF_OBJECTS, f"{number:016x}", round(time.time() * 1000))
 
-    def drain(self, server):
-        """Its own command channel tells that a server drains; it tells its peers."""
-        self.talk.spread("draining", server, round(time.time() * 1000))
+    def drain(self, number, server):
+        """Its own command channel tells that a server drains; it tells its peers. The number stands for the server's
+        start, so that each drain is one of its own."""
+        self.in_force(number)
+        self.talk.spread("draining", server, number)
 
     def kill(self):
         """Ends without a word."""
--- a/brookhinge/standin/capacity/links.py
+++ b/brookhinge/standin/capacity/links.py
@@ -74,27 +74,34 @@
     def __init__(self, transport, links, traffic):
         self.transport, self.links, self.traffic = transport, links, traffic
         self.loop = asyncio.get_running_loop()
+        self.under_way, self.closing = 0, False
 
     def sendto(self, data, address):
         """Sends over the link to the site of that address."""
         self.traffic.sent += 1
         self.traffic.sent_bytes += len(data) + HEADERS
         for delay in self.links.copies(address[0]):
+            self.under_way += 1
             self.loop.call_later(delay, self.deliver, data, address)
 
     def deliver(self, data, address):
         """The datagram has passed the link."""
+        self.under_way -= 1
         if not self.transport.is_closing():
             self.transport.sendto(data, address)
+        if self.closing and not self.under_way:
+            self.transport.close()
 
     def get_extra_info(self, name, default=None):
         """As the transport's."""
         return self.transport.get_extra_info(name, default)
 
     def is_closing(self):
-        """As the transport's."""
-        return self.transport.is_closing()
+        """Whether nothing more is to be sent."""
+        return self.closing or self.transport.is_closing()
 
     def close(self):
-        """Closes the transport; datagrams still on the link are lost."""
-        self.transport.close()
+        """Closes the transport, once what is on the links has arrived."""
+        self.closing = True
+        if not self.under_way:
+            self.transport.close()
--- a/brookhinge/standin/capacity/logged.py
+++ b/brookhinge/standin/capacity/logged.py
@@ -28,6 +28,7 @@
 from brookhinge.operator.capacity import Cut
 
 PROOF_S = 3.0  # as the operator's file has it by default
+KNOWN_S = 1.2  # by then a source knows that a purge is in force everywhere, or names who is missing
 LOOK_S = 0.02  # between two looks whether purges are in force, and two tries to append one
 
 
@@ -111,7 +112,7 @@
 
     def __init__(self, submit, progress):
         self.submit, self.progress = submit, progress
-        self.submitted, self.known, self.excused = {}, {}, {}
+        self.submitted, self.known, self.named = {}, {}, {}
         self.unplaced, self.pending = [], {}
 
     def take(self, now, number):
@@ -133,8 +134,9 @@
                 break
             del self.pending[number]
             self.known[number] = now
-            if progress.outcome == Outcome.IN_FORCE_EXCEPT:
-                self.excused[number] = sorted({name for name, _ in progress.missing})
+        for number, position in self.pending.items():
+            if number not in self.named and now - self.submitted[number] >= KNOWN_S:
+                self.named[number] = sorted({name for name, _ in self.progress(position).missing})
 
     def waits(self):
         """Whether something has to be looked at."""
@@ -222,4 +224,4 @@
     def arrivals(self, _):
         """What this source knows of its purges."""
         source = self.source
-        return Arrivals(submitted=source.submitted, known=source.known, excused=source.excused)
+        return Arrivals(submitted=source.submitted, known=source.known, named=source.named)
--- a/brookhinge/standin/capacity/measure.py
+++ b/brookhinge/standin/capacity/measure.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 SAME_MOMENT_S = 1e-9
+KNOWN_S = 1.2  # by then a source is to know that a purge is in force everywhere, or to name who is missing
 STALE, PROVEN = "STALE", "PROVEN"  # rules of the purge log (purgelog.subscriber.CopyRule)
 SETS_ASIDE = (STALE, "ASIDE", "DROP")  # from these on no copy from before is used
 NO_RULES = MappingProxyType({})
@@ -29,6 +30,7 @@
     submitted: float
     in_force: dict[str, float]
     known: float | None = None
+    named: list[str] | None = None  # whom the source named as missing when the time was over
 
 
 def spread(values, digits=1):
@@ -76,7 +78,7 @@
 def bound_at(record, router, rules):
     """When a purge bound a router: it came, or the router stopped to use what it had from before. None: neither."""
     moments = [record.in_force[router]] if router in record.in_force else []
-    stale = False
+    stale = router in rules  # until its first proof it uses nothing
     for moment, rule in rules.get(router, ()):
         if rule in SETS_ASIDE and moment >= record.submitted:
             moments.append(moment)
@@ -112,6 +114,8 @@
         "all_s": spread(last, 3),
         "known_s": spread(known, 3),
         "known": len(known),
+        "known_in_time": sum(seconds <= KNOWN_S for seconds in known),
+        "named": sum(bool(record.named) for record in records.values()),
         "missed": missed,
         "expected": expected,
     }
@@ -141,7 +145,7 @@
 
 def set_aside(rules):
     """Whether copies are set aside, or none is used, after these rules."""
-    stale = aside = False
+    stale, aside = True, False
     for _, rule in rules:
         stale = rule == STALE or stale and rule != PROVEN
         aside = rule == "ASIDE" or aside and rule not in ("READMIT", "DROP")
--- a/brookhinge/standin/capacity/messages.py
+++ b/brookhinge/standin/capacity/messages.py
@@ -65,6 +65,7 @@
 class Drain(Message):
     """One router of the site learns that a cache server drains; no answer."""
 
+    number: int
     server: str
     router: int
 
@@ -124,14 +125,14 @@
 
 class Arrivals(Message):
     """Moments of the monotonic clock. in_force: purge -> {router: when}; started: router -> when it last started, None if it
-    is not up; submitted and known: purge -> when; excused: purge -> those whom the source names as not having it; rules:
-    router -> (when, CopyRule) of the purge log."""
+    is not up; submitted and known: purge -> when; named: purge -> those whom the source named as missing
+    when the purge's time was over; rules: router -> (when, CopyRule) of the purge log."""
 
     in_force: dict[int, dict[str, float]] = {}
     started: dict[str, float | None] = {}
     submitted: dict[int, float] = {}
     known: dict[int, float] = {}
-    excused: dict[int, list[str]] = {}
+    named: dict[int, list[str]] = {}
     rules: dict[str, list[tuple[float, str]]] = {}
 
 
--- a/brookhinge/standin/capacity/runs.py
+++ b/brookhinge/standin/capacity/runs.py
@@ -23,16 +23,18 @@
 SHORT_SOCKETS, SHORT_VIRTUAL = 66, (132, 530)
 SHORT = Durations(settle=2.0, idle=2.0, ordinary=3.0, burst=0.0)
 STANDARD = Durations(settle=4.0, idle=4.0, ordinary=6.0, burst=3.0)
+VIRTUAL = Durations(settle=4.0, idle=3.0, ordinary=4.0, burst=2.0)
 FULL = Durations(
     settle=4.0,
     idle=4.0,
     ordinary=6.0,
     burst=3.0,
     peak=4.0,
-    changes=4.0,
+    changes=9.0,
     site_start=6.0,
     rolling=5.0,
     failures=6.0,
+    distributor=6.0,
     zone=10.0,
     cut=20.0,
 )
@@ -82,7 +84,7 @@
 async def play(stage, mechanism, seed, durations, tell):
     """One run on a stage; its row."""
     async with stage:
-        phases = await Scenario(stage, seed, durations, tell).run()
+        phases = await Scenario(stage, mechanism, seed, durations, tell).run()
         state = stage.state()
     return {
         "kind": stage.kind,
--- a/brookhinge/standin/capacity/scenario.py
+++ b/brookhinge/standin/capacity/scenario.py
@@ -4,11 +4,14 @@
 
 from brookhinge.operator.capacity import inside
 from brookhinge.standin.capacity import measure
+from brookhinge.standin.capacity.driver import PEERS
 from brookhinge.standin.capacity.stage import wait_until
 from brookhinge.standin.capacity.work import Work
 
 ARRIVAL_S = 2.0  # after the last purge of a phase before it is asked who has none
 PURGE_BOUND_S = 10.0  # a purge that came later counts as missed
+CHANGE_BOUND_S = 16.0  # the same for a change of configuration
+KILL_AFTER_S = 0.05  # after a burst has begun
 PEAK_ROOM = 0.8  # part of the servers' room in use at the peak
 KILLED = 2  # machines that fail on an ordinary day
 RESTART_STEP_S = 1.0  # between two routers of a rolling restart
@@ -27,6 +30,7 @@
     site_start: float = 0.0
     rolling: float = 0.0
     failures: float = 0.0
+    distributor: float = 0.0
     cut: float = 0.0
     zone: float = 0.0
 
@@ -34,7 +38,8 @@
 class Scenario:
     """Plays phases on a stage. tell: called with a line of progress."""
 
-    def __init__(self, stage, seed, durations, tell=lambda line: None):
+    def __init__(self, stage, mechanism, seed, durations, tell=lambda line: None):
+        self.mechanism = mechanism
         self.stage, self.durations, self.tell = stage, durations, tell
         self.work = Work(stage.layout, seed)
         self.phases = {}
@@ -89,10 +94,14 @@
         await self.stage.wait(1.0)
 
     async def changes(self, seconds):
-        """Changes of configuration within a minute, as drains of servers, beside the purges."""
-        for at_s, server, site, router in self.work.changes(seconds):
-            self.stage.plan(at_s, self.stage.drain, server, site, router)
-        await self.measured("changes", seconds, self.work.steady(seconds))
+        """Changes of configuration, as drains of servers, beside the purges."""
+        changes = self.work.changes(seconds)
+        for planned in changes:
+            self.stage.plan(planned.at_s, self.stage.drain, planned)
+        row = await self.measured("changes", seconds, self.work.steady(seconds))
+        fates = await self.stage.records([planned.number for planned in changes])
+        figures = measure.purges(fates.records, fates.started, CHANGE_BOUND_S)
+        row.update({f"changes_{name}": figures[name] for name in ("purges", "all_s", "missed", "expected")})
 
     async def site_start(self, seconds):
         """All routers of a site start anew at once, beside the purges."""
@@ -127,6 +136,28 @@
             self.stage.kill(*self.work.router())
         await self.measured("failures", seconds, self.work.steady(seconds))
 
+    async def distributor(self, seconds):
+        """A control machine is killed in the middle of a burst that another one's source tells, and starts anew."""
+        controls = len(self.stage.layout.capacity.controls)
+        if self.mechanism == PEERS or controls < 3:
+            return
+        victim = self.work.chance.randrange(controls)
+        purges = [p._replace(control=(victim + 1) % controls) for p in self.work.burst()]
+        before = await self.stage.counters()
+        for planned in purges:
+            self.stage.purge(planned)
+        await self.stage.wait(KILL_AFTER_S)
+        await self.stage.kill_control(victim)
+        await self.stage.wait(seconds)
+        fates = await self.stage.records([planned.number for planned in purges])
+        self.phases["distributor"] = {
+            "seconds": seconds,
+            **measure.cost(before, await self.stage.counters()),
+            **measure.purges(fates.records, fates.started, PURGE_BOUND_S, fates.rules),
+        }
+        await self.stage.start_control(victim)
+        await self.stage.wait(seconds)
+
     async def cut(self, seconds):
         """The first cut of the layout, a region, for so long, and its return."""
         cut = self.stage.layout.capacity.cuts[0]
@@ -145,7 +176,7 @@
         purges = self.work.steady(seconds, {site.index for site in away})
         names = {site.name_of(number) for site in away for number in range(site.routers)}
         stage.set_cuts([cut])
-        row = await self.measured(f"{name}_cut", seconds, purges, quiet_s=0.0)
+        row = await self.measured(f"{name}_cut", seconds, purges)
         fates = await stage.records([planned.number for planned in purges])
         others = {router: at for router, at in fates.started.items() if router not in names}
         row.update(measure.purges(fates.records, others, PURGE_BOUND_S, fates.rules), cut_off=len(names))
--- a/brookhinge/standin/capacity/stage.py
+++ b/brookhinge/standin/capacity/stage.py
@@ -66,9 +66,9 @@
         """A source tells a purge."""
         self.fleet.purge(planned)
 
-    def drain(self, server, site, router):
+    def drain(self, planned):
         """A router's command channel tells of a drain."""
-        self.fleet.send(site, Drain(server, router))
+        self.fleet.send(planned.site, Drain(planned.number, planned.server, planned.router))
 
     def set_demand(self, room):
         """Part of the servers' room in use on the mean."""
@@ -86,6 +86,14 @@
         """A router ends without a word."""
         self.fleet.send(site, Kill([router]))
 
+    async def kill_control(self, number):
+        """A control machine ends without a word."""
+        await self.fleet.kill_control(number)
+
+    async def start_control(self, number):
+        """A control machine starts anew."""
+        await self.fleet.start_control(number)
+
     async def counters(self):
         """Counters of all routers."""
         self.samples = await self.fleet.samples()
@@ -110,6 +118,7 @@
         sources = [*arrivals.values(), *controls]
         submitted = {number: at for one in sources for number, at in one.submitted.items()}
         known = {number: at for one in sources for number, at in one.known.items()}
+        named = {number: names for one in sources for number, names in one.named.items()}
         started = {name: at for one in arrivals.values() for name, at in one.started.items()}
         records = {}
         for number in numbers:
@@ -118,7 +127,7 @@
             in_force = {}
             for one in arrivals.values():
                 in_force.update(one.in_force.get(number, {}))
-            records[number] = PurgeRecord(submitted[number], in_force, known.get(number))
+            records[number] = PurgeRecord(submitted[number], in_force, known.get(number), named.get(number))
         rules = {name: rules for one in arrivals.values() for name, rules in one.rules.items()}
         return Fates(records, started, rules)
 
@@ -168,9 +177,9 @@
         """A source tells a purge."""
         self.fleet.purge(planned)
 
-    def drain(self, server, site, router):
+    def drain(self, planned):
         """A router's command channel tells of a drain."""
-        self.fleet.drain(server, self.layout.sites[site].name_of(router))
+        self.fleet.drain(planned)
 
     def set_demand(self, room):
         """Limits are not played in virtual time."""
@@ -188,6 +197,14 @@
         """A router ends without a word."""
         self.fleet.kill(self.layout.sites[site].name_of(router))
 
+    async def kill_control(self, number):
+        """A control machine ends without a word."""
+        self.fleet.kill_control(number)
+
+    async def start_control(self, number):
+        """A control machine starts anew."""
+        self.fleet.start_control(number)
+
     async def counters(self):
         """Counters of all routers."""
         return self.fleet.counters()
--- a/brookhinge/standin/capacity/virtual.py
+++ b/brookhinge/standin/capacity/virtual.py
@@ -207,8 +207,7 @@
 
     def notice(self, kind, values):
         """A notice of a peer."""
-        if kind == "purge":
-            self.in_force(int(values[1], 16))
+        self.in_force(int(values[1], 16) if kind == "purge" else values[1])
 
     def in_force(self, purge):
         """A purge is in force here."""
@@ -294,19 +293,25 @@
         """When its source knew that a purge is in force everywhere: peers can't tell."""
         return None
 
+    def named(self, number):
+        """Whom its source named as missing: peers can't tell."""
+        return None
+
     def rules(self):
-        """Router -> (moment, CopyRule) of the purge log."""
-        return {name: router.rules for name, router in self.routers.items()}
+        """Router -> (moment, CopyRule) of the purge log: there is none."""
+        return {}
 
     def control_counters(self):
         """Counters of all control machines: there are none."""
         return {}
 
-    def drain(self, server, name):
+    def drain(self, planned):
         """A router's command channel tells of a drain."""
-        router = self.routers[name]
+        router = self.routers[self.layout.sites[planned.site].name_of(planned.router)]
         if router.started_at is not None:
-            router.peer.spread("draining", server, BORN_MS + round(1000 * self.network.now))
+            self.submitted[planned.number] = self.network.now
+            router.in_force(planned.number)
+            router.peer.spread("draining", planned.server, planned.number)
 
     def kill(self, name):
         """A router ends without a word."""
@@ -344,6 +349,7 @@
                     if number in router.arrivals
                 },
                 self.known_at(number),
+                self.named(number),
             )
             for number in told
         }
--- a/brookhinge/standin/capacity/virtual_log.py
+++ b/brookhinge/standin/capacity/virtual_log.py
@@ -186,11 +186,19 @@
 
     def submitted_at(self, number):
         """When a purge was told, None if it was not."""
-        return self.told[number].submitted if number in self.told else None
+        return self.told[number].submitted if number in self.told else super().submitted_at(number)
 
     def known_at(self, number):
         """When its source knew that a purge is in force everywhere, or None."""
-        return self.told[number].source.known.get(number)
+        return self.told[number].source.known.get(number) if number in self.told else None
+
+    def named(self, number):
+        """Whom its source named as missing when the purge's time was over."""
+        return self.told[number].source.named.get(number) if number in self.told else None
+
+    def rules(self):
+        """Router -> (moment, CopyRule) of the purge log."""
+        return {name: router.rules for name, router in self.routers.items()}
 
     def set_cuts(self, cuts):
         """Cuts in force from now on."""
--- a/brookhinge/standin/capacity/work.py
+++ b/brookhinge/standin/capacity/work.py
@@ -6,7 +6,7 @@
 
 BURST = 50  # purges of one burst
 CHANGES = 20  # changes of configuration within a minute
-DAILY_CHANGES = 780
+FIRST_CHANGE = 1 << 40  # changes are numbered from here on: no purge has such a number
 
 
 class PlannedPurge(NamedTuple):
@@ -19,13 +19,24 @@
     control: int
 
 
+class PlannedChange(NamedTuple):
+    """A cache server's drain, and the router to whom its command channel tells it first."""
+
+    at_s: float
+    number: int
+    server: str
+    site: int
+    router: int
+
+
 class Work:
     """Draws the work of one run. Purges are numbered from 1 through all phases."""
 
     def __init__(self, layout, seed):
+        self.drains = 0
         self.layout, self.chance, self.purges = layout, random.Random(f"work {seed}"), 0
         self.sites = [site for site in layout.sites if site.routers]
-        self.controls = len(layout.capacity.controls)
+        self.control_sites = [layout.site_of_place[control.site] for control in layout.capacity.controls]
 
     def router(self):
         """(site, router) of one drawn evenly."""
@@ -37,12 +48,13 @@
         raise AssertionError("more routers drawn than there are")
 
     def purge(self, at_s, avoid=()):
-        """One purge, told first to a router outside of the sites `avoid`."""
+        """One purge, told first to a router and a control machine outside of the sites `avoid`."""
         site, router = self.router()
         while site in avoid:
             site, router = self.router()
+        controls = [k for k, at in enumerate(self.control_sites) if at not in avoid] or [0]
         self.purges += 1
-        return PlannedPurge(at_s, self.purges, site, router, self.chance.randrange(max(1, self.controls)))
+        return PlannedPurge(at_s, self.purges, site, router, self.chance.choice(controls))
 
     def steady(self, seconds, avoid=()):
         """Purges at the rate of the layout, at moments that do not know of each other."""
@@ -59,15 +71,15 @@
         return [self.purge(0.0) for _ in range(count)]
 
     def changes(self, seconds):
-        """(moment, server, site, router) of CHANGES changes: drains of cache servers."""
-        return [
-            (
-                seconds * k / CHANGES,
-                f"s{1 + self.chance.randrange(self.layout.capacity.caches)}",
-                *self.router(),
-            )
-            for k in range(CHANGES)
-        ]
+        """Changes at the rate of CHANGES a minute, one at least: drains of cache servers."""
+        count = max(1, round(CHANGES * seconds / 60.0))
+        return [self.change(seconds * k / count) for k in range(count)]
+
+    def change(self, at_s):
+        """One drain."""
+        self.drains += 1
+        server = f"s{1 + self.chance.randrange(self.layout.capacity.caches)}"
+        return PlannedChange(at_s, FIRST_CHANGE + self.drains, server, *self.router())
 
     def site(self):
         """The index of a site that has routers."""
--- a/brookhinge/standin/capacity/worker.py
+++ b/brookhinge/standin/capacity/worker.py
@@ -137,7 +137,8 @@
     def drain(self, command):
         """One router learns of a drain."""
         if self.routers[command.router].up:
-            self.routers[command.router].drain(command.server)
+            self.submitted[command.number] = time.monotonic()
+            self.routers[command.router].drain(command.number, command.server)
 
     def set_demand(self, command):
         """What queries ask of the cache servers."""
@@ -186,7 +187,7 @@
             for number, moment in router.arrivals.items():
                 in_force.setdefault(number, {})[router.name] = moment
         started = {router.name: router.started_at for router in self.routers}
-        rules = {router.name: router.rules for router in self.routers}
+        rules = {router.name: router.rules for router in self.routers if router.client is not None}
         return Arrivals(in_force, started, self.submitted, rules=rules)
 
 
--- a/tests/capacity/test_hollow.py
+++ b/tests/capacity/test_hollow.py
@@ -56,7 +56,7 @@
     async def play():
         layout = small_layout(loss=0.0)
         async with SocketStage(layout, 7, PEERS, quiet) as stage:
-            scenario = Scenario(stage, 7, Durations())
+            scenario = Scenario(stage, PEERS, 7, Durations())
             stage.kill(1, 0)
             assert await wait_until(stage, scenario.one_view, LONG_S) is not None
             assert len(await stage.known()) == 11
@@ -143,7 +143,9 @@
     async def play():
         stage = VirtualStage(PeerFleet(small_layout(), seed))
         async with stage:
-            return await Scenario(stage, seed, Durations(settle=2.0, idle=2.0, ordinary=4.0, burst=2.0)).run()
+            return await Scenario(
+                stage, PEERS, seed, Durations(settle=2.0, idle=2.0, ordinary=4.0, burst=2.0)
+            ).run()
 
     return asyncio.run(play())
 
@@ -167,7 +169,9 @@
     async def play():
         stage = VirtualStage(PeerFleet(small_layout(loss=0.0), 7))
         async with stage:
-            return await Scenario(stage, 7, Durations(settle=2.0, idle=0, ordinary=0, burst=0, cut=5.0)).run()
+            return await Scenario(
+                stage, PEERS, 7, Durations(settle=2.0, idle=0, ordinary=0, burst=0, cut=5.0)
+            ).run()
 
     phases = asyncio.run(play())
     assert phases["region_cut"]["missed"] == 0 and phases["region_cut"]["cut_off"] == 3
--- a/tests/capacity/test_measure.py
+++ b/tests/capacity/test_measure.py
@@ -39,16 +39,18 @@
 
 def test_a_purge_binds_who_sets_its_copies_aside_or_uses_none():
     record = PurgeRecord(10.0, {"late": 20.0})
-    assert bound_at(record, "late", {"late": [(13.0, "STALE"), (20.0, "PROVEN")]}) == 13.0
+    assert bound_at(record, "late", {"late": [(8.0, "PROVEN"), (13.0, "STALE"), (20.0, "PROVEN")]}) == 13.0
     assert bound_at(record, "stale", {"stale": [(9.0, "STALE")]}) == 10.0
+    assert bound_at(record, "new", {"new": []}) == 10.0  # no proof yet: it uses nothing
+    assert bound_at(record, "told by peers", {}) is None
     assert bound_at(record, "proven", {"proven": [(8.0, "STALE"), (9.0, "PROVEN")]}) is None
     assert bound_at(record, "aside", {"aside": [(9.0, "PROVEN"), (11.0, "ASIDE")]}) == 11.0
-    assert bound_at(record, "before", {"before": [(9.0, "ASIDE"), (9.5, "READMIT")]}) is None
+    assert bound_at(record, "before", {"before": [(8.0, "PROVEN"), (9.0, "ASIDE"), (9.5, "READMIT")]}) is None
 
 
 def test_who_still_sets_copies_aside_has_not_caught_up():
     records = {1: PurgeRecord(1.0, {})}
-    away = [(4.0, "STALE"), (8.1, "ASIDE"), (8.1, "PROVEN")]
+    away = [(0.5, "PROVEN"), (4.0, "STALE"), (8.1, "ASIDE"), (8.1, "PROVEN")]
     figures = catch_up(records, {"x"}, 8.0, {"x": away})
     assert figures == {"missed_while_away": 0, "unbound_s": 3.0, "not_exact": 1, "catch_up_s": None}
     figures = catch_up(records, {"x"}, 8.0, {"x": [*away, (9.0, "READMIT")]})
