--- a/brookhinge/purgelog/replication.py
+++ b/brookhinge/purgelog/replication.py
@@ -148,14 +148,15 @@
 
     def receive_append(self, message):
         """Takes entries from another machine; those that are new here, as (source, entry). What belongs to an epoch that
-        was promised to be over is refused."""
+        was promised to be over is refused, but by its source while that has no epoch: the next one is to follow on it."""
         new = []
         if len(message.epochs) != self.machines:
             return new
         for batch in message.batches:
             if not 0 <= batch.source < self.machines:
                 continue
-            if message.epochs[batch.source] < self.promises[batch.source]:
+            over = message.epochs[batch.source] < self.promises[batch.source]
+            if over and (batch.source != self.machine or self.epoch):
                 continue
             log, after = self.logs[batch.source], Position(batch.after_epoch, batch.after_index)
             if not batch.entries:
