--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 from brookhinge.operator import OperatorError
-from brookhinge.standin.capacity.driver import ProcessFailed, TooLarge
+from brookhinge.standin.capacity.driver import LOG, PEERS, ProcessFailed, TooLarge
 from brookhinge.standin.capacity.layout import read_layout
 from brookhinge.standin.capacity.runs import Plan, long_run, short_run, single_run
 
@@ -34,10 +34,10 @@
     parser.add_argument(
         "--loss", type=float, help="chance of a datagram to be lost, in the place of the file's"
     )
-    parser.add_argument(
-        "--virtual", action="store_true", help="with --routers: in virtual time, without sockets"
-    )
-    parser.add_argument("--keep", help="all sizes and seeds; figures, table and charts under this name")
+    parser.add_argument("--virtual", action="store_true", help="in virtual time alone")
+    parser.add_argument("--sockets", action="store_true", help="with --keep: on sockets alone")
+    parser.add_argument("--mechanism", choices=(PEERS, LOG), help="one of them alone")
+    parser.add_argument("--keep", help="keep figures under this name; without --routers: all sizes and seeds")
     parser.add_argument("--page", action="store_true", help="write docs/CAPACITY.md from what is kept")
     return parser.parse_args()
 
@@ -59,7 +59,7 @@
     try:
         layout = read_layout(given.file, given.routers, given.loss)
         plan = Plan(given.file, layout, given.seed, given.loss, tell)
-        run = long_run if given.keep else short_run if given.short else single_run
+        run = short_run if given.short else long_run if given.keep and not given.routers else single_run
         figures = asyncio.run(run(plan, given))
     except (OperatorError, TooLarge, ValueError) as fault:
         print(f"capacity: {fault}", file=sys.stderr)
--- a/brookhinge/standin/capacity/runs.py
+++ b/brookhinge/standin/capacity/runs.py
@@ -12,11 +12,14 @@
 
 from brookhinge.standin.capacity import results
 from brookhinge.standin.capacity.driver import LOG, PEERS
+from brookhinge.standin.capacity.hour import HourOfCut
 from brookhinge.standin.capacity.layout import Layout, read_layout
 from brookhinge.standin.capacity.scenario import Durations, Scenario
 from brookhinge.standin.capacity.stage import SocketStage, VirtualStage
 from brookhinge.standin.capacity.virtual import PeerFleet
+from brookhinge.standin.capacity.virtual_log import LogFleet
 
+MECHANISMS = (PEERS, LOG)  # the one before first
 SIZES = (66, 132, 265, 530, 1060)
 LARGEST_ON_SOCKETS = {PEERS: 132, LOG: 530}  # what half of a machine with 8 cores carries
 SEEDS = (7, 8, 9)
@@ -24,7 +27,7 @@
 SHORT = Durations(settle=2.0, idle=2.0, ordinary=3.0, burst=0.0)
 STANDARD = Durations(settle=4.0, idle=4.0, ordinary=6.0, burst=3.0)
 VIRTUAL = Durations(settle=4.0, idle=3.0, ordinary=4.0, burst=2.0)
-FULL = Durations(
+ALL_PHASES = Durations(
     settle=4.0,
     idle=4.0,
     ordinary=6.0,
@@ -60,25 +63,12 @@
     seed: int
     loss: float | None
     mechanism: str
-    durations: Durations
-
-
-def mechanisms():
-    """Those that this text has, the one before first."""
-    try:
-        import brookhinge.purgelog  # noqa: F401
-    except ImportError:
-        return (PEERS,)
-    return PEERS, LOG
+    durations: Durations | None  # None: the hour's cut
 
 
 def virtual_fleet(layout, seed, mechanism):
     """A fleet in virtual time."""
-    if mechanism == PEERS:
-        return PeerFleet(layout, seed)
-    from brookhinge.standin.capacity.virtual_log import LogFleet
-
-    return LogFleet(layout, seed)
+    return (PeerFleet if mechanism == PEERS else LogFleet)(layout, seed)
 
 
 async def play(stage, mechanism, seed, durations, tell):
@@ -86,14 +76,24 @@
     async with stage:
         phases = await Scenario(stage, mechanism, seed, durations, tell).run()
         state = stage.state()
+    return row_of(stage.kind, stage.layout, mechanism, seed, scenario_of(durations), phases, state)
+
+
+def scenario_of(durations):
+    """The name under which runs of those phases are kept."""
+    return "all phases" if durations == ALL_PHASES else "cost"
+
+
+def row_of(kind, layout, mechanism, seed, scenario, phases, state):
+    """The row of one run."""
     return {
-        "kind": stage.kind,
+        "kind": kind,
         "mechanism": mechanism,
-        "scenario": "phases",
-        "routers": stage.layout.routers,
-        "sites": sum(site.routers > 0 for site in stage.layout.sites),
+        "scenario": scenario,
+        "routers": layout.routers,
+        "sites": sum(site.routers > 0 for site in layout.sites),
         "seed": seed,
-        "loss": stage.layout.capacity.loss,
+        "loss": layout.capacity.loss,
         "date": datetime.datetime.now(datetime.timezone.utc).strftime("%Y-%m-%d %H:%M UTC"),
         "command": "python -m benchmarks.capacity " + " ".join(sys.argv[1:]),
         "revision": results.revision(),
@@ -112,6 +112,9 @@
     """One run in virtual time; also called in a process of its own."""
     gc.disable()  # a collection would count for whichever router happens to run
     layout = read_layout(job.file, job.routers, job.loss)
+    if job.durations is None:
+        phases = HourOfCut(layout, job.seed).run()
+        return row_of("virtual", layout, job.mechanism, job.seed, "hour", phases, {})
     stage = VirtualStage(virtual_fleet(layout, job.seed, job.mechanism))
     return asyncio.run(play(stage, job.mechanism, job.seed, job.durations, lambda line: None))
 
@@ -130,29 +133,31 @@
 
 def last_line(plan, rows, routers):
     """The JSON object of a command."""
-    known = mechanisms()
+    known = MECHANISMS
     return results.last_line(rows, routers, plan.seed, plan.layout.capacity.loss, known[0], known[-1])
 
 
 async def single_run(plan, given):
     """One size on sockets, or in virtual time, with the mechanism before and the one as it is."""
     rows = []
-    for mechanism in mechanisms():
+    for mechanism in chosen(given):
         if given.virtual:
-            job = VirtualJob(plan.file, plan.layout.routers, plan.seed, plan.loss, mechanism, FULL)
+            job = VirtualJob(plan.file, plan.layout.routers, plan.seed, plan.loss, mechanism, ALL_PHASES)
             rows += await play_jobs(plan, [job])
         elif plan.layout.routers <= LARGEST_ON_SOCKETS[mechanism]:
-            rows.append(await play_on_sockets(plan, plan.layout, plan.seed, mechanism, FULL))
+            rows.append(await play_on_sockets(plan, plan.layout, plan.seed, mechanism, ALL_PHASES))
         else:
             plan.tell(
                 f"{mechanism}: {plan.layout.routers} routers are more than a machine carries on sockets"
             )
+    if given.keep:
+        results.keep(rows, given.keep + ".json")
     return last_line(plan, rows, plan.layout.routers)
 
 
 async def short_run(plan, given):
     """Under a minute: a small fleet on sockets, two sizes in virtual time."""
-    known = mechanisms()
+    known = MECHANISMS
     sizes = (given.routers,) if given.routers else SHORT_VIRTUAL
     jobs = [
         VirtualJob(plan.file, size, plan.seed, plan.loss, mechanism, SHORT)
@@ -165,22 +170,47 @@
     return last_line(plan, rows, max(sizes))
 
 
+def chosen(given):
+    """The mechanisms that a command asks for."""
+    return [one for one in MECHANISMS if given.mechanism in (None, one)]
+
+
 async def long_run(plan, given):
-    """All sizes and seeds, or the size that --routers names; each row is kept as soon as it is there."""
-    seeds, sizes = SEEDS, (given.routers,) if given.routers else SIZES
+    """All sizes and seeds; each row is kept as soon as it is there."""
 
     def keep(rows):
         results.keep(rows, given.keep + ".json")
 
-    for mechanism in mechanisms():
-        for size in sizes:
-            layout = Layout(plan.layout.capacity, size)
-            for seed in seeds if size <= LARGEST_ON_SOCKETS[mechanism] else ():
-                keep([await play_on_sockets(plan, layout, seed, mechanism, FULL)])
-        jobs = [
-            VirtualJob(plan.file, size, seed, plan.loss, mechanism, STANDARD)
-            for size in sizes
-            for seed in seeds
-        ]
+    size = plan.layout.capacity.routers
+    jobs = [
+        VirtualJob(plan.file, routers, seed, plan.loss, mechanism, VIRTUAL)
+        for mechanism in chosen(given)
+        for routers in SIZES
+        for seed in SEEDS
+    ]
+    jobs += [
+        VirtualJob(plan.file, size, plan.seed, plan.loss, mechanism, ALL_PHASES)
+        for mechanism in chosen(given)
+    ]
+    if LOG in chosen(given):
+        jobs += [VirtualJob(plan.file, size, seed, plan.loss, LOG, None) for seed in SEEDS]
+    if given.virtual:
         await play_jobs(plan, jobs, keep)
-    return last_line(plan, results.load(given.keep + ".json"), max(sizes))
+    elif given.sockets:
+        await all_on_sockets(plan, given, keep)
+    else:
+        await all_on_sockets(plan, given, keep)
+        await play_jobs(plan, jobs, keep)
+    return last_line(plan, results.load(given.keep + ".json"), size)
+
+
+async def all_on_sockets(plan, given, keep):
+    """Each size that the machine carries on three seeds, and the largest with all phases."""
+    for mechanism in chosen(given):
+        sizes = [size for size in SIZES if size <= LARGEST_ON_SOCKETS[mechanism]]
+        for size in reversed(sizes):
+            layout = Layout(plan.layout.capacity, size)
+            for seed in SEEDS:
+                keep([await play_on_sockets(plan, layout, seed, mechanism, STANDARD)])
+        layout = Layout(plan.layout.capacity, max(sizes))
+        keep([await play_on_sockets(plan, layout, plan.seed, mechanism, ALL_PHASES)])
