--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -19,7 +19,7 @@
 from brookhinge.operator import OperatorError
 from brookhinge.standin.capacity.driver import LOG, PEERS, ProcessFailed, TooLarge
 from brookhinge.standin.capacity.layout import read_layout
-from brookhinge.standin.capacity.runs import Plan, long_run, short_run, single_run
+from brookhinge.standin.capacity.runs import Plan, long_run, router_run, short_run, single_run
 
 LAYOUT = Path(__file__).parents[1] / "deploy" / "capacity.hcl"
 
@@ -36,6 +36,7 @@
     )
     parser.add_argument("--virtual", action="store_true", help="in virtual time alone")
     parser.add_argument("--sockets", action="store_true", help="with --keep: on sockets alone")
+    parser.add_argument("--router", action="store_true", help="one real router with its data path")
     parser.add_argument("--mechanism", choices=(PEERS, LOG), help="one of them alone")
     parser.add_argument("--keep", help="keep figures under this name; without --routers: all sizes and seeds")
     parser.add_argument("--page", action="store_true", help="write docs/CAPACITY.md from what is kept")
@@ -48,6 +49,15 @@
         print(line, file=sys.stderr, flush=True)
 
 
+def chosen_run(given):
+    """The kind of run that the options ask for."""
+    if given.router:
+        return router_run
+    if given.short:
+        return short_run
+    return long_run if given.keep and not given.routers else single_run
+
+
 def main():
     """Runs what the options ask for; 2 where the layout can't be used, 1 where a process failed, 130 on an interrupt."""
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -59,8 +69,7 @@
     try:
         layout = read_layout(given.file, given.routers, given.loss)
         plan = Plan(given.file, layout, given.seed, given.loss, tell)
-        run = short_run if given.short else long_run if given.keep and not given.routers else single_run
-        figures = asyncio.run(run(plan, given))
+        figures = asyncio.run(chosen_run(given)(plan, given))
     except (OperatorError, TooLarge, ValueError) as fault:
         print(f"capacity: {fault}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/brookhinge/standin/capacity/page.py
@@ -0,0 +1,469 @@
+"""docs/CAPACITY.md, written from kept figures alone: a figure without a run is `not measured`. No I/O but reading and writing."""
+
+from typing import NamedTuple
+
+from brookhinge.standin.capacity import results
+from brookhinge.standin.capacity.driver import LOG, PEERS
+from brookhinge.standin.capacity.fit import CURVES, fit
+from brookhinge.standin.capacity.layout import read_layout
+
+PAGE = results.ROOT / "docs" / "CAPACITY.md"
+LAYOUT = results.ROOT / "deploy" / "capacity.hcl"
+NOT_MEASURED = "not measured"
+TITLES = {PEERS: "before (notices among peers)", LOG: "now (purge log)"}
+REQUESTS_S, BITS_S = 590_000, 3.2e12  # of the whole fleet at the peak
+OBJECTS = 450_000_000
+
+
+class Allowance(NamedTuple):
+    """What one figure may be at the size designed for."""
+
+    title: str
+    phase: str
+    figure: str
+    part: str
+    most: float
+    unit: str
+
+
+ALLOWED = (
+    Allowance(
+        "control traffic of a router, sent and received", "ordinary", "bytes_s", "worst", 4000, "bytes/s"
+    ),
+    Allowance("processor of a router for control", "ordinary", "core_share", "worst", 0.016, "of a core"),
+    Allowance("a purge in force at every router", "ordinary", "all_s", "worst", 1.2, "s"),
+    Allowance("known to be so at its source", "ordinary", "known_s", "worst", 1.2, "s"),
+    Allowance("arrivals of purges missed", "ordinary", "missed", "", 0, ""),
+    Allowance("exact again after an hour's cut", "hour_back", "catch_up_s", "", 120, "s"),
+    Allowance("missed by routers cut off for an hour", "hour_back", "missed_while_away", "", 0, ""),
+    Allowance(
+        "traffic of such a router on its return, log alone", "hour_back", "bytes_s", "worst", 4000, "bytes/s"
+    ),
+)
+SITUATIONS = (
+    ("nothing happens", "idle"),
+    ("an ordinary second: 5.1 purges", "ordinary"),
+    ("the peak: limits short and lent, drawn demand", "peak"),
+    ("a burst of 50 purges", "burst"),
+    ("changes of configuration, 20 a minute", "changes"),
+    ("all routers of a site start at once", "site_start"),
+    ("a rolling restart, one a second", "rolling"),
+    ("two machines fail", "failures"),
+    ("a control machine is killed in a burst", "distributor"),
+    ("a zone lost", "zone_cut"),
+    ("the zone back", "zone_back"),
+    ("a region cut off", "region_cut"),
+    ("the region back", "region_back"),
+    ("a region cut off for an hour (log alone)", "hour_cut"),
+    ("its return (log alone)", "hour_back"),
+)
+SLOPES = (
+    ("idle", "bytes_s", "median", "bytes/s of a router, idle, median"),
+    ("idle", "bytes_s", "worst", "bytes/s of a router, idle, worst"),
+    ("ordinary", "bytes_s", "median", "bytes/s of a router with purges, median"),
+    ("ordinary", "bytes_s", "worst", "bytes/s of a router with purges, worst"),
+    ("ordinary", "core_share", "median", "part of a core of a router with purges, median"),
+    ("ordinary", "all_s", "worst", "seconds until a purge is in force everywhere, worst"),
+    ("ordinary", "known_s", "worst", "seconds until its source knows, worst"),
+    ("ordinary", "control.bytes_s", "worst", "bytes/s of a control machine with purges, worst"),
+    ("ordinary", "control.core_share", "worst", "part of a core of a control machine, worst"),
+)
+ROLES = ("cache server", "parent", "command channel", "rollout coordinator", "its agents")
+MECHANISMS = {
+    PEERS: "membership (SWIM), limits and verdicts, purges as notices among peers",
+    LOG: "membership (SWIM), limits and verdicts, purge log",
+}
+
+
+def number(value):
+    """A figure as a text."""
+    if value is None:
+        return NOT_MEASURED
+    if isinstance(value, float) and abs(value) < 0.1:
+        return f"{value:.4g}"
+    return f"{value:,.2f}".rstrip("0").rstrip(".") if isinstance(value, float) else f"{value:,}"
+
+
+def table(head, rows):
+    """Lines of a table."""
+    lines = ["| " + " | ".join(head) + " |", "| " + " | ".join("---" for _ in head) + " |"]
+    return lines + ["| " + " | ".join(map(str, row)) + " |" for row in rows]
+
+
+def pair(row, phase, figure):
+    """Median and worst of a figure of one row."""
+    worst = results.value(row, phase, figure, "worst")
+    return (
+        NOT_MEASURED
+        if worst is None
+        else f"{number(results.value(row, phase, figure, 'median'))} / {number(worst)}"
+    )
+
+
+class Page:
+    """rows: the kept ones."""
+
+    def __init__(self, rows):
+        self.rows = rows
+        self.used = [row for row in rows if results.usable(row)]
+        self.layout = read_layout(LAYOUT)
+        self.size = self.layout.routers
+
+    def text(self):
+        """The whole page."""
+        parts = (
+            self.head,
+            self.budgets,
+            self.situations,
+            self.slopes,
+            self.breaks,
+            self.roles,
+            self.real_router,
+            self.failures,
+            self.runs,
+        )
+        return "\n\n".join("\n".join(part()) for part in parts) + "\n"
+
+    def head(self):
+        """What the page is."""
+        return [
+            "# Capacity of the control plane",
+            "",
+            "Written by `python -m benchmarks.capacity --page` from `benchmarks/results/capacity.json`; no figure is put in by hand, and",
+            f"`{NOT_MEASURED}` stands where there is no run. Hollow routers (membership, limits, verdicts, purge log as in service, no data path)",
+            "on loopback sockets, or the same cores and encoding in virtual time (simulated); links by seed as in `deploy/capacity.hcl`, loss",
+            f"{self.layout.capacity.loss:.0%}. Bytes are UDP datagrams with {28} for IP and UDP headers, sent and received together. On sockets a site's",
+            "processor time is divided by its routers, the interpreter's and the modelled links' part included; in virtual time it is that",
+            "of a router's own calls, encoding included, sockets left out. A figure is that of the worst router unless it says median.",
+        ]
+
+    def at_size(self, mechanism, phase, kind=None):
+        """Usable rows of a phase at the size designed for."""
+        rows = results.select(self.used, mechanism=mechanism, routers=self.size)
+        return [row for row in rows if phase in row["phases"] and kind in (None, row["kind"])]
+
+    def budgets(self):
+        """Allowed and measured, before and now."""
+        lines = []
+        for wanted in ALLOWED:
+            cells = [f"{wanted.title} ({wanted.unit})" if wanted.unit else wanted.title, number(wanted.most)]
+            for mechanism in TITLES:
+                cells.append(self.judged(wanted, mechanism))
+            lines.append(cells)
+        head = [f"at {self.size} routers", "allowed", *TITLES.values()]
+        note = [
+            "## What is allowed, and what is measured",
+            "",
+            "Median and worst of the runs (seeds) of the worst router in each; what is over the allowance says so.",
+            "",
+        ]
+        return note + table(head, lines)
+
+    def judged(self, wanted, mechanism):
+        """The worst of one figure, and whether it is over what is allowed."""
+        rows = self.at_size(mechanism, wanted.phase)
+        values = [results.value(row, wanted.phase, wanted.figure, wanted.part or None) for row in rows]
+        values = sorted(value for value in values if value is not None)
+        if not values:
+            return NOT_MEASURED
+        middle, worst = values[len(values) // 2], values[-1]
+        over = " **over**" if worst > wanted.most else ""
+        return f"{number(middle)}, {number(worst)} ({len(values)} runs){over}"
+
+    def situations(self):
+        """One row for each situation, from the run nearest to the size designed for."""
+        lines = []
+        for title, phase in SITUATIONS:
+            for mechanism, name in TITLES.items():
+                row = self.best(mechanism, phase)
+                if row is None:
+                    lines.append([title, name, *[NOT_MEASURED] * 7])
+                    continue
+                figures = row["phases"][phase]
+                lines.append(
+                    [
+                        title,
+                        name,
+                        f"{row['kind']}, {row['routers']}, {figures['seconds']:g} s",
+                        pair(row, phase, "bytes_s"),
+                        pair(row, phase, "core_share"),
+                        pair(row, phase, "all_s"),
+                        pair(row, phase, "known_s"),
+                        missed(figures),
+                        more(figures),
+                    ]
+                )
+        head = ["situation", "", "run", "bytes/s", "core", "in force, s", "known, s", "missed", "besides"]
+        return ["## Situations (median / worst)", "", *table(head, lines)]
+
+    def best(self, mechanism, phase):
+        """The usable row with that phase at the size nearest to the one designed for: on sockets first."""
+        rows = [row for row in results.select(self.used, mechanism=mechanism) if phase in row["phases"]]
+        order = [(abs(row["routers"] - self.size), row["kind"] != "sockets", row["seed"]) for row in rows]
+        return rows[order.index(min(order))] if rows else None
+
+    def points(self, mechanism, phase, figure, part):
+        """(size, cost) of all virtual runs of one kind of phases."""
+        found = []
+        for row in results.select(self.used, mechanism=mechanism, kind="virtual", scenario="cost"):
+            figures = row["phases"].get(phase, {})
+            for name in figure.split("."):
+                figures = figures.get(name) or {}
+            if figures.get(part) is not None:
+                found.append((row["routers"], figures[part]))
+        return found
+
+    def slopes(self):
+        """How each cost grows with the fleet."""
+        lines = []
+        for phase, figure, part, title in SLOPES:
+            for mechanism, name in TITLES.items():
+                points = self.points(mechanism, phase, figure, part)
+                if len({size for size, _ in points}) < 3:
+                    lines.append([title, name, *[NOT_MEASURED] * 5])
+                    continue
+                found = fit(points)
+                slope = f"{found.slope:.3g} ± {found.slope_error:.2g}" if found.slope else "0"
+                lines.append(
+                    [
+                        title,
+                        name,
+                        f"{found.curve} ({found.weight:.0%})",
+                        f"{number(round(found.base, 5))} + {slope}",
+                        number(round(found.at(132), 5)),
+                        number(round(found.at(530), 5)),
+                        number(round(found.at(1060), 5)),
+                    ]
+                )
+        head = ["cost", "", "curve", "base + slope", "at 132", "at 530", "at 1,060"]
+        return [
+            "## Slopes",
+            "",
+            f"By least squares among {', '.join(CURVES)} and AICc over all sizes and seeds in virtual time; in brackets how likely the curve is",
+            "among the four. Base and slope are of cost = base + slope * f(N).",
+            "",
+            *table(head, lines),
+        ]
+
+    def breaks(self):
+        """The smallest size at which each budget is passed, by the slopes."""
+        lines = []
+        for mechanism, name in TITLES.items():
+            for phase, figure, part, most, title in (
+                ("ordinary", "bytes_s", "worst", 4000, "bytes a second of the worst router"),
+                ("ordinary", "all_s", "worst", 1.2, "a purge in force everywhere"),
+                ("ordinary", "known_s", "worst", 1.2, "known to be so"),
+                ("ordinary", "core_share", "worst", 0.016, "processor of the worst router, sockets left out"),
+                (
+                    "ordinary",
+                    "control.core_share",
+                    "worst",
+                    1.0,
+                    "one core of a control machine, sockets left out",
+                ),
+            ):
+                points = self.points(mechanism, phase, figure, part)
+                measured = len({size for size, _ in points}) >= 3
+                lines.append([title, name, breaking_size(fit(points), most) if measured else NOT_MEASURED])
+        return ["## What breaks first", "", *table(["budget", "", "passed from this size on"], lines)]
+
+    def roles(self):
+        """State, messages, processor time and memory by role."""
+        lines = []
+        for mechanism, name in TITLES.items():
+            row = self.best(mechanism, "ordinary")
+            memory = [
+                r["state"].get("memory_mb_router") for r in results.select(self.used, mechanism=mechanism)
+            ]
+            cells = [NOT_MEASURED] * 3 if row is None else [pair(row, "ordinary", f) for f in ROLE_FIGURES]
+            lines.append(
+                [f"router, {name.split()[0]}", MECHANISMS[mechanism], *cells, number(results.worst(memory))]
+            )
+        row = self.best(LOG, "ordinary")
+        control = row and row["phases"]["ordinary"].get("control")
+        if control:
+            cells = [f"{number(control[f]['median'])} / {number(control[f]['worst'])}" for f in ROLE_FIGURES]
+            lines.append(["control machine", "purge log: replication and pushes", *cells, NOT_MEASURED])
+        lines += [[role, "", *[NOT_MEASURED] * 4] for role in ROLES]
+        head = ["role", "carried by", "bytes/s", "messages/s", "core", "memory grown, MB"]
+        return [
+            "## By role, with the ordinary purges (median / worst)",
+            "",
+            "Allowed to a router: 4,000 bytes/s, 1.6% of a core, 32 MB. Five control machines are set aside. Memory is what a site's process grew by",
+            "after its start, divided by its routers.",
+            "",
+            *table(head, lines),
+        ]
+
+    def real_router(self):
+        """One router with its data path, and what the peak asks of it."""
+        rows = results.select(self.rows, scenario="router")
+        lines = ["## One real router (on the rig, loopback)", ""]
+        if not rows:
+            return [*lines, NOT_MEASURED]
+        phases, routers = rows[-1]["phases"], self.size
+        need_queries, need_gbit = REQUESTS_S / routers, BITS_S / routers / 1e9
+        for name in ("small", "large"):
+            figures = phases[name]
+            lines.append(
+                f"- objects of {number(figures['object_bytes'])} bytes: {number(figures['queries_s'])} queries/s and "
+                f"{number(figures['mbit_s'])} Mbit/s at {figures['router_core_share']:.0%} of a core; "
+                f"{number(figures['us_a_query'])} us a query, {number(figures['gbit_a_core_s'])} Gbit for each second of a core "
+                f"({number(figures['not_satisfied'])} refused or failed)"
+            )
+        memory = phases["memory"]
+        by_queries = need_queries / phases["small"]["queries_a_core_s"]
+        by_bits = need_gbit / phases["large"]["gbit_a_core_s"]
+        return [
+            *lines,
+            f"- {number(memory['bytes_an_object'])} bytes a remembered object, over {number(memory['objects'])} objects; "
+            f"{number(memory['memory_mb_at_ready'])} MB at ready",
+            f"- {number(memory['descriptors'])} descriptors before {memory['servers']} cache servers, "
+            f"{memory['descriptors_at_ready']} at ready",
+            "",
+            f"At the peak the mean router has {number(round(need_queries))} queries/s and {number(round(need_gbit, 2))} Gbit/s: "
+            f"{number(round(by_queries, 2))} cores by queries (small objects), {number(round(by_bits, 2))} by bytes (large ones). "
+            "What a core bears is worked out from processor time; it was not run at that rate.",
+            f"Of {number(OBJECTS)} objects a router remembers those that are asked for at it: each million takes "
+            f"{number(round(memory['bytes_an_object'] * 1e6 / 1e6))} MB by that figure.",
+        ]
+
+    def failures(self):
+        """Shared fates by the layout, and what is left to carry the peak."""
+        sites = self.layout.sites
+        zones, regions = {}, {}
+        for site in sites:
+            zones[site.zone] = zones.get(site.zone, 0) + site.routers
+            regions[site.region] = regions.get(site.region, 0) + site.routers
+        lines = []
+        for title, lost in (
+            ("one machine", 1),
+            ("two machines", 2),
+            ("the largest site", max(site.routers for site in sites)),
+            ("the largest zone", max(zones.values())),
+            ("the largest region", max(regions.values())),
+        ):
+            left = self.size - lost
+            lines.append(
+                [
+                    title,
+                    lost,
+                    f"{lost / self.size:.1%}",
+                    number(round(REQUESTS_S / left)),
+                    number(round(BITS_S / left / 1e9, 2)),
+                    f"{self.size / left - 1:.1%}",
+                ]
+            )
+        controls = [control.region for control in self.layout.capacity.controls]
+        most = max(controls.count(region) for region in set(controls))
+        majority = len(controls) // 2 + 1
+        head = [
+            "lost",
+            "routers",
+            "of all",
+            "queries/s of each left",
+            "Gbit/s of each left",
+            "more than before",
+        ]
+        return [
+            "## Failure arithmetic",
+            "",
+            "From `deploy/capacity.hcl` and the peak of 590,000 requests a second and 3.2 Tbit/s; worked out, not run.",
+            "",
+            *table(head, lines),
+            "",
+            f"A rack: {NOT_MEASURED} (the layout does not name racks; two or more share a site's fate). Control machines: {len(controls)}, "
+            f"{majority} make a majority; a zone takes one at most, a region {most}. "
+            f"What a site alone answers from its cache servers: {NOT_MEASURED}; what its control plane does stands above, under the region cut off.",
+        ]
+
+    def runs(self):
+        """The command and date of the run behind each figure."""
+        lines = [
+            [
+                row["kind"],
+                row["mechanism"],
+                row["scenario"],
+                row["routers"],
+                row["seed"],
+                row["date"],
+                row["revision"],
+                number(row["machine_load"]),
+                number(row["state"]["loop_late_s"]) if "loop_late_s" in row["state"] else "",
+                "" if results.usable(row) else "not used: too late",
+                f"`{row['command']}`",
+            ]
+            for row in self.rows
+        ]
+        head = [
+            "run",
+            "",
+            "phases",
+            "routers",
+            "seed",
+            "date",
+            "commit",
+            "load",
+            "loop late, s",
+            "",
+            "command",
+        ]
+        return [
+            "## Runs",
+            "",
+            f"Runs on sockets whose event loops were late by more than {results.LATE_S} s were made on a machine too busy for them: their",
+            "figures are kept and not used above.",
+            "",
+            *table(head, lines),
+        ]
+
+
+ROLE_FIGURES = ("bytes_s", "messages_s", "core_share")
+
+
+def missed(figures):
+    """Missed arrivals among those expected."""
+    if "missed" not in figures:
+        return NOT_MEASURED
+    return f"{number(figures['missed'])} of {number(figures['expected'])}"
+
+
+def more(figures):
+    """What a situation tells beside the usual figures."""
+    told = []
+    if figures.get("named"):
+        told.append(f"missing named for {figures['named']} of {figures['purges']} purges at 1.2 s")
+    if "one_view_s" in figures:
+        told.append(f"one view after {number(figures['one_view_s'])} s")
+    if "changes_all_s" in figures:
+        worst = figures["changes_all_s"]["worst"]
+        told.append(
+            f"a change everywhere after {number(worst)} s, {figures['changes_missed']} arrivals missed"
+        )
+    if "cut_off" in figures:
+        told.append(f"{figures['cut_off']} cut off")
+    if "missed_while_away" in figures:
+        told.append(
+            f"missed while away {number(figures['missed_while_away'])}, exact after {number(figures['catch_up_s'])} s, "
+            f"longest not bound {number(figures['unbound_s'])} s"
+        )
+    return "; ".join(told)
+
+
+def breaking_size(found, most):
+    """The smallest size from 1 to 100,000 at which a fitted cost is over, as a text."""
+    if found.at(1) > most:
+        return "any"
+    if found.at(100_000) <= most:
+        return "none up to 100,000"
+    low, high = 1, 100_000
+    while high - low > 1:
+        middle = (low + high) // 2
+        low, high = (low, middle) if found.at(middle) > most else (middle, high)
+    return number(high)
+
+
+def write_page():
+    """Writes the page; 0."""
+    PAGE.write_text(Page(results.load()).text())
+    return 0
--- a/brookhinge/standin/capacity/results.py
+++ b/brookhinge/standin/capacity/results.py
@@ -6,6 +6,9 @@
 
 ROOT = Path(__file__).parents[3]
 KEPT = ROOT / "benchmarks" / "results" / "capacity.json"
+LATE_S = (
+    0.25  # a run on sockets whose event loops were later than that says more of the machine than of the fleet
+)
 ROW_KEY = ("kind", "mechanism", "routers", "seed", "loss", "scenario")
 
 
@@ -20,6 +23,14 @@
     return done.stdout.strip()
 
 
+def command(arguments):
+    """The command of a row, with the name under which the repository keeps it in the place of any other."""
+    shown = list(arguments)
+    if "--keep" in shown:
+        shown[shown.index("--keep") + 1] = "benchmarks/results/capacity"
+    return " ".join(["python -m benchmarks.capacity", *shown])
+
+
 def load(file=KEPT):
     """Kept rows, in the order in which they were kept."""
     path = Path(file)
@@ -39,6 +50,11 @@
     return [row for row in rows if all(row.get(key) == value for key, value in wanted.items())]
 
 
+def usable(row):
+    """Whether the machine carried the run."""
+    return row["state"].get("loop_late_s", 0.0) <= LATE_S
+
+
 def value(row, phase, figure, part=None):
     """One figure of a row, or None where it was not measured."""
     found = row["phases"].get(phase, {}).get(figure)
@@ -62,7 +78,9 @@
     own = select(rows, mechanism=mechanism, routers=routers)
     everywhere = select(rows, mechanism=mechanism)
     phases = {phase for row in own for phase in row["phases"]}
+    late = [row["state"].get("loop_late_s") for row in own]
     return {
+        "loop_late_s": worst(late),
         "bytes_s_router": worst(value(row, "ordinary", "bytes_s", "worst") for row in own),
         "core_share_router": worst(value(row, "ordinary", "core_share", "worst") for row in own),
         "memory_mb_router": worst(row["state"].get("memory_mb_router") for row in everywhere),
--- /dev/null
+++ b/brookhinge/standin/capacity/router.py
@@ -0,0 +1,142 @@
+"""One real router with its data path on the rig: processor time a query and a Gbit, memory a remembered object, descriptors
+before so many cache servers. Callers, cache servers and origin stand in the process that measures: they are what limits
+the rate, so that what a core bears is worked out from the processor time of the router's process."""
+
+import asyncio
+import os
+import resource
+import tempfile
+import time
+
+from brookhinge.standin.origin import Origin
+from brookhinge.standin.rig import Rig
+
+CALLERS, ASKED_AT_ONCE = 4, 2  # connections, and queries open on each
+SMALL, LARGE = (5_000, 5_000), (200_000, 200_000)  # bytes of an object, least and most
+OBJECTS, MEASURED_S = 50, 6.0
+FRESH_OBJECTS = 10_000
+PATIENCE_MS = 2_900
+
+
+class RouterProcess:
+    """Counters of a process from /proc."""
+
+    def __init__(self, pid):
+        self.pid = pid
+
+    def processor_s(self):
+        """Processor seconds, user and system."""
+        with open(f"/proc/{self.pid}/stat") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory_bytes(self):
+        """Bytes that it holds now."""
+        with open(f"/proc/{self.pid}/statm") as file:
+            return int(file.read().split()[1]) * resource.getpagesize()
+
+    def descriptors(self):
+        """How many descriptors are open."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+
+class Tally:
+    """What became of queries."""
+
+    def __init__(self):
+        self.satisfied = self.other = self.body_bytes = 0
+
+    def add(self, kind, body):
+        """One answer."""
+        if kind == "satisfied":
+            self.satisfied += 1
+            self.body_bytes += len(body)
+        else:
+            self.other += 1
+
+
+async def ask_until(caller, objects, end, tally, size_kb):
+    """Asks one query after another until a moment, or until there are no objects left."""
+    for key in objects:
+        if time.monotonic() >= end:
+            return
+        kind, body = await caller.ask(key, size_kb=size_kb, patience_ms=PATIENCE_MS)
+        tally.add(kind, body)
+
+
+def again_and_again(prefix, first):
+    """Keys of the same few objects without end."""
+    number = first
+    while True:
+        yield f"{prefix}{number % OBJECTS:015x}"
+        number += 1
+
+
+async def load(rig, end, streams, size_kb):
+    """Asks over several connections; a Tally."""
+    tally, callers = Tally(), [await rig.caller("n1") for _ in range(CALLERS)]
+    asking = [
+        ask_until(callers[k % CALLERS], stream, end, tally, size_kb) for k, stream in enumerate(streams)
+    ]
+    await asyncio.gather(*asking)
+    for caller in callers:
+        caller.close()
+    return tally
+
+
+async def throughput(size):
+    """Cost of queries for objects of one size that the cache servers hold."""
+    with tempfile.TemporaryDirectory(prefix="capacity-") as folder:
+        rig = Rig(folder, routers=1, boxes=2)
+        rig.origin = Origin(size, 0.005)
+        async with rig:
+            process = RouterProcess(rig.processes["n1"].pid)
+            size_kb = size[1] / 1000.0
+            streams = [again_and_again("a", 7 * k) for k in range(CALLERS * ASKED_AT_ONCE)]
+            await load(rig, time.monotonic() + 2.0, streams, size_kb)  # the cache servers fill
+            before, began = process.processor_s(), time.monotonic()
+            tally = await load(rig, began + MEASURED_S, streams, size_kb)
+            spent, elapsed = process.processor_s() - before, time.monotonic() - began
+    gbit = tally.body_bytes * 8 / 1e9
+    return {
+        "object_bytes": size[1],
+        "queries_s": round(tally.satisfied / elapsed, 1),
+        "not_satisfied": tally.other,
+        "mbit_s": round(1000 * gbit / elapsed, 1),
+        "router_core_share": round(spent / elapsed, 3),
+        "us_a_query": round(1e6 * spent / max(1, tally.satisfied), 1),
+        "gbit_a_core_s": round(gbit / spent, 3),
+        "queries_a_core_s": round(tally.satisfied / spent),
+    }
+
+
+async def memory_and_descriptors(servers):
+    """Memory a remembered object, and descriptors before so many cache servers."""
+    with tempfile.TemporaryDirectory(prefix="capacity-") as folder:
+        async with Rig(folder, routers=1, boxes=servers) as rig:
+            process = RouterProcess(rig.processes["n1"].pid)
+            at_ready, descriptors = process.memory_bytes(), process.descriptors()
+            end = time.monotonic() + 60.0
+            fresh = [f"b{number:015x}" for number in range(FRESH_OBJECTS)]
+            count = CALLERS * ASKED_AT_ONCE
+            half = FRESH_OBJECTS // 2
+            await load(rig, end, [iter(fresh[k:half:count]) for k in range(count)], 5.0)
+            at_half = process.memory_bytes()
+            tally = await load(rig, end, [iter(fresh[half + k :: count]) for k in range(count)], 5.0)
+            return {
+                "servers": servers,
+                "memory_mb_at_ready": round(at_ready / 1e6, 1),
+                "objects": half + tally.satisfied + tally.other,
+                "bytes_an_object": round((process.memory_bytes() - at_half) / max(1, tally.satisfied)),
+                "descriptors_at_ready": descriptors,
+                "descriptors": process.descriptors(),
+            }
+
+
+async def measure_router(servers):
+    """All figures of one real router."""
+    return {
+        "small": await throughput(SMALL),
+        "large": await throughput(LARGE),
+        "memory": await memory_and_descriptors(servers),
+    }
--- a/brookhinge/standin/capacity/runs.py
+++ b/brookhinge/standin/capacity/runs.py
@@ -14,6 +14,7 @@
 from brookhinge.standin.capacity.driver import LOG, PEERS
 from brookhinge.standin.capacity.hour import HourOfCut
 from brookhinge.standin.capacity.layout import Layout, read_layout
+from brookhinge.standin.capacity.router import measure_router
 from brookhinge.standin.capacity.scenario import Durations, Scenario
 from brookhinge.standin.capacity.stage import SocketStage, VirtualStage
 from brookhinge.standin.capacity.virtual import PeerFleet
@@ -95,7 +96,7 @@
         "seed": seed,
         "loss": layout.capacity.loss,
         "date": datetime.datetime.now(datetime.timezone.utc).strftime("%Y-%m-%d %H:%M UTC"),
-        "command": "python -m benchmarks.capacity " + " ".join(sys.argv[1:]),
+        "command": results.command(sys.argv[1:]),
         "revision": results.revision(),
         "machine_load": round(os.getloadavg()[0], 1),
         "state": state,
@@ -182,7 +183,8 @@
         results.keep(rows, given.keep + ".json")
 
     size = plan.layout.capacity.routers
-    jobs = [
+    jobs = [VirtualJob(plan.file, size, seed, plan.loss, LOG, None) for seed in SEEDS if LOG in chosen(given)]
+    jobs += [
         VirtualJob(plan.file, routers, seed, plan.loss, mechanism, VIRTUAL)
         for mechanism in chosen(given)
         for routers in SIZES
@@ -192,8 +194,6 @@
         VirtualJob(plan.file, size, plan.seed, plan.loss, mechanism, ALL_PHASES)
         for mechanism in chosen(given)
     ]
-    if LOG in chosen(given):
-        jobs += [VirtualJob(plan.file, size, seed, plan.loss, LOG, None) for seed in SEEDS]
     if given.virtual:
         await play_jobs(plan, jobs, keep)
     elif given.sockets:
@@ -214,3 +214,12 @@
                 keep([await play_on_sockets(plan, layout, seed, mechanism, STANDARD)])
         layout = Layout(plan.layout.capacity, max(sizes))
         keep([await play_on_sockets(plan, layout, plan.seed, mechanism, ALL_PHASES)])
+
+
+async def router_run(plan, given):
+    """One real router with its data path."""
+    phases = await measure_router(plan.layout.capacity.caches)
+    row = row_of("rig", Layout(plan.layout.capacity, 1), "data path", plan.seed, "router", phases, {})
+    if given.keep:
+        results.keep([row], given.keep + ".json")
+    return {"routers": 1, "seed": plan.seed, **phases}
