--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -49,6 +49,16 @@
         print(line, file=sys.stderr, flush=True)
 
 
+def write_page_and_chart():
+    """docs/CAPACITY.md and the chart, from what is kept; 0."""
+    from benchmarks.capacity_chart import write_chart
+    from brookhinge.standin.capacity import results
+    from brookhinge.standin.capacity.page import write_page
+
+    write_chart(results.load(), results.KEPT.with_suffix(".png"))
+    return write_page()
+
+
 def chosen_run(given):
     """The kind of run that the options ask for."""
     if given.router:
@@ -63,9 +73,7 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     given = options()
     if given.page:
-        from brookhinge.standin.capacity.page import write_page
-
-        return write_page()
+        return write_page_and_chart()
     try:
         layout = read_layout(given.file, given.routers, given.loss)
         plan = Plan(given.file, layout, given.seed, given.loss, tell)
--- /dev/null
+++ b/tests/capacity/test_page.py
@@ -0,0 +1,101 @@
+"""docs/CAPACITY.md is what the kept data says, and says `not measured` where there is no run."""
+
+from brookhinge.standin.capacity import results
+from brookhinge.standin.capacity.driver import LOG, PEERS
+from brookhinge.standin.capacity.page import NOT_MEASURED, PAGE, Page, breaking_size
+from brookhinge.standin.capacity.fit import fit
+
+
+def row(**changes):
+    """One kept row."""
+    made = {
+        "kind": "virtual",
+        "mechanism": LOG,
+        "scenario": "cost",
+        "routers": 530,
+        "sites": 33,
+        "seed": 7,
+        "loss": 0.01,
+        "date": "2026-12-02 05:00 UTC",
+        "command": "python -m benchmarks.capacity",
+        "revision": "abc",
+        "machine_load": 1.0,
+        "state": {},
+        "phases": {
+            "ordinary": {
+                "seconds": 4.0,
+                "bytes_s": {"median": 2000.0, "worst": 4321.0},
+                "all_s": {"median": 0.2, "worst": 0.9},
+                "known_s": {"median": 0.2, "worst": None},
+                "missed": 0,
+                "expected": 530,
+            }
+        },
+    }
+    return {**made, **changes}
+
+
+def test_page_and_kept_data_agree():
+    assert PAGE.read_text() == Page(results.load()).text()
+
+
+def test_without_runs_nothing_is_claimed():
+    text = Page([]).text()
+    budgets = text.split("## What is allowed")[1].split("## Situations")[0]
+    lines = [line for line in budgets.splitlines() if line.startswith("|")][2:]
+    assert lines and all(line.count(NOT_MEASURED) == 2 for line in lines)
+
+
+def test_what_is_over_an_allowance_says_so():
+    lines = Page([row()]).text().splitlines()
+    traffic = next(line for line in lines if line.startswith("| control traffic of a router"))
+    assert "4,321" in traffic and "**over**" in traffic and NOT_MEASURED in traffic
+    in_force = next(line for line in lines if line.startswith("| a purge in force"))
+    assert "0.9" in in_force and "**over**" not in in_force
+
+
+def test_a_run_on_a_machine_too_busy_is_listed_and_not_used():
+    late = row(kind="sockets", state={"loop_late_s": 2.0})
+    text = Page([late]).text()
+    assert "4,321" not in text and "not used: too late" in text
+
+
+def test_the_breaking_size_is_where_the_fit_passes():
+    found = fit([(n, 100.0 + n) for n in (66, 132, 265, 530)])
+    assert breaking_size(found, 400.5) == "301"
+    assert breaking_size(found, 50.0) == "any"
+    assert breaking_size(found, 1e9) == "none up to 100,000"
+
+
+def test_kept_rows_of_one_run_replace_each_other(tmp_path):
+    file = tmp_path / "kept.json"
+    results.keep([row(), row(seed=8)], file)
+    results.keep([row(date="later"), row(mechanism=PEERS)], file)
+    kept = results.load(file)
+    assert [(one["mechanism"], one["seed"], one["date"]) for one in kept] == [
+        (LOG, 7, "later"),
+        (LOG, 8, row()["date"]),
+        (PEERS, 7, row()["date"]),
+    ]
+
+
+def test_the_last_line_has_the_fields_that_are_asked_for():
+    line = results.last_line([row(), row(routers=132)], 530, 7, 0.01, PEERS, LOG)
+    wanted = {
+        "bytes_s_router",
+        "core_share_router",
+        "memory_mb_router",
+        "purge_all_s",
+        "purge_known_s",
+        "purges_missed",
+        "catch_up_s",
+        "flat",
+    }
+    assert wanted | {"routers", "seed", "loss"} <= set(line) and wanted <= set(line["before"])
+    assert (line["bytes_s_router"], line["purges_missed"], line["flat"]) == (4321.0, 0, 1.0)
+    assert line["before"]["bytes_s_router"] is None
+
+
+def test_a_command_kept_names_no_path_of_a_machine():
+    shown = results.command(["--keep", "/somewhere/else", "--virtual"])
+    assert shown == "python -m benchmarks.capacity --keep benchmarks/results/capacity --virtual"
