--- a/brookhinge/store/store.py
+++ b/brookhinge/store/store.py
@@ -148,20 +148,25 @@
                 if self.health.due(self.now()) and not self.writer.begun:
                     await self.try_disk()
                 continue
-            try:
-                if self.disk.suspects:
-                    await self.writer.call(self.disk.look_over, front=True)
-                if self.disk.dirty and now - synced >= self.sync_s:
-                    synced = now
-                    await self.done_within(self.writer.call(self.disk.sync, front=True))
-                changes = self.disk.counts["written"] + self.disk.counts["purges"]
-                if changes != written and now - pictured >= self.snapshot_s:
-                    pictured, written = now, changes
-                    await self.done_within(self.writer.call(self.disk.snapshot, front=True))
-            except OSError as fault:
-                self.failed("sync", fault)
-            except Exception as fault:
-                self.failed("write", f"{type(fault).__name__}: {fault}")
+            if self.disk.suspects:
+                await self.care("read", self.disk.look_over)
+            changes = self.disk.counts["written"] + self.disk.counts["purges"]
+            snapshot_due = changes != written and now - pictured >= self.snapshot_s
+            if self.disk.dirty and (snapshot_due or now - synced >= self.sync_s):
+                synced = now
+                await self.care("sync", self.disk.sync)
+            if snapshot_due and self.health.on:
+                pictured, written = now, changes
+                await self.care("snapshot", self.disk.snapshot)
+
+    async def care(self, kind, work):
+        """Runs one piece of maintenance on the writer's thread; a failure of it counts as one of that kind."""
+        try:
+            await self.done_within(self.writer.call(work, front=True))
+        except OSError as fault:
+            self.failed(kind, fault)
+        except Exception as fault:  # a fault of ours must not end the loop that tends the disk
+            self.failed("write", f"{type(fault).__name__}: {fault}")
 
     async def done_within(self, future):
         """Waits for care of the disk, and looks at how long it takes meanwhile."""
