Rig: routers listen where no other socket can take their port; a router that dies fails its start

Seen: test_killed_restarted_frozen_and_thawed failed at its first wait for one view. The router ends ('address that is free here'), start() had seen it accept for a moment and came back, and eleven views never were the view of twelve: reproduced with one port held. Ruled out: views that settle late. Change: each process has a loopback address of its own for what it starts (standin/ports.py); start() waits until the router listens to the fleet and raises at once if it ends; a rig that fails to start ends what it began. Tests: test_rig_ports.py; the second fails without the change.

--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -24,11 +24,12 @@
 from brookhinge.standin.caller import ThriftCaller
 from brookhinge.standin.channel import CommandChannel
 from brookhinge.standin.origin import Origin
-from brookhinge.standin.town import end_all, free_port, settings
+from brookhinge.standin.ports import free_port, own_host
+from brookhinge.standin.town import end_all, settings
 
 KEY = "0123456789abcdef" * 2
 BLOCK = """fleet "{name}" {{
-  listen    = "127.0.0.1:{port}"
+  listen    = "{host}:{port}"
   advertise = "127.0.0.1:{relay}"
   join      = [{join}]
   site      = "rig"
@@ -41,6 +42,7 @@
 OTHER_VERSION = (
     "import brookhinge.membership.post as post; post.VERSION = 2"  # a program that speaks other messages
 )
+STARTING_S = 60.0  # for a slow machine: twelve processes side by side took 12 s at load 37
 MAIN = "; import sys; sys.argv = ['brookhinge']; from brookhinge.__main__ import main; sys.exit(main())"
 
 
@@ -72,12 +74,13 @@
         )
         self.cut, self.ports, self.ways = lambda a, b: False, {}, {}
 
-    async def open(self, name, port):
+    async def open(self, name, host, port):
+        """Opens the way to the router that listens at host and port; the port that it is known by."""
         self.ports[port] = name
         transport, way = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: Wire(self, name), local_addr=("127.0.0.1", 0)
         )
-        way.transport, way.to = transport, ("127.0.0.1", port)
+        way.transport, way.to = transport, (host, port)
         self.ways[name] = way
         return transport.get_extra_info("sockname")[1]
 
@@ -182,17 +185,26 @@
             {},
             seed,
         )
-        self.box_ports, self.first = {}, first
+        self.feed = CommandChannel()
+        self.box_ports, self.first, self.host = {}, first, own_host()
         self.names = [f"n{k + 1}" for k in range(routers)]
         self.box_names = [f"s-{k + 1}" for k in range(boxes)]
         self.wires, self.origin = Wires(seed), Origin((2_000, 8_000), 0.005)
         self.channels, self.ports, self.udp, self.relay, self.processes = {}, {}, {}, {}, {}
 
     async def __aenter__(self):
+        try:
+            await self.begin()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def begin(self):
+        """Starts all of it; what fails is raised once every router is up or has failed."""
         self.folder.mkdir(parents=True, exist_ok=True)
         _, origin_port = self.origin.listen()
         rows = [self.row("origin", "origin", "hub", origin_port)]
-        self.feed = CommandChannel()
         _, self.feed_port = await self.feed.listen()
         for name in self.box_names:
             self.box_ports[name] = free_port()
@@ -200,8 +212,8 @@
             self.feed.hosts = {row["host"]: row for row in rows}
             await self.start_box(name)
         for name in self.names:
-            self.udp[name] = free_port()
-            self.relay[name] = await self.wires.open(name, self.udp[name])
+            self.udp[name] = free_port(self.host)
+            self.relay[name] = await self.wires.open(name, self.host, self.udp[name])
             self.channels[name] = CommandChannel([dict(row) for row in rows])
             for box in self.box_names if name in self.piped else ():
                 pipe = self.pipes[name, box] = Pipe(self.box_ports[box], f"{seed_of(name)} {box}")
@@ -209,12 +221,15 @@
             await self.channels[name].listen()
         self.join = ", ".join(f'"127.0.0.1:{self.relay[name]}"' for name in self.names[:3])
         (self.folder / "fleet.hcl").write_text("".join(map(self.block, self.names)))
-        await asyncio.gather(*(self.start(name) for name in self.names))
-        return self
+        starts = await asyncio.gather(*(self.start(name) for name in self.names), return_exceptions=True)
+        for fault in starts:
+            if fault is not None:
+                raise fault
 
     def block(self, name):
         return BLOCK.format(
             name=name,
+            host=self.host,
             port=self.udp[name],
             relay=self.relay[name],
             join=self.join,
@@ -269,9 +284,10 @@
         }
 
     async def start(self, name, first="", under=None, key=None):
-        """Starts a router; back when it accepts connections. under: with another's name; first: Python that its process
-        runs before the program."""
-        self.ports[name] = free_port()
+        """Starts a router; back when it accepts connections and listens to the fleet. RuntimeError if it ends before.
+
+        under: with another's name; first: Python that its process runs before the program."""
+        self.ports[name], before = free_port(self.host), self.fleet_listenings(name)
         path, said = self.folder / f"{name}.json", under or name
         path.write_text(self.configuration(name, said))
         file = self.folder / "fleet.hcl"
@@ -289,14 +305,25 @@
                 cwd=Path(__file__).parents[2],
                 env={**os.environ, "BALANCER_CONFIG": str(path), "BROOKHINGE_FLEET": str(file)},
             )
-        if not await self.until(lambda: self.accepts(name), 20.0):
+        process = self.processes[name]
+
+        async def settled():
+            listens = self.fleet_listenings(name) > before and await self.accepts(name)
+            return listens or process.returncode is not None
+
+        if not await self.until(settled, STARTING_S) or process.returncode is not None:
             raise RuntimeError(f"{name} is not up: {(self.folder / f'{name}.log').read_text()[-800:]}")
 
+    def fleet_listenings(self, name):
+        """How many processes under this name came as far as to listen to the fleet."""
+        log = self.folder / f"{name}.log"
+        return sum(line["change"] == "listening" for line in self.log(name, "fleet")) if log.exists() else 0
+
     def configuration(self, name, said):
         return json.dumps(
             {
                 "name": said,
-                "listen": f"127.0.0.1:{self.ports[name]}",
+                "listen": f"{self.host}:{self.ports[name]}",
                 "seed": f"{seed_of(name):x}",
                 "channel": "%s:%d" % self.channels[name].server.sockets[0].getsockname()[:2],
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -307,7 +334,7 @@
 
     async def accepts(self, name):
         try:
-            _, writer = await asyncio.open_connection("127.0.0.1", self.ports[name])
+            _, writer = await asyncio.open_connection(self.host, self.ports[name])
             writer.close()
             return True
         except OSError:
@@ -328,11 +355,11 @@
         self.processes[name].send_signal(signal.SIGCONT)
 
     async def caller(self, name):
-        return await ThriftCaller(("127.0.0.1", self.ports[name])).connect()
+        return await ThriftCaller((self.host, self.ports[name])).connect()
 
     async def view(self, name):
         """What a router believes: {member: state}, or None if it does not answer."""
-        seen = await look(("127.0.0.1", self.udp[name]), "rig", bytes.fromhex(KEY))
+        seen = await look((self.host, self.udp[name]), "rig", bytes.fromhex(KEY))
         return seen and {row[0]: row[1] for row in seen[0]}
 
     async def parts(self, name):
@@ -344,7 +371,7 @@
         return await self.shown(name, VERDICTS)
 
     async def shown(self, name, what):
-        seen = await look(("127.0.0.1", self.udp[name]), "rig", bytes.fromhex(KEY), what)
+        seen = await look((self.host, self.udp[name]), "rig", bytes.fromhex(KEY), what)
         return seen and seen[0]
 
     async def one_view(self, names=None, but=(), others=()):
--- a/brookhinge/standin/rolling.py
+++ b/brookhinge/standin/rolling.py
@@ -8,7 +8,7 @@
 
 from brookhinge.rollout import roll
 from brookhinge.standin.rig import KEY, MAIN, Rig
-from brookhinge.standin.town import free_port
+from brookhinge.standin.ports import free_port
 
 PLAN = """rollout "test" {{
   old      = "v1"
@@ -87,7 +87,7 @@
 
     async def start(self, name, **_):
         """Writes a router's files; its keeper starts it."""
-        self.ports[name] = free_port()
+        self.ports[name] = free_port(self.host)
         for version in ("v1", "v2"):
             (self.folder / version).mkdir(exist_ok=True)
             text = self.configuration(name, name)
@@ -109,13 +109,13 @@
             )
         )
         for place, names in self.places.items():
-            self.keeper_ports[place] = free_port()
+            self.keeper_ports[place] = free_port(self.host)
             routers = "".join(
-                f'    router "{name}" {{\n      listen = "127.0.0.1:{self.ports[name]}"\n    }}\n'
+                f'    router "{name}" {{\n      listen = "{self.host}:{self.ports[name]}"\n    }}\n'
                 for name in names
             )
             blocks += (
-                f'  keeper "{place}" {{\n    listen = "127.0.0.1:{self.keeper_ports[place]}"\n'
+                f'  keeper "{place}" {{\n    listen = "{self.host}:{self.keeper_ports[place]}"\n'
                 f'    dir    = "{self.folder}/{place}"\n{routers}  }}\n'
             )
         self.plan = self.folder / "plan.hcl"
--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
@@ -15,6 +14,7 @@
 from brookhinge.standin.caller import ThriftCaller
 from brookhinge.standin.channel import CommandChannel
 from brookhinge.standin.origin import Origin
+from brookhinge.standin.ports import free_port
 
 BOX = """box "{name}" {{
   listen  = "127.0.0.1:{port}"
@@ -32,19 +32,6 @@
 """
 
 
-GIVEN = set()  # ports that were handed out: not bound yet, the system may name one again
-
-
-def free_port():
-    while True:
-        with socket.socket() as made:
-            made.bind(("127.0.0.1", 0))
-            port = made.getsockname()[1]
-        if port not in GIVEN:
-            GIVEN.add(port)
-            return port
-
-
 def settings(aim_s=0.3, patience_s=3.0, warm_s=5.0, longest_hint_s=0.0, flow_kb_s=0.0):
     """The settings of a router among boxes of this town."""
     return {
--- /dev/null
+++ b/tests/membership/test_rig_ports.py
@@ -0,0 +1,54 @@
+"""Ports of the rig's routers: nobody else's socket takes one before its router binds it, and a router that cannot start
+is found out at its start and not by a view that never comes."""
+
+import asyncio
+import socket
+
+import pytest
+
+from brookhinge.standin import rig as rig_module
+from brookhinge.standin.ports import LOCALHOST, free_port, own_host
+from brookhinge.standin.rig import Rig
+
+
+def datagram_socket(host, port):
+    made = socket.socket(type=socket.SOCK_DGRAM)
+    made.bind((host, port))
+    return made
+
+
+def test_sockets_on_localhost_leave_the_ports_of_the_own_host_free():
+    host = own_host()
+    assert host != LOCALHOST
+    ports = [free_port(host) for _ in range(20)]
+    assert len(set(ports)) == len(ports)
+    for port in ports:
+        try:
+            elsewhere = datagram_socket(LOCALHOST, port)
+        except OSError:  # in use there already, which is as good
+            elsewhere = None
+        with datagram_socket(host, port):
+            pass
+        if elsewhere:
+            elsewhere.close()
+
+
+def test_a_router_that_cannot_listen_to_the_fleet_fails_its_start(tmp_path, monkeypatch):
+    taken = []
+
+    def port_in_use(host=LOCALHOST):
+        port = free_port(host)
+        taken.append(datagram_socket(host, port))
+        return port
+
+    async def run():
+        monkeypatch.setattr(rig_module, "free_port", port_in_use)
+        with pytest.raises(RuntimeError, match="n1 is not up.*Address already in use"):
+            async with Rig(tmp_path, routers=1, boxes=0):
+                pass
+
+    try:
+        asyncio.run(run())
+    finally:
+        for held in taken:
+            held.close()
