--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -2,7 +2,7 @@
 
 A Router is called once a round, `router.round(now, inbox, writer)`: `inbox` holds the decoded calls (method,
 values) in order of arrival, decisions go straight into `writer` (see brookhinge/interface.py). Times are
-seconds; servers stand under a dense index, `Fleet.ids` keeps their ids.
+seconds; servers stand under a dense index, `Fleet.ids` (brookhinge/roster.py) keeps their ids.
 
 The ordinary path (`Router.place`) is the Cache Clouds design: beacon rings, load-following sub-ranges,
 remembered holders, sibling fills of objects in demand, a parent home for all other fills. Beside it stand:
@@ -15,72 +15,27 @@
 6. Ageing copies: served while fills earn less than they do (a slow or failing way to the origin).
 7. Way to the origin: while what goes there ends badly, parents are asked for what they hold, little goes on.
 """
+
 import math
 import random
-from hashlib import md5
-
-INTRA_GEN = 1000       # IrH values of a beacon ring
-CYCLE, TELLING = 10.0, 1000    # seconds and queries between settings of the sub-ranges: few move by chance
-MEMORY, LOOK = 20.0, 10.0      # seconds a holder is remembered; over which work to warm servers is averaged
-INLET = -1             # stands for the location's link in among the in-flight limits
-MOST_DOCS, DOCS_IN_MB = 30000, 150     # object counts kept; and in each MB of memory, where that is told
-OWN, HURRY = 0.12, 0.2 # of the memory for own copies; seconds beside its sending that the path may take
-FORGET, GUESS = 30.0, 5.0  # seconds until nothing of one gone is under way; queries a first guess counts for
-
-
-def digest(text):
-    return int.from_bytes(md5(text.encode()).digest(), "big")
-
-
-class Fleet:
-    """The servers as last told, and figures of each in parallel arrays."""
-
-    def __init__(self, kinds, here):
-        (self.parent_kind, self.origin_kind), self.here, self.index = kinds, here, {}
-        self.arrays = [[] for _ in range(9)]
-        (self.ids, self.role, self.state, self.weight, self.born, self.zone, self.cell, self.inflight,
-         self.forgot_at) = self.arrays
-        self.own, self.parents, self.origins, self.fresh = [], [], [], []
-
-    def enter(self, now, server):
-        """The place of a server; a newcomer takes that of one long gone, or the arrays would grow."""
-        c = self.index.get(server)
-        if c is None:
-            c = next((c for c, at in enumerate(self.state) if at == "gone" and not self.inflight[c]
-                      and now - self.forgot_at[c] > FORGET), len(self.ids))
-            self.index.pop(self.ids[c] if c < len(self.ids) else None, None)
-            for array, first in zip(self.arrays, (server, "", "gone", 0.0, None, -1, 0, 0, -1e9)):
-                array[c:c + 1] = [first]
-            self.index[server] = c
-            self.fresh.append(c)
-        return c
-
-    def told(self, now, kind, rows):
-        """Takes a list; a server that a complete list leaves out is gone."""
-        seen, self.fresh = set(), []
-        for server, health, weight, born, cell, family, zone in rows:
-            c = self.enter(now, server)
-            seen.add(c)
-            if health != "ready" or self.born[c] != born:   # left, drained or restarted: what it held is gone
-                self.forgot_at[c] = now
-            self.state[c], self.weight[c], self.born[c] = health, weight, born
-            self.cell[c], self.zone[c] = cell, zone
-            self.role[c] = {self.origin_kind: "origin", self.parent_kind: "parent"}.get(family, "cache")
-        if kind in ("full", "saved"):
-            for c in range(len(self.ids)):
-                if c not in seen and self.state[c] != "gone":
-                    self.state[c], self.forgot_at[c] = "gone", now
-        listed = sorted((c for c, at in enumerate(self.state) if at != "gone"), key=self.ids.__getitem__)
-        self.own = [c for c in listed if self.role[c] == "cache" and self.zone[c] == self.here
-                    and self.state[c] == "ready"]
-        self.parents, self.origins = ([c for c in listed if self.role[c] == r] for r in ("parent", "origin"))
+
+from brookhinge.decision_records import Doc, Query, digest
+from brookhinge.roster import Fleet
+
+INTRA_GEN = 1000  # IrH values of a beacon ring
+CYCLE, TELLING = 10.0, 1000  # seconds and queries between settings of the sub-ranges: few move by chance
+MEMORY, LOOK = 20.0, 10.0  # seconds a holder is remembered; over which work to warm servers is averaged
+INLET = -1  # stands for the location's link in among the in-flight limits
+MOST_DOCS, DOCS_IN_MB = 30000, 150  # object counts kept; and in each MB of memory, where that is told
+OWN, HURRY = 0.12, 0.2  # of the memory for own copies; seconds beside its sending that the path may take
+GUESS = 5.0  # queries that a first guess counts for
 
 
 class Rings:
     """Beacon rings over the location's sorted caches, and the sub-range of IrH values of each point."""
 
     def __init__(self):
-        self.rings = []     # (points, their sub-ranges' ends, load of each IrH value)
+        self.rings = []  # (points, their sub-ranges' ends, load of each IrH value)
 
     def seat(self, caches):
         """Pairs the caches, an odd one joins the last ring; a ring with the same points keeps its ranges."""
@@ -88,7 +43,7 @@
         count = max(1, len(caches) // 2)
         self.rings = []
         for k in range(count if caches else 0):
-            points = caches[2 * k:] if k == count - 1 else caches[2 * k:2 * k + 2]
+            points = caches[2 * k :] if k == count - 1 else caches[2 * k : 2 * k + 2]
             ends = [INTRA_GEN * (i + 1) // len(points) for i in range(len(points))]
             self.rings.append(old.get(tuple(points)) or (points, ends, [0.0] * INTRA_GEN))
 
@@ -97,7 +52,7 @@
         irh, (points, ends, _) = code % INTRA_GEN, self.rings[code % len(self.rings)]
         i = next(i for i, end in enumerate(ends) if irh < end)
         rest = [c for ring in self.rings for c in ring[0] if c != points[i]]
-        at = irh % max(1, len(rest))        # what a resting home leaves spreads over all
+        at = irh % max(1, len(rest))  # what a resting home leaves spreads over all
         return [points[i]] + rest[at:] + rest[:at]
 
     def cycle(self, capability):
@@ -105,7 +60,7 @@
         for points, ends, loads in self.rings:
             total, power, start = sum(loads), sum(capability(c) for c in points), 0
             for i, c in enumerate(points[:-1]):
-                surplus, moved = sum(loads[start:ends[i]]) - capability(c) / power * total, 0.0
+                surplus, moved = sum(loads[start : ends[i]]) - capability(c) / power * total, 0.0
                 while surplus > 0 and ends[i] > start + 1 and moved + loads[ends[i] - 1] <= surplus:
                     ends[i] -= 1
                     moved += loads[ends[i]]
@@ -116,26 +71,18 @@
             loads[:] = [0.0] * INTRA_GEN
 
 
-class Doc:
-    """What is remembered of an object (one part of it, where it has parts)."""
-    def __init__(self, key, part, group):
-        self.key, self.part, self.group, self.holders, self.best, self.order = key, part, group, {}, 0.0, []
-        self.code, self.home_code = digest(f"{key}/{part}"), digest(key)
-        self.count = self.asked = self.purges = 0.0
-        self.purged_at, self.fresh_at, self.order_of = -1e9, -1e9, None
-
-
 class ColdBudget:
     """Mechanism 1. Seconds of sending to servers that started lately: a router's share of what each can do. A
     query goes with the chance that what is saved covers it. What is risked in any one window stays within the
     share of what a server bears: what all saved while nobody asked must not come at once. It could leave a
     quick starter idle, and many routers that ask seldom use less than the whole."""
-    FILL, SPREAD = 1.5, 2.5     # of the present capacity; deviations of chance kept clear of what pushes over
-    CLEAR, PIECES = 0.5, 16     # the same for what is risked in a window; pieces in which that is kept
+
+    FILL, SPREAD = 1.5, 2.5  # of the present capacity; deviations of chance kept clear of what pushes over
+    CLEAR, PIECES = 0.5, 16  # the same for what is risked in a window; pieces in which that is kept
 
     def __init__(self, start, routers):
         self.start, self.routers, self.credit, self.at, self.owed = start, routers, {}, {}, {}
-        self.risked = {}        # of each server: work times chance of going, by piece of a window
+        self.risked = {}  # of each server: work times chance of going, by piece of a window
 
     def cold(self, now, born):
         return born is not None and now - born < self.start.warm_s
@@ -148,8 +95,8 @@
         s = self.start
         age = max(0.0, now - born - s.window_s)
         can = (s.share + (1.0 - s.share) * min(1.0, age / s.warm_s)) * power
-        room = s.multiple * can * s.window_s            # over all routers; queries come by chance, in lumps
-        mean = ((self.SPREAD ** 2 * lump + 4.0 * room) ** 0.5 - self.SPREAD * lump ** 0.5) ** 2 / 4.0
+        room = s.multiple * can * s.window_s  # over all routers; queries come by chance, in lumps
+        mean = ((self.SPREAD**2 * lump + 4.0 * room) ** 0.5 - self.SPREAD * lump**0.5) ** 2 / 4.0
         return min(self.FILL * can, mean / s.window_s), max(mean, room - self.CLEAR * (room * lump) ** 0.5)
 
     def whole(self, now, born, power, lump):
@@ -166,7 +113,7 @@
         for old in [p for p in risked if p < piece - self.PIECES]:
             del risked[old]
         come = rate * (now - self.at.get(c, now))
-        paid = max(0.0, min(owed, 0.5 * come))      # what was borrowed takes half of what comes: others go on
+        paid = max(0.0, min(owed, 0.5 * come))  # what was borrowed takes half of what comes: others go on
         credit = min(most, self.credit.get(c, 0.0) + come - paid)
         self.at[c], self.owed[c] = now, owed - paid
         if spare > 0.0 and credit < spare * most:
@@ -190,6 +137,7 @@
 
 class Health:
     """Mechanism 2. Share of failures of each server, lately, against its fellows of the same role."""
+
     BAD, REST, MOST = 0.3, 2.0, 0.4
 
     def __init__(self):
@@ -206,9 +154,13 @@
             return False
         usual = median(self.fault, c, fellows, 0.0)
         crowd = 1 + sum(f in self.rest_until for f in fellows if f != c) > max(1, self.MOST * len(fellows))
-        if fault < self.BAD or self.rest_until.get(c, -1.0) > now or usual is not None and (
-                usual > fault / 2 or crowd):
-            return False       # not bad, the tier or the common link fails, or too many rest already
+        if (
+            fault < self.BAD
+            or self.rest_until.get(c, -1.0) > now
+            or usual is not None
+            and (usual > fault / 2 or crowd)
+        ):
+            return False  # not bad, the tier or the common link fails, or too many rest already
         first, self.rest_until[c] = c not in self.rest_until, now + self.REST
         return first
 
@@ -220,6 +172,7 @@
 class Crowding:
     """Mechanism 3. A limit on what is in flight to a server follows shortest over present answer time.
     Guards against a full or slowing server; it could harm where times of one object vary by themselves."""
+
     FIRST, LEAST, MOST = 32.0, 4.0, 200.0
     CROWD, PRIOR, FADE = 1.5, 0.5, 3.0
 
@@ -241,12 +194,15 @@
     def lags(self, c, now, fellows, over=0.5, least=0.0):
         """Far slower than the quicker half of its fellows, as far as `least` seconds of sending tell."""
         usual = median({f: self.crowd(f, now) for f in fellows}, c, fellows, 0.0)
-        return usual is not None and self.crowd(c, now) > over + 2.0 * usual \
+        return (
+            usual is not None
+            and self.crowd(c, now) > over + 2.0 * usual
             and self.sums.get(c, (now, 0.0, 0.0))[2] >= least
+        )
 
     def open(self, c, now, part, chance, way_in=False):
         """What other routers have in flight is out of sight: the longer answers take, the fewer go."""
-        usual = (0.2 if way_in else 0.4) * min(1.0, 8.0 / self.routers)     # of many routers little is own
+        usual = (0.2 if way_in else 0.4) * min(1.0, 8.0 / self.routers)  # of many routers little is own
         crowd = self.crowd(c, now, self.crowd(INLET, now) if way_in else 0.0) - usual
         shut = crowd / ((0.5 if way_in else 1.0) * self.CROWD * part) * (1.0 - 1.0 / self.routers)
         return shut <= 0.0 or chance.random() >= shut
@@ -256,7 +212,7 @@
         if now - self.set_at.get(c, -1.0) >= 0.25:
             self.set_at[c] = now
             limit = self.limit.get(c, self.FIRST / 4)
-            aim = limit * max(0.5, pace) + limit ** 0.5
+            aim = limit * max(0.5, pace) + limit**0.5
             if aim < limit or inflight > limit / 2:
                 self.limit[c] = max(self.LEAST, min(self.MOST, 0.8 * limit + 0.2 * aim))
 
@@ -273,10 +229,11 @@
 class Way:
     """Mechanism 7. How fills that ended at the origin went lately; the worse, the fewer go. Guards against an
     origin kept busy by fills that nobody waits for. It could harm where only late fills warm caches."""
-    FADE, SPARE = 5.0, 2.0      # seconds; about one in six may go badly before fewer go
+
+    FADE, SPARE = 5.0, 2.0  # seconds; about one in six may go badly before fewer go
 
     def __init__(self):
-        self.good, self.bad, self.at, self.due = 0.0, 0.0, 0.0, {}      # due: of each fill that is out
+        self.good, self.bad, self.at, self.due = 0.0, 0.0, 0.0, {}  # due: of each fill that is out
 
     def count(self, now, good):
         fade = math.exp((self.at - now) / self.FADE)
@@ -295,7 +252,7 @@
     the router's link: none is promised that would come late. It could harm where others need that link."""
 
     def __init__(self, machine):
-        memory_mb, _, self.flow, self.link = machine or (0.0, 0, 0.0, 0.0)      # no link, no copies
+        memory_mb, _, self.flow, self.link = machine or (0.0, 0, 0.0, 0.0)  # no link, no copies
         self.room, self.held, self.size, self.free_at = memory_mb * OWN * 1e6, {}, 0, 0.0
 
     def keep(self, name, doc, made, size, query, writer):
@@ -321,31 +278,36 @@
         return True
 
 
-class Query:
-    def __init__(self, track, doc, now, left, through):
-        self.track, self.doc, self.until, self.through = track, doc, now + left, through
-        self.shots, self.server, self.source, self.sent_at, self.rank = 0, None, None, now, 0
-        self.bad, self.bad_sources, self.ran = set(), set(), None
-        self.ended = self.sibling = self.held = self.filling = self.look = self.missed = self.invited = False
-        self.local = self.lacks = False      # asked of its parent only if that holds it; it did not
-        self.who, self.worth = None, 1.0
-
-
 class Router:
-    BY_SIZE = 0.4       # at 1 the largest tenth got a third of its track's share in a crowd, at 0.4 over half
-
-    def __init__(self, seed, tracks, place, allowed, supply, cold_cache, cold_parent, purge_gone_s, kinds,
-                 reports, machine=None, returns=None):
+    BY_SIZE = 0.4  # at 1 the largest tenth got a third of its track's share in a crowd, at 0.4 over half
+
+    def __init__(
+        self,
+        seed,
+        tracks,
+        place,
+        allowed,
+        supply,
+        cold_cache,
+        cold_parent,
+        purge_gone_s,
+        kinds,
+        reports,
+        machine=None,
+        returns=None,
+    ):
         self.chance, self.returns, self.way = random.Random(seed), returns, Way()
         self.tracks, self.allowed, self.supply, self.purge_gone_s = tracks, allowed, supply, purge_gone_s
         self.fleet, self.rings = Fleet(kinds, place.zone), Rings()
-        self.cold = {"cache": ColdBudget(cold_cache, place.routers_here),
-                     "parent": ColdBudget(cold_parent, place.routers)}
+        self.cold = {
+            "cache": ColdBudget(cold_cache, place.routers_here),
+            "parent": ColdBudget(cold_parent, place.routers),
+        }
         self.health, self.sources, self.crowding = Health(), Health(), Crowding(place.routers_here)
         self.docs, self.queries, self.groups, self.copies = {}, {}, {}, Copies(machine)
         self.most = min(MOST_DOCS, int(DOCS_IN_MB * machine.memory_mb)) if machine else MOST_DOCS
-        self.sending, self.known = [t.contract_s or 0.1 for t in tracks], [GUESS] * len(tracks)   # mean times
-        self.takes, self.fill_worth = [0.0] * len(tracks), [1.0] * len(tracks)      # of answers now; of fills
+        self.sending, self.known = [t.contract_s or 0.1 for t in tracks], [GUESS] * len(tracks)  # mean times
+        self.takes, self.fill_worth = [0.0] * len(tracks), [1.0] * len(tracks)  # of answers now; of fills
         self.mean, self.mean_at, self.fills, self.heard_at, self.load = 0.0, 0.0, 0, {}, {}
         parts = (self.health, self.sources, self.crowding, *self.cold.values())
         self.figures = [d for p in parts for d in vars(p).values() if isinstance(d, dict)] + [self.heard_at]
@@ -361,7 +323,7 @@
 
     def roster(self, kind, rows):
         own = self.fleet.own
-        self.fleet.told(self.now, kind, rows)
+        self.fleet.update(self.now, kind, rows)
         for c, at in enumerate(self.fleet.forgot_at):
             if at == self.now and self.fleet.role[c] in self.cold:
                 self.cold[self.fleet.role[c]].at[c], self.cold[self.fleet.role[c]].credit[c] = at, 0.0
@@ -376,9 +338,9 @@
         doc = self.docs.get((key, part))
         if doc is None:
             if len(self.docs) >= self.most:
-                self.docs = dict(sorted(self.docs.items(), key=lambda item: -item[1].count)[:self.most // 2])
+                self.docs = dict(sorted(self.docs.items(), key=lambda item: -item[1].count)[: self.most // 2])
             doc = self.docs[key, part] = Doc(key, part, group)
-        fresh = not since       # a retry counts under its first try
+        fresh = not since  # a retry counts under its first try
         doc.count, doc.asked, self.counted = doc.count + fresh, doc.asked + fresh, self.counted + fresh
         if self.rings.rings:
             self.rings.rings[doc.code % len(self.rings.rings)][2][doc.code % INTRA_GEN] += fresh
@@ -392,10 +354,10 @@
         self.asked_at = self.now
         if self.returns is not None and who is not None:
             wait, q.invited = self.returns.arrives(self.now, who, (track, key, part))
-            if wait:            # early: the same place again
+            if wait:  # early: the same place again
                 del self.queries[query]
                 return self.writer.nack(query, wait)
-            q.worth = 1.0 if q.invited else q.worth     # what was promised holds
+            q.worth = 1.0 if q.invited else q.worth  # what was promised holds
             if fresh:
                 self.returns.newcomer(self.now, self.sending[track])
         self.place(query, q)
@@ -408,22 +370,26 @@
         if q is None or c is None:
             return
         self.fills -= q.filling
-        if due is not None and (note in (3, 6, 10) or note == 7 and result != "full"
-                                or result in ("timeout", "cancelled") and due < self.now):  # not the hurried
+        late = result in ("timeout", "cancelled") and due is not None and due < self.now  # not the hurried
+        if due is not None and (late or note in (3, 6, 10) or note == 7 and result != "full"):
             self.way.count(self.now, result == "satisfied" and due >= self.now)
         if result != "unsent":
             self.learn(q, c, result, took, note, waited)
         if q.invited and result == "satisfied":
             self.returns.counts["served"] += 1
         if copy and self.tracks[q.track].effect == "replayable" and not q.through:
-            if self.now - copy[0] < (self.oldest(q.doc, self.tracks[q.track], True) or math.inf) \
-                    and copy[0] > q.doc.purged_at:      # an answer may take longer than a purge is heeded
+            oldest = self.oldest(q.doc, self.tracks[q.track], True) or math.inf
+            if (
+                self.now - copy[0] < oldest and copy[0] > q.doc.purged_at
+            ):  # it may come after a purge is heeded
                 self.copies.keep((q.track, q.doc.code), q.doc, *copy, query, self.writer)
         if over or q.ended:
             del self.queries[query]
             return
-        if result == "unsent":      # its connection came up late: drains, purges, cold budgets and windows may have
-            q.shots -= 1            # changed meanwhile; nothing ran, so all is decided anew
+        # Its connection came up late: drains, purges, cold budgets and windows may have changed meanwhile;
+        # nothing ran, so all is decided anew.
+        if result == "unsent":
+            q.shots -= 1
             return self.place(query, q)
         if result not in ("full", "unreachable", "moot", "miss") and q.ran is None:
             q.ran = (self.fleet.zone[c], self.fleet.cell[c], q.sent_at)
@@ -433,7 +399,7 @@
         if query in self.queries:
             self.queries[query].ended = True
 
-    started = rang = probed = lambda self, *values: None    # never asked for: changes nothing
+    started = rang = probed = lambda self, *values: None  # never asked for: changes nothing
 
     def purged(self, group, age, key):
         """Keeps the moment of the purge and forgets what held the objects."""
@@ -441,12 +407,12 @@
         self.groups = {g: at for g, at in self.groups.items() if self.now - at <= self.purge_gone_s + 2.0}
         self.groups[name] = max(moment, self.groups.get(name, -1e9))
         for doc in {*self.docs.values(), *(q.doc for q in self.queries.values())}:
-            if doc.key == key or not key and doc.group == group:
+            if doc.is_hit_by(key, group):
                 doc.purged_at = max(doc.purged_at, moment)
                 doc.purges += 1
                 doc.holders.clear()
-        self.copies.drop([n for n, (doc, _, _) in self.copies.held.items()
-                          if doc.key == key or not key and doc.group == group], self.writer)
+        hit = [name for name, (doc, _, _) in self.copies.held.items() if doc.is_hit_by(key, group)]
+        self.copies.drop(hit, self.writer)
 
     def place(self, query, q):
         """One push for a query, or its final answer."""
@@ -468,55 +434,70 @@
         target = next((c for c in order if self.warm_for(c, work, q)), None)
         if target is None:
             return self.pass_by(query, q, track)
-        room = self.room_at(target, part)       # elsewhere than at a holder it would miss and be filled anew
-        slow = not room and self.crowding.lags(target, now, fleet.own, least=2.0)     # it is crowded, not all
+        room = self.room_at(target, part)  # elsewhere than at a holder it would miss and be filled anew
+        slow = not room and self.crowding.lags(target, now, fleet.own, least=2.0)  # it is crowded, not all
         if not room and (slow or target in holders):
             others = [c for c in order if (slow or c in holders) and c != target and self.room_at(c, part)]
             target = next((c for c in others if self.warm_for(c, work, q)), target)
             room = target in others
-        aged = 0.0 < track.fresh_s < now - doc.fresh_at       # a holder's copy past its fresh time is a fill
+        aged = 0.0 < track.fresh_s < now - doc.fresh_at  # a holder's copy past its fresh time is a fill
         source, q.sibling, q.held = None, False, target in holders and not aged
 
         # an object in demand gets one cache more, filled from a holder
         most = (len(fleet.own) + 1) // 2
         if q.held and q.shots == 0 and len(holders) < most and self.utility(doc, len(holders)) > 1.0:
             own, at = fleet.own, fleet.own.index(holders[-1])
-            extra = next((c for c in own[at + 1:] + own[:at] if c not in holders), None)
-            if extra is not None and self.supply.siblings != "none" and self.open_to(extra, q) \
-                    and not self.cold["cache"].cold(now, fleet.born[target]) \
-                    and self.room_at(extra, part) and self.warm_for(extra, work, q):
+            extra = next((c for c in own[at + 1 :] + own[:at] if c not in holders), None)
+            if (
+                extra is not None
+                and self.supply.siblings != "none"
+                and self.open_to(extra, q)
+                and not self.cold["cache"].cold(now, fleet.born[target])
+                and self.room_at(extra, part)
+                and self.warm_for(extra, work, q)
+            ):
                 target, source, q.sibling, q.held, room = extra, target, True, False, True
         if not room:
             return self.refuse(query, q)
 
         # all other fills go to the parent hashed from the object, next on failure, at last the origin; among
         # other routers what this one does not know of is mostly there: it is looked for before it is filled
-        first = self.among > 1 and not (q.held or q.missed or q.through or track.fresh_s > 0 or
-                                        self.cold["cache"].cold(now, fleet.born[target]))
+        first = self.among > 1 and not (
+            q.held
+            or q.missed
+            or q.through
+            or track.fresh_s > 0
+            or self.cold["cache"].cold(now, fleet.born[target])
+        )
         if source is None and not first and not q.look:
             source = self.parent(q, work * (0.25 if q.held else 1.0))
-            if source is None or not q.held and not (
-                    self.crowding.room(INLET, self.fills, part ** 0.5)
-                    and self.crowding.open(source, now, wide ** 2, self.chance, True)):
+            if (
+                source is None
+                or not q.held
+                and not (
+                    self.crowding.room(INLET, self.fills, part**0.5)
+                    and self.crowding.open(source, now, wide**2, self.chance, True)
+                )
+            ):
                 if q.missed:
                     return self.refuse(query, q)
                 source, q.look = None, True
         opens, q.local = self.way.open(now), False
         if source is not None and opens < 1.0 and not (q.held or q.sibling or q.through):
-            q.local = fleet.role[source] == "parent" and not q.lacks     # what a parent holds costs no origin
+            q.local = fleet.role[source] == "parent" and not q.lacks  # what a parent holds costs no origin
             if not q.local and self.chance.random() >= opens:
                 if track.stale_s <= 0 or q.look:
                     return self.refuse(query, q)
                 source, q.look = None, True
         rank = 0 if q.through else 2 if doc.count >= 2 else 1
-        ageing = self.fill_worth[q.track] < track.stale_share      # an old copy earns more than a fill now
+        ageing = self.fill_worth[q.track] < track.stale_share  # an old copy earns more than a fill now
         age = self.oldest(doc, track, ageing or q.look)
         self.send(query, q, target, target if source is None else source, rank, age, track.fresh_s > 0, left)
 
     def send(self, query, q, target, source, rank, age, renew, left):
         """Times the push out so that another still fits, and writes it."""
         q.shots, q.server, q.source, q.sent_at, q.rank = q.shots + 1, target, source, self.now, rank
-        need = 6.0 * max(q.doc.best, q.expect)       # what the object takes, with room; 0: not known
+        need = 6.0 * max(q.doc.best, q.expect)  # what the object takes, with room; 0: not known
         more = q.shots < self.allowed.pushes and q.shots < 3 and 0.0 < need + 0.3 < 0.6 * left
         until = self.now + (left * 0.6 if more and need else left - 0.001)
         self.fleet.inflight[target] += 1
@@ -528,18 +509,19 @@
             if c in tier.rest_until:
                 tier.trial_at[c] = self.now
         ids, joins = self.fleet.ids, self.supply.joins
-        self.writer.push(query, ids[target], until, ids[source], rank, age, joins, q.sibling or q.local,
-                         renew)
+        self.writer.push(
+            query, ids[target], until, ids[source], rank, age, joins, q.sibling or q.local, renew
+        )
 
     def again(self, query, q, result):
         """After a push that did not answer: another, or the final answer. No effect twice."""
-        if q.sibling and result in ("full", "miss"):       # a failed sibling fill retries home
+        if q.sibling and result in ("full", "miss"):  # a failed sibling fill retries home
             q.doc.holders.pop(q.source, None)
             return self.place(query, q)
         if result == "miss" and q.local:
             q.lacks = True
             return self.place(query, q)
-        if result == "miss" and q.source == q.server:      # looked for
+        if result == "miss" and q.source == q.server:  # looked for
             q.missed = True
             return self.refuse(query, q) if q.look else self.place(query, q)
         if result in ("full", "miss") or result == "errored" and q.filling and not q.bad_sources:
@@ -547,7 +529,7 @@
         if q.source not in q.bad_sources or q.source == q.server or q.held:
             q.bad.add(q.server)
         once = q.ran is not None and self.tracks[q.track].effect == "single-use"
-        if once or not self.pays():     # no budget to fill it from elsewhere: an ageing copy is looked for
+        if once or not self.pays():  # no budget to fill it from elsewhere: an ageing copy is looked for
             if once or q.look or q.source == q.server or self.tracks[q.track].stale_s <= 0:
                 return self.refuse(query, q)
             q.look = True
@@ -573,9 +555,9 @@
         """Seconds after which to come back: a place in the plan of returns, where one can be told."""
         if self.returns is None or q.who is None:
             return min(self.allowed.max_retry_after_s, 0.1 + 0.15 * self.chance.random())
-        name, most = (q.track, q.doc.key, q.doc.part), max(t.utility for t in self.tracks)
-        return self.returns.place(self.now, q.who, name, self.sending[q.track],
-                                  0.5 + 0.5 * self.tracks[q.track].utility / most, self.can_take)
+        name, work = (q.track, q.doc.key, q.doc.part), self.sending[q.track]
+        worth = 0.5 + 0.5 * self.tracks[q.track].utility / max(t.utility for t in self.tracks)
+        return self.returns.place(self.now, q.who, name, work, worth, self.can_take)
 
     def can_take(self, at):
         """Seconds of sending a second that this router may send to its caches at a time ahead."""
@@ -610,8 +592,11 @@
     def holders(self, doc):
         """Caches remembered serving a kept copy; forgotten on a restart, a drain, a miss or a purge."""
         fleet, now = self.fleet, self.now
-        doc.holders = {c: at for c, at in doc.holders.items()
-                       if now - at <= MEMORY and at > fleet.forgot_at[c] and fleet.state[c] == "ready"}
+        doc.holders = {
+            c: at
+            for c, at in doc.holders.items()
+            if now - at <= MEMORY and at > fleet.forgot_at[c] and fleet.state[c] == "ready"
+        }
         return list(doc.holders)
 
     def utility(self, doc, holders):
@@ -623,18 +608,23 @@
 
     def warm_for(self, c, work, q):
         """Whether c is warm or has budget for it; late retries leave half to others, the invited borrow."""
-        return self.cold[self.fleet.role[c]].take(
-            c, self.now, self.fleet.born[c], self.power(c), work, max(self.sending), self.chance,
-            -0.25 if q.invited else 0.5 * (1.0 - q.worth))
+        cold, born, lump = self.cold[self.fleet.role[c]], self.fleet.born[c], max(self.sending)
+        spare = -0.25 if q.invited else 0.5 * (1.0 - q.worth)
+        return cold.take(c, self.now, born, self.power(c), work, lump, self.chance, spare)
 
     def room_at(self, c, part):
         fleet, crowding = self.fleet, self.crowding
-        return crowding.room(c, fleet.inflight[c], part, self.told * fleet.weight[c]) \
-            and (not fleet.inflight[c] or crowding.open(c, self.now, part, self.chance))
+        return crowding.room(c, fleet.inflight[c], part, self.told * fleet.weight[c]) and (
+            not fleet.inflight[c] or crowding.open(c, self.now, part, self.chance)
+        )
 
     def open_to(self, c, q):
-        return (c not in q.bad and self.fleet.state[c] == "ready" and self.health.fit(c, self.now)
-                and self.allowed_twice(q, c))
+        return (
+            c not in q.bad
+            and self.fleet.state[c] == "ready"
+            and self.health.fit(c, self.now)
+            and self.allowed_twice(q, c)
+        )
 
     def allowed_twice(self, q, c):
         """A referenced query that may have run goes only where its repeat is dropped, while remembered."""
@@ -643,8 +633,8 @@
             return True
         zone, cell, at = q.ran
         same = zone == self.fleet.zone[c] and (track.group == "zone" or cell == self.fleet.cell[c])
-        return track.effect == "referenced" and (same or track.group == "all") \
-            and self.now - at < track.window_s - 0.1      # a push may wait for its connection so long
+        remembered = self.now - at < track.window_s - 0.1  # a push may wait for its connection so long
+        return track.effect == "referenced" and (same or track.group == "all") and remembered
 
     def parent(self, q, work):
         """First usable of the parents in the object's own order over all listed ones; then the origin."""
@@ -652,9 +642,12 @@
         if doc.order_of is not fleet.parents:
             doc.order_of = fleet.parents
             doc.order = sorted(fleet.parents, key=lambda c: digest(f"{doc.home_code} {fleet.ids[c]}"))
-        usable = [c for c in doc.order + fleet.origins if fleet.state[c] == "ready" and c not in bad]
-        return next((c for c in usable if fleet.role[c] == "origin" or self.sources.fit(c, now)
-                     and self.warm_for(c, work, q)), None)
+        for c in doc.order + fleet.origins:
+            if fleet.state[c] != "ready" or c in bad:
+                continue
+            if fleet.role[c] == "origin" or self.sources.fit(c, now) and self.warm_for(c, work, q):
+                return c
+        return None
 
     def carried(self, c, work):
         """Notes work done by a warm server: what such do on the mean is what their like can do at least."""
@@ -667,8 +660,10 @@
         """Work that warm servers did lately; over how many seconds, of each that was warm then; of each now."""
         last, total, over = self.load.get(role, (self.now, 0.0, 0.0))
         fleet, fade = self.fleet, math.exp((last - self.now) / LOOK)
-        warm = max(1, len(fleet.parents) if role == "parent" else sum(
-            not self.cold[role].cold(self.now, fleet.born[f]) for f in fleet.own))
+        if role == "parent":
+            warm = max(1, len(fleet.parents))
+        else:
+            warm = max(1, sum(not self.cold[role].cold(self.now, fleet.born[f]) for f in fleet.own))
         return total * fade, over * fade + warm * LOOK * (1.0 - fade), warm * LOOK
 
     def power(self, c):
@@ -676,7 +671,7 @@
         fleet, role = self.fleet, self.fleet.role[c]
         if self.told and fleet.weight[c] > 0:
             return fleet.weight[c]
-        total, over, now = self.carrying(role)      # what many did that are gone is not what the few left can do
+        total, over, now = self.carrying(role)  # what many did that are gone is not what the few left can do
         return max(1.0, total / max(over, now) * self.cold[role].routers)
 
     def fair_part(self, q):
@@ -684,7 +679,7 @@
         track's mean size counts for less: the largest objects must not starve while small ones are served."""
         usual, mean = sum(t.utility for t in self.tracks) / sum(self.sending), self.sending[q.track]
         size = (q.expect or q.doc.best or mean) / mean
-        density = q.worth * self.tracks[q.track].utility / mean / min(size, size ** self.BY_SIZE)
+        density = q.worth * self.tracks[q.track].utility / mean / min(size, size**self.BY_SIZE)
         return 1.0 if q.invited else max(0.2, 0.85 * (density / usual) ** 0.5)
 
     def oldest(self, doc, track, ageing):
@@ -704,9 +699,11 @@
                 doc.holders[c] = now
             doc.fresh_at = now if q.filling else doc.fresh_at
             self.takes[q.track] += 0.05 * (took - self.takes[q.track])
-            self.carried(c, self.sending[q.track])      # not what was sent: in a jam the last warm get it all
-            if q.filling and note != 1:                 # where nothing is told most are hits
-                self.carried(q.source, self.sending[q.track] * (0.25 if tells == "none" and not q.missed else 1.0))
+            self.carried(c, self.sending[q.track])  # not what was sent: in a jam the last warm get it all
+            if q.filling and note != 1:  # where nothing is told most are hits
+                self.carried(
+                    q.source, self.sending[q.track] * (0.25 if tells == "none" and not q.missed else 1.0)
+                )
             if not q.expect:
                 self.average(q.track, min(took, 3.0))
             if note == 1 or tells == "none" or doc.best == 0.0:
@@ -717,8 +714,9 @@
                 ratio = min(1.0, max(shortest, doc.best) / max(took, 1e-6))
                 if note < 2 and (tells == "none" or not q.filling or note == 1):
                     self.crowding.timed(c, now, shortest, took - shortest)
-                if q.filling and (note > 1 or tells == "none" or result == "timeout" and (
-                        tells == "hit" or q.local)):
+                if q.filling and (
+                    note > 1 or tells == "none" or result == "timeout" and (tells == "hit" or q.local)
+                ):
                     slack = track.contract_s + (track.stretch - 1.0) * shortest
                     self.crowding.timed(INLET, now, slack, took - waited - shortest)
                     self.crowding.timed(q.source, now, slack, took - shortest)
@@ -729,7 +727,7 @@
                     lags = ratio < 0.5 and self.crowding.lags(c, now, fleet.own, 1.0)
         elif result == "miss":
             doc.holders.pop(c, None)
-        if q.filling and result == "full":         # turned away on the way in: as crowded as it gets
+        if q.filling and result == "full":  # turned away on the way in: as crowded as it gets
             self.crowding.answered(INLET, now, 0.0, self.fills)
         if q.filling and note != 1 and result in ("satisfied", "timeout", "full", "errored"):
             worth = 0.0 if result != "satisfied" else 1.0 if took <= self.wanted(q) else track.late_share
@@ -742,15 +740,32 @@
             self.heard_at[c] = self.heard_at[source if filled else c] = now
         silent = result == "timeout" and now - self.heard_at.get(c, -1e9) > 1.0
         dumb = result == "timeout" and filled and now - self.heard_at.get(source, -1e9) > 1.0
-        failed = lags or silent or dumb or result == "full" and filled \
+        failed = (
+            lags
+            or silent
+            or dumb
+            or result == "full"
+            and filled
             or result in ("errored", "unreachable", "broken")
-        slow = filled and result != "miss" and fleet.role[source] == "parent" \
+        )
+        slow = (
+            filled
+            and result != "miss"
+            and fleet.role[source] == "parent"
             and self.crowding.lags(source, now, fleet.parents, least=2.0)
+        )
         told, shared = tells == "all", filled and result in ("errored", "full")
-        own = fleet.role[c] == "cache" and (good or failed) and not (failed and not silent and (
-            dumb or result == "full" or told and note in (6, 7, 10)))
-        far = fleet.role[source] == "parent" and note not in (1, 9, 10) and (good or failed or slow) and (
-            good and filled or slow or source == c or dumb or (note in (6, 7) if told else shared))
+        own = (
+            fleet.role[c] == "cache"
+            and (good or failed)
+            and not (failed and not silent and (dumb or result == "full" or told and note in (6, 7, 10)))
+        )
+        far = (
+            fleet.role[source] == "parent"
+            and note not in (1, 9, 10)
+            and (good or failed or slow)
+            and (good and filled or slow or source == c or dumb or (note in (6, 7) if told else shared))
+        )
         share = 0.5 if shared and not told else 1.0
         if own and self.health.judge(c, now, failed, share, fleet.own):
             self.writer.say(f"resting cache {fleet.ids[c]}: {result}")
@@ -766,7 +781,7 @@
         track = self.tracks[q.track]
         return track.contract_s + track.stretch * (q.expect or q.doc.best or self.sending[q.track])
 
-    def fellows(self, here, everywhere):    # so many share the limits from here on, where they tell it
+    def fellows(self, here, everywhere):  # so many share the limits from here on, where they tell it
         self.cold["cache"].routers, self.cold["parent"].routers = here, everywhere
         self.crowding.routers = self.among = here
 
--- a/brookhinge/membership/memory.py
+++ b/brookhinge/membership/memory.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from brookhinge.decide import Doc
+from brookhinge.decision_records import Doc
 from brookhinge.membership.view import ALIVE
 
 AGAIN_S, TRIES = 0.5, 6
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -2,7 +2,8 @@
 
 from helpers import CACHES, Bench, track
 
-from brookhinge.decide import Doc, Way
+from brookhinge.decide import Way
+from brookhinge.decision_records import Doc
 from brookhinge.startup import Bounds
 
 
@@ -270,7 +271,7 @@
         b.serve(f"k{n}", at=n * 20.0 + 1.0)
         b.router.health.fault[b.router.fleet.index[n]] = 0.9
     fleet = b.router.fleet
-    assert len(fleet.ids) <= 12 and len(fleet.index) == len(fleet.ids) == len(fleet.arrays[-1])
+    assert len(fleet.ids) <= 12 and len(fleet.index) == len(fleet.ids) == len(fleet.forgot_at)
     b.call("roster", "changes", [b.row(999)], at=5000.0)
     assert fleet.ids[fleet.index[999]] == 999 and fleet.index[999] not in b.router.health.fault
 
