--- a/brookhinge/cli/__init__.py
+++ b/brookhinge/cli/__init__.py
@@ -59,6 +59,23 @@
     sys.exit(code)
 
 
+def block_of(file, kind, name):
+    """(everything that an operator's file turns on, its block of that kind and name); the first one without a name. Ends the
+    command where there is none."""
+    from brookhinge.operator import OperatorError, read_file
+
+    try:
+        told = read_file(file)
+    except OperatorError as fault:
+        refuse(f"{file}: {fault}")
+    blocks = getattr(told, kind)
+    if not blocks:
+        refuse(f"{file}: no block {kind}")
+    if name is not None and name not in blocks:
+        refuse(f'{file}: no block {kind} "{name}", there is ' + ", ".join(blocks))
+    return told, blocks[name] if name is not None else next(iter(blocks.values()))
+
+
 def table(rows, columns, as_json):
     """Prints rows (dicts) as JSON or as aligned columns, uncoloured."""
     if as_json:
--- a/brookhinge/cli/control.py
+++ b/brookhinge/cli/control.py
@@ -6,21 +6,7 @@
 
 import click
 
-from brookhinge.cli import refuse
-from brookhinge.operator import OperatorError, read_file
-
-
-def controls_of(file, name):
-    """The blocks `control` of an operator's file, and the one by that name."""
-    try:
-        told = read_file(file)
-    except OperatorError as fault:
-        refuse(f"{file}: {fault}")
-    if not told.control:
-        refuse(f"{file}: no block control")
-    if name is not None and name not in told.control:
-        refuse(f'{file}: no block control "{name}", there is ' + ", ".join(told.control))
-    return told, told.control, told.control[name] if name is not None else next(iter(told.control.values()))
+from brookhinge.cli import block_of, refuse
 
 
 @click.group("control")
@@ -47,9 +33,9 @@
     """One control machine, until SIGTERM."""
     from brookhinge.logs import make
 
-    told, controls, block = controls_of(file, name)
+    told, block = block_of(file, "control", name)
     try:
-        asyncio.run(run(name, controls, make(name, told.log)))
+        asyncio.run(run(name, told.control, make(name, told.log)))
     except OSError as fault:
         refuse(f"listen: {'%s:%d' % block.listen}: {fault.strerror}", 1)
 
@@ -69,7 +55,7 @@
         refuse("expected either --object or --group")
     if key is not None and not 0 < len(key) <= 64:
         refuse(f"--object: expected 1 to 64 letters, got {key!r:.80}")
-    _, _, block = controls_of(file, name)
+    _, block = block_of(file, "control", name)
     try:
         took, status = asyncio.run(submit(block, key or "", -1 if key else group, wait))
     except NotAppended as fault:
--- a/brookhinge/cli/fleet.py
+++ b/brookhinge/cli/fleet.py
@@ -5,26 +5,13 @@
 
 import click
 
-from brookhinge.cli import refuse, table
-from brookhinge.operator import OperatorError, read_file
+from brookhinge.cli import block_of, refuse, table
 
 PARTS = ["kind", "server", "own", "given", "lent", "in_use", "shrinks_in_s", "keeper"]
 SAID = ["server", "state", "for_s", "why", "witnesses", "tries", "failed", "own_trouble"]
 COLUMNS = ["member", "state", "for_s", "by", "zone", "address"]
 
 
-def block_of(file, router):
-    try:
-        told = read_file(file)
-    except OperatorError as fault:
-        refuse(f"{file}: {fault}")
-    if not told.fleet:
-        refuse(f"{file}: no block fleet")
-    if router is not None and router not in told.fleet:
-        refuse(f'{file}: no block fleet "{router}", there is ' + ", ".join(told.fleet))
-    return told.fleet[router] if router is not None else next(iter(told.fleet.values()))
-
-
 def ask(block, what=0, columns=COLUMNS):
     """Rows of one router's view and its digest; ends the command if nothing answers."""
     from brookhinge.membership.look import look
@@ -48,7 +35,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
 def show(file, router, as_json):
     """Each member's state, for how long, by whose word; and the view's digest: the same at two routers, the same view."""
-    block = block_of(file, router)
+    block = block_of(file, "fleet", router)[1]
     rows, digest = ask(block)
     if as_json:
         return table([{"router": block.name, "digest": digest, "members": rows}], [], True)
@@ -68,7 +55,7 @@
     def show_told(file, router, as_json):
         from brookhinge.membership import look
 
-        block = block_of(file, router)
+        block = block_of(file, "fleet", router)[1]
         rows, _ = ask(block, getattr(look, what), columns)
         if as_json:
             return table([{"router": block.name, word: rows}], [], True)
@@ -104,7 +91,7 @@
     from rich.live import Live
     from rich.table import Table
 
-    block, done = block_of(file, router), 0
+    block, done = block_of(file, "fleet", router)[1], 0
 
     def drawn():
         rows, digest = ask(block)
