--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -163,7 +163,7 @@
             if fleet.purge_log:
                 from brookhinge.purgelog.client import LogClient
 
-                self.purge_log = LogClient(fleet, controls, self.post, self.log)
+                self.purge_log = self.talk.purge_log = LogClient(fleet, controls, self.post, self.log)
                 self.rounds.before.append(self.purge_log.before)
             self.rounds.join(self, "spread")
         for event in commands:
@@ -183,8 +183,8 @@
         self.log(event, **values)
 
     def spread(self, kind, *values):
-        """Tells the peers something that tightens a rule; purges only while the log does not tell them."""
-        if kind != "purge" or self.purge_log is None or not self.purge_log.tells():
+        """Tells the peers something that tightens a rule; purges not, where settings say so, while the log tells them."""
+        if kind != "purge" or self.purge_log is None or not self.purge_log.replaces_notices():
             self.talk.spread(kind, *values)
 
     async def join_fleet(self):
--- a/brookhinge/purgelog/submit.py
+++ b/brookhinge/purgelog/submit.py
@@ -20,7 +20,7 @@
     """One question at a time, asked again until it is answered."""
 
     def __init__(self, block):
-        self.codec = Codec(block.site, block.key, 1 + secrets.randbits(62))
+        self.codec = Codec(block.site, block.key, 1 + secrets.randbits(31))
         self.answers, self.number, self.transport = asyncio.Queue(), 0, None
 
     def datagram_received(self, data, address):
@@ -46,6 +46,13 @@
                 continue
         raise NotAppended("no answer: not up, another key, or another site")
 
+    async def ask_or(self, status, question, until):
+        """The answer, or the status known so far when none comes in time."""
+        try:
+            return await self.ask(question, until)
+        except NotAppended:
+            return status
+
 
 async def submit(block, key, group, wait_s):
     """Appends a purge at the control machine of that block; (seconds, last Status) once it is in force or the time over."""
@@ -64,7 +71,7 @@
         position = status.epoch, status.index
         while status.outcome == Outcome.PENDING and time.monotonic() < until:
             await asyncio.sleep(POLL_S)
-            status = await asker.ask(lambda number: StatusRequest(number, *position), until)
+            status = await asker.ask_or(status, lambda number: StatusRequest(number, *position), until)
         return time.monotonic() - began, status
     finally:
         transport.close()
--- a/brookhinge/purgelog/subscriber.py
+++ b/brookhinge/purgelog/subscriber.py
@@ -18,7 +18,7 @@
 import xxhash
 
 from brookhinge.purgelog.backfill import Backfill
-from brookhinge.purgelog.messages import Horizon, Leave, Poll, Push, Segment, Subscribe, Unknown
+from brookhinge.purgelog.messages import Horizon, Kind, Leave, Poll, Push, Segment, Subscribe, Unknown
 from brookhinge.purgelog.positions import (
     FAR_AHEAD,
     Position,
@@ -58,7 +58,8 @@
 
     def rank(number):
         machine = machines[number]
-        return machine.region != region, xxhash.xxh64_intdigest(f"{name} {machine.name}".encode())
+        near = region in (machine.region, *machine.serves)
+        return not near, xxhash.xxh64_intdigest(f"{name} {machine.name}".encode())
 
     return sorted(range(len(machines)), key=rank)
 
@@ -174,8 +175,9 @@
         follows = after.index <= held.index and (same or after.epoch == held.epoch)
         entries = batch.entries[held.index - after.index :] if same and follows else batch.entries
         for entry in entries:
-            self.entries += 1
-            writer.entry(entry)
+            if entry.kind != Kind.OPENED:
+                self.entries += 1
+                writer.entry(entry)
         if not follows:
             self.refused[Refused.GAP] += 1
         elif entries:
--- a/brookhinge/standin/lognet.py
+++ b/brookhinge/standin/lognet.py
@@ -52,7 +52,7 @@
         return self.net.now + self.offset
 
     def boot(self):
-        return 1 + self.net.chance.getrandbits(60)
+        return 1 + self.net.chance.getrandbits(31)
 
     # the cores' writer
 
@@ -86,18 +86,20 @@
         encoded=False,
         proof_s=PROOF_S,
         region=None,
+        serves=None,
     ):
         """delay(a, b): seconds one way between two hosts by name; encoded: datagrams are written and read as in service,
         and their bytes are counted."""
         self.seed, self.loss, self.double, self.encoded, self.proof_s = seed, loss, double, encoded, proof_s
         self.delay = delay or (lambda a, b: 0.02)
-        self.region = region or (lambda name: "")
+        self.region, serves = region or (lambda name: ""), serves or {}
         self.chance, self.now, self.queue, self.serial = random.Random(seed), 0.0, [], 0
         self.cut = lambda a, b: False
         self.hosts, self.purges, self.watched, self.watch_at = {}, {}, [], 0.0
         self.datagrams = 0
         self.machines = [
-            Machine(f"c{k + 1}", ("10.0.0.1", k + 1), self.region(f"c{k + 1}")) for k in range(machines)
+            Machine(f"c{k + 1}", ("10.0.0.1", k + 1), self.region(f"c{k + 1}"), serves.get(k, ()))
+            for k in range(machines)
         ]
         self.controls = [self.add(m.name, m.address[1]) for m in self.machines]
         self.routers = [self.add(f"n{k + 1}", machines + k + 1) for k in range(routers)]
@@ -113,7 +115,7 @@
         host.starts += 1
         host.up, host.frozen, host.inbox, host.due = True, False, [], None
         host.process = host.boot()
-        host.codec = Codec(SITE, KEY, host.process)
+        host.codec = Codec(SITE, KEY, host.process) if self.encoded else None
         host.rules, host.applied = [], set()
         now = host.clock()
         if host.number <= len(self.machines):
@@ -172,6 +174,7 @@
             self.handle(host, starts, datagram)
             if self.watched and self.now >= self.watch_at:
                 self.watch()
+            self.check()
             if until is not None and until():
                 return self.now - began
         self.now = end
@@ -190,6 +193,9 @@
             self.deliver(host, *datagram)
         self.wake(host)
 
+    def check(self):
+        """For tests: called after each event."""
+
     def watch(self):
         """Sources look how far their entries have got."""
         self.watch_at = self.now + WATCH_S
