--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -91,7 +91,7 @@
         self.cut, self.ports, self.ways = lambda a, b: False, {}, {}
 
     async def open(self, name, host, port, sender=None):
-        """Opens the way to the process that listens at host and port; the port that it is known by. sender: the process's
+        """Opens a way to the process that listens at host and port; the port that it is known by. sender: the process's
         name where that has more than one way."""
         self.ports[port] = sender or name
         transport, way = await asyncio.get_running_loop().create_datagram_endpoint(
@@ -219,8 +219,9 @@
             {},
             seed,
         )
-        self.feed, self.link_bytes_s = CommandChannel(), link_bytes_s
+        self.feed = CommandChannel()
         self.box_ports, self.first, self.host = {}, first, own_host()
+        self.link_bytes_s = link_bytes_s
         self.names = [f"n{k + 1}" for k in range(routers)]
         self.control_names, self.proof_s = [f"c{k + 1}" for k in range(controls)], proof_s
         self.box_names = [f"s-{k + 1}" for k in range(boxes)]
