--- a/brookhinge/standin/capacity/page.py
+++ b/brookhinge/standin/capacity/page.py
@@ -105,7 +105,6 @@
 
     def __init__(self, rows):
         self.rows = rows
-        self.used = [row for row in rows if results.usable(row)]
         self.layout = read_layout(LAYOUT)
         self.size = self.layout.routers
 
@@ -137,10 +136,10 @@
             "of a router's own calls, encoding included, sockets left out. A figure is that of the worst router unless it says median.",
         ]
 
-    def at_size(self, mechanism, phase, kind=None):
+    def at_size(self, mechanism, phase):
         """Usable rows of a phase at the size designed for."""
-        rows = results.select(self.used, mechanism=mechanism, routers=self.size)
-        return [row for row in rows if phase in row["phases"] and kind in (None, row["kind"])]
+        rows = results.select(self.rows, mechanism=mechanism, routers=self.size)
+        return [row for row in rows if results.usable(row, phase)]
 
     def budgets(self):
         """Allowed and measured, before and now."""
@@ -198,14 +197,14 @@
 
     def best(self, mechanism, phase):
         """The usable row with that phase at the size nearest to the one designed for: on sockets first."""
-        rows = [row for row in results.select(self.used, mechanism=mechanism) if phase in row["phases"]]
+        rows = [row for row in results.select(self.rows, mechanism=mechanism) if results.usable(row, phase)]
         order = [(abs(row["routers"] - self.size), row["kind"] != "sockets", row["seed"]) for row in rows]
         return rows[order.index(min(order))] if rows else None
 
     def points(self, mechanism, phase, figure, part):
         """(size, cost) of all virtual runs of one kind of phases."""
         found = []
-        for row in results.select(self.used, mechanism=mechanism, kind="virtual", scenario="cost"):
+        for row in results.select(self.rows, mechanism=mechanism, kind="virtual", scenario="cost"):
             figures = row["phases"].get(phase, {})
             for name in figure.split("."):
                 figures = figures.get(name) or {}
@@ -273,7 +272,7 @@
         for mechanism, name in TITLES.items():
             row = self.best(mechanism, "ordinary")
             memory = [
-                r["state"].get("memory_mb_router") for r in results.select(self.used, mechanism=mechanism)
+                r["state"].get("memory_mb_router") for r in results.select(self.rows, mechanism=mechanism)
             ]
             cells = [NOT_MEASURED] * 3 if row is None else [pair(row, "ordinary", f) for f in ROLE_FIGURES]
             lines.append(
@@ -377,6 +376,14 @@
             f"What a site alone answers from its cache servers: {NOT_MEASURED}; what its control plane does stands above, under the region cut off.",
         ]
 
+    @staticmethod
+    def too_late(row):
+        """Which phases of a run are not used."""
+        late = [phase for phase in row["phases"] if not results.usable(row, phase)]
+        if len(late) == len(row["phases"]):
+            return "not used: too late"
+        return "not used: " + ", ".join(late) if late else ""
+
     def runs(self):
         """The command and date of the run behind each figure."""
         lines = [
@@ -390,7 +397,7 @@
                 row["revision"],
                 number(row["machine_load"]),
                 number(row["state"]["loop_late_s"]) if "loop_late_s" in row["state"] else "",
-                "" if results.usable(row) else "not used: too late",
+                self.too_late(row),
                 f"`{row['command']}`",
             ]
             for row in self.rows
@@ -411,8 +418,8 @@
         return [
             "## Runs",
             "",
-            f"Runs on sockets whose event loops were late by more than {results.LATE_S} s were made on a machine too busy for them: their",
-            "figures are kept and not used above.",
+            f"Phases on sockets in which event loops were late by more than {results.LATE_S} s were played on a machine too busy for them: their",
+            "figures are kept and not used above, but for memory.",
             "",
             *table(head, lines),
         ]
--- a/brookhinge/standin/capacity/results.py
+++ b/brookhinge/standin/capacity/results.py
@@ -50,9 +50,12 @@
     return [row for row in rows if all(row.get(key) == value for key, value in wanted.items())]
 
 
-def usable(row):
-    """Whether the machine carried the run."""
-    return row["state"].get("loop_late_s", 0.0) <= LATE_S
+def usable(row, phase):
+    """Whether a run has a phase, and the machine carried it."""
+    if phase not in row["phases"]:
+        return False
+    whole_run = row["state"].get("loop_late_s", 0.0)
+    return row["phases"][phase].get("loop_late_s", whole_run) <= LATE_S
 
 
 def value(row, phase, figure, part=None):
--- a/brookhinge/standin/capacity/scenario.py
+++ b/brookhinge/standin/capacity/scenario.py
@@ -62,6 +62,7 @@
             stage.plan(planned.at_s, stage.purge, planned)
         await stage.wait(seconds)
         figures = {"seconds": seconds, **measure.cost(before, await stage.counters())}
+        figures.update(stage.lateness())
         if control_before:
             figures["control"] = measure.cost(control_before, await stage.control_counters())
         if purges:
@@ -153,6 +154,7 @@
         self.phases["distributor"] = {
             "seconds": seconds,
             **measure.cost(before, await self.stage.counters()),
+            **self.stage.lateness(),
             **measure.purges(fates.records, fates.started, PURGE_BOUND_S, fates.rules),
         }
         await self.stage.start_control(victim)
--- a/brookhinge/standin/capacity/stage.py
+++ b/brookhinge/standin/capacity/stage.py
@@ -28,7 +28,7 @@
         self.layout = layout
         self.fleet = FleetProcesses(layout, seed, mechanism, tell)
         self.tasks, self.samples = [], {}
-        self.lag_s = 0.0
+        self.lag_s = self.phase_lag_s = 0.0
 
     async def __aenter__(self):
         await self.fleet.__aenter__()
@@ -97,7 +97,8 @@
     async def counters(self):
         """Counters of all routers."""
         self.samples = await self.fleet.samples()
-        self.lag_s = max(self.lag_s, *(sample.lag_s for sample in self.samples.values()))
+        self.phase_lag_s = max(sample.lag_s for sample in self.samples.values())
+        self.lag_s = max(self.lag_s, self.phase_lag_s)
         return counters_of_samples(self.samples)
 
     async def control_counters(self):
@@ -131,6 +132,10 @@
         rules = {name: rules for one in arrivals.values() for name, rules in one.rules.items()}
         return Fates(records, started, rules)
 
+    def lateness(self):
+        """By how much event loops were late between the last two times that counters were asked for."""
+        return {"loop_late_s": round(self.phase_lag_s, 3)}
+
     def state(self):
         """What the processes hold and how late they were."""
         grown = [
@@ -221,6 +226,10 @@
         """Counters of all control machines."""
         return self.fleet.control_counters()
 
+    def lateness(self):
+        """Virtual time is never late."""
+        return {}
+
     def state(self):
         """Nothing that a process holds is measured in virtual time."""
         return {}
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -60,6 +60,18 @@
     assert "4,321" not in text and "not used: too late" in text
 
 
+def test_a_phase_that_came_in_time_is_used_though_another_was_late():
+    late = row(kind="sockets", state={"loop_late_s": 2.0})
+    late["phases"]["ordinary"]["loop_late_s"] = 0.1
+    late["phases"]["burst"] = {
+        "seconds": 3.0,
+        "bytes_s": {"median": 1.0, "worst": 9876.0},
+        "loop_late_s": 2.0,
+    }
+    text = Page([late]).text()
+    assert "4,321" in text and "9,876" not in text and "not used: burst" in text
+
+
 def test_the_breaking_size_is_where_the_fit_passes():
     found = fit([(n, 100.0 + n) for n in (66, 132, 265, 530)])
     assert breaking_size(found, 400.5) == "301"
--- a/tests/purgelog/test_figures.py
+++ b/tests/purgelog/test_figures.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from brookhinge.standin.rig import Rig
-from brookhinge.standin.town import free_port
+from brookhinge.standin.ports import free_port
 
 ROOT = Path(__file__).parents[2]
 LONG = 60.0
