--- a/brookhinge/standin/capacity/results.py
+++ b/brookhinge/standin/capacity/results.py
@@ -42,7 +42,8 @@
     kept = {tuple(row[key] for key in ROW_KEY): row for row in [*load(file), *rows]}
     path = Path(file)
     path.parent.mkdir(parents=True, exist_ok=True)
-    path.write_text(json.dumps({"rows": list(kept.values())}, indent=1) + "\n")
+    lines = ",\n".join(json.dumps(row) for row in kept.values())
+    path.write_text('{"rows": [\n' + lines + "\n]}\n")
 
 
 def select(rows, **wanted):
