--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -17,7 +17,6 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from benchmarks import kept
-from brookhinge.membership.codec import Codec
 from brookhinge.membership.peer import Peer
 from brookhinge.membership.view import ALIVE, LOST, SUSPECTED
 from brookhinge.standin.rig import Rig
@@ -114,48 +113,29 @@
     }
 
 
-class Timed:
-    """A peer's writer that makes datagrams as the daemon does."""
-
-    def __init__(self, host, codec):
-        self.host, self.codec = host, codec
-
-    def send(self, address, method, values, news, notices):
-        v = self.host.peer.view
-        self.codec.write(
-            v.claim(v.index[self.host.name], self.host.net.now), v.digest(), method, values, news, notices
-        )
-        self.host.send(address, method, values, news, notices)
+def cost(count, seconds):
+    """One member among so many: the part of a core that datagrams and rounds take, and KB that its view holds."""
+    net = fleet(1, count, 0.0)
+    host = net.hosts[1]
+    total = [0.0]
 
-    def __getattr__(self, name):
-        return getattr(self.host, name)
+    def timed(call):
+        def and_count(*given):
+            began = time.process_time()
+            result = call(*given)
+            total[0] += time.process_time() - began
+            return result
 
+        return and_count
 
-def cost(count, seconds):
-    """One member among so many: the part of a core that datagrams and rounds take, and KB that its view holds."""
-    net, key = fleet(1, count, 0.0), b"k" * 16
-    host, codecs = net.hosts[1], {}
-    mine = Timed(host, Codec("s", key))
-    peer, total = host.peer, [0.0]
-    round_ = peer.round
-
-    def timed(now, inbox, writer):
-        wires = [
-            codecs.setdefault(m[0][1], Codec("s", key)).write(m[0], m[1], m[4], m[5], list(m[2]), list(m[3]))
-            for m in inbox
-        ]
-        began = time.process_time()
-        round_(now, [m for m in map(mine.codec.read, wires) if m is not None], mine)
-        total[0] += time.process_time() - began
-
-    peer.round = timed
+    host.read, host.peer.round = timed(host.read), timed(host.peer.round)
     net.run(seconds)
-    del peer.round
+    del host.read, host.peer.round
     tracemalloc.start()
     held = Peer("n0", ("10.0.0.1", 9999), "z", 1, 1, [], random.Random(1), 0.0)
     for n, other in net.hosts.items():
         v = other.peer.view
-        held.round(0.0, [(v.claim(v.index[other.name], 0.0), 0, (), (), "tell", ())], mine)
+        held.round(0.0, [(v.claim(v.index[other.name], 0.0), 0, (), (), "tell", ())], host)
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return {"members": count, "core_share": round(total[0] / seconds, 5), "view_kb": round(size / 1024)}
--- a/brookhinge/membership/codec.py
+++ b/brookhinge/membership/codec.py
@@ -74,14 +74,20 @@
 
 
 class Codec:
-    """What one router writes and reads. counts: why datagrams were dropped."""
+    """What one router writes and reads. counts: why datagrams were dropped; version: of the messages, None for this
+    program's."""
 
-    def __init__(self, site, key):
+    def __init__(self, site, key, version=None):
         self.site, self.key, self.sequence, self.guard = site, key, 0, Guard()
+        self.own_version = version
         self.counts = dict.fromkeys(
             ("sent", "taken", "torn", "forged", "again", "other_site", "unread", "foreign", "too_long"), 0
         )
 
+    @property
+    def version(self):
+        return VERSION if self.own_version is None else self.own_version
+
     def write(self, claim, digest, method, values, news, notices):
         """One datagram, or None if it would be too long (news are left out before it is given up)."""
         while True:
@@ -92,7 +98,7 @@
                     self.site,
                     self.sequence + 1,
                     claim,
-                    VERSION,
+                    self.version,
                     (PROBES[method], *values) if probe else (0,),
                     news,
                     pack.encode((digest, notices, method, () if probe else values)),
@@ -129,7 +135,7 @@
             if not self.guard.fresh(claim[1], number):
                 return "again", None
             probe = next((method for method, kind in PROBES.items() if call[:1] == [kind]), None)
-            if version != VERSION:
+            if version != self.version:
                 if probe is not None and len(call) != METHODS[probe] + 1:
                     return "unread", None
                 return "foreign", (claim, 0, tuple(news), (), probe or "foreign", tuple(call[1:]))
--- a/brookhinge/standin/virtual.py
+++ b/brookhinge/standin/virtual.py
@@ -1,30 +1,66 @@
-"""Peers of one fleet in virtual time on a network that loses, delays, doubles and cuts, all by one seed. The peers
-are those of the daemon; only the clock and the wires are stood in for."""
+"""Peers of one fleet in virtual time on a network that loses, delays, doubles and cuts, all by one seed. Peers and codec
+are those of the daemon: datagrams go over as the bytes that it would send. Only the clock and the wires are stood in for."""
 
+import collections
 import heapq
+import math
 import random
 
-from brookhinge.membership.codec import PROBES
+from brookhinge.membership.codec import Codec
 from brookhinge.membership.peer import Peer
 from brookhinge.membership.view import ALIVE, SUSPECTED
 
+SITE, KEY = "virtual", b"a key of sixteen"
+HEADERS = 28  # bytes of the IPv4 and UDP headers of a datagram
+BINS_A_SECOND = 4
+
+
+class Traffic:
+    """Bytes of one host with their headers, by method and direction, and in short bins of time."""
+
+    def __init__(self):
+        self.by_method = collections.Counter()  # (direction, method): bytes
+        self.datagrams = collections.Counter()  # (direction, method): datagrams
+        self.bins = collections.Counter()  # bin of time: bytes in both directions
+
+    def add(self, now, direction, method, size):
+        self.by_method[direction, method] += size + HEADERS
+        self.datagrams[direction, method] += 1
+        self.bins[math.floor(now * BINS_A_SECOND)] += size + HEADERS
+
+    def total(self, since, until):
+        """Bytes sent and received from one moment to another, seconds."""
+        return sum(self.bins[k] for k in range(round(since * BINS_A_SECOND), round(until * BINS_A_SECOND)))
+
+    def worst_rate(self, since, until, window_s=10.0):
+        """The highest rate, bytes a second, over any window of that length that ends between two moments."""
+        width, worst = round(window_s * BINS_A_SECOND), 0
+        first, last = round(since * BINS_A_SECOND), round(until * BINS_A_SECOND)
+        carried = sum(self.bins[k] for k in range(first - width, first))
+        for k in range(first, last):
+            carried += self.bins[k] - self.bins[k - width]
+            worst = max(worst, carried)
+        return worst / window_s
+
 
 class Host:
     """One process: its peer, its writer, and what it received."""
 
-    def __init__(self, net, n, name, version=1):
+    def __init__(self, net, n, name, version=1, zone="z"):
         self.net, self.n, self.name, self.up, self.frozen, self.starts = net, n, name, True, False, 0
-        self.version = version
+        self.version, self.zone, self.started_at = version, zone, net.now
         self.log, self.notices, self.due, self.sent, self.bytes = [], {}, None, 0, 0
-        self.inbox = []
+        self.inbox, self.traffic = [], Traffic()
 
-    def start(self, born, seeds, zone="z"):
+    def start(self, born, seeds):
         self.starts += 1
         self.up, self.frozen, self.due, self.inbox = True, False, None, []
+        self.started_at = self.net.now
+        self.codec = Codec(SITE, KEY, self.version)
         self.peer = Peer(
             self.name,
             ("10.0.0.1", self.n),
-            zone,
+            self.zone,
             self.version,
             born,
             seeds,
@@ -33,27 +69,28 @@
         )
         self.net.plan(self, self.net.now)
 
+    def read(self, data):
+        """Messages of a datagram that has come: one or none."""
+        message = self.codec.read(data)
+        if message is None:
+            return []
+        self.traffic.add(self.net.now, "received", message[4], len(data))
+        return [message]
+
     # the writer
 
     def send(self, address, method, values, news, notices):
-        net, v = self.net, self.peer.view
-        me = v.index.get(self.name)
+        net, view = self.net, self.peer.view
+        claim = view.claim(view.index[self.name], net.now)
+        data = self.codec.write(claim, view.digest(), method, values, news, notices)
         self.sent += 1
-        self.bytes += 150 + 60 * len(news) + 40 * len(notices) + (520 if method == "buckets" else 0)
+        self.bytes += len(data) + HEADERS
+        self.traffic.add(net.now, "sent", method, len(data))
         to = net.hosts.get(address[1])
         if to is None or not to.up or net.cut(self.n, to.n) or net.chance.random() < net.loss:
             return
-        message = (v.claim(me, net.now), v.digest(), tuple(news), tuple(notices), method, values)
-        if to.version != self.version:  # as codec.py reads it there
-            message = (
-                message[0],
-                0,
-                tuple(news),
-                (),
-                *((method, values) if method in PROBES else ("foreign", ())),
-            )
         for _ in range(1 + (net.chance.random() < net.double)):
-            net.push(net.now + net.delay * (0.5 + net.chance.random()), to, message)
+            net.push(net.now + net.delay * (0.5 + net.chance.random()), to, data)
 
     def changed(self, change, name, by):
         self.log.append((self.net.now, change, name, by))
@@ -68,14 +105,15 @@
         self.chance, self.now, self.hosts, self.queue, self.serial = random.Random(seed), 0.0, {}, [], 0
         self.cut = lambda a, b: False
 
-    def add(self, n, seeds=(1, 2, 3), born=None, name=None, version=1):
-        host = self.hosts[n] = Host(self, n, name or f"n{n}", version)
+    def add(self, n, seeds=(1, 2, 3), born=None, name=None, version=1, zone="z"):
+        host = self.hosts[n] = Host(self, n, name or f"n{n}", version, zone)
         host.start(born or 1_000_000 + n, [("10.0.0.1", s) for s in seeds])
         return host
 
-    def push(self, at, host, message):
+    def push(self, at, host, data):
+        """Bytes that come to a host at a moment, or None for a round that is due."""
         self.serial += 1
-        heapq.heappush(self.queue, (at, self.serial, host, host.starts, message))
+        heapq.heappush(self.queue, (at, self.serial, host, host.starts, data))
 
     def plan(self, host, at):
         """A round for a host; an earlier one that is planned already will do."""
@@ -87,19 +125,19 @@
         """Plays on; ends early once `until()` holds. Whether it did, or there was none to wait for."""
         end = self.now + seconds
         while self.queue and self.queue[0][0] <= end:
-            at, _, host, start, message = heapq.heappop(self.queue)
+            at, _, host, start, data = heapq.heappop(self.queue)
             self.now = max(self.now, at)
             if not host.up or start != host.starts:
                 continue
             if host.frozen:
-                if message is not None and len(host.inbox) < 200:  # what a socket's buffer holds
-                    host.inbox.append(message)
+                if data is not None and len(host.inbox) < 200:  # what a socket's buffer holds
+                    host.inbox.append(data)
                 continue
-            if message is None and at != host.due:
+            if data is None and at != host.due:
                 continue
-            if message is None:
+            if data is None:
                 host.due = None
-            host.peer.round(self.now, [message] if message else [], host)
+            host.peer.round(self.now, host.read(data) if data else [], host)
             self.plan(host, max(self.now, host.peer.next_at()))
             if until and until():
                 return True
@@ -112,7 +150,7 @@
     def thaw(self, n):
         host = self.hosts[n]
         host.frozen, host.due = False, None
-        inbox, host.inbox = host.inbox, []
+        inbox, host.inbox = [message for data in host.inbox for message in host.read(data)], []
         host.peer.round(self.now, inbox, host)
         self.plan(host, max(self.now, host.peer.next_at()))
 
