--- a/brookhinge/membership/codec.py
+++ b/brookhinge/membership/codec.py
@@ -5,6 +5,7 @@
     call       = [0], or a probe: [1, nonce, uid, incarnation, state], or its answer: [2, nonce]
     news       = claims about others
     rest       = [digest, notices, method, values], MessagePack in turn: a reader of another version stops before it
+    values     = of `gossip` and `rows` one: claims as a MessagePack array, compressed by zlib; else the method's own
 
 `form` stays 1 for good: any version reads who sent a datagram, at which version it speaks, what it claims of others, and
 answers its probes; so routers of two versions hold one view and don't take each other for dead. Lengths are bounded
@@ -13,10 +14,11 @@
 
 import hashlib
 import hmac
+import zlib
 
 import msgspec
 
-VERSION = 1
+VERSION = 2
 MOST_BYTES, MOST_TEXT, SENDERS, WINDOW = 1400, 64, 4096, 64
 METHODS = {
     "ping": 4,
@@ -24,8 +26,9 @@
     "nack": 1,
     "ask": 4,
     "tell": 0,
-    "rows": 0,
-    "buckets": 64,
+    "gossip": 1,
+    "rows": 1,
+    "buckets": 2,
     "look": 2,
     "seen": 2,
     "want": 2,
@@ -44,11 +47,16 @@
     "memory",
 )  # of the cores that share the socket: rows stand in the place of notices
 
+PACKED = ("gossip", "rows")  # their claims go compressed: for readers of the same version alone
+MOST_PACKED, MOST_UNPACKED = 48, 32_768  # claims in one such datagram; bytes that they may become
+DIGEST_BYTES = 128  # of `buckets`: see View.short_digests
+
 Claim = tuple[str, int, int, int, int, str, int, str, int, float]
 Head = tuple[int, str, int, Claim, int, list[int], list[Claim], bytes]
 PROBES = {"ping": 1, "ack": 2}  # methods that any version reads
 Rest = tuple[int, list[tuple], str, list]
 head, rest, pack = msgspec.msgpack.Decoder(Head), msgspec.msgpack.Decoder(Rest), msgspec.msgpack.Encoder()
+packed_claims = msgspec.msgpack.Decoder(list[Claim])
 
 
 class Guard:
@@ -89,27 +97,46 @@
         return VERSION if self.own_version is None else self.own_version
 
     def write(self, claim, digest, method, values, news, notices):
-        """One datagram, or None if it would be too long (news are left out before it is given up)."""
+        """One datagram, or None if it would be too long (claims are left out before it is given up)."""
+        if method in PACKED:
+            return self.write_packed(claim, digest, method, news[:MOST_PACKED], notices)
         while True:
-            probe = method in PROBES
-            body = pack.encode(
-                (
-                    1,
-                    self.site,
-                    self.sequence + 1,
-                    claim,
-                    self.version,
-                    (PROBES[method], *values) if probe else (0,),
-                    news,
-                    pack.encode((digest, notices, method, () if probe else values)),
-                )
-            )
+            body = self.body(claim, digest, method, values, news, notices)
             if len(body) + 16 <= MOST_BYTES:
-                break
+                return self.signed(body)
             if not news and not notices:
                 self.counts["too_long"] += 1
                 return None
             news, notices = (news[:-1], notices) if news else (news, notices[:-1])
+
+    def write_packed(self, claim, digest, method, claims, notices):
+        """The same with claims compressed: as many as fit, from the first on."""
+        while True:
+            packed = zlib.compress(pack.encode(claims))
+            body = self.body(claim, digest, method, (packed,), [], notices)
+            if len(body) + 16 <= MOST_BYTES:
+                return self.signed(body)
+            if not claims and not notices:
+                self.counts["too_long"] += 1
+                return None
+            claims, notices = (claims[: len(claims) * 7 // 8], notices) if claims else (claims, notices[:-1])
+
+    def body(self, claim, digest, method, values, news, notices):
+        probe = method in PROBES
+        return pack.encode(
+            (
+                1,
+                self.site,
+                self.sequence + 1,
+                claim,
+                self.version,
+                (PROBES[method], *values) if probe else (0,),
+                news,
+                pack.encode((digest, notices, method, () if probe else values)),
+            )
+        )
+
+    def signed(self, body):
         self.sequence += 1
         self.counts["sent"] += 1
         return hashlib.blake2b(body, digest_size=16, key=self.key).digest() + body
@@ -142,7 +169,9 @@
             digest, notices, method, values = rest.decode(inner)
             if probe is not None:
                 method, values = probe, call[1:]
-        except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
+            if method in PACKED:
+                news, values = unpacked(values), [b""]
+        except (msgspec.DecodeError, msgspec.ValidationError, ValueError, zlib.error):
             return "unread", None
         if (
             METHODS.get(method) != len(values)
@@ -150,7 +179,20 @@
             or not fits(method, values)
         ):
             return "unread", None
-        return "taken", (claim, digest, tuple(news), tuple(notices), method, tuple(values))
+        values = () if method in PACKED else tuple(values)
+        return "taken", (claim, digest, tuple(news), tuple(notices), method, values)
+
+
+def unpacked(values):
+    """The claims of a packed datagram; ValueError or zlib.error if it is none."""
+    if len(values) != 1 or not isinstance(values[0], bytes):
+        raise ValueError("no packed claims")
+    inflating = zlib.decompressobj()
+    data = inflating.decompress(values[0], MOST_UNPACKED)
+    claims = packed_claims.decode(data)
+    if not inflating.eof or len(claims) > MOST_PACKED or not all(map(sound, claims)):
+        raise ValueError("packed claims that are torn, too many or unsound")
+    return claims
 
 
 def sound(claim):
@@ -179,6 +221,11 @@
 
 
 def fits(method, values):
+    if method in PACKED:
+        return True
+    if method == "buckets":
+        shift, digests = values
+        return isinstance(shift, int) and isinstance(digests, bytes) and len(digests) == DIGEST_BYTES
     texts = (1,) if method == "ask" else ()
     return all(
         isinstance(value, str) if i in texts else isinstance(value, int) for i, value in enumerate(values)
--- a/brookhinge/membership/talk.py
+++ b/brookhinge/membership/talk.py
@@ -7,7 +7,6 @@
 import random
 import time
 
-from brookhinge.membership.counting import sharers
 from brookhinge.membership.codec import CORE_METHODS, VERSION, Codec
 from brookhinge.membership.look import MEMBERS
 from brookhinge.membership.peer import Peer
@@ -128,10 +127,10 @@
     def count(self, now):
         """How many share the limits, looked at after each change and each second."""
         self.count_at = now + 1.0
-        view, lease = self.peer.view, self.block.lease_s
+        lease = self.block.lease_s
         counted = (
-            sharers(view, now, lease, self.configured[0], self.block.zone),
-            sharers(view, now, lease, self.configured[1]),
+            self.peer.sharers(now, lease, self.configured[0], self.block.zone),
+            self.peer.sharers(now, lease, self.configured[1]),
         )
         if counted != self.counted:
             self.counted = counted
@@ -189,7 +188,12 @@
     def send(self, address, method, values, news, notices):
         v = self.peer.view
         data = self.codec.write(
-            v.claim(v.index[self.peer.name], time.monotonic()), v.digest(), method, values, news, notices
+            v.claim(v.index[self.peer.name], time.monotonic()),
+            self.peer.digest(),
+            method,
+            values,
+            news,
+            notices,
         )
         if data is not None:
             self.transport.sendto(data, address)
--- a/brookhinge/membership/view.py
+++ b/brookhinge/membership/view.py
@@ -13,6 +13,7 @@
 ALIVE, SUSPECTED, LOST, LEFT = range(4)
 STATES = ("alive", "suspected", "lost", "left")
 BUCKETS = 64  # parts in which views are compared
+SHIFTS = 49  # places in a digest of 64 bits from which 16 bits can be taken
 
 
 class View:
@@ -47,7 +48,7 @@
             *self.address[i],
             self.zone[i],
             self.version[i],
-            max(0.0, now - self.since[i]) if gone else 0.0,
+            max(0.0, now - self.since[i]) if gone else 0,
         )
 
     def holds(self, i, uid, inc, state):
@@ -104,6 +105,10 @@
             total = (total * 31 + part) & 0xFFFFFFFFFFFFFFFF
         return total
 
+    def short_digests(self, shift):
+        """16 bits of each bucket's digest from bit `shift` on: two that are alike by chance differ at another shift."""
+        return b"".join((part >> shift & 0xFFFF).to_bytes(2, "big") for part in self.digests)
+
     def living(self):
         """Places of those not known to be gone."""
         return [i for i, state in enumerate(self.state) if state in (ALIVE, SUSPECTED)]
--- a/brookhinge/standin/virtual.py
+++ b/brookhinge/standin/virtual.py
@@ -82,7 +82,7 @@
     def send(self, address, method, values, news, notices):
         net, view = self.net, self.peer.view
         claim = view.claim(view.index[self.name], net.now)
-        data = self.codec.write(claim, view.digest(), method, values, news, notices)
+        data = self.codec.write(claim, self.peer.digest(), method, values, news, notices)
         self.sent += 1
         self.bytes += len(data) + HEADERS
         self.traffic.add(net.now, "sent", method, len(data))
