--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -56,7 +56,7 @@
 """
 OFF = "import time; real = time.time; time.time = lambda: real() + {off}"  # a wall clock that is off
 OTHER_VERSION = (
-    "import brookhinge.membership.codec as codec; codec.VERSION = 2"  # a program that speaks other messages
+    "import brookhinge.membership.codec as codec; codec.VERSION += 1"  # a program that speaks other messages
 )
 STARTING_S = 60.0  # for a slow machine: twelve processes side by side took 12 s at load 37
 MAIN = "; import sys; sys.argv = ['brookhinge']; from brookhinge.__main__ import main; sys.exit(main())"
