--- a/brookhinge/cli/__init__.py
+++ b/brookhinge/cli/__init__.py
@@ -11,6 +11,10 @@
     "ask": ("brookhinge.cli.ask", "Asks a router for an object, and comes back when told."),
     "explain": ("brookhinge.cli.explain", "Tells the storms in a router's log as a story."),
     "fleet": ("brookhinge.cli.fleet", "What a router believes of its peers: show, watch."),
+    "control": (
+        "brookhinge.cli.control",
+        "A control machine of the purge log, purges through it, and how far they have got.",
+    ),
     "keep": ("brookhinge.cli.keep", "Keeps one place's routers running, and changes them when told."),
     "roll": (
         "brookhinge.cli.roll",
@@ -55,6 +59,23 @@
     sys.exit(code)
 
 
+def block_of(file, kind, name):
+    """(everything that an operator's file turns on, its block of that kind and name); the first one without a name. Ends the
+    command where there is none."""
+    from brookhinge.operator import OperatorError, read_file
+
+    try:
+        told = read_file(file)
+    except OperatorError as fault:
+        refuse(f"{file}: {fault}")
+    blocks = getattr(told, kind)
+    if not blocks:
+        refuse(f"{file}: no block {kind}")
+    if name is not None and name not in blocks:
+        refuse(f'{file}: no block {kind} "{name}", there is ' + ", ".join(blocks))
+    return told, blocks[name] if name is not None else next(iter(blocks.values()))
+
+
 def table(rows, columns, as_json):
     """Prints rows (dicts) as JSON or as aligned columns, uncoloured."""
     if as_json:
