--- a/brookhinge/standin/capacity/page.py
+++ b/brookhinge/standin/capacity/page.py
@@ -13,6 +13,7 @@
 TITLES = {PEERS: "before (notices among peers)", LOG: "now (purge log)"}
 REQUESTS_S, BITS_S = 590_000, 3.2e12  # of the whole fleet at the peak
 OBJECTS = 450_000_000
+LARGEST_SIZE = 100_000  # up to which the slopes are followed
 
 
 class Allowance(NamedTuple):
@@ -264,7 +265,7 @@
                 points = self.points(mechanism, phase, figure, part)
                 measured = len({size for size, _ in points}) >= 3
                 lines.append([title, name, breaking_size(fit(points), most) if measured else NOT_MEASURED])
-        return ["## What breaks first", "", *table(["budget", "", "passed from this size on"], lines)]
+        return ["## What breaks first", "", *table(["budget", "", "passed at these sizes"], lines)]
 
     def roles(self):
         """State, messages, processor time and memory by role."""
@@ -441,7 +442,8 @@
     if figures.get("named"):
         told.append(f"missing named for {figures['named']} of {figures['purges']} purges at 1.2 s")
     if "one_view_s" in figures:
-        told.append(f"one view after {number(figures['one_view_s'])} s")
+        waited = figures["one_view_s"]
+        told.append("no one view within 30 s" if waited is None else f"one view after {number(waited)} s")
     if "changes_all_s" in figures:
         worst = figures["changes_all_s"]["worst"]
         told.append(
@@ -458,16 +460,15 @@
 
 
 def breaking_size(found, most):
-    """The smallest size from 1 to 100,000 at which a fitted cost is over, as a text."""
-    if found.at(1) > most:
-        return "any"
-    if found.at(100_000) <= most:
-        return "none up to 100,000"
-    low, high = 1, 100_000
+    """The sizes from 1 to 100,000 at which a fitted cost is over, as a text."""
+    least, largest = found.at(1) > most, found.at(LARGEST_SIZE) > most
+    if least == largest:
+        return "any" if least else "none up to 100,000"
+    low, high = 1, LARGEST_SIZE
     while high - low > 1:
         middle = (low + high) // 2
-        low, high = (low, middle) if found.at(middle) > most else (middle, high)
-    return number(high)
+        low, high = (middle, high) if (found.at(middle) > most) == least else (low, middle)
+    return f"{number(low)} and fewer" if least else f"{number(high)} and more"
 
 
 def write_page():
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -74,9 +74,11 @@
 
 def test_the_breaking_size_is_where_the_fit_passes():
     found = fit([(n, 100.0 + n) for n in (66, 132, 265, 530)])
-    assert breaking_size(found, 400.5) == "301"
+    assert breaking_size(found, 400.5) == "301 and more"
     assert breaking_size(found, 50.0) == "any"
     assert breaking_size(found, 1e9) == "none up to 100,000"
+    falling = fit([(n, 300.0 - n / 2) for n in (66, 132, 265, 530)])
+    assert breaking_size(falling, 250.25) == "99 and fewer"
 
 
 def test_kept_rows_of_one_run_replace_each_other(tmp_path):
