A router asks for the next proof in time after a long wait for an answer

Cause, found by test_memory_lost_by_a_majority_is_noticed in the full suite: an answer left the timer where the wait for it had put it, up to 1.5 s ahead since waits are doubled; with proof_s of 1 s the proof ended in between. The timer is set anew by each push.

--- a/brookhinge/purgelog/subscriber.py
+++ b/brookhinge/purgelog/subscriber.py
@@ -117,6 +117,7 @@
         proof = self.proof_of(now, push)
         if push.session == self.session:
             self.answer_came(now, push.echo)
+            self.plan(now)
         if push.restart and proof is not None:
             self.restart(now, proof, writer)
         if self.positions is None:
