--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -28,7 +28,6 @@
 INLET = -1  # stands for the location's link in among the in-flight limits
 MOST_DOCS, DOCS_IN_MB = 30000, 150  # object counts kept; and in each MB of memory, where that is told
 OWN, HURRY = 0.12, 0.2  # of the memory for own copies; seconds beside its sending that the path may take
-HANGS_S = 0.5  # a crowded cache that answered nothing for so long is passed over
 GUESS = 5.0  # queries that a first guess counts for
 
 
@@ -436,8 +435,7 @@
         if target is None:
             return self.pass_by(query, q, track)
         room = self.room_at(target, part)  # elsewhere than at a holder it would miss and be filled anew
-        hangs = fleet.inflight[target] and now - self.heard_at.get(target, -1e9) > HANGS_S
-        slow = not room and (hangs or self.crowding.lags(target, now, fleet.own, least=2.0))  # it, not all
+        slow = not room and self.crowding.lags(target, now, fleet.own, least=2.0)  # it is crowded, not all
         if not room and (slow or target in holders):
             others = [c for c in order if (slow or c in holders) and c != target and self.room_at(c, part)]
             target = next((c for c in others if self.warm_for(c, work, q)), target)
