--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -7,7 +7,7 @@
 The ordinary path (`Router.place`) is the Cache Clouds design: beacon rings, load-following sub-ranges,
 remembered holders, sibling fills of objects in demand, a parent home for all other fills. Beside it stand:
 1. Cold budget: work sent to a server that started lately stays under what it can do (rule 4).
-2. Rest: a server failing far more often than its fellows is left out for a while, then tried singly.
+2. Rest: a server failing far more often than its peers is left out for a while, then tried singly.
 3. In-flight limit of a cache and of the link in: follows shortest over present answer time (crowding).
 4. Further pushes: timed so that another fits, paid from a budget that queries earn (retry storms).
 5. Shedding: what nothing can serve comes from memory or is nacked at once, the least utility a second first;
@@ -129,22 +129,22 @@
         return chance.random() * work < risk
 
 
-def median(figures, c, fellows, first):
-    """Of c's fellows without itself; None if it has none."""
-    others = sorted(figures.get(f, first) for f in fellows if f != c)
+def median(figures, c, peers, first):
+    """Of c's peers without itself; None if it has none."""
+    others = sorted(figures.get(f, first) for f in peers if f != c)
     return others[(len(others) - 1) // 2] if others else None
 
 
 class Health:
-    """Mechanism 2. Share of failures of each server, lately, against its fellows of the same role."""
+    """Mechanism 2. Share of failures of each server, lately, against its peers of the same role."""
 
     BAD, REST, MOST = 0.3, 2.0, 0.4
 
     def __init__(self):
         self.fault, self.rest_until, self.trial_at = {}, {}, {}
 
-    def judge(self, c, now, failed, weight, fellows):
-        """Counts an answer. A server far worse than the median of its fellows rests, unless too many do."""
+    def judge(self, c, now, failed, weight, peers):
+        """Counts an answer. A server far worse than the median of its peers rests, unless too many do."""
         fault = self.fault.get(c, 0.0)
         self.fault[c] = fault = fault + 0.15 * weight * ((1.0 if failed else 0.0) - fault)
         if not failed:
@@ -152,8 +152,8 @@
             if fault < self.BAD / 2:
                 self.rest_until.pop(c, None)
             return False
-        usual = median(self.fault, c, fellows, 0.0)
-        crowd = 1 + sum(f in self.rest_until for f in fellows if f != c) > max(1, self.MOST * len(fellows))
+        usual = median(self.fault, c, peers, 0.0)
+        crowd = 1 + sum(f in self.rest_until for f in peers if f != c) > max(1, self.MOST * len(peers))
         if (
             fault < self.BAD
             or self.rest_until.get(c, -1.0) > now
@@ -191,9 +191,9 @@
         prior = self.PRIOR * math.exp((now - at) / self.FADE)
         return (total + prior * usual) / (prior + bases)
 
-    def lags(self, c, now, fellows, over=0.5, least=0.0):
-        """Far slower than the quicker half of its fellows, as far as `least` seconds of sending tell."""
-        usual = median({f: self.crowd(f, now) for f in fellows}, c, fellows, 0.0)
+    def lags(self, c, now, peers, over=0.5, least=0.0):
+        """Far slower than the quicker half of its peers, as far as `least` seconds of sending tell."""
+        usual = median({f: self.crowd(f, now) for f in peers}, c, peers, 0.0)
         return (
             usual is not None
             and self.crowd(c, now) > over + 2.0 * usual
@@ -667,7 +667,7 @@
         return total * fade, over * fade + warm * LOOK * (1.0 - fade), warm * LOOK
 
     def power(self, c):
-        """Transfers at once that a warm server does: told, else what its fellows take, a low guess."""
+        """Transfers at once that a warm server does: told, else what its peers take, a low guess."""
         fleet, role = self.fleet, self.fleet.role[c]
         if self.told and fleet.weight[c] > 0:
             return fleet.weight[c]
@@ -733,7 +733,7 @@
             worth = 0.0 if result != "satisfied" else 1.0 if took <= self.wanted(q) else track.late_share
             self.fill_worth[q.track] += 0.05 * (worth - self.fill_worth[q.track])
         # A failed fill speaks against cache and source alike unless notes tell which: the one at fault soon
-        # stands out among its fellows. A time-out counts only while nothing is answered: no crowd.
+        # stands out among its peers. A time-out counts only while nothing is answered: no crowd.
         good, source = result == "satisfied" and not lags, c if fleet.role[c] == "parent" else q.source
         filled = q.filling and note != 1
         if result == "satisfied":
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -163,7 +163,7 @@
 
 
 def test_slow_cache_rests():
-    """A cache whose answer times lie far over its fellows' is left out though it answers all."""
+    """A cache whose answer times lie far over its peers' is left out though it answers all."""
     b = Bench()
     for i in range(160):
         slow = (b.serve(f"k{i % 16}", note=2 if i < 16 else 1) if i < 32 else b.ask(f"k{i % 16}"))[0]
@@ -202,7 +202,7 @@
 
 
 def test_a_cache_that_is_less_quick_by_nature_does_not_rest():
-    """Fleet seed 11: rested for 1.7 times its fellows' time, it kept the truly slow one from resting."""
+    """Fleet seed 11: rested for 1.7 times its peers' time, it kept the truly slow one from resting."""
     assert slow_cache(Bench(tells="all", routers=2), 1.7) == []
 
 
@@ -249,7 +249,7 @@
 
 def test_what_a_cold_cache_can_do_is_judged_by_answers_of_the_warm():
     """Hunt h99c0b0 (depot-fare-cache-later): in a jam the last warm caches were sent many times what they could do;
-    taken for their power, it let cold fellows be pushed over."""
+    taken for their power, it let cold peers be pushed over."""
 
     def power(result):
         b = Bench(weight=0.0, routers=40)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,7 +69,7 @@
 
 
 def test_cold_cache_gets_its_share():
-    """Fellows stand in for the cold home; what pushes it over is 1.6 s of sending in a second, 16 queries."""
+    """Peers stand in for the cold home; what pushes it over is 1.6 s of sending in a second, 16 queries."""
     assert [sent_cold(n, "push 21", 400 // n) for n in (2, 40)] == [8, 5]
     assert sent_cold(2, "push 21", 200, start=12.0) == 232  # warm: a look and a fill for each
 
