Purge log read again: one round trip estimate, positions of batches, one counted endpoint

Found by reading the change: the smoothing of round trips stood in both ends, the position before and behind a batch was worked out in four places, client and server of the capacity runs wrote the same five lines, the clock of leases was taken from the module that joins membership to its socket, a peer's state was begun anew by calling its own __init__, and three fields were read by nobody. Behaviour stays.

--- a/brookhinge/membership/talk.py
+++ b/brookhinge/membership/talk.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+from brookhinge.clock import steady
 from brookhinge.membership.codec import CORE_METHODS, VERSION, Codec
 from brookhinge.membership.look import MEMBERS
 from brookhinge.membership.peer import Peer
@@ -16,11 +17,6 @@
 LEAVING_S = 0.05  # after the claim of leaving, so that it is out before the socket closes
 
 
-def steady():
-    """Seconds of a clock that also goes on while the machine sleeps, where there is one: leases end by it."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) if hasattr(time, "CLOCK_BOOTTIME") else time.monotonic()
-
-
 class Talk(asyncio.DatagramProtocol):
     """One router among its peers: `await start()`, `spread(kind, values)`, `await leave()`.
 
--- a/brookhinge/purgelog/__init__.py
+++ b/brookhinge/purgelog/__init__.py
@@ -5,6 +5,7 @@
     codec.py         datagrams to messages and back: keyed checksum, replay guard
     log.py           the bounded log of one source: recent entries, older ones as fingerprints
     replication.py   quorum reads and epochs among the control machines
+    roundtrip.py     round trips, as both ends estimate them
     distributor.py   the routers that subscribe to one control machine: pushes and acknowledgements
     progress.py      whether an entry is in force at every router, or who is missing and why
     control.py       one control machine, composed of these
--- a/brookhinge/purgelog/client.py
+++ b/brookhinge/purgelog/client.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 
-from brookhinge.membership.talk import steady
+from brookhinge.clock import steady
 from brookhinge.purgelog.control import Machine
 from brookhinge.purgelog.endpoint import Endpoint
 from brookhinge.purgelog.subscriber import CopyRule, Subscriber
--- a/brookhinge/purgelog/control.py
+++ b/brookhinge/purgelog/control.py
@@ -101,7 +101,7 @@
 
     def receive_append(self, now, message, writer):
         new = self.replication.receive_append(message)
-        for _, entry in new:
+        for entry in new:
             self.remember(entry)
         if new:
             self.serve(now, writer)
--- a/brookhinge/purgelog/distributor.py
+++ b/brookhinge/purgelog/distributor.py
@@ -17,6 +17,7 @@
     sound_vector,
     unflatten,
 )
+from brookhinge.purgelog.roundtrip import smoothed
 
 PUSH_GAP_S = 0.05  # between two pushes to a reader of what is new
 FIRST_RETRY_S, SHORTEST_RETRY_S, LONGEST_RETRY_S = (
@@ -32,7 +33,6 @@
 PUSH_BYTES = 1100
 NAMES_TOLD, NAME_BYTES_TOLD = 4, 120  # names of each kind in a report
 MOVED_TOLD = 8  # readers told to the other machines in one sync
-RTT_WEIGHT = 0.2
 BACKOFF = 1.5  # of the round trip, when a retry was due
 
 
@@ -82,8 +82,7 @@
 
     def measure(self, now):
         """The round trip of the last push; what was sent twice does not count (Karn's rule)."""
-        sample = now - self.sent_at
-        self.rtt_s = sample if self.rtt_s is None else self.rtt_s + RTT_WEIGHT * (sample - self.rtt_s)
+        self.rtt_s = smoothed(self.rtt_s, now - self.sent_at)
 
     def send_again(self, source):
         """From the last acknowledged position on."""
@@ -107,8 +106,7 @@
         """These go out now."""
         self.sent_at = now
         for batch in batches:
-            end = Position(batch.epoch, batch.after_index + len(batch.entries))
-            self.sent[batch.source] = max(self.sent[batch.source], end)
+            self.sent[batch.source] = max(self.sent[batch.source], batch.end)
             if self.waits_since[batch.source] is None:
                 self.waits_since[batch.source] = now
 
@@ -117,12 +115,7 @@
     """A reader whose lease ended."""
 
     def __init__(self, reader, now):
-        self.process, self.session, self.positions, self.at = (
-            reader.process,
-            reader.session,
-            reader.positions,
-            now,
-        )
+        self.process, self.positions, self.at = reader.process, reader.positions, now
 
 
 class Distributor:
--- a/brookhinge/purgelog/endpoint.py
+++ b/brookhinge/purgelog/endpoint.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from brookhinge.membership.talk import steady
+from brookhinge.clock import steady
 from brookhinge.purgelog.codec import Codec, TooLong
 
 LOG_S = 10.0  # between two lines of datagrams that were dropped
--- a/brookhinge/purgelog/log.py
+++ b/brookhinge/purgelog/log.py
@@ -66,7 +66,7 @@
     def append(self, batch):
         """Takes what is new of a batch; those entries. None: the batch does not follow on what is held, or its epoch is
         over. Entries of an older epoch that the new one does not follow on are dropped: no majority held them."""
-        after = Position(batch.after_epoch, batch.after_index)
+        after = batch.after
         if batch.epoch < self.head.epoch:
             return None
         if batch.epoch == self.head.epoch:
--- a/brookhinge/purgelog/messages.py
+++ b/brookhinge/purgelog/messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from brookhinge.purgelog.positions import Position
+
 
 class Kind(enum.IntEnum):
     """What an entry says. Every kind tightens a rule; none loosens one."""
@@ -34,6 +36,16 @@
     after_index: int
     entries: list[Entry]
 
+    @property
+    def after(self):
+        """The position that the entries follow on."""
+        return Position(self.after_epoch, self.after_index)
+
+    @property
+    def end(self):
+        """The position of the last entry; without entries it has none."""
+        return Position(self.epoch, self.after_index + len(self.entries))
+
 
 class Subscribe(msgspec.Struct, array_like=True, tag=1, frozen=True):
     """A router begins to read at a control machine."""
--- a/brookhinge/purgelog/metrics.py
+++ b/brookhinge/purgelog/metrics.py
@@ -3,7 +3,7 @@
 
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-from brookhinge.membership.talk import steady
+from brookhinge.clock import steady
 
 
 def gauge(name, text, value):
--- a/brookhinge/purgelog/replication.py
+++ b/brookhinge/purgelog/replication.py
@@ -20,7 +20,6 @@
     FAR_AHEAD,
     MOST_INDEX,
     START,
-    Position,
     covers,
     merged,
     sound_vector,
@@ -54,22 +53,18 @@
 class PeerState:
     """What one machine knows of another."""
 
-    def __init__(self, machines):
-        self.boot, self.number, self.heard_at, self.first_heard_at = 0, 0, -math.inf, -math.inf
+    def __init__(self, machines, boot=0, retired=()):
+        self.boot, self.number, self.heard_at = boot, 0, -math.inf
         self.recovered = False
         self.echoed_number, self.echoed_at = 0, -math.inf
         self.positions, self.promises = [START] * machines, [0] * machines
         self.silence_s = [0.0] * machines
         self.behind_since = [None] * machines
-        self.retired = set()  # process ids that stood here before
+        self.retired = frozenset(retired)  # process ids that stood here before
 
-    def begin(self, boot, now):
-        """Another process answers under this machine's name."""
-        if self.boot:
-            self.retired.add(self.boot)
-        retired = self.retired
-        self.__init__(len(self.positions))
-        self.retired, self.boot, self.first_heard_at = retired, boot, now
+    def succeeded_by(self, boot):
+        """What is known once another process answers under this machine's name."""
+        return PeerState(len(self.positions), boot, self.retired | {self.boot})
 
 
 class Replication:
@@ -126,7 +121,7 @@
         if peer is None or sender in peer.retired or not self.sound(sync):
             return False
         if sender != peer.boot:
-            peer.begin(sender, now)
+            peer = self.peers[sync.machine] = peer.succeeded_by(sender)
         if sync.number <= peer.number:
             return False
         peer.number, peer.heard_at = sync.number, now
@@ -147,7 +142,7 @@
         )
 
     def receive_append(self, message):
-        """Takes entries from another machine; those that are new here, as (source, entry). What belongs to an epoch that
+        """Takes entries from another machine; those that are new here. What belongs to an epoch that
         was promised to be over is refused, but by its source while that has no epoch: the next one is to follow on it."""
         new = []
         if len(message.epochs) != self.machines:
@@ -158,12 +153,12 @@
             over = message.epochs[batch.source] < self.promises[batch.source]
             if over and (batch.source != self.machine or self.epoch):
                 continue
-            log, after = self.logs[batch.source], Position(batch.after_epoch, batch.after_index)
+            log, after = self.logs[batch.source], batch.after
             if not batch.entries:
                 if after > log.head and self.plausible(log, after):
                     log.restart(after)
                 continue
-            new += [(batch.source, entry) for entry in log.append(batch) or ()]
+            new += log.append(batch) or ()
         return new
 
     @staticmethod
--- a/brookhinge/purgelog/server.py
+++ b/brookhinge/purgelog/server.py
@@ -4,7 +4,7 @@
 import secrets
 import time
 
-from brookhinge.membership.talk import steady
+from brookhinge.clock import steady
 from brookhinge.net.channel import Channel
 from brookhinge.purgelog.client import PROCESS_BITS, machines_of
 from brookhinge.purgelog.control import ControlNode
--- a/brookhinge/purgelog/subscriber.py
+++ b/brookhinge/purgelog/subscriber.py
@@ -21,18 +21,17 @@
 from brookhinge.purgelog.messages import Horizon, Kind, Leave, Poll, Push, Segment, Subscribe, Unknown
 from brookhinge.purgelog.positions import (
     FAR_AHEAD,
-    Position,
     covers,
     flatten,
     sound_vector,
     unflatten,
 )
+from brookhinge.purgelog.roundtrip import smoothed
 
 POLL_S = 0.3  # after the sending of what was echoed last the machine is asked for a newer proof
 FIRST_ANSWER_S, SHORTEST_ANSWER_S, LONGEST_ANSWER_S = 0.4, 0.25, 0.5  # for an answer; after that a retry
 CHANGES_REMEMBERED_S = 10.0  # each change of machine within so long doubles the wait for an answer,
 LONGEST_WAIT_S = 1.5  # up to this: machines that are all late are not to be changed all the time
-RTT_WEIGHT = 0.2
 RETURN_S = 20.0  # between two tries of the preferred machine, on the mean
 NUMBERS_KEPT = 64  # messages whose sending time is remembered
 
@@ -134,8 +133,7 @@
     def answer_came(self, now, echo):
         """The machine read at is there."""
         if self.asked_at is not None and self.sent_at.get(echo) == self.asked_at:
-            sample = now - self.asked_at
-            self.rtt_s = sample if self.rtt_s is None else self.rtt_s + RTT_WEIGHT * (sample - self.rtt_s)
+            self.rtt_s = smoothed(self.rtt_s, now - self.asked_at)
         self.subscribed, self.asked_at, self.tries = True, None, 0
         if echo > self.answered and echo in self.sent_at:
             self.answered, self.echoed_at = echo, self.sent_at[echo]
@@ -173,7 +171,7 @@
 
     def append(self, batch, writer):
         """Applies what is new of a batch. Entries behind a gap are applied too: they only tighten; the position stays."""
-        held, after = self.positions[batch.source], Position(batch.after_epoch, batch.after_index)
+        held, after = self.positions[batch.source], batch.after
         if batch.epoch < held.epoch:
             self.refused[Refused.OLD_EPOCH] += 1
             return
@@ -187,7 +185,7 @@
         if not follows:
             self.refused[Refused.GAP] += 1
         elif entries:
-            self.positions[batch.source] = Position(batch.epoch, after.index + len(batch.entries))
+            self.positions[batch.source] = batch.end
 
     # proof
 
--- a/brookhinge/standin/capacity/logged.py
+++ b/brookhinge/standin/capacity/logged.py
@@ -4,7 +4,7 @@
 import asyncio
 import time
 
-from brookhinge.membership.talk import steady
+from brookhinge.clock import steady
 from brookhinge.operator.schema import CONTROL, MUST, Control
 from brookhinge.purgelog.client import LogClient
 from brookhinge.purgelog.messages import Entry, Kind
@@ -52,7 +52,25 @@
     }
 
 
-class CountedClient(LogClient):
+class Counted:
+    """Goes before an Endpoint: its datagrams take the links and are counted."""
+
+    links: Links
+    traffic: Traffic
+
+    async def open(self, listen):
+        """Binds; datagrams take the links from here on."""
+        address = await super().open(listen)
+        self.transport = LinkedTransport(self.transport, self.links, self.traffic)
+        return address
+
+    def datagram_received(self, data, address):
+        """Counts a datagram and takes it."""
+        self.traffic.count_received(data)
+        super().datagram_received(data, address)
+
+
+class CountedClient(Counted, LogClient):
     """A router's client of the purge log."""
 
     def __init__(self, controls, router):
@@ -69,36 +87,14 @@
         super().__init__(settings, controls, router.log_event, router.log)
         self.links, self.traffic = router.links, router.traffic
 
-    async def open(self, listen):
-        """Binds; datagrams take the links from here on."""
-        address = await super().open(listen)
-        self.transport = LinkedTransport(self.transport, self.links, self.traffic)
-        return address
-
-    def datagram_received(self, data, address):
-        """Counts a datagram and takes it."""
-        self.traffic.count_received(data)
-        super().datagram_received(data, address)
-
 
-class CountedServer(ControlServer):
+class CountedServer(Counted, ControlServer):
     """A control machine."""
 
     def __init__(self, name, controls, log, links, traffic):
         super().__init__(name, controls, log)
         self.links, self.traffic = links, traffic
 
-    async def open(self, listen):
-        """Binds; datagrams take the links from here on."""
-        address = await super().open(listen)
-        self.transport = LinkedTransport(self.transport, self.links, self.traffic)
-        return address
-
-    def datagram_received(self, data, address):
-        """Counts a datagram and takes it."""
-        self.traffic.count_received(data)
-        super().datagram_received(data, address)
-
 
 def purge_entry(number):
     """The log's entry of a numbered purge."""
