--- a/brookhinge/standin/rig.py
+++ b/brookhinge/standin/rig.py
@@ -20,12 +20,11 @@
 
 from brookhinge.box import Box, wire
 from brookhinge.membership.look import LIMITS, VERDICTS, look
-from brookhinge.operator.schema import Stand, Tier
 from brookhinge.standin.caller import ThriftCaller
 from brookhinge.standin.channel import CommandChannel
 from brookhinge.standin.origin import Origin
 from brookhinge.standin.ports import free_port, own_host
-from brookhinge.standin.town import end_all, settings
+from brookhinge.standin.town import end_all, memory_stand, settings
 
 KEY = "0123456789abcdef" * 2
 BLOCK = """fleet "{name}" {{
@@ -58,6 +57,7 @@
 OTHER_VERSION = (
     "import brookhinge.membership.codec as codec; codec.VERSION += 1"  # a program that speaks other messages
 )
+BOX_MB = 16  # memory of each box
 STARTING_S = 60.0  # for a slow machine: twelve processes side by side took 12 s at load 37
 MAIN = "; import sys; sys.argv = ['brookhinge']; from brookhinge.__main__ import main; sys.exit(main())"
 
@@ -329,21 +329,7 @@
         if name in self.boxes:
             await self.boxes[name].stop()
         self.boxes[name] = Watched(
-            Stand(
-                name,
-                ("127.0.0.1", self.box_ports[name]),
-                ("127.0.0.1", self.feed_port),
-                64,
-                2.0,
-                30.0,
-                0.4,
-                0.5,
-                "parent",
-                "origin",
-                (),
-                {},
-                Tier("", 16, 1, 1, 1, 1, 1),
-            ),
+            memory_stand(name, self.box_ports[name], self.feed_port, BOX_MB),
             self.seed,
         )
         await self.boxes[name].start()
--- a/brookhinge/standin/town.py
+++ b/brookhinge/standin/town.py
@@ -72,6 +72,25 @@
         await process.wait()
 
 
+def memory_stand(name, port, channel_port, memory_mb):
+    """The settings of a box on loopback that keeps its copies in memory alone."""
+    return Stand(
+        name=name,
+        listen=("127.0.0.1", port),
+        channel=("127.0.0.1", channel_port),
+        fills=64,
+        fill_s=2.0,
+        idle_s=30.0,
+        connect_s=0.4,
+        drain_s=0.5,
+        parent_kind="parent",
+        origin_kind="origin",
+        reports=(),
+        tracks={},
+        store=Tier("", memory_mb, 1, 1, 1, 1, 1),
+    )
+
+
 class Town:
     """async with Town(folder) as town: town.boxes, town.origin, town.channel, town.router_address."""
 
@@ -122,23 +141,7 @@
             )
         for name in self.own:
             if name == "p-1" and self.parent_here:
-                self.parent = Box(
-                    Stand(
-                        name,
-                        ("127.0.0.1", self.ports[name]),
-                        ("127.0.0.1", self.channel_port),
-                        64,
-                        2.0,
-                        30.0,
-                        0.4,
-                        0.5,
-                        "parent",
-                        "origin",
-                        (),
-                        {},
-                        Tier("", self.parent_mb, 1, 1, 1, 1, 1),
-                    )
-                )
+                self.parent = Box(memory_stand(name, self.ports[name], self.channel_port, self.parent_mb))
                 await self.parent.start()
             else:
                 await self.start(name)
