Nothing taken is lost by an end that cannot accept, nor behind half a call

(1) Front.stop accepted once and closed the listener: where accept failed (EMFILE, ENFILE, ENOBUFS, ENOMEM) or clients held their share, the connections in the backlog were reset with the queries on them; with storms on the same for all over one pass. The same mistake elsewhere: bytes that cannot be read ended a connection whose last answer was still being written (end_broken), mended with it; a failing setsockopt after accept ended the accepted connection. Ruled out: the share of descriptors alone (fails the same with one free place and a failing accept). The end accepts until the system says that nothing is left, again every 20 ms, for as long as it may take; half a call marks its connection as broken: what came before is answered, then it is closed. Accepting, opening and closing are functions of their own.

--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import errno
 import heapq
 import re
@@ -35,6 +36,10 @@
 REJECTS = 8  # calls on a connection that can't be taken, after which it is closed; and a pause after each:
 REJECTED_S = 0.05  # who asks the same again at once waits for so long
 LONGEST_BODY = 240_000
+BACKLOG = 1024  # connections that the system keeps until they are accepted
+ACCEPTED_IN_A_PASS = 64
+PAUSE_S, ACCEPT_AGAIN_S = 0.05, 0.02  # between two tries to accept: in service, and as the router ends
+SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))  # what passes by itself
 
 
 class Client:
@@ -75,6 +80,7 @@
         self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, now
         self.longest, self.sockets, self.most_held, self.paused = longest, sockets, held, False
         self.clients, self.serial, self.unread, self.held, self.listener = {}, 0, 0, 0, None
+        self.stopping = False  # it accepts only what came before it was told to end
         self.leaving = {}  # connections whose writing side is shut
         self.gate = gate  # storm/gate.py, where it is on: how many to take, and whose
 
@@ -88,41 +94,52 @@
             self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self.listener.bind((host, port))
-            self.listener.listen(1024)
+            self.listener.listen(BACKLOG)
         self.listener.setblocking(False)
         asyncio.get_running_loop().add_reader(self.listener, self.accept)
         return self.listener.getsockname()
 
-    def accept(self, most=64):
+    def accept(self):
         """Takes what has come; without descriptors it looks again in a moment, it never ends."""
-        for _ in range(most if self.gate is None else self.gate.in_a_pass()):
+        shortage = self.accept_some(ACCEPTED_IN_A_PASS if self.gate is None else self.gate.in_a_pass())
+        if shortage:
+            self.pause(shortage)
+
+    def accept_some(self, most):
+        """Takes up to `most` connections. Why there are more that cannot be taken now, or None."""
+        for _ in range(most):
             if self.listener is None:
-                return
+                return None
             if len(self.clients) >= self.sockets and not self.make_room():
-                return self.pause("clients hold their share of descriptors")
+                return "clients hold their share of descriptors"
             try:
                 made, place = self.listener.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return None
             except OSError as fault:
-                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    return self.pause(f"no descriptor: {fault.strerror}")
+                if fault.errno in SHORTAGES:
+                    return f"no descriptor: {fault.strerror}"
                 continue  # that connection ended before it was taken
-            network = None
-            if self.gate is not None:
-                network, kept = self.gate.came(self.now(), place[0])
-                if not kept:
-                    made.close()
-                    continue
+            self.open_client(made, place[0])
+        return None
+
+    def open_client(self, made, address):
+        """Begins to read a connection that was accepted."""
+        network = None
+        if self.gate is not None:
+            network, kept = self.gate.came(self.now(), address)
+            if not kept:
+                return made.close()
+        with contextlib.suppress(OSError):  # without it small answers come a little later
             made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            stream = IOStream(made, max_buffer_size=2 * thrift.LONGEST, read_chunk_size=PIECE)
-            self.paused = False
-            self.serial += 1
-            client = self.clients[self.serial] = Client(self.serial, stream, self.now())
-            if network is not None:
-                client.network = network
-                self.post("connected", (client.number, place[0]))
-            asyncio.ensure_future(self.run(client))
+        stream = IOStream(made, max_buffer_size=2 * thrift.LONGEST, read_chunk_size=PIECE)
+        self.paused = False
+        self.serial += 1
+        client = self.clients[self.serial] = Client(self.serial, stream, self.now())
+        if network is not None:
+            client.network = network
+            self.post("connected", (client.number, address))
+        asyncio.ensure_future(self.run(client))
 
     def make_room(self):
         """New clients must get in: those idle longest go, never one of which a call has come, whole or in part."""
@@ -140,29 +157,47 @@
         """Closes who brings no whole frame in time, and who has nothing open long past usual clients' own close."""
         now = self.now()
         for client in list(self.clients.values()):
-            slow = client.part_at is not None and now - client.part_at > FRAME_S
-            if (
-                slow
-                or now - client.used_at > (IDLE_S if client.asked else FRAME_S)
-                and client.part_at is None
-            ):
+            if client.part_at is not None:
+                if now - client.part_at > FRAME_S:
+                    self.end_slow(client)
+            elif now - client.used_at > (IDLE_S if client.asked else FRAME_S):
                 if client.idle() and not self.busy(client.number):
                     self.release(client)
-                elif slow:
+                elif client.broken and not self.busy(client.number):  # it does not read its last answers
                     self.drop(client)
 
+    def end_slow(self, client):
+        """Half a call and not its rest: no more is taken of the client, what came before is answered first."""
+        client.part_at = None
+        client.broken = client.broken or "half a call and not its rest"
+        self.end_broken(client)
+
     def pause(self, why):
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.listener)
         if not self.paused:  # once, not at each look
             self.say("not accepting", why=why)
         self.paused = True
-        loop.call_later(0.05, lambda: self.listener and loop.add_reader(self.listener, self.accept))
+        loop.call_later(PAUSE_S, self.resume)
+
+    def resume(self):
+        if self.listener is not None and not self.stopping:
+            asyncio.get_running_loop().add_reader(self.listener, self.accept)
 
     def stop(self):
-        """Accepts no more; what has come up before is still taken."""
+        """Accepts no more once all that came before is taken: a close over connections that were not accepted resets
+        them, with the queries on them. Where none can be taken now it looks again until `close_listener`."""
+        if self.listener is None:
+            return
+        self.stopping = True
+        asyncio.get_running_loop().remove_reader(self.listener)
+        if self.accept_some(BACKLOG):
+            asyncio.get_running_loop().call_later(ACCEPT_AGAIN_S, self.stop)
+        else:
+            self.close_listener()
+
+    def close_listener(self):
         if self.listener is not None:
-            self.accept(1024)
             asyncio.get_running_loop().remove_reader(self.listener)
             self.listener.close()
             self.listener = None
@@ -233,7 +268,7 @@
         self.end_broken(client)
 
     def end_broken(self, client):
-        if client.broken and not client.calls and not self.busy(client.number):
+        if client.broken and not client.calls and not client.unread and not self.busy(client.number):
             self.shut(client.number, client.broken)
 
     def call(self, client, frame, came):
