--- a/tests/crossings/test_rare.py
+++ b/tests/crossings/test_rare.py
@@ -2,15 +2,40 @@
 
 import asyncio
 import errno
+import socket
+import time
 
+import pytest
 
-from brookhinge.net import front
+from brookhinge.net import front, thrift
+from brookhinge.net import caches as net_caches
 from tests.crossings.test_sockets import Raw
+from tests.helpers import Machine, settings
 from tests.test_service import caches, played, until
 
 HOUR_S = 3600.0
 
 
+@pytest.mark.parametrize("step_s", [HOUR_S, -HOUR_S, 5.0, -5.0])
+def test_a_step_of_the_wall_clock_ends_no_query(tmp_path, monkeypatch, step_s):
+    """While one query is out the router's wall clock is set; those asked then and later are answered all the same."""
+    real, offset_s = time.time, [0.0]
+    monkeypatch.setattr(time, "time", lambda: real() + offset_s[0])
+
+    async def scene(t):
+        t.caller.ask(1)
+        await until(t.pulled)
+        offset_s[0] = step_s
+        received = [await t.caller.hear()]
+        for number in range(2, 12):
+            t.caller.ask(number, lookup=f"{number:016x}")
+            received.append(await t.caller.hear())
+        return received
+
+    machines = caches(delay=0.1)
+    assert played(scene, tmp_path, machines=machines) == [(n, "satisfied 19") for n in range(1, 12)]
+
+
 class FailingListener:
     """A listening socket whose accept fails while `fails` is set."""
 
@@ -69,3 +94,80 @@
         return await caller.hear(), await caller.hear()
 
     assert played(scene, tmp_path, machines=caches(delay=front.FRAME_S + 0.4)) == ((1, "satisfied 19"), None)
+
+
+def test_a_cancel_does_not_wait_behind_answers_that_are_not_read(tmp_path):
+    """A client reads nothing, cancels a query, then the server of that query ends its connection."""
+    key = "cd" * 8
+
+    async def scene(t):
+        for machine in t.machines.values():
+            machine.act = lambda line: "silent" if key in line[2] else "data"
+            machine.body = b"x" * 200_000
+        raw = Raw(t.address)
+        raw.asks(1, lookup=key).send()
+        await until(t.pulled)
+        client = list(t.service.front.clients.values())[-1]
+        for number in range(2, 32):
+            raw.asks(number, lookup=f"{number:016x}").send()
+            await asyncio.sleep(0.01)
+        await until(lambda: client.unread > thrift.LONGEST)
+        raw.call.forget(1)
+        raw.send()
+        await asyncio.sleep(0.3)
+        for machine in t.machines.values():
+            for writer in machine.writers:
+                writer.transport.abort()
+        await asyncio.sleep(0.3)
+        raw.close(reset=True)
+        return [line for line in t.pulled() if f"PULL {1:016x}" in line]
+
+    assert len(played(scene, tmp_path)) == 1
+
+
+class DeafMachine(Machine):
+    """A cache server that accepts connections and reads nothing."""
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        reader._transport.pause_reading()
+        await asyncio.sleep(5.0)
+
+
+class SmallSocket(socket.socket):
+    """A socket whose send buffer holds a few kilobytes."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+
+def test_nothing_is_written_behind_what_a_server_does_not_read(tmp_path, monkeypatch):
+    """What lies in our own buffer would be read after a drain, a purge or most of its time."""
+
+    class SmallSockets:
+        def __getattr__(self, name):
+            return SmallSocket if name == "socket" else getattr(socket, name)
+
+    async def scene(t):
+        monkeypatch.setattr(net_caches, "socket", SmallSockets())
+        body = b"x" * front.LONGEST_BODY
+        fields = {
+            "service": "page", "allow": "2900", "lookup": "ab" * 8, "piece": "0", "lot": "3", "room": "100.0",
+        }  # fmt: skip
+        for number in range(1, 11):
+            told = {k.encode(): v.encode() for k, v in {**fields, "ref": f"{number:016x}"}.items()}
+            t.caller.call(
+                b"serve",
+                thrift.HEAD.pack(thrift.MAP, 1),
+                thrift.words(told),
+                thrift.HEAD.pack(thrift.STRING, 2),
+                thrift.INT.pack(len(body)) + body,
+            )
+            await asyncio.sleep(0.02)
+        stalled = [line for line in t.service.caches.all if line.up and line.stream.writing()]
+        return len(stalled) > 0, max(len(line.out) for line in stalled)
+
+    machines = {server: DeafMachine() for server in ("s-21", "s-22", "s-23")}
+    patient = settings(ConnectTimeoutNs=2e9)  # a server that is silent is given up only after half of it
+    assert played(scene, tmp_path, machines=machines, settings=patient) == (True, 1)
