Spans are of a steady clock; cancels don't wait; nothing is written behind a deaf server

Steady seconds since the start; the stamp of an event told just now is believed up to 60 s back, else now counts (brookhinge/rules.py); the table of servers keeps 'cold_from' beside the listed start; copies dated in the future are not kept; cancels pass waiting calls; a connection with unwritten bytes takes no push.

--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -38,6 +38,7 @@
         self.stand, self.say, self.clock, self.start_at, self.steady = stand, say, now, now(), steady
         self.tracks = {name.encode(): j.Track(*ages) for name, ages in stand.tracks.items()}
         self.kinds, self.reports = (stand.parent_kind, stand.origin_kind), stand.reports
+        self.steady_start = steady()
         self.apart = now() - steady()  # of the two clocks: it falls when the one that people set steps back
         tier = stand.store
         disk = (
@@ -80,7 +81,8 @@
         self.tasks, self.lately = [], 0.5
 
     def now(self):
-        return self.clock() - self.start_at
+        """Seconds since the start, by a clock that nobody sets. Ages of copies are told by `clock`, as their dates are."""
+        return self.steady() - self.steady_start
 
     # life
 
@@ -213,7 +215,7 @@
             self.told_at is None and found is not None
         ):  # what was purged before we were told anything is not known
             found = found._replace(aside=True)
-        age = None if found is None else max(0.0, self.now() + self.start_at - found.dated)
+        age = None if found is None else max(0.0, self.clock() - found.dated)
         fill = self.joinable.get(key)
         bound = self.bound(pull, track, found)
         verdict, note = j.judge(
@@ -261,7 +263,7 @@
             else purges.purged_at(pull.object, found.group)
         )
         now = self.now()
-        since_purge = max(0.001, now + self.start_at - purged) if purged > float("-inf") else None
+        since_purge = max(0.001, self.clock() - purged) if purged > float("-inf") else None
         since_told = None if self.told_at is None else max(0.001, now - self.told_at)
         return j.bound_of(pull, track, since_purge, since_told, found is not None and found.aside)
 
--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -452,7 +452,7 @@
                 extra is not None
                 and self.supply.siblings != "none"
                 and self.open_to(extra, q)
-                and not self.cold["cache"].cold(now, fleet.born[target])
+                and not self.cold["cache"].cold(now, fleet.cold_from[target])
                 and self.room_at(extra, part)
                 and self.warm_for(extra, work, q)
             ):
@@ -467,7 +467,7 @@
             or q.missed
             or q.through
             or track.fresh_s > 0
-            or self.cold["cache"].cold(now, fleet.born[target])
+            or self.cold["cache"].cold(now, fleet.cold_from[target])
         )
         if source is None and not first and not q.look:
             source = self.parent(q, work * (0.25 if q.held else 1.0))
@@ -563,7 +563,7 @@
         """Seconds of sending a second that this router may send to its caches at a time ahead."""
         cold, total, lump = self.cold["cache"], 0.0, max(self.sending)
         for c in self.fleet.own:
-            born, limit = self.fleet.born[c], self.crowding.limit.get(c, Crowding.FIRST / 4)
+            born, limit = self.fleet.cold_from[c], self.crowding.limit.get(c, Crowding.FIRST / 4)
             if cold.start.multiple > 0 and cold.cold(at, born):
                 limit = min(limit, cold.whole(at, born, self.power(c), lump) * cold.part(c, born))
             total += limit
@@ -608,7 +608,7 @@
 
     def warm_for(self, c, work, q):
         """Whether c is warm or has budget for it; late retries leave half to others, the invited borrow."""
-        cold, born, lump = self.cold[self.fleet.role[c]], self.fleet.born[c], max(self.sending)
+        cold, born, lump = self.cold[self.fleet.role[c]], self.fleet.cold_from[c], max(self.sending)
         spare = -0.25 if q.invited else 0.5 * (1.0 - q.worth)
         return cold.take(c, self.now, born, self.power(c), work, lump, self.chance, spare)
 
@@ -652,7 +652,7 @@
     def carried(self, c, work):
         """Notes work done by a warm server: what such do on the mean is what their like can do at least."""
         role = self.fleet.role[c]
-        if role in self.cold and not self.cold[role].cold(self.now, self.fleet.born[c]):
+        if role in self.cold and not self.cold[role].cold(self.now, self.fleet.cold_from[c]):
             total, over, _ = self.carrying(role)
             self.load[role] = self.now, total + work, over
 
@@ -663,7 +663,7 @@
         if role == "parent":
             warm = max(1, len(fleet.parents))
         else:
-            warm = max(1, sum(not self.cold[role].cold(self.now, fleet.born[f]) for f in fleet.own))
+            warm = max(1, sum(not self.cold[role].cold(self.now, fleet.cold_from[f]) for f in fleet.own))
         return total * fade, over * fade + warm * LOOK * (1.0 - fade), warm * LOOK
 
     def power(self, c):
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -11,6 +11,8 @@
 import heapq
 import traceback
 
+from brookhinge import rules
+
 
 OPEN = 32  # queries on one connection, by the protocol
 WAIT_END_S = 0.02  # who waits beside a query is told that nothing came so long before its time is over
@@ -74,6 +76,7 @@
         self.timers = []  # (until, query, push)
         self.served, self.copies = {}, {}  # bodies that came in this pass, and those the decisions keep
         self.serial, self.cursor, self.now, self.closed = 0, 0, 0.0, False
+        self.begun = False  # the first pass, with what was known at the start, is over
         self.effects, self.inbox, self.current = [], [], None
         self.counts = dict.fromkeys(
             (
@@ -110,6 +113,7 @@
                 self.faulted(fault)
                 if self.current is None:
                     break
+        self.begun = True
         return self.effects
 
     def handed(self, inbox):
@@ -281,7 +285,9 @@
         if same and not q.tag:  # it names a copy that the client does not hold
             result = "errored"
         q.out, over = False, result == "satisfied"
-        copy = None if dated is None or not over or same else (dated, len(body))
+        copy = None
+        if over and not same and dated is not None and rules.stamp_is_plausible(came, dated):
+            copy = dated, len(body)
         self.inbox.append(
             ("ended", (query, push, q.server, result, came - q.sent_at, over, note, waited, load, copy))
         )
@@ -341,16 +347,21 @@
                 self.effects.append(("spread", ("purge", group, key, stamp)))
                 if not self.tight.purge_is_new(group, key, stamp):
                     return
-            self.inbox.append(("purged", (group, max(0.0, self.now - moment), key)))
+            self.inbox.append(("purged", (group, self.purge_age(moment), key)))
+
+    def purge_age(self, stamped):
+        """Seconds since a purge, by its stamp. Of those known at the start nothing else is known."""
+        if not self.begun:
+            return max(0.0, self.now - stamped)
+        return self.now - rules.event_time(self.now, stamped)
 
     def notice(self, kind, values):
         """A peer's notice. It can only tighten, and binds in this very pass."""
         if kind == "purge":
             group, key, stamp = values
             if self.tight.purge_is_new(group, key, stamp):
-                self.inbox.append(
-                    ("purged", (group, max(0.0, self.now - stamp / 1000.0 + self.tight.start), key))
-                )
+                age = self.purge_age(stamp / 1000.0 - self.tight.start)
+                self.inbox.append(("purged", (group, age, key)))
             return
         row = self.tight.receive_notice((kind, *values))
         if row is not None:
--- a/brookhinge/limits/shared.py
+++ b/brookhinge/limits/shared.py
@@ -68,8 +68,8 @@
                     limit.own = part
                 continue
             c, limit = self.fleet.index.get(server), self.crowding if kind == "room" else self.cold[kind]
-            if c is not None and kind != "room" and limit.cold(self.now, self.fleet.born[c]):
-                limit.settle(c, self.now, self.fleet.born[c], self.power(c), max(self.sending))
+            if c is not None and kind != "room" and limit.cold(self.now, self.fleet.cold_from[c]):
+                limit.settle(c, self.now, self.fleet.cold_from[c], self.power(c), max(self.sending))
             if c is not None and part is not None:
                 limit.parts[c] = born, part
             else:
@@ -83,8 +83,8 @@
         for role, budget in self.cold.items():
             for c, work in budget.asked.items():
                 whole = (
-                    budget.whole(now, fleet.born[c], self.power(c), max(self.sending))
-                    if budget.cold(now, fleet.born[c]) and budget.start.multiple > 0
+                    budget.whole(now, fleet.cold_from[c], self.power(c), max(self.sending))
+                    if budget.cold(now, fleet.cold_from[c]) and budget.start.multiple > 0
                     else 0.0
                 )
                 rows.append((role, fleet.ids[c], fleet.born[c], work / elapsed, whole))
@@ -94,10 +94,12 @@
                     fleet.ids[c],
                     fleet.born[c],
                     0.0,
-                    budget.whole(now, fleet.born[c], self.power(c), max(self.sending)),
+                    budget.whole(now, fleet.cold_from[c], self.power(c), max(self.sending)),
                 )
                 for c in (fleet.own if role == "cache" else fleet.parents)
-                if c not in budget.asked and budget.cold(now, fleet.born[c]) and budget.start.multiple > 0
+                if c not in budget.asked
+                and budget.cold(now, fleet.cold_from[c])
+                and budget.start.multiple > 0
             ]
             budget.asked.clear()
         for c, peak in self.crowding.peaks.items():
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -148,6 +148,7 @@
             and name not in line.spent
             and name not in line.waiting
             and not line.stuck()
+            and not line.stream.writing()  # what is written behind it could come after a drain or a purge
         )
 
     def connect(self, server):
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -225,6 +225,7 @@
                     if frames.broken:
                         client.broken = f"unreadable: {frames.broken}"
                     self.hand_on(client)
+                    self.take_cancels(client)
                     self.keep_bound()
                     while client.queued > thrift.LONGEST:  # reads nothing: no more is taken of it meanwhile
                         client.room.clear()
@@ -267,6 +268,19 @@
             client.room.set()
         self.end_broken(client)
 
+    def take_cancels(self, client):
+        """A cancel does not wait behind calls that have to: no attempt may begin for its query any more."""
+        for entry in [entry for entry in client.calls if thrift.is_call_of(entry[0], b"forget")]:
+            number = thrift.cancelled_number(entry[0])
+            if number is None:  # it cannot be read: that is found out in its turn
+                continue
+            waiting = [other for other in client.calls if thrift.number_of_query(other[0]) == number]
+            for done in (entry, *waiting):
+                client.calls.remove(done)
+                client.queued -= len(done[0])
+                self.hold(client, client.held - len(done[0]))
+            self.post("forgotten", (client.number, number))
+
     def end_broken(self, client):
         if client.broken and not client.calls and not client.unread and not self.busy(client.number):
             self.shut(client.number, client.broken)
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -39,7 +39,7 @@
 
             scores = Scores(site.decisions["tracks"], site.decisions["supply"].flow_kb_s)
         self.site, self.log = site, log or Log(site.name)
-        self.start = time.time()
+        self.start, self.steady_start = time.time(), time.monotonic()
         self.phases = Phases(self.log)
         kinds, lineage = [], None  # what goes before Router where limits or verdicts are shared
         returns = self.gate = self.talk = self.purge_log = tight = None
@@ -171,7 +171,8 @@
         self.ended, self.stopped = None, False
 
     def now(self):
-        return time.time() - self.start
+        """Seconds since the start, by a clock that nobody sets; `start` is where they begin in Unix time."""
+        return time.monotonic() - self.steady_start
 
     def busy(self, client):
         """Whether it has queries open, those included that the next round takes."""
--- a/brookhinge/net/thrift.py
+++ b/brookhinge/net/thrift.py
@@ -60,6 +60,32 @@
         return frames
 
 
+def is_call_of(frame, method):
+    """Whether a frame begins as a message of that method; a look, not a check."""
+    return frame[4:8] == INT.pack(len(method)) and frame[8 : 8 + len(method)] == method
+
+
+def number_of_query(frame):
+    """The sequence number of a call of `serve`, or None."""
+    if not is_call_of(frame, b"serve"):
+        return None
+    try:
+        return read_head(Reader(frame))[2]
+    except Unreadable:
+        return None
+
+
+def cancelled_number(frame):
+    """The sequence number that a message of `forget` names, or None where it cannot be read."""
+    reader = Reader(frame)
+    try:
+        _, kind, _ = read_head(reader)
+        number = read_args(reader, {1: I32}).get(1)
+    except (Unreadable, Unusable):
+        return None
+    return number if kind == ONEWAY and reader.at == len(frame) else None
+
+
 class Reader:
     """Reads the values of one frame."""
 
--- a/brookhinge/roster.py
+++ b/brookhinge/roster.py
@@ -1,5 +1,7 @@
 """The table of servers as the command channel last listed them. It decides nothing; no I/O, no clock."""
 
+from brookhinge.rules import event_time
+
 # Seconds after which nothing sent to a server that is gone can still be in flight: its index may be given to another.
 REUSE_AFTER_S = 30.0
 
@@ -11,7 +13,8 @@
     role       'cache', 'parent' or 'origin'
     state      health as last listed; 'gone' for a server that left
     weight     transfers at full pace, where told
-    born       start of the server's process, or None for one that was there from the first
+    born       start of the server's process as listed, or None for one that was there from the first
+    cold_from  since when it counts as started: `born`, or when it was listed if that is another clock's time
     zone, cell where it stands
     inflight   queries that this router has there now
     forgot_at  when it last lost what it held: at a restart, a drain or its end
@@ -23,7 +26,8 @@
     def __init__(self, kinds, here):
         """kinds: what the list calls parents and origins; here: this router's zone."""
         (self.parent_kind, self.origin_kind), self.here, self.index = kinds, here, {}
-        self.ids, self.role, self.state, self.weight, self.born = [], [], [], [], []
+        self.ids, self.role, self.state, self.weight, self.born, self.cold_from = [], [], [], [], [], []
+        self.first_at = None  # when the first list came: starts before it were not watched
         self.zone, self.cell, self.inflight, self.forgot_at = [], [], [], []
         self.own, self.parents, self.origins, self.fresh = [], [], [], []
 
@@ -52,6 +56,7 @@
             (self.state, "gone"),
             (self.weight, 0.0),
             (self.born, None),
+            (self.cold_from, None),
             (self.zone, -1),
             (self.cell, 0),
             (self.inflight, 0),
@@ -63,6 +68,7 @@
         """Takes a list of (id, health, weight, born, cell, kind of server, zone). A server that a complete list (kind
         'full' or 'saved') leaves out is gone."""
         self.fresh = []
+        self.first_at = now if self.first_at is None else self.first_at
         listed = {self.take_row(now, *row) for row in rows}
         if kind in ("full", "saved"):
             for c in range(len(self.ids)):
@@ -75,11 +81,20 @@
         c = self.index_of(now, server)
         if health != "ready" or self.born[c] != born:  # left, drained or restarted: what it held is gone
             self.forgot_at[c] = now
+        if self.born[c] != born or c in self.fresh:
+            self.cold_from[c] = self.start_of(now, born)
         self.state[c], self.weight[c], self.born[c] = health, weight, born
         self.cell[c], self.zone[c] = cell, zone
         self.role[c] = {self.origin_kind: "origin", self.parent_kind: "parent"}.get(kind, "cache")
         return c
 
+    def start_of(self, now, born):
+        """Since when a server counts as started that was listed just now. Of those in the first list nothing but their
+        stamp is known; a later one was not there before."""
+        if born is None:
+            return None
+        return min(born, now) if now == self.first_at else event_time(now, born)
+
     def group_by_role(self):
         """Lists the indices of each role anew, in the order of the ids."""
         listed = [c for c, state in enumerate(self.state) if state != "gone"]
--- /dev/null
+++ b/brookhinge/rules.py
@@ -0,0 +1,130 @@
+"""What a router may do now: send, send again, refuse, close, believe a time stamp. The one place for it.
+
+The decisions (`brookhinge/decide.py`) ask here before they act; the engine asks here again with its own record of the facts
+when it acts, and counts what should not have been (`brookhinge/engine/invariants.py`). Pure functions without I/O or clock;
+times are seconds of the caller's steady clock, unless a name says otherwise."""
+
+import enum
+from typing import NamedTuple
+
+SEND_STATE = "ready"  # the only state of a server that takes new work, as server or as source of a fill
+CONNECT_MARGIN_S = 0.1  # a push may wait so long for its connection: a window of repeats ends earlier by that
+DEADLINE_SLACK_S = 0.15  # by how much the deadline passed to a server may exceed what the client has left
+CANCEL_SLACK_S = 0.1  # an attempt that begins so long after its client left is a lost request
+PLAUSIBLE_DELAY_S = (
+    60.0  # an event is told at most so late; a stamp further back is that of a clock that was set
+)
+STAMP_SLACK_S = 1.0  # clocks of two machines may differ by so much without either having been set
+FEW_CALLS = 30  # under so many calls a slow start has a wider bound
+
+
+class Refusal(enum.StrEnum):
+    """Why a query got a final answer other than 'satisfied'."""
+
+    NO_TIME = "no_time"  # its deadline is too near for an attempt
+    ATTEMPTS_USED = "attempts_used"  # as many attempts as the settings allow
+    NO_SERVER = "no_server"  # no server is listed, healthy, warm enough and allowed
+    CROWDED = "crowded"  # the servers that could take it have enough in flight
+    LINK_CROWDED = "link_crowded"  # nor can it be filled: the link in or its sources are full
+    ORIGIN_FAILING = "origin_failing"  # little goes to the origin while what goes there ends badly
+    NOT_HELD = "not_held"  # it was only looked for, and is not there
+    RETRY_BUDGET = "retry_budget"  # queries have not earned a further attempt lately
+    MAY_HAVE_RUN = "may_have_run"  # a further attempt could be a second effect
+    EARLY = "early"  # a client came back before its place in the plan of returns
+    STOPPING = "stopping"  # read after the process began to end, or open at its last moment
+    FAULT = "fault"  # an exception of ours, or a check at run time that failed
+
+
+class CloseReason(enum.StrEnum):
+    """Why a connection was closed by this process, or that the other side did it."""
+
+    PEER = "peer"  # closed or reset by the other side
+    IDLE = "idle"
+    NO_CALL = "no_call"  # a client that has never asked
+    ROOM = "room"  # others need its descriptor
+    SLOW = "slow"  # half a message and not its rest in time
+    UNREADABLE = "unreadable"
+    BREACH = "breach"  # the client broke the protocol's numbers, ids or bounds
+    MEMORY = "memory"  # the bytes held for all clients passed their bound
+    UNREAD = "unread"  # its last answers were not read
+    FAILED = "failed"  # a write or read failed, or an exception of ours
+    STOPPING = "stopping"
+    SILENT = "silent"  # a server: nothing was received in time, not even the answer to an ECHO
+    NO_CONNECTION = "no_connection"  # a server: the connect failed or took too long
+    RETIRED = "retired"  # a server: it takes nothing new and nothing is out on it
+    UNSENT = "unsent"  # a server: closing withdraws for sure what may not have been written
+
+
+# Closes that may end a connection with a query open or unread: its client left, broke the protocol, or the process ends.
+FORCED_CLOSES = frozenset(
+    (
+        CloseReason.PEER,
+        CloseReason.BREACH,
+        CloseReason.MEMORY,
+        CloseReason.UNREAD,
+        CloseReason.FAILED,
+        CloseReason.STOPPING,
+    )
+)
+
+
+class Ran(NamedTuple):
+    """The first attempt of a query that may have run: where, and when it was sent."""
+
+    zone: int
+    cell: int
+    at: float
+
+
+# Ends of an attempt that prove that nothing ran.
+NEVER_RAN = frozenset(("full", "unreachable", "moot", "miss", "unsent"))
+
+
+def may_send_to(state):
+    """Whether a server in that state, as last told, takes new work or may be named as the source of a fill."""
+    return state == SEND_STATE
+
+
+def may_repeat(track, ran, zone, cell, now):
+    """Whether a query may be sent to a server at (zone, cell). ran: its first attempt that may have run, or None."""
+    if ran is None or track.effect == "replayable":
+        return True
+    if track.effect != "referenced":
+        return False
+    same = zone == ran.zone and (track.group == "zone" or cell == ran.cell)
+    remembered = now - ran.at < track.window_s - CONNECT_MARGIN_S
+    return (same or track.group == "all") and remembered
+
+
+def may_invite_repeat(track, ran):
+    """Whether the final answer may say that asking again is harmless (a refusal), or must be a failure."""
+    return (
+        ran is None or track.effect == "replayable" or (track.effect == "referenced" and track.group == "all")
+    )
+
+
+def may_close(reason, has_open_query, has_unread_call):
+    """Whether a client's connection may be closed now."""
+    return reason in FORCED_CLOSES or not (has_open_query or has_unread_call)
+
+
+def deadline_is_honest(patience_s, left_s):
+    """Whether a server may be told that the router waits so long, of what its client has left."""
+    return patience_s <= left_s + DEADLINE_SLACK_S
+
+
+def slow_start_bound(calls):
+    """The calls of mean work in one window that a server bears in slow start, where the settings allow it `calls`."""
+    root = max(0.0, calls) ** 0.5
+    return calls + 3.0 * root + 3.0 if calls < FEW_CALLS else calls + 2.0 * root + 2.0
+
+
+def event_time(now, stamped):
+    """When an event took place that was told just now, by the stamp of its sender's wall clock. A stamp of the future, or of
+    longer ago than events are told late, is that of a clock that was set: now is taken, which tightens every rule."""
+    return stamped if now - PLAUSIBLE_DELAY_S <= stamped <= now else now
+
+
+def stamp_is_plausible(now, stamped):
+    """Whether a copy's age can be told by its stamp: one of the future would make it younger than it is."""
+    return stamped <= now + STAMP_SLACK_S
--- /dev/null
+++ b/tests/test_clocks.py
@@ -0,0 +1,67 @@
+"""Stamps of wall clocks that were set: what is told by them binds at least as strictly as by the right time."""
+
+import pytest
+
+from brookhinge import rules
+from tests.helpers import Bench, Desk
+
+HOUR_S = 3600.0
+
+
+@pytest.mark.parametrize("stamped", [-HOUR_S, HOUR_S, 9.9])
+def test_a_purge_told_just_now_is_never_taken_for_one_of_long_ago(tmp_path, stamped):
+    """Its sender's clock was set back or forward; a copy from before the purge must not pass."""
+    desk, asked = Desk(tmp_path), []
+    real = desk.reducer.push
+    desk.reducer.push = lambda *values: (asked.append(values[5]), real(*values))
+    desk.hear(("purged", (4, 0, stamped, "aa")), at=10.0)
+    desk.ask(at=10.5)
+    assert len(asked) == 1 and 0.0 < asked[0] <= 0.6
+
+
+def test_a_purge_known_at_the_start_counts_from_its_stamp(tmp_path):
+    desk, asked = Desk(tmp_path), []
+    real = desk.reducer.push
+    desk.reducer.push = lambda *values: (asked.append(values[5]), real(*values))
+    desk.reducer.begun = False
+    desk.hear(("purged", (4, 0, -HOUR_S, "aa")), at=10.0)
+    desk.ask(at=10.5)
+    assert asked == [0.0]
+
+
+@pytest.mark.parametrize(
+    "born, cold_from", [(-HOUR_S, 10.0), (HOUR_S, 10.0), (9.0, 9.0), (-20.0, -20.0), (None, None)]
+)
+def test_a_server_listed_just_now_is_in_slow_start_whatever_clock_it_was_told_by(born, cold_from):
+    bench = Bench()
+    bench.call("roster", "changes", [bench.row(31, born=born)], at=10.0)
+    fleet = bench.router.fleet
+    assert fleet.cold_from[fleet.index[31]] == cold_from
+    bench.call("roster", "changes", [bench.row(31, born=born)], at=90.0)  # told again: the same start
+    assert fleet.cold_from[fleet.index[31]] == cold_from
+
+
+def test_of_servers_in_the_first_list_the_stamp_holds():
+    bench = Bench(caches=())
+    bench.router.fleet.first_at = None
+    bench.call("roster", "full", [bench.row(31, born=-HOUR_S)], at=10.0)
+    assert bench.router.fleet.cold_from[bench.router.fleet.index[31]] == -HOUR_S
+
+
+@pytest.mark.parametrize("dated, kept", [(10.0, True), (10.0 + HOUR_S, False), (12.0, False)])
+def test_a_copy_dated_in_the_future_is_not_kept(tmp_path, dated, kept):
+    """Its age could not be told: it would pass for fresh for an hour."""
+    desk = Desk(
+        tmp_path, limits={"memory_mb": 192, "sockets": 1024}, flow_bytes_per_s=1e6, link_bytes_per_s=1e7
+    )
+    desk.ask(at=10.0)
+    desk.hear(("ended", (0, 1, "miss", 0, 0.0, None, b"", False, 10.1)), at=10.1)
+    desk.hear(("ended", (0, 2, "satisfied", 2, 0.0, None, b"bytes", False, 10.2, dated, b"t", None)), at=10.2)
+    assert bool(desk.reducer.copies) is kept
+
+
+def test_events_are_told_late_but_not_that_late():
+    late_s = rules.PLAUSIBLE_DELAY_S
+    assert rules.event_time(100.0, 100.0 - late_s) == 100.0 - late_s
+    assert rules.event_time(100.0, 100.0 - late_s - 1.0) == 100.0
+    assert rules.event_time(100.0, 100.5) == 100.0
