--- a/tests/crossings/test_rare.py
+++ b/tests/crossings/test_rare.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import errno
+import itertools
 import socket
 import time
 
 import pytest
 
+from brookhinge.engine.commands import read_commands
+from brookhinge.engine.reducer import Reducer
 from brookhinge.net import front, thrift
 from brookhinge.net import caches as net_caches
-from tests.crossings.test_sockets import Raw
-from tests.helpers import Machine, settings
+from brookhinge.storm.lineage import Lineage
+from tests.crossings.test_sockets import Raw, warm
+from tests.helpers import Desk, Machine, configuration, settings
 from tests.test_service import caches, played, until
 
 HOUR_S = 3600.0
@@ -171,3 +175,59 @@
     machines = {server: DeafMachine() for server in ("s-21", "s-22", "s-23")}
     patient = settings(ConnectTimeoutNs=2e9)  # a server that is silent is given up only after half of it
     assert played(scene, tmp_path, machines=machines, settings=patient) == (True, 1)
+
+
+class FailingSocket:
+    def __init__(self, error):
+        self.error = error
+
+    def recv(self, *_):
+        raise OSError(self.error, "planted")
+
+
+class FailingStream:
+    def __init__(self, error):
+        self.socket = FailingSocket(error)
+
+
+def test_a_connection_is_silent_only_if_the_system_says_so():
+    """A look for unread bytes that fails for want of memory says nothing: a call behind it would be lost."""
+    errors = errno.EAGAIN, errno.ECONNRESET, errno.ENOMEM, errno.ENOBUFS
+    silent = [front.Client(1, FailingStream(error), 0.0).silent() for error in errors]
+    assert silent == [True, True, False, False]
+
+
+def test_want_of_memory_for_a_moment_ends_no_connection(tmp_path):
+    async def scene(t, patch, method, error):
+        real, failing = getattr(socket.socket, method), set()
+
+        def fake(self, *args):
+            if self.fileno() in failing:
+                failing.discard(self.fileno())
+                raise OSError(error, "planted")
+            return real(self, *args)
+
+        await warm(t)
+        patch.setattr(socket.socket, method, fake, raising=False)
+        streams = [client.stream for client in t.service.front.clients.values()]
+        streams += [line.stream for line in t.service.caches.all]
+        failing.update(stream.socket.fileno() for stream in streams)
+        t.caller.ask(1)
+        return await t.caller.hear()
+
+    for case in itertools.product(("recv_into", "send"), (errno.ENOMEM, errno.ENOBUFS)):
+        with pytest.MonkeyPatch.context() as patch:
+            answer = played(lambda t: scene(t, patch, *case), tmp_path, machines=caches())
+        assert answer is not None and answer[1] == "satisfied 19", case
+
+
+def test_a_retry_does_not_wait_for_a_copy_from_before_a_purge(tmp_path):
+    """With storms on a retry waits for its first try's answer; what that was asked with knew nothing of the purge."""
+    for group, key in ((0, "aa"), (4, "")):
+        desk = Desk(tmp_path)
+        tracks = [track.name.encode() for track in desk.router.tracks]
+        desk.reducer = Reducer(desk.router, tracks, list(desk.reducer.zones), Lineage())
+        desk.hear(*read_commands(configuration()["known"], 0.0)[1])
+        assert any("pull" in line for line in desk.ask(allow=3.0))
+        desk.hear(("purged", (4, group, desk.now, key)))
+        assert any("pull" in line for line in desk.ask(at=desk.now + 1.0)), (group, key)
