Soak of real processes on loopback: troubles by seed, two or three at once, judged from both ends

Six routers, eleven scripted servers, two boxes, two command channels, three witnesses that see every byte between routers and servers, six client processes; a shim (LD_PRELOAD) steps wall clocks and fails system calls; 35 kinds of trouble.

--- /dev/null
+++ b/benchmarks/soak/driver.py
@@ -0,0 +1,644 @@
+"""Starts the processes of a soak, plays its schedule of troubles, and ends all that it started."""
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from benchmarks.soak import schedule, shim, world
+from benchmarks.soak.records import Recorder
+from brookhinge.client.client import Connection
+from brookhinge.standin.ports import free_port
+
+ROUTERS, CACHES, PARENTS, BOXES, WITNESSES, CLIENTS = 6, 8, 2, 2, 3, 6
+RATE = 55.0  # requests a second of each client process
+DESCRIPTORS = 220  # of each router
+PURGES_A_S = 1.5
+READY_S = 10.0  # until a restarted router has to serve
+STOP_S = world.LONGEST_S + 0.7 + 0.15  # from SIGTERM to SIGKILL
+FRONT_LEAVES_S = 0.25  # after SIGTERM clients stop using a router
+KNOWN_PURGES_S = 20.0
+SETTLE_S = 5.0  # at the end, until every request has its answer
+BOX = """box "{name}" {{
+  listen = "127.0.0.1:{port}"
+  channel = "127.0.0.1:{channel}"
+  drain_s = 0.5
+  track "feed" {{
+    fresh_s = 2
+    stale_s = 2
+  }}
+  store {{
+    dir = "{dir}"
+    memory_mb = 16
+    disk_mb = 64
+    segment_mb = 2
+    sync_s = 0.2
+    snapshot_s = 1.0
+  }}
+}}
+"""
+
+
+class Stuck(RuntimeError):
+    """A process of the soak itself did not start."""
+
+
+class StandIn:
+    """A process of this package, with orders on its standard input."""
+
+    def __init__(self, driver, module, name, **spec):
+        self.driver, self.module, self.name = driver, module, name
+        self.spec = {"name": name, "folder": str(driver.folder), "seed": driver.seed, **spec}
+        self.process = None
+
+    async def start(self):
+        self.process = await self.driver.spawn(
+            self.name,
+            [sys.executable, "-m", f"benchmarks.soak.{self.module}", json.dumps(self.spec)],
+            self.driver.others.environ(),
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        line = await asyncio.wait_for(self.process.stdout.readline(), 20.0)
+        if line != b"ready\n":
+            raise Stuck(f"{self.name} did not start: see {self.driver.folder / self.name}.err")
+
+    def order(self, do, **values):
+        if self.process is not None and self.process.returncode is None:
+            self.process.stdin.write(json.dumps({"do": do, **values}).encode() + b"\n")
+
+
+class Router:
+    """One router: its process, configuration and control block."""
+
+    def __init__(self, driver, number):
+        self.driver, self.number, self.name = driver, number, f"r{number}"
+        self.port = free_port()
+        self.control = shim.Control(driver.shim, driver.folder / f"{self.name}.control")
+        self.channel, self.process, self.lock, self.starts = 0, None, asyncio.Lock(), 0
+
+    def config_path(self):
+        return self.driver.folder / f"{self.name}.json"
+
+    def write_config(self):
+        known, cursor = self.driver.known()
+        port = self.driver.channel_ports[self.channel][self.name]
+        values = world.configuration(
+            self.name,
+            self.port,
+            port,
+            self.driver.seed * 1000 + self.number * 10 + self.starts,
+            ROUTERS,
+            known,
+            DESCRIPTORS,
+        )
+        self.config_path().write_text(json.dumps(values))
+        return cursor
+
+    async def start(self):
+        self.starts += 1
+        cursor = self.write_config()
+        self.driver.record("router_start", router=self.name, cursor=cursor)
+        fault = self.driver.fault
+        program = ["benchmarks.soak.faults", fault] if fault else ["brookhinge"]
+        environ = {
+            **self.control.environ(),
+            "BALANCER_CONFIG": str(self.config_path()),
+            "BROOKHINGE_TRACE": str(self.driver.folder / f"{self.name}.trace"),
+        }
+        self.process = await self.driver.spawn(
+            self.name,
+            [sys.executable, "-m", *program],
+            environ,
+            descriptors=DESCRIPTORS,
+            tree=self.driver.tree,
+        )
+        asyncio.ensure_future(self.watch(self.process))
+        await self.until_ready()
+
+    async def watch(self, process):
+        code = await process.wait()
+        self.driver.record("router_exit", router=self.name, code=code, process=process.pid)
+
+    async def until_ready(self):
+        began = time.monotonic()
+        while time.monotonic() - began < READY_S:
+            if self.process.returncode is not None:
+                return
+            connection = Connection(("127.0.0.1", self.port))
+            try:
+                await asyncio.wait_for(connection.connect(), 1.0)
+                well = await connection.well()
+                connection.close()
+                if well:
+                    self.driver.record("router_ready", router=self.name, after_s=time.monotonic() - began)
+                    return self.driver.tell_clients("use", router=self.name, used=True)
+            except (OSError, asyncio.TimeoutError):
+                pass
+            await asyncio.sleep(0.05)
+        self.driver.record("router_not_ready", router=self.name)
+
+    async def stop(self):
+        """SIGTERM, clients leave it, SIGKILL if it does not end in its time."""
+        process = self.process
+        self.driver.record("router_term", router=self.name, process=process.pid)
+        process.send_signal(signal.SIGTERM)
+        asyncio.get_running_loop().call_later(
+            FRONT_LEAVES_S, lambda: self.driver.tell_clients("use", router=self.name, used=False)
+        )
+        try:
+            await asyncio.wait_for(asyncio.shield(process.wait()), STOP_S)
+        except asyncio.TimeoutError:
+            self.driver.record("router_killed", router=self.name, process=process.pid, late=True)
+            process.kill()
+            await process.wait()
+
+    async def kill(self):
+        process = self.process
+        self.driver.record("router_killed", router=self.name, process=process.pid, late=False)
+        process.kill()
+        await process.wait()
+        self.driver.tell_clients("use", router=self.name, used=False)
+
+
+class Box:
+    """A `brookhinge box` with a folder that lasts."""
+
+    def __init__(self, driver, number):
+        self.driver, self.name = driver, f"b{number}"
+        self.port, self.folder = free_port(), driver.folder / f"b{number}.store"
+        self.control = shim.Control(driver.shim, driver.folder / f"{self.name}.control")
+        self.process, self.lock = None, asyncio.Lock()
+
+    async def start(self):
+        path = self.driver.folder / f"{self.name}.hcl"
+        channel = self.driver.channel_ports[0][self.name]
+        path.write_text(BOX.format(name=self.name, port=self.port, channel=channel, dir=self.folder))
+        program = [sys.executable, "-m", "brookhinge", "box", "--file", str(path), "--name", self.name]
+        self.process = await self.driver.spawn(
+            self.name, program, self.control.environ(), tree=self.driver.tree
+        )
+        await self.driver.until_open(self.port, self.name)
+
+    async def kill(self):
+        self.process.kill()
+        await self.process.wait()
+
+
+class Driver:
+    def __init__(self, seed, run_s, folder, fault=None, tree=None, say=lambda text: None):
+        """fault: one of faults.py, planted in the routers; tree: a checkout whose routers and boxes run in place of this
+        one's."""
+        self.seed, self.run_s, self.folder, self.fault, self.say = seed, run_s, Path(folder), fault, say
+        self.tree = Path(tree) if tree else Path(__file__).parents[2]
+        self.record = Recorder(folder, "driver")
+        self.shim = shim.build(folder)
+        self.others = shim.Control(self.shim, self.folder / "others.control")
+        self.processes, self.started, self.tasks = [], 0, []
+        self.hosts, self.events, self.purged, self.cursor = {}, [], [], 0
+        self.steps = schedule.steps_of(seed, run_s)
+
+    # starting and ending
+
+    async def spawn(self, name, args, environ, descriptors=4096, tree=None, **pipes):
+        out = pipes.pop("stdout", None)
+        stdout = out if out is not None else open(self.folder / f"{name}.log", "ab")
+        root = str(Path(__file__).parents[2])
+        paths = [str(tree or root), root]
+        with open(self.folder / f"{name}.err", "ab") as stderr:
+            process = await asyncio.create_subprocess_exec(
+                *args,
+                stdout=stdout,
+                stderr=stderr,
+                cwd=tree or root,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(paths), **environ},
+                preexec_fn=lambda: limit_descriptors(descriptors),
+                **pipes,
+            )
+        self.processes.append(process)
+        self.started += 1
+        return process
+
+    async def until_open(self, port, name):
+        for _ in range(400):
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.close()
+                return
+            except OSError:
+                await asyncio.sleep(0.025)
+        raise Stuck(f"{name} did not start: see {self.folder / name}.err")
+
+    def lay_out(self):
+        """Names, ports and parts of every process."""
+        self.routers = [Router(self, number) for number in range(ROUTERS)]
+        self.boxes = [Box(self, number) for number in range(BOXES)]
+        roles = {"o1": world.ORIGIN, **{f"p{n}": world.PARENT for n in range(PARENTS)}}
+        roles |= {f"c{n}": world.CACHE for n in range(CACHES)}
+        ports = {name: free_port() for name in roles}
+        names = [router.name for router in self.routers] + [box.name for box in self.boxes]
+        self.channel_ports = [{name: free_port() for name in names} for _ in range(2)]
+        self.channels = [
+            StandIn(self, "channel", f"channel{n}", ports=ports_, events=[])
+            for n, ports_ in enumerate(self.channel_ports)
+        ]
+        self.servers = {
+            name: StandIn(self, "server", name, role=role, port=ports[name], sources=ports, origin_id="o1")
+            for name, role in roles.items()
+        }
+        upstream = {**ports, **{box.name: box.port for box in self.boxes}}
+        fronts = {name: (free_port(), port) for name, port in upstream.items()}
+        self.witnesses = [
+            StandIn(self, "witness", f"witness{n}", fronts={s: fronts[s] for s in list(fronts)[n::WITNESSES]})
+            for n in range(WITNESSES)
+        ]
+        router_ports = {router.name: router.port for router in self.routers}
+        self.clients = [
+            StandIn(self, "client", f"client{n}", routers=router_ports, rate=RATE) for n in range(CLIENTS)
+        ]
+        for name, (port, _) in fronts.items():
+            kind = roles.get(name, world.CACHE)
+            self.hosts[name] = {
+                "host": name,
+                "dial": f"127.0.0.1:{port}",
+                "site": world.ZONE if kind == world.CACHE else world.HUB,
+                "class": kind,
+                "block": 0,
+                "health": "up",
+                "share": world.POWER,
+                "born_ms": 0,
+            }
+
+    async def run(self):
+        """The whole soak; every process is ended on the way out, whatever happened."""
+        try:
+            self.lay_out()
+            self.tell_event(nodes={"seq": 1, "whole": True, "hosts": list(self.hosts.values())})
+            for channel in self.channels:
+                channel.spec["events"] = list(self.events)
+            stand_ins = [*self.channels, *self.servers.values(), *self.witnesses]
+            await asyncio.gather(*(part.start() for part in stand_ins))
+            await asyncio.gather(*(box.start() for box in self.boxes))
+            await asyncio.gather(*(router.start() for router in self.routers))
+            await asyncio.gather(*(client.start() for client in self.clients))
+            self.say(f"{self.started} processes, {len(self.steps)} troubles")
+            self.record("begin")
+            await self.play()
+            await self.finish()
+        finally:
+            await self.end_all()
+
+    async def play(self):
+        began = time.monotonic()
+        self.tasks.append(asyncio.ensure_future(self.purge_now_and_then()))
+        for step in self.steps:
+            await asyncio.sleep(max(0.0, began + step.at_s - time.monotonic()))
+            self.tasks.append(asyncio.ensure_future(self.trouble(step)))
+        await asyncio.sleep(max(0.0, began + self.run_s - time.monotonic()))
+
+    async def finish(self):
+        """No more requests; what is open is answered; then the routers are told to end."""
+        for client in self.clients:
+            for router in self.routers:
+                client.order("use", router=router.name, used=False)
+        await asyncio.sleep(SETTLE_S)
+        self.record("end")
+        await asyncio.gather(*(router.stop() for router in self.routers if router.process.returncode is None))
+        await asyncio.sleep(0.1)
+
+    async def end_all(self):
+        for task in self.tasks:
+            task.cancel()
+        for process in self.processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        await asyncio.gather(*(process.wait() for process in self.processes))
+
+    # what the command channel tells
+
+    def wall_ms(self):
+        """The wall clock of the machines beside the routers."""
+        return round((time.time() + self.others.offset_s) * 1000)
+
+    def tell_event(self, **event):
+        self.cursor += 1
+        row = {"cursor": self.cursor, **event}
+        self.events.append(row)
+        for channel in getattr(self, "channels", ()):
+            channel.order("tell", events=[row])
+        return self.cursor
+
+    def list_server(self, name, health, born_ms=None):
+        host = self.hosts[name]
+        host["health"] = health
+        if born_ms is not None:
+            host["born_ms"] = born_ms
+        cursor = self.tell_event(nodes={"seq": self.cursor + 1, "whole": False, "hosts": [dict(host)]})
+        self.record("listed", server=name, health=health, cursor=cursor)
+
+    def known(self):
+        """What a router finds in its configuration at a start, and the number of the last event in it."""
+        hosts = [host for host in self.hosts.values() if host["health"] != "removed"]
+        rows = [{"cursor": self.cursor, "nodes": {"seq": self.cursor, "whole": True, "hosts": hosts}}]
+        recent = [drop for at, drop, _ in self.purged if time.monotonic() - at < KNOWN_PURGES_S]
+        return {
+            "cursor": self.cursor,
+            "cmds": [*({"cursor": self.cursor, "drop": d} for d in recent), *rows],
+        }, self.cursor
+
+    def purge(self, number):
+        """An object (or the group that it is in) has other bytes from now on."""
+        name = world.object_name(number)
+        by_group = number % 5 == 0
+        names = [name]
+        if by_group:
+            every = map(world.object_name, range(world.OBJECTS))
+            names = [other for other in every if world.group_of(other) == world.group_of(name)]
+        at, when = time.monotonic(), self.wall_ms()
+        for index, server in enumerate(self.servers.values()):
+            late_s = 0.3 + (number * 7 + index * 13) % 40 / 10.0
+            server.order("change", names=names, at=at, after_s=min(late_s, world.PURGED_EVERYWHERE_S - 0.5))
+        drop = {"family": world.group_of(name), "when": when} if by_group else {"id": name, "when": when}
+        self.purged.append((at, drop, names))
+        cursor = self.tell_event(drop=drop)
+        self.record("purge", at, names=names, cursor=cursor)
+
+    async def purge_now_and_then(self):
+        number = self.seed
+        while True:
+            await asyncio.sleep(1.0 / PURGES_A_S)
+            number = (number * 1103515245 + 12345) % (1 << 31)
+            self.purge(number % 60)  # those that are asked for most
+
+    def tell_clients(self, do, **values):
+        for client in self.clients:
+            client.order(do, **values)
+
+    # troubles
+
+    async def trouble(self, step):
+        target = self.target_of(step)
+        if target is None:
+            return
+        name = getattr(target, "name", target)
+        self.record("trouble", kind=step.kind, target=name, begins=True)
+        self.say(f"{step.at_s:6.1f} s  {step.kind} {name}")
+        try:
+            await getattr(self, step.kind.value)(target, step)
+        finally:
+            self.record("trouble", kind=step.kind, target=name, begins=False)
+
+    def target_of(self, step):
+        """The router, server, box, channel or name that a trouble is for; None where all of those are in another one."""
+        family = step.kind.partition("_")[0]
+        if family == "router":
+            free = [r for r in self.routers if not r.lock.locked() and r.process.returncode is None]
+        elif family == "box":
+            free = [box for box in self.boxes if not box.lock.locked()]
+        elif family == "channel":
+            free = self.channels
+        elif family in ("server", "link", "answers"):
+            free = [name for name in self.servers if name[0] == "c" and self.hosts[name]["health"] == "up"]
+            free += ["p0"] if family != "server" else []
+        elif family == "clients":
+            free = self.routers
+        else:
+            return "all"
+        return free[step.target % len(free)] if free else None
+
+    def witness_of(self, server):
+        return next(w for w in self.witnesses if server in w.spec["fronts"])
+
+    def neighbours(self, server, count=3):
+        """A few servers, that one first: many troubles need more than one to matter."""
+        names = [name for name in self.servers if name[0] == "c"]
+        first = names.index(server) if server in names else 0
+        return [names[(first + n) % len(names)] for n in range(count)]
+
+    async def router_stop(self, router, step):
+        async with router.lock:
+            await router.stop()
+            await router.start()
+
+    async def router_kill(self, router, step):
+        async with router.lock:
+            await router.kill()
+            await asyncio.sleep(0.3)
+            await router.start()
+
+    async def router_reload(self, router, step):
+        """New configurations in quick succession; one of them may be no JSON."""
+        for number in range(1 + int(step.size * 3)):
+            router.channel = 1 - router.channel
+            router.write_config()
+            if step.size > 0.8 and number == 0:
+                router.config_path().write_text('{"name": ')
+            if router.process.returncode is None:
+                router.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.15)
+        router.write_config()
+
+    async def router_freeze(self, router, step):
+        process = router.process
+        self.record("freeze", router=router.name)
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.2 + step.size)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+        self.record("thaw", router=router.name)
+
+    async def router_clock(self, router, step):
+        router.control.set(offset_s=router.control.offset_s + schedule.clock_step_s(step.size))
+        await asyncio.sleep(step.for_s)
+        if step.target % 2:  # it is set right again, or stays
+            router.control.set(offset_s=0.0)
+
+    async def all_clocks(self, _, step):
+        step_s = schedule.clock_step_s(step.size)
+        for control in self.controls():
+            control.set(offset_s=control.offset_s + step_s)
+        await asyncio.sleep(step.for_s)
+
+    def controls(self):
+        return [self.others, *(part.control for part in (*self.routers, *self.boxes))]
+
+    async def calls_fail(self, router, for_s, **rates):
+        router.control.set(**rates)
+        await asyncio.sleep(for_s)
+        router.control.calm()
+
+    async def router_calls(self, router, step):
+        """Receives and sends fail in ways that pass, those to servers also in ways that do not."""
+        await self.calls_fail(router, step.for_s, receive=30_000, send=30_000, upstream=5_000)
+
+    async def router_accept(self, router, step):
+        await self.calls_fail(router, step.for_s, accept=950_000)
+
+    async def router_connect(self, router, step):
+        await self.calls_fail(router, step.for_s, connect=400_000, socket=300_000)
+
+    async def router_short(self, router, step):
+        await self.calls_fail(router, step.for_s, shorten=500_000, receive=20_000)
+
+    async def server_kill(self, server, step):
+        """The process dies, the list says so a little later, it comes back cold."""
+        part = self.servers[server]
+        witness = self.witness_of(server)
+        part.process.kill()
+        witness.order("down", server=server)
+        await asyncio.sleep(0.5)
+        self.list_server(server, "removed")
+        await asyncio.sleep(step.for_s)
+        part.spec["purged"] = {name: at for at, _, names in self.purged[-200:] for name in names}
+        await part.start()
+        witness.order("up", server=server)
+        self.record("server_started", server=server)
+        self.list_server(server, "up", born_ms=self.wall_ms())
+
+    async def server_hang(self, server, step):
+        names = self.neighbours(server, 1 + int(step.size * 3))
+        for name in names:
+            self.servers[name].process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(step.for_s)
+        for name in names:
+            if self.servers[name].process.returncode is None:
+                self.servers[name].process.send_signal(signal.SIGCONT)
+
+    async def server_drain(self, server, step):
+        """One or a few drain; they leave the list and come back, or come back from the drain."""
+        names = [
+            n for n in self.neighbours(server, 1 + int(step.size * 3)) if self.hosts[n]["health"] == "up"
+        ]
+        for name in names:
+            self.list_server(name, "draining")
+        await asyncio.sleep(step.for_s)
+        if step.target % 2:
+            for name in names:
+                self.list_server(name, "removed")
+            await asyncio.sleep(1.0)
+        for name in names:
+            self.list_server(name, "up")
+
+    async def server_slow(self, server, step):
+        await self.behave(self.neighbours(server, 2), step.for_s, slow=20.0 + 60.0 * step.size)
+
+    async def server_fail(self, server, step):
+        await self.behave(self.neighbours(server, 3), step.for_s, fail_rate=0.4, refuse_rate=0.3)
+
+    async def behave(self, names, for_s, **how):
+        for name in names:
+            self.servers[name].order("behave", **how)
+        await asyncio.sleep(for_s)
+        for name in names:
+            self.servers[name].order("behave", slow=1.0, fail_rate=0.0, refuse_rate=0.0)
+
+    async def link(self, names, kind, rate, for_s):
+        for name in names:
+            self.witness_of(name).order("trouble", server=name, kind=kind, rate=rate, for_s=for_s)
+        await asyncio.sleep(for_s)
+
+    async def link_reset(self, server, step):
+        await self.link(self.neighbours(server, 4), "reset", 0.15, step.for_s)
+
+    async def link_silent(self, server, step):
+        await self.link(self.neighbours(server, 2), "silent", 1.0, step.for_s)
+
+    async def link_deaf(self, server, step):
+        await self.link(self.neighbours(server, 2), "deaf", 1.0, step.for_s)
+
+    async def link_refuse(self, server, step):
+        await self.link(self.neighbours(server, 2), "refuse", 1.0, step.for_s)
+
+    async def link_idle(self, server, step):
+        await self.link(self.neighbours(server, CACHES), "idle", 1.0, step.for_s)
+
+    async def answers_spoilt(self, server, step):
+        await self.link(self.neighbours(server, 4), "spoil", 0.15, step.for_s)
+
+    async def answers_lost(self, server, step):
+        await self.link(self.neighbours(server, 4), "lose", 0.2, step.for_s)
+
+    async def channel_down(self, channel, step):
+        channel.order("down", for_s=step.for_s)
+        await asyncio.sleep(step.for_s)
+
+    async def channel_silent(self, channel, step):
+        channel.order("silent", for_s=step.for_s)
+        await asyncio.sleep(step.for_s)
+
+    async def channel_slow(self, channel, step):
+        channel.order("slow", for_s=step.for_s)
+        await asyncio.sleep(step.for_s)
+
+    async def clients_slow(self, _, step):
+        self.tell_clients("slow", for_s=step.for_s)
+        await asyncio.sleep(step.for_s)
+
+    async def clients_gone(self, router, step):
+        for _ in range(4):
+            self.tell_clients("go", router=router.name, part=0.7, reset=step.size > 0.5)
+            await asyncio.sleep(step.for_s / 4)
+
+    async def clients_cancel(self, router, step):
+        for _ in range(8):
+            self.tell_clients("cancel_all", router=router.name)
+            await asyncio.sleep(step.for_s / 8)
+
+    async def clients_crowd(self, router, step):
+        self.tell_clients("crowd", router=router.name, count=40, for_s=step.for_s)
+        await asyncio.sleep(step.for_s)
+
+    async def clients_bad(self, router, step):
+        for _ in range(4):
+            self.tell_clients("bad", router=router.name, count=4)
+            await asyncio.sleep(step.for_s / 4)
+
+    async def clients_burst(self, _, step):
+        self.tell_clients("burst", for_s=step.for_s)
+        await asyncio.sleep(step.for_s)
+
+    async def clients_retry(self, _, step):
+        self.tell_clients("retry_often", rate=0.9)
+        await asyncio.sleep(step.for_s)
+        self.tell_clients("retry_often", rate=0.2)
+
+    async def purges(self, _, step):
+        """A burst, of what is asked for most."""
+        for number in range(20):
+            self.purge((step.target + number) % 40)
+            await asyncio.sleep(0.02)
+
+    async def box_kill(self, box, step):
+        async with box.lock:
+            await self.replace_box(box, step.for_s / 2)
+
+    async def box_folder(self, box, step):
+        """Its folder takes no writes for a while, then it is killed while that lasts."""
+        async with box.lock:
+            box.control.set(file_write=500_000, file_sync=500_000)
+            await asyncio.sleep(step.for_s)
+            if step.size < 0.6:
+                await self.replace_box(box, 0.3)
+            box.control.calm()
+
+    async def replace_box(self, box, down_s):
+        witness = self.witness_of(box.name)
+        await box.kill()
+        box.control.calm()
+        witness.order("down", server=box.name)
+        self.list_server(box.name, "removed")
+        await asyncio.sleep(down_s)
+        await box.start()
+        witness.order("up", server=box.name)
+        self.record("server_started", server=box.name)
+        self.list_server(box.name, "up", born_ms=self.wall_ms())
+
+
+def limit_descriptors(most):
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
--- /dev/null
+++ b/benchmarks/soak/faults.py
@@ -0,0 +1,241 @@
+"""Faults to plant in a router, one for each invariant of the judge: python -m benchmarks.soak.faults NAME
+
+A planted fault gets past the checks at run time on purpose: what is tried is whether the soak finds it from outside."""
+
+import asyncio
+import os
+import random
+import sys
+import time
+
+chance = random.Random(7)
+
+
+def no_checks():
+    """The engine's own checks let everything pass."""
+    from brookhinge.engine.invariants import Invariants
+    from brookhinge.engine.reducer import Reducer
+
+    Invariants.of_attempt = lambda self, now, query, track, attempt: None
+    Reducer.may_write = lambda self, query, push: True
+
+
+def answer_missing():
+    from brookhinge.net.front import Front
+
+    real = Front.reply
+    Front.reply = lambda self, client, number, wire: (
+        chance.random() < 0.005 or real(self, client, number, wire)
+    )
+
+
+def answer_late():
+    from brookhinge.net.front import Front
+
+    real = Front.reply
+
+    def reply(self, client, number, wire):
+        if chance.random() < 0.005:
+            asyncio.get_running_loop().call_later(4.0, real, self, client, number, wire)
+        else:
+            real(self, client, number, wire)
+
+    Front.reply = reply
+
+
+def answer_twice():
+    from brookhinge.net.front import Front
+
+    real = Front.write
+
+    def write(self, client, wire):
+        real(self, client, wire)
+        if chance.random() < 0.01:
+            real(self, client, wire)
+
+    Front.write = write
+
+
+def closed_unanswered():
+    """Idle connections are closed by the time of the last call alone, whatever is open on them."""
+    from brookhinge.net.front import Front
+    from brookhinge.rules import CloseReason
+
+    real = Front.sweep
+
+    def sweep(self):
+        real(self)
+        for client in list(self.clients.values()):
+            if client.asked and self.now() - client.used_at > 0.3:
+                self.drop(client, CloseReason.IDLE)
+
+    Front.sweep = sweep
+
+
+def body_wrong():
+    from brookhinge.net.front import Front
+
+    real = Front.satisfy
+    Front.satisfy = lambda self, client, number, body, same: real(
+        self, client, number, body[:-1] if chance.random() < 0.01 else body, same
+    )
+
+
+def sent_after_end():
+    """A cancel, and a client's end, are not heeded."""
+    from brookhinge.engine.reducer import Reducer
+
+    Reducer.forgotten = lambda self, client, number: None
+    Reducer.client_gone = lambda self, client: None
+
+
+def effect_twice():
+    """An attempt that broke is taken for one that never ran."""
+    from brookhinge import rules
+
+    no_checks()
+    rules.NEVER_RAN = frozenset((*rules.NEVER_RAN, "broken", "errored", "timeout"))
+
+
+def two_attempts():
+    """What is given up is not told to its server."""
+    from brookhinge.net.caches import Caches
+
+    def kill(self, query, push):
+        self.where.pop((query, push), None)
+
+    Caches.kill = kill
+    no_checks()
+
+
+def sent_to_draining():
+    from brookhinge import decide, rules
+
+    no_checks()
+    rules.may_send_to = lambda state: state != "gone"
+    decide.Fleet.is_own_cache = lambda self, c: (
+        self.role[c] == "cache" and self.zone[c] == self.here and self.state[c] != "gone"
+    )
+
+
+def slow_start():
+    from brookhinge.decide import ColdBudget
+
+    no_checks()
+    ColdBudget.take = lambda self, *values: True
+
+
+def purged_copy():
+    """Purges are passed over."""
+    from brookhinge.decide import Router
+
+    no_checks()
+    Router.purged = lambda self, group, age, key: None
+
+
+def aged_copy():
+    """The age that a class allows is passed over for copies of its own."""
+    from brookhinge.decide import Router
+
+    real = Router.own
+
+    def own(self, query, q):
+        oldest = self.oldest
+        self.oldest = lambda doc, track, ageing: 0.0
+        try:
+            return real(self, query, q)
+        finally:
+            self.oldest = oldest
+
+    Router.own = own
+    refuse = Router.place
+    Router.place = lambda self, query, q: own(self, query, q) or refuse(self, query, q)
+
+
+def deadline():
+    """Servers are told the whole time of the class."""
+    from brookhinge.net import cachewire
+
+    real = cachewire.pull
+    cachewire.pull = lambda name, kind, key, part, patience_s, *rest: real(name, kind, key, part, 2.9, *rest)
+
+
+def crash():
+    """A new configuration ends the process."""
+    from brookhinge.net.service import Service
+
+    Service.reload = lambda self, site: os._exit(3)
+
+
+def not_ready():
+    """A second start waits for what never comes."""
+    if os.environ.get("BALANCER_CONFIG", "").endswith("r0.json"):
+        marker = os.environ["BALANCER_CONFIG"] + ".started"
+        if os.path.exists(marker):
+            time.sleep(3600)
+        open(marker, "w").close()
+
+
+def stop_late():
+    """The end waits for clients to leave."""
+    from brookhinge.net.service import Service
+
+    real = Service.look_for_end
+
+    def look_for_end(self):
+        if self.front.clients:
+            asyncio.get_running_loop().call_later(0.05, self.look_for_end)
+        else:
+            real(self)
+
+    Service.look_for_end = look_for_end
+
+
+def wall_clock():
+    """Spans are those of the wall clock, as they were before."""
+    from brookhinge.net.service import Service
+
+    Service.now = lambda self: time.time() - self.start
+
+
+def backlog():
+    """The end closes its listener over the backlog, as it did before."""
+    from brookhinge.net.front import Front
+
+    def stop(self):
+        self.accept_some(64)
+        self.close_listener()
+
+    Front.stop = stop
+
+
+FAULTS = {
+    plant.__name__: plant
+    for plant in (
+        answer_missing,
+        answer_late,
+        answer_twice,
+        closed_unanswered,
+        body_wrong,
+        sent_after_end,
+        effect_twice,
+        two_attempts,
+        sent_to_draining,
+        slow_start,
+        purged_copy,
+        aged_copy,
+        deadline,
+        crash,
+        not_ready,
+        stop_late,
+        wall_clock,
+        backlog,
+    )
+}
+
+if __name__ == "__main__":
+    FAULTS[sys.argv[1]]()
+    from brookhinge.__main__ import main
+
+    sys.argv = ["brookhinge"]
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/soak/schedule.py
@@ -0,0 +1,106 @@
+"""The schedule of troubles that a seed gives: two or three at a time, begun close together."""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+FIRST_S, REST_S = (
+    4.0,
+    6.0,
+)  # of a run without troubles: while all is filled for the first time, and at its end
+SLOT_S = 4.0  # between the beginnings of two groups of troubles
+SPREAD_S = 0.7  # within which the troubles of a group begin
+HOUR_S = 3600.0
+
+
+class Trouble(StrEnum):
+    """Kinds of trouble. What each does stands in `driver.py`."""
+
+    ROUTER_STOP = "router_stop"
+    ROUTER_KILL = "router_kill"
+    ROUTER_RELOAD = "router_reload"
+    ROUTER_FREEZE = "router_freeze"
+    ROUTER_CLOCK = "router_clock"
+    ALL_CLOCKS = "all_clocks"
+    ROUTER_CALLS = "router_calls"
+    ROUTER_ACCEPT = "router_accept"
+    ROUTER_CONNECT = "router_connect"
+    ROUTER_SHORT = "router_short"
+    SERVER_KILL = "server_kill"
+    SERVER_HANG = "server_hang"
+    SERVER_DRAIN = "server_drain"
+    SERVER_SLOW = "server_slow"
+    SERVER_FAIL = "server_fail"
+    LINK_RESET = "link_reset"
+    LINK_SILENT = "link_silent"
+    LINK_DEAF = "link_deaf"
+    LINK_REFUSE = "link_refuse"
+    LINK_IDLE = "link_idle"
+    ANSWERS_SPOILT = "answers_spoilt"
+    ANSWERS_LOST = "answers_lost"
+    CHANNEL_DOWN = "channel_down"
+    CHANNEL_SILENT = "channel_silent"
+    CHANNEL_SLOW = "channel_slow"
+    CLIENTS_SLOW = "clients_slow"
+    CLIENTS_GONE = "clients_gone"
+    CLIENTS_CANCEL = "clients_cancel"
+    CLIENTS_CROWD = "clients_crowd"
+    CLIENTS_BAD = "clients_bad"
+    CLIENTS_BURST = "clients_burst"
+    CLIENTS_RETRY = "clients_retry"
+    PURGES = "purges"
+    BOX_KILL = "box_kill"
+    BOX_FOLDER = "box_folder"
+
+
+# Kinds that end, start or stop something come more often: most faults need one of them.
+WEIGHTS = {
+    Trouble.ROUTER_STOP: 4,
+    Trouble.ROUTER_RELOAD: 3,
+    Trouble.ROUTER_CLOCK: 2,
+    Trouble.SERVER_KILL: 2,
+    Trouble.SERVER_DRAIN: 3,
+    Trouble.PURGES: 3,
+}
+
+
+@dataclass(frozen=True)
+class Step:
+    """One trouble: when it begins, for how long, at which target (a number, taken modulo those there are), how much."""
+
+    at_s: float
+    kind: Trouble
+    target: int
+    for_s: float
+    size: float
+
+
+def steps_of(seed, run_s):
+    """The schedule of a run, in the order of its times."""
+    chance = random.Random(f"soak {seed}")
+    kinds = list(Trouble)
+    weights = [WEIGHTS.get(kind, 1) for kind in kinds]
+    steps, slot_at = [], FIRST_S
+    while slot_at < run_s - REST_S:
+        for kind in draw_kinds(chance, kinds, weights):
+            at_s = slot_at + chance.uniform(0.0, SPREAD_S)
+            for_s = chance.uniform(1.0, 3.5)
+            steps.append(Step(at_s, kind, chance.randrange(1 << 16), for_s, chance.random()))
+        slot_at += SLOT_S
+    return sorted(steps, key=lambda step: step.at_s)
+
+
+def draw_kinds(chance, kinds, weights):
+    """Two or three different kinds."""
+    drawn = []
+    while len(drawn) < chance.choice([2, 3, 3]):
+        kind = chance.choices(kinds, weights)[0]
+        if kind not in drawn:
+            drawn.append(kind)
+    return drawn
+
+
+def clock_step_s(size):
+    """The step of a wall clock, by a number of 0 to 1: seconds or an hour, either way."""
+    steps = (HOUR_S, -HOUR_S, 5.0, -5.0, 1.5, -1.5)
+    return steps[int(size * len(steps)) % len(steps)]
--- /dev/null
+++ b/benchmarks/soak/server.py
@@ -0,0 +1,221 @@
+"""A scripted cache server, parent or origin of the soak.
+
+It keeps copies, fills from the source that a request names, runs requests that go through at the origin, and honours the oldest
+copy that will do. Ages are told by the steady clock; only the stamps that it sends out are of the wall clock. It never answers
+'unchanged': the bytes tell when they were made, and a copy that was renewed without them would be judged by that."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from benchmarks.soak import process, world
+from brookhinge.box import wire
+from brookhinge.net import cachewire
+
+READ = 1 << 16
+
+
+class Copy(NamedTuple):
+    version: int
+    made: float  # steady clock, when the origin gave it out
+    dated_ms: int  # the same by the origin's wall clock
+
+
+class Server:
+    """spec: role, port, sources: {id: port} of those it may fill from, seed, folder, name."""
+
+    def __init__(self, spec, record, chance):
+        self.role, self.port, self.name = spec["role"], spec["port"], spec["name"]
+        self.record, self.chance = record, chance
+        self.sources = spec["sources"]
+        self.origin_id = spec["origin_id"]
+        self.slow, self.fail_rate, self.refuse_rate = 1.0, 0.0, 0.0
+        self.copies, self.purged, self.versions = {}, dict(spec.get("purged", {})), {}
+        self.sessions, self.links, self.ran = set(), {}, {}
+
+    async def begin(self):
+        self.listener = await asyncio.start_server(self.session, "127.0.0.1", self.port, backlog=512)
+
+    # orders of the driver
+
+    def behave(self, slow=None, fail_rate=None, refuse_rate=None):
+        self.slow = self.slow if slow is None else slow
+        self.fail_rate = self.fail_rate if fail_rate is None else fail_rate
+        self.refuse_rate = self.refuse_rate if refuse_rate is None else refuse_rate
+
+    def change(self, names, at, after_s):
+        """The objects have other bytes from `at` on (at the origin), and old copies go after a while (elsewhere)."""
+        if self.role == world.ORIGIN:
+            for name in names:
+                self.versions[name] = self.versions.get(name, 0) + 1
+        else:
+            asyncio.get_running_loop().call_later(after_s, self.forget, names, at)
+
+    def forget(self, names, at):
+        for name in names:
+            self.purged[name] = max(at, self.purged.get(name, 0.0))
+
+    # connections
+
+    async def session(self, reader, writer):
+        commands, tasks = wire.Commands(), {}
+        try:
+            while data := await reader.read(READ):
+                for command, name, *rest in commands.feed(data):
+                    if command == "pull":
+                        tasks[name] = asyncio.ensure_future(self.answer(writer, name, *rest))
+                    elif command == "kill" and name in tasks:
+                        tasks.pop(name).cancel()
+                    elif command == "echo":
+                        writer.write(wire.answer(name, b"well"))
+        except (ConnectionError, cachewire.Unreadable):
+            pass
+        finally:
+            for task in tasks.values():
+                task.cancel()
+            writer.close()
+
+    async def answer(self, writer, name, raw, body):
+        try:
+            word, fields, data = await self.serve(name, raw)
+        except wire.Unusable:
+            word, fields, data = b"failed", [], b""
+        if not writer.is_closing():
+            writer.write(wire.answer(name, word, fields, data))
+
+    # requests
+
+    async def serve(self, name, raw):
+        pull = wire.read_pull(raw)
+        kind = world.KINDS.get(pull.sort.decode(), world.KINDS["page"])
+        if self.chance.random() < self.refuse_rate:
+            return b"full", [], b""
+        await asyncio.sleep(self.chance.uniform(0.004, 0.016) * self.slow)
+        if self.chance.random() < self.fail_rate:
+            return b"failed", [], b""
+        if kind.through:
+            return await self.run_through(name, raw, pull, kind)
+        return await self.read(name, pull, kind)
+
+    async def run_through(self, name, raw, pull, kind):
+        """Requests that leave no copy: the origin runs them, others hand them on."""
+        if self.role == world.ORIGIN:
+            return self.run(name.partition(b".")[0].decode(), pull, kind)
+        if not pull.source:
+            return b"absent", [], b""
+        beyond = self.origin_id if self.role == world.CACHE and pull.source != self.origin_id else ""
+        return await self.ask(pull.source, name, pull, kind, beyond, 0.0)
+
+    def run(self, ref, pull, kind):
+        """The effect of a request; within the window a repeat is known and dropped."""
+        now, first = time.monotonic(), self.ran.get(ref)
+        if first is None or now - first > kind.window_s:
+            self.ran[ref] = now
+            self.record("ran", ref=ref, kind=kind.name)
+        return self.made(pull, b"hit")
+
+    def made(self, pull, note):
+        name, now = pull.object.decode(), time.monotonic()
+        copy = Copy(self.versions.get(name, 0), now, round(time.time() * 1000))
+        return self.good(pull, copy, note)
+
+    def good(self, pull, copy, note):
+        name, tag = pull.object.decode(), b"v%d" % copy.version
+        fields = [(b"n", note), (b"digest", tag), (b"dated", b"%d" % copy.dated_ms)]
+        fields.append((b"lot", b"%d" % world.group_of(name)))
+        return b"data", fields, world.body_of(name, pull.part, copy.version, copy.made)
+
+    async def read(self, name, pull, kind):
+        if self.role == world.ORIGIN:
+            return self.made(pull, b"hit")
+        key, now = (pull.object.decode(), pull.part), time.monotonic()
+        copy, oldest_s = self.copies.get(key), pull.accept_s or kind.fresh_s or float("inf")
+        if copy is not None and copy.made <= self.purged.get(key[0], 0.0):
+            copy = None
+            del self.copies[key]
+        if copy is not None and now - copy.made <= oldest_s:
+            stale = kind.fresh_s and now - copy.made > kind.fresh_s
+            return self.good(pull, copy, b"stale" if stale else b"hit")
+        if not pull.source:
+            return b"absent", [], b""
+        return await self.fill(key, name, pull, kind, oldest_s)
+
+    async def fill(self, key, name, pull, kind, oldest_s):
+        beyond = "" if pull.local or pull.source == self.origin_id else self.origin_id
+        accept_s = 0.0 if oldest_s == float("inf") else oldest_s
+        word, fields, body = await self.ask(pull.source, name, pull, kind, beyond, accept_s)
+        if word == b"absent":
+            return b"absent", [(b"n", b"src_lacks")], b""
+        if word != b"data":
+            return word, fields, body
+        told, (_, _, version, made) = dict(fields), world.read_body(body)
+        copy = Copy(version, made, int(told[b"dated"]))
+        if copy.made > self.purged.get(key[0], 0.0):
+            self.copies[key] = copy
+        via_origin = pull.source == self.origin_id or told.get(b"n") in (b"filled", b"via_origin")
+        return self.good(pull, copy, b"via_origin" if via_origin else b"filled")
+
+    async def ask(self, source, name, pull, kind, beyond, accept_s):
+        """One request to another server, over a connection kept to it; the answer as (word, fields, body)."""
+        port = self.sources.get(source)
+        if port is None:
+            return b"full", [(b"n", b"src_refused")], b""
+        link = self.links.get(source)
+        try:
+            if link is None or link.closed:
+                link = self.links[source] = await Link.connect(port)
+            return await link.ask(name, pull, kind, beyond, accept_s)
+        except ConnectionRefusedError:
+            return b"full", [(b"n", b"src_refused")], b""
+        except (OSError, asyncio.TimeoutError):
+            return b"failed", [(b"n", b"src_broke")], b""
+
+
+class Link:
+    """A connection to a source, with many requests open."""
+
+    @classmethod
+    async def connect(cls, port):
+        link = cls()
+        link.reader, link.writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 1.0)
+        link.waiting, link.closed = {}, False
+        link.task = asyncio.ensure_future(link.read())
+        return link
+
+    async def read(self):
+        answers = cachewire.Answers()
+        try:
+            while data := await self.reader.read(READ):
+                for name, word, fields, body in answers.feed(data):
+                    future = self.waiting.pop(name, None)
+                    if future is not None and not future.done():
+                        future.set_result((word, list(fields.items()), body))
+        except (ConnectionError, cachewire.Unreadable):
+            pass
+        self.closed = True
+        self.writer.close()
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(ConnectionResetError())
+
+    async def ask(self, name, pull, kind, beyond, accept_s):
+        patience_s = min(pull.patience_s, world.LONGEST_S)
+        tag = b"%b.%d" % (name, len(self.waiting)) if name in self.waiting else name
+        self.waiting[tag] = future = asyncio.get_running_loop().create_future()
+        wanted = cachewire.pull(
+            tag, pull.sort, pull.object, b"%d" % pull.part, patience_s, beyond, 0, accept_s, True,
+            pull.local, False, None, b"",
+        )  # fmt: skip
+        self.writer.write(wanted)
+        try:
+            return await asyncio.wait_for(future, patience_s)
+        except asyncio.CancelledError:
+            if not self.closed:
+                self.writer.write(cachewire.kill(tag))
+            raise
+        finally:
+            self.waiting.pop(tag, None)
+
+
+if __name__ == "__main__":
+    process.start(Server)
