--- a/tests/crossings/test_rare.py
+++ b/tests/crossings/test_rare.py
@@ -231,3 +231,52 @@
         assert any("pull" in line for line in desk.ask(allow=3.0))
         desk.hear(("purged", (4, group, desk.now, key)))
         assert any("pull" in line for line in desk.ask(at=desk.now + 1.0)), (group, key)
+
+
+def patience_told(t):
+    """Milliseconds that servers were told they have, of each PULL."""
+    return [int(line.split("patience=")[1].split(",")[0]) for line in t.told]
+
+
+def note_patience(t):
+    t.told = []
+    for machine in t.machines.values():
+        machine.act = lambda line: t.told.append(line[2]) or "data"
+
+
+def test_the_deadline_counts_from_before_the_loop_stood_still(tmp_path):
+    """A query lies in the system while the process is stopped: its client has less time left than when it is read."""
+
+    async def scene(t):
+        note_patience(t)
+        await asyncio.sleep(0.1)
+        raw = Raw(t.address).asks(1)
+        await until(lambda: len(t.service.front.clients) == 2)
+        raw.send()
+        time.sleep(0.6)  # the loop stands still
+        await until(lambda: t.told)
+        await asyncio.sleep(0.3)
+        await t.caller.connect(t.address)
+        t.caller.ask(2)  # long after, nothing is taken off
+        await t.caller.hear()
+        return patience_told(t)
+
+    first, second = played(scene, tmp_path)
+    assert first <= 2900 - 600 + 150 and second > 2700
+
+
+def test_the_deadline_counts_from_before_accept_failed(tmp_path):
+    """A query lies on a connection that cannot be accepted for a while."""
+
+    async def scene(t):
+        note_patience(t)
+        t.service.front.listener = listener = FailingListener(t.service.front.listener, errno.ENFILE)
+        asyncio.get_running_loop().call_later(0.6, setattr, listener, "fails", False)
+        caller = await Raw(t.address).asks(1).send().caller()
+        answer = await caller.hear()
+        t.caller.ask(2)
+        await t.caller.hear()
+        return answer, patience_told(t)
+
+    answer, (first, second) = played(scene, tmp_path)
+    assert answer == (1, "satisfied 19") and first <= 2900 - 600 + 150 and second > 2700
