Deadlines count from when a query may have come, not from when it was read

Front.run took the moment of the read for that of the arrival. After a stall of the loop, or behind a failing accept, a client's time had run on: servers were told up to 0.6 s more than it had left, and hedges were timed past its end. Ruled out: the step of the wall clock on another router in that slot (the same without it, in the test). Arrivals (net/front.py) knows since when the loop stood still and since when nothing could be accepted; what is read in the first four passes after counts from there.

--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -40,6 +40,8 @@
 REJECTS = 8  # calls on a connection that can't be taken, after which it is closed; and a pause after each:
 REJECTED_S = 0.05  # who asks the same again at once waits for so long
 LONGEST_BODY = 240_000
+STALL_S = 0.15  # between two turns of the loop, past which it stood still
+PASSES = 4  # of the loop, until what lay there after a stall has been read
 CANCELLED = 64  # numbers of cancelled queries remembered of a client: their answers may cross the cancel
 BACKLOG = 1024  # connections that the system keeps until they are accepted
 ACCEPTED_IN_A_PASS = 64
@@ -58,6 +60,7 @@
             None  # why nothing more is taken of it: what was taken before is answered, then it is closed
         )
         self.owed = set()  # numbers of its queries that have no final answer yet
+        self.accepted_from = None  # since when it may have waited to be accepted; None once it has been read
         self.cancelled = collections.deque(
             maxlen=CANCELLED
         )  # the last ones that it gave up before their answer
@@ -85,6 +88,46 @@
             return fault.errno not in stream.SHORTAGES
 
 
+class Arrivals:
+    """When what is read now came at the earliest: deadlines count from there. While the loop stands still, or nothing can be
+    accepted, calls lie in the system and their clients' time runs."""
+
+    def __init__(self, now):
+        self.now, self.turned_at, self.stalled_from, self.paused_at = now, now(), None, None
+
+    def loop_turned(self):
+        """Called every few hundredths of a second while the loop turns."""
+        self.look_for_stall()
+        self.turned_at = self.now()
+
+    def look_for_stall(self):
+        if self.now() - self.turned_at > STALL_S:
+            self.stalled_from = self.turned_at
+            self.end_stall_after(PASSES)
+
+    def end_stall_after(self, passes):
+        """What lay there is read within so many passes of the loop; what is read later came later."""
+        if passes:
+            asyncio.get_running_loop().call_soon(self.end_stall_after, passes - 1)
+        else:
+            self.stalled_from = None
+
+    def accept_failed(self):
+        if self.paused_at is None:
+            self.paused_at = self.turned_at
+
+    def accepted_all(self):
+        self.paused_at = None
+
+    def of_read(self, accepted_from):
+        """accepted_from: since when the connection may have waited, where this is the first that is read of it."""
+        self.look_for_stall()
+        if self.stalled_from is not None:
+            self.turned_at = self.now()
+        known = [at for at in (self.stalled_from, accepted_from) if at is not None]
+        return min(known, default=self.now())
+
+
 class Front:
     """post(method, values) takes the events; well() tells whether the router takes queries, busy(client) whether
     one has queries open; longest: of each kind of query the patience; violated(invariant, detail): counts a rule broken;
@@ -98,6 +141,7 @@
         self.clients, self.serial, self.unread, self.held, self.listener = {}, 0, 0, 0, None
         self.violated, self.trace = violated or (lambda invariant, detail: None), trace
         self.closes = collections.Counter()  # by reason
+        self.arrivals = Arrivals(now)
         self.stopping = False  # it accepts only what came before it was told to end
         self.leaving = {}  # connections whose writing side is shut
         self.gate = gate  # storm/gate.py, where it is on: how many to take, and whose
@@ -133,6 +177,7 @@
             try:
                 made, place = self.listener.accept()
             except (BlockingIOError, InterruptedError):
+                self.arrivals.accepted_all()
                 return None
             except OSError as fault:
                 if fault.errno in SHORTAGES:
@@ -154,6 +199,7 @@
         self.paused = False
         self.serial += 1
         client = self.clients[self.serial] = Client(self.serial, connection, self.now())
+        client.accepted_from = self.arrivals.paused_at
         if self.trace is not None:
             self.trace("client connected", client=client.number)
         if network is not None:
@@ -176,6 +222,7 @@
     def sweep(self):
         """Closes who brings no whole frame in time, and who has nothing open long past usual clients' own close."""
         now = self.now()
+        self.arrivals.loop_turned()
         for client in list(self.clients.values()):
             if client.part_at is not None:
                 if now - client.part_at > FRAME_S:
@@ -198,6 +245,7 @@
         if not self.paused:  # once, not at each look
             self.say("not accepting", why=why)
         self.paused = True
+        self.arrivals.accept_failed()
         loop.call_later(PAUSE_S, self.resume)
 
     def resume(self):
@@ -236,7 +284,7 @@
                     data += client.coming.result()
                     client.coming = stream.read_bytes(PIECE, partial=True)
                 if client.number in self.clients and not client.broken:  # else nothing more is taken of it
-                    came = self.now()
+                    came, client.accepted_from = self.arrivals.of_read(client.accepted_from), None
                     calls = frames.feed(data)
                     client.calls.extend((frame, came) for frame in calls)
                     client.queued += sum(map(len, calls))
