--- /dev/null
+++ b/tests/box/test_clock.py
@@ -0,0 +1,59 @@
+"""A box whose wall clock, or that of all machines, is set: no copy passes for younger than it is, none is lost to it."""
+
+import asyncio
+import time
+
+from tests.box.test_box import X, played
+
+HOUR_S = 3600.0
+
+
+async def step_back(p, all_machines):
+    p.step_s = -HOUR_S
+    if all_machines:
+        p.origin.now = lambda: time.time() - HOUR_S
+    while not any(event == "clock stepped back" for event, _ in p.lines):
+        await asyncio.sleep(0.01)
+
+
+def test_a_copy_dated_in_the_future_ages_all_the_same(tmp_path):
+    """The box's clock is set back, that of its source is not."""
+
+    async def scene(p):
+        await step_back(p, False)
+        first = await p.ask(parent="s-0")
+        for _ in range(6):  # the connection is idle for 0.3 s at most
+            await asyncio.sleep(0.1)
+            last = await p.ask()
+        return first, last
+
+    assert played(scene, tmp_path, tracks={"page": (0.3, 0.1)}) == (
+        ("data", "via_origin", True),
+        ("absent", "", None),
+    )
+
+
+def test_a_purge_hits_copies_dated_before_all_clocks_were_set_back(tmp_path):
+    """By the stamps alone the copy is an hour younger than the purge."""
+
+    async def scene(p):
+        await step_back(p, False)
+        await p.ask(parent="s-0")  # a source that still gives out what it dated before
+        before = await p.ask()
+        p.origin.now = lambda: time.time() - HOUR_S
+        await p.change(object_=X)
+        return before, await p.ask()
+
+    assert played(scene, tmp_path) == (("data", "hit", True), ("absent", "", None))
+
+
+def test_what_was_purged_before_all_clocks_were_set_back_is_served_again(tmp_path):
+    """For an hour every new copy is dated before that purge."""
+
+    async def scene(p):
+        await p.change(object_=X)
+        await step_back(p, True)
+        await asyncio.sleep(0.05)
+        return [await p.ask(parent="s-0"), await p.ask()]
+
+    assert played(scene, tmp_path) == [("data", "via_origin", True), ("data", "hit", True)]
