Boxes: a wall clock set back makes nothing young, unpurged or unservable

Ages and purges of a box are compared by stamps of wall clocks. After a step back (i) a copy that a source had dated before passed for 0 s old for an hour, (ii) a purge dated after the step hit no copy dated before it, (iii) a purge dated before the step hit every new copy: each fill was answered 'failed' for an hour; (iv) fill times, idle closes, syncs, pictures and trials of the disk were timed by that clock. Ruled out: renewals (the soak's servers never say 'unchanged'); the step of the box's clock alone (watch_clock sets its copies aside). Spans by the steady clock; a stamp of the future is no date: the copy is as old as its fill allowed, or aside; known purges are bounded by the clock after a step; a purge told just now by a stamp that cannot be counts from now, and fills under way are not kept.

--- a/benchmarks/soak/witness.py
+++ b/benchmarks/soak/witness.py
@@ -98,12 +98,14 @@
     async def up_way(self):
         """Router to server."""
         while True:
+            deaf_from = time.monotonic() if self.front.has("deaf") else None
             while self.front.has("deaf"):
                 await asyncio.sleep(0.02)
             data = await self.reader.read(READ)
             if not data:
                 return
-            now = self.used_at = time.monotonic()
+            self.used_at = time.monotonic()
+            now = deaf_from or self.used_at  # what was not read meanwhile may have lain there from the first
             for command, name, *rest in self.commands.feed(data):
                 self.seen(now, command, name.decode("latin-1"), *rest)
             while self.front.has("silent"):
--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from brookhinge import rules
 from brookhinge.box import judge as j
 from brookhinge.box import wire
 from brookhinge.box.lines import LineServer
@@ -22,11 +23,14 @@
 class Fill:
     """One fill under way: who waits for it, and the bound it was asked with."""
 
-    __slots__ = ("key", "bound_s", "began", "done", "held", "keep", "rank", "origin", "purged")
+    __slots__ = ("key", "bound_s", "began", "done", "held", "keep", "rank", "origin", "purged", "doubtful")
 
     def __init__(self, key, bound_s, began, done, held, keep, rank, origin):
         self.key, self.bound_s, self.began, self.done, self.held = key, bound_s, began, done, held
         self.keep, self.rank, self.origin, self.purged = keep, rank, origin, float("-inf")
+        self.doubtful = (
+            False  # a purge by a clock that was set came meanwhile: stamps do not tell what it hit
+        )
 
 
 class Box:
@@ -47,7 +51,7 @@
             else None
         )
         self.store = Store(
-            int(tier.memory_mb * MB), disk, say, tier.stall_s, tier.sync_s, tier.snapshot_s, now=now
+            int(tier.memory_mb * MB), disk, say, tier.stall_s, tier.sync_s, tier.snapshot_s, now=steady
         )
         self.lines = LineServer(self.serve, say, self.now, stand.idle_s)
         self.caches = Caches(
@@ -89,6 +93,8 @@
     async def start(self):
         """Listens and begins to open the store; (host, port)."""
         await self.store.start()
+        if self.store.opened is not None:
+            self.store.opened.add_done_callback(lambda _: self.store.bound_purges(self.clock()))
         address = self.lines.listen(*self.stand.listen)
         self.tasks = [asyncio.ensure_future(part()) for part in (self.orders.run, self.sweep, self.figures)]
         self.say("listening", address="%s:%d" % address)
@@ -125,6 +131,7 @@
         if apart < self.apart - STEP_S:
             self.say("clock stepped back", by_s=round(self.apart - apart, 3))
             self.store.aside_all()
+            self.store.bound_purges(self.clock())
         self.apart = apart
 
     async def figures(self):
@@ -178,9 +185,13 @@
         if kind == GROUP and not 0 <= name <= 255 or kind == OBJECT and len(name) > 255:
             return self.say("command skipped", why=f"a purge of {name!r:.80}")
         self.counts["purges"] += 1
+        # what the channel tells first happened before, by stamps alone; all else just now
+        told_s = rules.event_time(self.now(), moment) if self.orders.met else moment
         for fill in self.fills.values():  # what is on its way may be from before
             if kind == GROUP or fill.key[0] == name:
                 fill.purged = max(fill.purged, when)
+                fill.doubtful |= told_s != moment  # by the stamps it could not be told from what comes after
+        when = min(when, self.clock()) if told_s == moment else self.clock()
         done = self.store.purge(kind, name, when)
         if not done.done():
             self.pending[number] = done
@@ -211,6 +222,8 @@
         came, key = self.now(), (pull.object, pull.part)
         track = self.tracks.get(pull.sort, j.Track())
         found = await self.store.get(pull.object, pull.part, pull.patience_s)
+        if found is not None and not rules.stamp_is_plausible(self.clock(), found.dated):
+            found = found._replace(aside=True, dated=0.0)  # from before a clock was set back: of unknown age
         if (
             self.told_at is None and found is not None
         ):  # what was purged before we were told anything is not known
@@ -368,18 +381,32 @@
 
     def unchanged(self, fill, when):
         """The copy held is the source's: renewed, unless a purge has hit what the source gave out."""
-        if fill.held is None or when is None or when <= fill.purged:
+        if fill.held is None or when is None or when <= fill.purged or fill.doubtful:
             return None
+        when = self.date_of(fill, when)
         return self.store.renew(*fill.key, fill.held, max(when, fill.held.dated))
 
+    def date_of(self, fill, when):
+        """The moment from which a copy's age counts here. A stamp of the future is that of another setting of the clocks: the
+        copy is then as old as it may be: from the origin as the fill, from others as the fill allowed."""
+        now = self.clock()
+        if when is None:
+            return now
+        if rules.stamp_is_plausible(now, when):
+            return when
+        took = self.now() - fill.began
+        return now - (took if fill.origin else max(took, fill.bound_s))
+
     def brought(self, fill, body, when, tag, lot):
         """New bytes from the source; kept unless the query said otherwise."""
         self.counts["filled_bytes"] += len(body)
+        if fill.doubtful:
+            return None
         group = int(lot) if lot and lot.isdigit() and int(lot) <= 255 else ANY_GROUP
         copy = Copy(
             *fill.key,
             b"" if tag in (None, b"-") else tag,
-            self.clock() if when is None else when,
+            self.date_of(fill, when),
             group,
             fill.rank,
             len(body),
--- a/brookhinge/store/ledger.py
+++ b/brookhinge/store/ledger.py
@@ -44,6 +44,13 @@
         if kind == GROUP:
             self.last_group = max(self.last_group, when)
 
+    def bound(self, now):
+        """Takes no purge for later than `now`."""
+        for known in (self.objects, self.groups):
+            for name, when in known.items():
+                known[name] = min(when, now)
+        self.floor, self.last_group = min(self.floor, now), min(self.last_group, now)
+
     def fold(self):
         if len(self.objects) <= self.most:
             return
--- a/brookhinge/store/store.py
+++ b/brookhinge/store/store.py
@@ -36,7 +36,7 @@
         sync_s=0.5,
         snapshot_s=30.0,
         admission=None,
-        now=time.time,
+        now=time.monotonic,
         health=None,
     ):
         self.memory, self.disk, self.say, self.now = Memory(memory_bytes), disk, say, now
@@ -288,6 +288,13 @@
         writing.add_done_callback(told)
         return done
 
+    def bound_purges(self, now):
+        """No purge that is known took place after `now`, by the wall clock: one that seems to was dated before that clock
+        was set back. What it hits is aside by then; left as it is, it would hit every copy of the next hour."""
+        self.purges.bound(now)
+        if self.disk is not None and self.open_tier:
+            self.disk.bound_purges(now)
+
     def purge_object(self, object_, when):
         return self.purge(OBJECT, object_, when)
 
--- a/brookhinge/store/tier.py
+++ b/brookhinge/store/tier.py
@@ -589,6 +589,10 @@
             self.counts["purges"] += 1
             return self.ledger.take(kind, name, when)
 
+    def bound_purges(self, now):
+        with self.lock:
+            self.ledger.bound(now)
+
     def write_purge(self, raw):
         with self.writing:
             if self.ledger_handle is None:
--- a/tests/box/test_clock.py
+++ b/tests/box/test_clock.py
@@ -57,3 +57,12 @@
         return [await p.ask(parent="s-0"), await p.ask()]
 
     assert played(scene, tmp_path) == [("data", "via_origin", True), ("data", "hit", True)]
+
+
+def test_pauses_of_the_disk_are_spans_of_real_time(tmp_path):
+    async def scene(p):
+        before = p.box.store.now()
+        await step_back(p, False)
+        return 0.0 <= p.box.store.now() - before < 5.0 and 0.0 <= p.box.now() < 5.0
+
+    assert played(scene, tmp_path)
