net/front.py split: listener, arrivals, a call's fields; boxes accept by the same listener

The listener that loses no backlog stood in the front alone; a box closed over its backlog, and an accept that failed for want of descriptors came back as an exception on every pass of its loop (the same mistake). An accept that took as many as a pass may ended the listener over what was left: now only an empty backlog does.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -7,6 +7,7 @@
 import collections
 import json
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -165,6 +166,7 @@
         print(f"{time.monotonic() - began:7.1f} s  {text}", file=sys.stderr, flush=True)
 
     rows = []
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # it ends what it started, as after SIGINT
     try:
         for seed in args.seeds or [args.seed]:
             rows.append(soak(args, seed, say))
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -200,13 +200,14 @@
 
 def backlog():
     """The end closes its listener over the backlog, as it did before."""
-    from brookhinge.net.front import Front
+    from brookhinge.net.listener import Listener
 
     def stop(self):
-        self.accept_some(64)
-        self.close_listener()
+        if self.open:
+            self.accept_some(64)
+            self.close()
 
-    Front.stop = stop
+    Listener.stop = stop
 
 
 FAULTS = {
--- a/brookhinge/box/lines.py
+++ b/brookhinge/box/lines.py
@@ -1,13 +1,12 @@
 """Connections of routers and boxes to a server of lines: bytes to commands, answers to bytes. Decides nothing."""
 
 import asyncio
-import socket
 
 from tornado.iostream import StreamClosedError
-from tornado.netutil import add_accept_handler, bind_sockets
 
 from brookhinge.box import wire
 from brookhinge.net.cachewire import Unreadable
+from brookhinge.net.listener import Listener
 from brookhinge.net.stream import Stream
 
 PIECE = 64 * 1024
@@ -48,16 +47,15 @@
 
     def __init__(self, serve, say, now, idle_s):
         self.serve, self.say, self.now, self.idle_s = serve, say, now, idle_s
-        self.peers, self.sockets, self.stops, self.sweeping = set(), [], [], None
+        self.peers, self.sweeping = set(), None
+        self.listener = Listener(self.accept, say)
 
     def listen(self, host, port):
-        self.sockets = bind_sockets(port, host, family=socket.AF_INET)
-        self.stops = [add_accept_handler(made, self.accept) for made in self.sockets]
+        address = self.listener.listen(host, port)
         self.sweeping = asyncio.ensure_future(self.sweep())
-        return self.sockets[0].getsockname()
+        return address
 
     def accept(self, made, _):
-        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         peer = Peer(Stream(made, read_chunk_size=PIECE), self.now())
         self.peers.add(peer)
         asyncio.ensure_future(self.read(peer))
@@ -128,15 +126,11 @@
         return sum(len(peer.open) for peer in self.peers)
 
     def stop(self):
-        """No new connections."""
-        for stop in self.stops:
-            stop()
-        for made in self.sockets:
-            made.close()
-        self.stops, self.sockets = [], []
+        """No new connections; what came before is still accepted."""
+        self.listener.stop()
 
     def end(self):
-        self.stop()
+        self.listener.close()
         if self.sweeping:
             self.sweeping.cancel()
         for peer in list(self.peers):
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -2,10 +2,7 @@
 
 import asyncio
 import collections
-import contextlib
-import errno
 import heapq
-import re
 import socket
 
 from tornado.iostream import StreamClosedError
@@ -13,22 +10,13 @@
 from brookhinge import rules
 from brookhinge.engine.invariants import Invariant
 from brookhinge.net import stream, thrift
+from brookhinge.net.arrivals import Arrivals
+from brookhinge.net.calls import read_query
+from brookhinge.net.listener import Listener
 from brookhinge.net.stream import Stream
 from brookhinge.rules import CloseReason
 
 PIECE = 64 * 1024
-HEX = re.compile(rb"[0-9a-f]{16}").fullmatch
-WORD = re.compile(rb"[\w.:-]{1,80}").fullmatch
-DIGITS = re.compile(rb"[0-9]{1,9}").fullmatch
-AMOUNT = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?").fullmatch
-FIELDS = tuple(
-    (name, form, must)
-    for must, rows in (
-        (True, ((b"service", WORD), (b"ref", HEX), (b"allow", DIGITS), (b"lookup", HEX), (b"piece", DIGITS))),
-        (False, ((b"lot", DIGITS), (b"room", AMOUNT), (b"ver", WORD), (b"replay", WORD))),
-    )
-    for name, form in rows
-)
 WANTED = {b"serve": {1: thrift.MAP, 2: thrift.STRING}, b"forget": {1: thrift.I32}, b"isWell": {}}
 FRAME_S = 2.2  # from the connect to the first query, and from a frame's first byte to its last
 IDLE_S = 10.0  # a connection that has asked and has nothing open; usual clients close theirs before
@@ -39,14 +27,7 @@
 LINGERING = 8  # of those at most where others need descriptors
 REJECTS = 8  # calls on a connection that can't be taken, after which it is closed; and a pause after each:
 REJECTED_S = 0.05  # who asks the same again at once waits for so long
-LONGEST_BODY = 240_000
-STALL_S = 0.15  # between two turns of the loop, past which it stood still
-PASSES = 4  # of the loop, until what lay there after a stall has been read
 CANCELLED = 64  # numbers of cancelled queries remembered of a client: their answers may cross the cancel
-BACKLOG = 1024  # connections that the system keeps until they are accepted
-ACCEPTED_IN_A_PASS = 64
-PAUSE_S, ACCEPT_AGAIN_S = 0.05, 0.02  # between two tries to accept: in service, and as the router ends
-SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))  # what passes by itself
 
 
 class Client:
@@ -88,46 +69,6 @@
             return fault.errno not in stream.SHORTAGES
 
 
-class Arrivals:
-    """When what is read now came at the earliest: deadlines count from there. While the loop stands still, or nothing can be
-    accepted, calls lie in the system and their clients' time runs."""
-
-    def __init__(self, now):
-        self.now, self.turned_at, self.stalled_from, self.paused_at = now, now(), None, None
-
-    def loop_turned(self):
-        """Called every few hundredths of a second while the loop turns."""
-        self.look_for_stall()
-        self.turned_at = self.now()
-
-    def look_for_stall(self):
-        if self.now() - self.turned_at > STALL_S:
-            self.stalled_from = self.turned_at
-            self.end_stall_after(PASSES)
-
-    def end_stall_after(self, passes):
-        """What lay there is read within so many passes of the loop; what is read later came later."""
-        if passes:
-            asyncio.get_running_loop().call_soon(self.end_stall_after, passes - 1)
-        else:
-            self.stalled_from = None
-
-    def accept_failed(self):
-        if self.paused_at is None:
-            self.paused_at = self.turned_at
-
-    def accepted_all(self):
-        self.paused_at = None
-
-    def of_read(self, accepted_from):
-        """accepted_from: since when the connection may have waited, where this is the first that is read of it."""
-        self.look_for_stall()
-        if self.stalled_from is not None:
-            self.turned_at = self.now()
-        known = [at for at in (self.stalled_from, accepted_from) if at is not None]
-        return min(known, default=self.now())
-
-
 class Front:
     """post(method, values) takes the events; well() tells whether the router takes queries, busy(client) whether
     one has queries open; longest: of each kind of query the patience; violated(invariant, detail): counts a rule broken;
@@ -137,54 +78,28 @@
         self, post, say, well, busy, now, longest, sockets, held, gate=None, violated=None, trace=None
     ):
         self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, now
-        self.longest, self.sockets, self.most_held, self.paused = longest, sockets, held, False
-        self.clients, self.serial, self.unread, self.held, self.listener = {}, 0, 0, 0, None
+        self.longest, self.sockets, self.most_held = longest, sockets, held
+        self.clients, self.serial, self.unread, self.held = {}, 0, 0, 0
         self.violated, self.trace = violated or (lambda invariant, detail: None), trace
         self.closes = collections.Counter()  # by reason
         self.arrivals = Arrivals(now)
-        self.stopping = False  # it accepts only what came before it was told to end
         self.leaving = {}  # connections whose writing side is shut
         self.gate = gate  # storm/gate.py, where it is on: how many to take, and whose
+        pass_of = {} if gate is None else {"in_a_pass": gate.in_a_pass}
+        self.listener = Listener(self.open_client, say, self.has_room, **pass_of)
+        self.listener.on_shortage, self.listener.on_empty = (
+            self.arrivals.accept_failed,
+            self.arrivals.accepted_all,
+        )
 
     # accepting
 
     def listen(self, host, port, handed=None):
         """handed: the descriptor of a socket that listens already, which outlives this process."""
-        if handed is not None:
-            self.listener = socket.socket(fileno=handed)
-        else:
-            self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.listener.bind((host, port))
-            self.listener.listen(BACKLOG)
-        self.listener.setblocking(False)
-        asyncio.get_running_loop().add_reader(self.listener, self.accept)
-        return self.listener.getsockname()
-
-    def accept(self):
-        """Takes what has come; without descriptors it looks again in a moment, it never ends."""
-        shortage = self.accept_some(ACCEPTED_IN_A_PASS if self.gate is None else self.gate.in_a_pass())
-        if shortage:
-            self.pause(shortage)
-
-    def accept_some(self, most):
-        """Takes up to `most` connections. Why there are more that cannot be taken now, or None."""
-        for _ in range(most):
-            if self.listener is None:
-                return None
-            if len(self.clients) >= self.sockets and not self.make_room():
-                return "clients hold their share of descriptors"
-            try:
-                made, place = self.listener.accept()
-            except (BlockingIOError, InterruptedError):
-                self.arrivals.accepted_all()
-                return None
-            except OSError as fault:
-                if fault.errno in SHORTAGES:
-                    return f"no descriptor: {fault.strerror}"
-                continue  # that connection ended before it was taken
-            self.open_client(made, place[0])
-        return None
+        return self.listener.listen(host, port, handed)
+
+    def has_room(self):
+        return len(self.clients) < self.sockets or self.make_room()
 
     def open_client(self, made, address):
         """Begins to read a connection that was accepted."""
@@ -193,10 +108,7 @@
             network, kept = self.gate.came(self.now(), address)
             if not kept:
                 return made.close()
-        with contextlib.suppress(OSError):  # without it small answers come a little later
-            made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Stream(made, max_buffer_size=2 * thrift.LONGEST, read_chunk_size=PIECE)
-        self.paused = False
         self.serial += 1
         client = self.clients[self.serial] = Client(self.serial, connection, self.now())
         client.accepted_from = self.arrivals.paused_at
@@ -239,36 +151,9 @@
         client.broken = client.broken or (CloseReason.SLOW, "half a call and not its rest")
         self.end_broken(client)
 
-    def pause(self, why):
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(self.listener)
-        if not self.paused:  # once, not at each look
-            self.say("not accepting", why=why)
-        self.paused = True
-        self.arrivals.accept_failed()
-        loop.call_later(PAUSE_S, self.resume)
-
-    def resume(self):
-        if self.listener is not None and not self.stopping:
-            asyncio.get_running_loop().add_reader(self.listener, self.accept)
-
     def stop(self):
-        """Accepts no more once all that came before is taken: a close over connections that were not accepted resets
-        them, with the queries on them. Where none can be taken now it looks again until `close_listener`."""
-        if self.listener is None:
-            return
-        self.stopping = True
-        asyncio.get_running_loop().remove_reader(self.listener)
-        if self.accept_some(BACKLOG):
-            asyncio.get_running_loop().call_later(ACCEPT_AGAIN_S, self.stop)
-        else:
-            self.close_listener()
-
-    def close_listener(self):
-        if self.listener is not None:
-            asyncio.get_running_loop().remove_reader(self.listener)
-            self.listener.close()
-            self.listener = None
+        """Accepts no more; what has come up before is still taken."""
+        self.listener.stop()
 
     # reading
 
@@ -373,7 +258,7 @@
             if reader.at != len(frame):
                 raise thrift.Unreadable("a frame that goes on after its message")
             if method == b"serve":
-                values = self.query(args.get(1) or {}, args.get(2, b""))
+                values = read_query(args.get(1) or {}, args.get(2, b""), self.longest)
                 client.owed.add(number)
                 self.post("query", (client.number, number, *values, came, args.get(1, {}).get(b"replay")))
             elif method == b"forget":
@@ -386,43 +271,6 @@
                 raise thrift.Unreadable(str(fault)) from None
             self.refuse(client, thrift.exception(method, number, fault.code, str(fault)))
 
-    def query(self, fields, body):
-        """The values of a query event; what the decisions need is taken out, the rest stays bytes. All is checked:
-        what a cache server can't read or use would end its connection, with everybody's pushes."""
-        for name, form, must in FIELDS:
-            value = fields.get(name)
-            if value is None and must or value is not None and not form(value):
-                raise thrift.Unusable(thrift.PROTOCOL, f"{name.decode()}: missing or unusable")
-        get = fields.get
-        longest = self.longest.get(get(b"service"))
-        if longest is None:
-            raise thrift.Unusable(thrift.PROTOCOL, "service: no such class")
-        lot, allow, room = (
-            int(get(b"lot", 0)),
-            int(get(b"allow")) / 1000.0,
-            float(get(b"room", 0.0)),
-        )  # 0: not told
-        for name, good in (
-            ("lot", lot <= 255),
-            ("allow", 0.0 < allow <= longest + 0.001),
-            ("room", room or b"room" not in fields),
-            ("body", len(body) <= LONGEST_BODY),
-        ):
-            if not good:
-                raise thrift.Unusable(thrift.PROTOCOL, f"{name}: out of range")
-        return (
-            get(b"ref"),
-            get(b"service"),
-            get(b"lookup"),
-            get(b"piece"),
-            int(get(b"piece")),
-            lot,
-            room,
-            allow,
-            get(b"ver"),
-            body,
-        )
-
     # effects
 
     def satisfy(self, client, number, body, same):
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -238,7 +238,7 @@
         for task in tasks:
             task.cancel()
         self.channel.close()
-        self.front.close_listener()
+        self.front.listener.close()
         await self.front.end(self.last_at())
         self.caches.end_all()
         if self.purge_log is not None:
@@ -269,7 +269,7 @@
         self.look_for_end()
 
     def look_for_end(self):
-        open_ = self.rounds.events or self.reducer.queries or self.front.listener is not None
+        open_ = self.rounds.events or self.reducer.queries or self.front.listener.open
         if not open_ or self.now() >= self.until:  # what is read from here on is refused at once
             self.post("closing", ())
         if (open_ or self.front.unread) and self.now() < self.until + END_S / 2:
--- a/tests/crossings/test_rare.py
+++ b/tests/crossings/test_rare.py
@@ -11,6 +11,7 @@
 from brookhinge.engine.commands import read_commands
 from brookhinge.engine.reducer import Reducer
 from brookhinge.net import front, thrift
+from brookhinge.net.calls import LONGEST_BODY
 from brookhinge.net import caches as net_caches
 from brookhinge.storm.lineage import Lineage
 from tests.crossings.test_sockets import Raw, warm
@@ -59,7 +60,7 @@
     """SIGTERM comes while no descriptor is to be had: the query lies in the backlog when accepting ends."""
 
     async def scene(t, error):
-        listener = t.service.front.listener = FailingListener(t.service.front.listener, error)
+        listener = t.service.front.listener.socket = FailingListener(t.service.front.listener.socket, error)
         t.service.stop()
         caller = await Raw(t.address).asks(1).send().caller()
         asyncio.get_running_loop().call_later(0.9, setattr, listener, "fails", False)
@@ -155,7 +156,7 @@
 
     async def scene(t):
         monkeypatch.setattr(net_caches, "socket", SmallSockets())
-        body = b"x" * front.LONGEST_BODY
+        body = b"x" * LONGEST_BODY
         fields = {
             "service": "page", "allow": "2900", "lookup": "ab" * 8, "piece": "0", "lot": "3", "room": "100.0",
         }  # fmt: skip
@@ -272,7 +273,8 @@
 
     async def scene(t):
         note_patience(t)
-        t.service.front.listener = listener = FailingListener(t.service.front.listener, errno.ENFILE)
+        listener = FailingListener(t.service.front.listener.socket, errno.ENFILE)
+        t.service.front.listener.socket = listener
         asyncio.get_running_loop().call_later(0.6, setattr, listener, "fails", False)
         caller = await Raw(t.address).asks(1).send().caller()
         answer = await caller.hear()
--- a/tests/engine/test_invariants.py
+++ b/tests/engine/test_invariants.py
@@ -7,7 +7,6 @@
 from brookhinge import rules
 from brookhinge.engine.trace import Trace
 from brookhinge.interface import ColdStart
-from brookhinge.net import front
 from brookhinge.rules import CloseReason, Ran, Refusal
 from tests.helpers import Desk, track
 from tests.test_service import caches, played, until
@@ -209,7 +208,7 @@
 def test_refusals_are_counted_by_reason(tmp_path):
     async def scene(t):
         t.caller.ask(1)
-        return await t.caller.hear(), dict(t.service.reducer.refusals), front.BACKLOG
+        return await t.caller.hear(), dict(t.service.reducer.refusals)
 
-    answer, refusals, _ = played(scene, tmp_path, machines=caches(act="full"))
+    answer, refusals = played(scene, tmp_path, machines=caches(act="full"))
     assert answer == (1, "nack") and sum(refusals.values()) == 1 and set(refusals) <= set(Refusal)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -431,7 +431,7 @@
         self.task = asyncio.ensure_future(self.service.run())
         while self.service.phases.now == "starting":
             await asyncio.sleep(0.001)
-        self.address = self.service.front.listener.getsockname()
+        self.address = self.service.front.listener.socket.getsockname()
         self.caller = await Caller.connect(self.address)
         return self
 
--- a/tests/soak/test_shim.py
+++ b/tests/soak/test_shim.py
@@ -90,7 +90,8 @@
         assert fault.value.code == 2
 
 
-def test_an_interrupted_soak_ends_all_that_it_started(tmp_path):
+@pytest.mark.parametrize("signal_", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupted_soak_ends_all_that_it_started(tmp_path, signal_):
     soak = subprocess.Popen(
         [sys.executable, "-m", "benchmarks.soak", "--seed", "1", "--short", "--keep", str(tmp_path)],
         cwd=ROOT,
@@ -100,7 +101,7 @@
     for line in soak.stderr:
         if b"processes" in line:
             break
-    soak.send_signal(signal.SIGINT)
+    soak.send_signal(signal_)
     assert soak.wait(30) == 130
     left = []
     for path in Path("/proc").glob("[0-9]*/environ"):
