--- a/benchmarks/soak/witness.py
+++ b/benchmarks/soak/witness.py
@@ -111,7 +111,7 @@
             self.used_at = time.monotonic()
             now = deaf_from or self.used_at  # what was not read meanwhile may have lain there from the first
             for command, name, *rest in self.commands.feed(data):
-                self.seen(now, command, name.decode("latin-1"), *rest)
+                self.take(now, command, name.decode("latin-1"), *rest)
             self.hand_on(data)
 
     def hand_on(self, data):
@@ -121,13 +121,13 @@
             self.up.write(self.held)
             self.held = b""
 
-    def seen(self, now, command, name, raw=b"", body=b""):
+    def take(self, now, command, name, raw=b"", body=b""):
+        """Notes a command. now: when it came at the earliest."""
         if command == "pull":
             fields = {k.decode(): v.decode("latin-1") for k, v in cachewire.read_fields(raw).items()}
             self.open[name] = now
-            self.record(
-                "pull", now, server=self.front.server, connection=self.number, ref=name, fields=fields
-            )
+            told = dict(server=self.front.server, connection=self.number, ref=name, seen_at=self.used_at)
+            self.record("pull", now, fields=fields, **told)
         elif command == "kill":
             self.open.pop(name, None)
             self.record("kill", now, server=self.front.server, connection=self.number, ref=name)
--- a/tests/box/test_clock.py
+++ b/tests/box/test_clock.py
@@ -47,6 +47,21 @@
     assert played(scene, tmp_path) == (("data", "hit", True), ("absent", "", None))
 
 
+def test_a_copy_of_any_age_is_not_young_for_another_class(tmp_path):
+    """A parent still holds what it dated before the clocks were set back; a class without ages fills from it."""
+
+    async def scene(p):
+        p.host("p-1", "parent", int(p.channel.hosts["s-0"]["dial"].split(":")[1]))
+        p.channel.list("p-1")
+        while "p-1" not in p.box.servers:
+            await asyncio.sleep(0.01)
+        await step_back(p, False)
+        return await p.ask(parent="p-1", sort="lasting"), await p.ask(sort="lasting"), await p.ask()
+
+    told = played(scene, tmp_path, tracks={"page": (2.0, 1.0)})
+    assert told == (("data", "filled", True), ("data", "hit", True), ("absent", "", None))
+
+
 def test_what_was_purged_before_all_clocks_were_set_back_is_served_again(tmp_path):
     """For an hour every new copy is dated before that purge."""
 
