What is told in a pass binds for its queries; effects are not looked for at holders; ages of unbounded fills

(1) Reducer handed the decisions what was told after the queries read before it in the same pass: a copy from before a purge was asked for, a draining server was pushed to, within the grace; the check at run time turned it into an error. (2) Router.place took the holders that another class had left of the same object for a query that runs at the origin: a cache more, filled from a holder alone, ended it as 'not held'. (3) a box took a copy of unbounded age, filled for a class without ages after a step back of the clock, for new. Facts of a pass come first; queries that run through have no holders; such a copy is of unknown age.

--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -388,14 +388,15 @@
 
     def date_of(self, fill, when):
         """The moment from which a copy's age counts here. A stamp of the future is that of another setting of the clocks: the
-        copy is then as old as it may be: from the origin as the fill, from others as the fill allowed."""
+        copy is then as old as it may be: from the origin as the fill, from others as the fill allowed, which may be any age."""
         now = self.clock()
         if when is None:
             return now
         if rules.stamp_is_plausible(now, when):
             return when
-        took = self.now() - fill.began
-        return now - (took if fill.origin else max(took, fill.bound_s))
+        if fill.origin:
+            return now - (self.now() - fill.began)
+        return now - fill.bound_s if fill.bound_s else 0.0
 
     def brought(self, fill, body, when, tag, lot):
         """New bytes from the source; kept unless the query said otherwise."""
--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -438,7 +438,8 @@
 
         # the holders remembered, else the home, then those that stand in for it
         stand_ins = self.rings.home(doc.code) if self.rings.rings else []
-        holders = [c for c in self.holders(doc) if c in stand_ins and c not in q.bad]
+        kept = () if q.through else self.holders(doc)  # what runs at the origin is held by nobody
+        holders = [c for c in kept if c in stand_ins and c not in q.bad]
         busy = {c: (fleet.inflight[c] / (fleet.weight[c] or 1.0), self.chance.random()) for c in holders}
         order = sorted(holders, key=busy.get)
         order = [c for c in order + [c for c in stand_ins if c not in busy] if self.open_to(c, q)]
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -96,6 +96,7 @@
         self.serial, self.cursor, self.now, self.closed = 0, 0, 0.0, False
         self.begun = False  # the first pass, with what was known at the start, is over
         self.effects, self.inbox, self.current = [], [], None
+        self.facts = []  # what was told in this pass: the decisions hear of it before all queries and ends of it
         self.counts = dict.fromkeys(
             (
                 "queries",
@@ -115,6 +116,7 @@
     def reduce(self, now, events):
         """One pass: the events, then the pushes whose time is over, then one round."""
         self.now, self.effects, self.inbox, self.shut, self.served = now, [], [], set(), {}
+        self.facts = []
         for self.current in events:
             try:
                 getattr(self, self.current[0])(*self.current[1])
@@ -122,7 +124,7 @@
                 self.faulted(fault)
         self.expire()
         self.expire_waiting()
-        inbox = iter(self.inbox)
+        inbox = iter(self.facts + self.inbox)
         while True:  # a fault of the decisions costs the query that it came up with, not the router
             try:
                 self.router.round(now, self.handed(inbox), self)
@@ -377,7 +379,7 @@
             self.invariants.absent(seen)
             if self.tight is not None:
                 self.effects += [("spread", notice) for notice in self.tight.absent(seen)]
-        self.inbox.append(("roster", ("full" if complete else "changes", rows)))
+        self.facts.append(("roster", ("full" if complete else "changes", rows)))
 
     def redial(self, server, dial):
         """Connections belong to a server's id and start: those to an earlier start are used no more."""
@@ -402,7 +404,7 @@
     def take_purge(self, group, age, key):
         """A purge of so many seconds ago is known from now on."""
         self.invariants.purges.add(self.now, group, key, self.now - age)
-        self.inbox.append(("purged", (group, age, key)))
+        self.facts.append(("purged", (group, age, key)))
 
     def purge_age(self, stamped):
         """Seconds since a purge, by its stamp. Of those known at the start nothing else is known."""
@@ -423,7 +425,7 @@
             self.invariants.listed(row[0], row[1], row[6], row[4])
             if row[1] == "gone":
                 self.redial(row[0], None)
-            self.inbox.append(("roster", ("changes", [row])))
+            self.facts.append(("roster", ("changes", [row])))
             self.effects.append(("say", ("notice", {"server": row[0], "health": row[1]})))
 
     def logged(self, kind, text, number, stamp):
@@ -435,11 +437,11 @@
 
     def copy_rule(self, rule, purges):
         """What this router may do with copies that it holds itself, as far as it knows all purges."""
-        self.inbox.append(("copy_rule", (rule, purges)))
+        self.facts.append(("copy_rule", (rule, purges)))
 
     def peers(self, here, all_):
         """By how many routers this place's limits and the whole fleet's are divided from here on."""
-        self.inbox.append(("peers", (here, all_)))
+        self.facts.append(("peers", (here, all_)))
 
     def parts(self, rows):
         """What this router may use of limits that the fleet shares: (kind, server, start in ms, part or None) each."""
@@ -448,7 +450,7 @@
             row = self.tight.rows.get(server)
             if kind == "own" or row is not None and self.tight.stamp(row[3]) == start:
                 told.append((kind, server, row and row[3], part))
-        self.inbox.append(("parts", (told,)))
+        self.facts.append(("parts", (told,)))
 
     def demand(self):
         """What was asked of limits that the fleet shares, starts in ms; it begins anew."""
@@ -464,7 +466,7 @@
             row = self.tight.rows.get(server)
             if row is not None and self.tight.stamp(row[3]) == start:
                 told.append((server, how, seconds))
-        self.inbox.append(("verdicts", (told,)))
+        self.facts.append(("verdicts", (told,)))
 
     def remember(self, rows):
         """What a peer knows that has run for longer."""
