--- a/brookhinge/engine/rounds.py
+++ b/brookhinge/engine/rounds.py
@@ -4,9 +4,10 @@
 import asyncio
 
 PASSES = 3  # of the loop, until what can be read now has been handed on: select, read, wake the reader
-LATE_S = (
-    0.02  # events that waited so long for their round: the loop stood still, and more may have come meanwhile
-)
+# Events that waited so long for their round: the loop stood still, and more may have come meanwhile.
+LATE_S = 0.02
+# After a decision so old an effect that is late by then is not carried out as decided: the process was stopped meanwhile.
+STALE_S = 0.1
 
 
 class Rounds:
@@ -29,9 +30,14 @@
 
     def join(self, part, *effects):
         """A taker has a method for each effect; failed(effect, values) says what became of one that it could not carry
-        out, where that has to be known."""
+        out, where that has to be known; stale(effect, values) takes one that comes long after its decision, and says
+        whether that was all: else it is carried out as ever."""
         for name in effects:
-            self.takers[name] = getattr(part, name), getattr(part, "failed", None)
+            self.takers[name] = (
+                getattr(part, name),
+                getattr(part, "failed", None),
+                getattr(part, "stale", None),
+            )
 
     def post(self, method, values):
         self.events.append((method, values))
@@ -64,10 +70,14 @@
         for look in self.before:
             look()
         events, self.events = self.events + events, []
-        for method, values in self.reducer.reduce(self.now(), events):
-            take, failed = self.takers[method]
+        effects = self.reducer.reduce(self.now(), events)
+        decided_at = self.now()
+        for method, values in effects:
+            take, failed, stale = self.takers[method]
             try:
-                take(*values)
+                late = stale is not None and self.now() - decided_at > STALE_S
+                if not (late and stale(method, values)):
+                    take(*values)
             except Exception as fault:
                 self.log("fault", where=method, why=f"{type(fault).__name__}: {fault}")
                 if failed is not None:
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -81,6 +81,13 @@
             return self.end(query, push, "unreachable")
         self.put(line, query, push, name, wire, self.now())
 
+    def stale(self, effect, values):
+        """A push that comes long after its decision is decided anew: what was known then may hold no more."""
+        if effect != "pull":
+            return False
+        self.end(values[0], values[1], "unsent")
+        return True
+
     def failed(self, effect, values):
         """A push that could not be written is over."""
         if effect == "pull":
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -121,7 +121,7 @@
         self.rounds.join(self.front, "satisfy", "nack", "error", "reject", "shut")
         self.rounds.join(self.caches, "pull", "kill", "retire")
         self.rounds.join(self, "say")
-        self.rounds.takers["trace"] = self.trace_step, None
+        self.rounds.takers["trace"] = self.trace_step, None, None
         if fleet is not None:
             from brookhinge.membership.talk import Talk
 
