--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -341,4 +341,7 @@
             "server_closes": self.caches.closes,
             "violations": self.reducer.invariants.violations,
         }
-        return {name: collections.Counter(counter) for name, counter in counters.items()}
+        return {
+            name: collections.Counter({str(reason): count for reason, count in counter.items()})
+            for name, counter in counters.items()
+        }
--- a/tests/engine/test_invariants.py
+++ b/tests/engine/test_invariants.py
@@ -5,6 +5,7 @@
 import pytest
 
 from brookhinge import rules
+from brookhinge.engine.log import Log
 from brookhinge.engine.trace import Trace
 from brookhinge.interface import ColdStart
 from brookhinge.rules import CloseReason, Ran, Refusal
@@ -205,6 +206,34 @@
     assert trace.file is None
 
 
+def test_the_totals_at_the_end_are_a_line_of_json(tmp_path):
+    lines = []
+
+    async def scene(t):
+        t.service.log = Log("n1", Sink(lines))
+        t.caller.ask(1)
+        await t.caller.hear()
+        t.service.ended.set()
+        await t.task
+
+    played(scene, tmp_path, machines=caches(act="full"))
+    totals = [json.loads(line) for line in lines if b"totals" in line]
+    assert len(totals) == 1 and sum(totals[0]["refusals"].values()) == 1 and totals[0]["violations"] == {}
+
+
+class Sink:
+    """Takes the bytes of a log."""
+
+    def __init__(self, lines):
+        self.lines = lines
+
+    def write(self, text):
+        self.lines.append(text)
+
+    def flush(self):
+        pass
+
+
 def test_refusals_are_counted_by_reason(tmp_path):
     async def scene(t):
         t.caller.ask(1)
