--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -6,7 +6,6 @@
 import asyncio
 import collections
 import json
-import os
 import shutil
 import signal
 import sys
@@ -14,12 +13,6 @@
 import time
 from pathlib import Path
 
-from brookhinge.standin.ports import own_host
-
-os.environ.setdefault(
-    "SOAK_HOST", own_host()
-)  # before the world is laid out: of this soak and its processes alone
-
 from benchmarks.soak import judge, shim
 from benchmarks.soak.driver import Driver, Stuck
 from benchmarks.soak.faults import FAULTS
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -4,7 +4,10 @@
 import zlib
 from dataclasses import dataclass
 
-HOST = os.environ.get("SOAK_HOST", "127.0.0.1")  # a loopback address that no other soak uses
+from brookhinge.standin.ports import own_host
+
+# A loopback address that no other soak uses: the driver chooses it, its processes find it in their environment.
+HOST = os.environ.setdefault("SOAK_HOST", own_host())
 NS = 1e9
 ZONE, HUB = "edge-1", "hub"
 CACHE, PARENT, ORIGIN = "box", "parent", "origin"
