A listener that fails as the router ends does not keep it from ending; a client's end is seen unread

Cause: Service.finish closed the listener before it began to look for its end; an exception there left the process in 'leaving' until SIGKILL. Found by reading while faults were planted.

--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -264,9 +264,10 @@
             asyncio.get_running_loop().call_later(LEAVE_S, self.finish)
 
     def finish(self):
-        self.front.stop()
+        """No new connections; ends once all is answered, also if the listener fails as it closes."""
         self.phases.step("finishing")
-        self.look_for_end()
+        asyncio.get_running_loop().call_soon(self.look_for_end)
+        self.front.stop()
 
     def look_for_end(self):
         open_ = self.rounds.events or self.reducer.queries or self.front.listener.open
--- a/tests/crossings/test_rare.py
+++ b/tests/crossings/test_rare.py
@@ -342,3 +342,56 @@
     numbers, answers, (second, first) = played(scene, tmp_path, machines=caches())
     assert numbers == {-1, 0} and answers == {"satisfied 19"}
     assert second <= 2900 - 500 + 150 < first
+
+
+def test_the_end_of_a_client_is_seen_though_nothing_is_read_of_it(tmp_path):
+    """It reads nothing and has more waiting than is read of a client; it shuts its side, then a server fails."""
+    key = "cd" * 8
+
+    async def scene(t):
+        for machine in t.machines.values():
+            machine.act = lambda line: "silent" if key in line[2] else "data"
+            machine.body = b"x" * 200_000
+        raw = Raw(t.address)
+        raw.asks(1, lookup=key).send()
+        await until(t.pulled)
+        client = list(t.service.front.clients.values())[-1]
+        for number in range(2, 32):
+            raw.asks(number, lookup=f"{number:016x}").send()
+            await asyncio.sleep(0.01)
+        await until(lambda: client.unread > thrift.LONGEST)
+        body = thrift.INT.pack(200_000) + b"x" * 200_000
+        for _ in range(2):
+            raw.call.call(
+                b"serve",
+                thrift.HEAD.pack(thrift.MAP, 1),
+                thrift.words({}),
+                thrift.HEAD.pack(thrift.STRING, 2),
+                body,
+            )
+        raw.send()
+        await until(lambda: client.queued > thrift.LONGEST)
+        raw.socket.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.2)
+        for machine in t.machines.values():
+            for writer in machine.writers:
+                writer.transport.abort()
+        await asyncio.sleep(0.3)
+        raw.close(reset=True)
+        return [line for line in t.pulled() if f"PULL {1:016x}" in line]
+
+    assert len(played(scene, tmp_path)) == 1
+
+
+def test_a_listener_that_fails_as_the_router_ends_does_not_keep_it_from_ending(tmp_path):
+    async def scene(t):
+        def failing():
+            raise OSError(errno.EBADF, "planted")
+
+        t.service.front.stop = failing
+        t.service.stop()
+        t.service.until = t.service.now() + 1.0
+        await asyncio.wait_for(t.task, 5.0)
+        return t.service.phases.now
+
+    assert played(scene, tmp_path) == "ended"
