--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -399,16 +399,18 @@
     """Attempts of an effect after one that may have run."""
     kind, may_have_run = world.KINDS[request.kind], None
     out = []
-    for attempt in sorted(attempts, key=lambda a: a.at):
+    for attempt in sorted(attempts, key=lambda a: a.seen_at):
         if may_have_run is not None and kind.effect == "fragile":
             detail = f"a single-use request to {attempt.server} after one to {may_have_run.server}"
             out.append(Violation(Invariant.EFFECT_TWICE, attempt.at, request.ref, detail))
         elif (
             may_have_run is not None
             and kind.effect == "dedup"
-            and attempt.at - may_have_run.at > kind.window_s + WIRE_S
+            and attempt.at - may_have_run.seen_at > kind.window_s + WIRE_S
         ):
-            detail = f"{attempt.at - may_have_run.at:.2f} s after the first, the window is {kind.window_s} s"
+            detail = (
+                f"{attempt.at - may_have_run.seen_at:.2f} s after the first, the window is {kind.window_s} s"
+            )
             out.append(Violation(Invariant.EFFECT_TWICE, attempt.at, request.ref, detail))
         if may_have_run is None and attempt.word not in NEVER_RAN:
             may_have_run = attempt
@@ -428,7 +430,7 @@
     for ref, attempts in history.attempts.items():
         if ref not in history.requests or ref in history.resent:
             continue
-        in_order = sorted(attempts, key=lambda a: a.at)
+        in_order = sorted(attempts, key=lambda a: a.seen_at)
         for first, second in zip(in_order, in_order[1:]):
             if last_seen_out(history, first) > second.seen_at + WIRE_S:
                 detail = (
