--- a/benchmarks/soak/channel.py
+++ b/benchmarks/soak/channel.py
@@ -59,14 +59,20 @@
         try:
             while words := (await reader.readuntil(b"\r\n\r\n")).decode().split():
                 asked = dict(pair.split("=") for pair in words[1].partition("?")[2].split("&"))
-                await self.answer(name, writer, int(asked["resume"]), int(asked["block"]) / 1000.0)
+                rows, cursor = await self.news_for(int(asked["resume"]), int(asked["block"]) / 1000.0)
+                if reader.at_eof():
+                    return  # it has gone to another channel: it is told nothing here
+                await self.answer(writer, rows, cursor)
+                if rows:
+                    self.record("told", reader=name, cursor=cursor)
         except (ConnectionError, asyncio.IncompleteReadError, KeyError, ValueError):
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
-    async def answer(self, name, writer, resume, block_s):
+    async def news_for(self, resume, block_s):
+        """What is told after a number, once there is something or the wait is over; and the last number."""
         until = time.monotonic() + block_s
         while self.last() <= resume and time.monotonic() < until:
             try:
@@ -76,7 +82,9 @@
         while time.monotonic() < self.silent_until:
             await asyncio.sleep(0.02)
         rows = [event for event in self.events if event["cursor"] > resume]
-        cursor = max(resume, self.last())
+        return rows, max(resume, self.last())
+
+    async def answer(self, writer, rows, cursor):
         body = json.dumps({"cursor": cursor, "cmds": rows}).encode()
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
         if time.monotonic() < self.slow_until:
@@ -86,8 +94,6 @@
             data = data[half:]
         writer.write(data)
         await writer.drain()
-        if rows:
-            self.record("told", reader=name, cursor=cursor)
 
     def last(self):
         return self.events[-1]["cursor"] if self.events else 0
--- a/benchmarks/soak/server.py
+++ b/benchmarks/soak/server.py
@@ -49,7 +49,8 @@
             for name in names:
                 self.versions[name] = self.versions.get(name, 0) + 1
         else:
-            asyncio.get_running_loop().call_later(after_s, self.forget, names, at)
+            wait_s = max(0.0, at + after_s - time.monotonic())  # also if this process was stopped meanwhile
+            asyncio.get_running_loop().call_later(wait_s, self.forget, names, at)
 
     def forget(self, names, at):
         for name in names:
