--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -551,13 +551,19 @@
     for r in history.records:
         if r["event"] == "router_not_ready":
             out.append(Violation(Invariant.NOT_READY, r["at"], None, r["router"]))
-        elif r["event"] == "router_killed" and r["late"]:
+        elif r["event"] == "router_killed" and r["late"] and not stopped_since_term(history, r):
             out.append(Violation(Invariant.STOP_LATE, r["at"], None, r["router"]))
         elif r["event"] == "router_exit":
             out += exit_of(history, r)
     return out
 
 
+def stopped_since_term(history, r):
+    """Whether the process was stopped (SIGSTOP) while it was to end."""
+    term_at = max(at for at in history.terms[r["router"]] if at <= r["at"])
+    return history.frozen.overlap(r["router"], term_at, r["at"]) > 0
+
+
 def exit_of(history, r):
     """A router ends by SIGKILL from the driver or with 0 after SIGTERM."""
     ours = {x["process"] for x in history.records if x["event"] == "router_killed"}
