--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -5,6 +5,7 @@
 
 import bisect
 import collections
+import itertools
 from dataclasses import asdict, dataclass, field
 from enum import StrEnum
 
@@ -430,12 +431,10 @@
     for ref, attempts in history.attempts.items():
         if ref not in history.requests or ref in history.resent:
             continue
-        in_order = sorted(attempts, key=lambda a: a.seen_at)
-        for first, second in zip(in_order, in_order[1:]):
-            if last_seen_out(history, first) > second.seen_at + WIRE_S:
-                detail = (
-                    f"{second.server} beside {first.server}, out for {first.end_at - second.at:.3f} s more"
-                )
+        for first, second in itertools.combinations(sorted(attempts, key=lambda a: a.seen_at), 2):
+            both_s = min(last_seen_out(history, first), last_seen_out(history, second)) - second.seen_at
+            if both_s > WIRE_S:
+                detail = f"{second.server} beside {first.server}, both out for {both_s:.3f} s"
                 out.append(Violation(Invariant.TWO_ATTEMPTS, second.at, ref, detail))
     return out
 
