--- a/tests/box/test_clock.py
+++ b/tests/box/test_clock.py
@@ -62,6 +62,24 @@
     assert told == (("data", "filled", True), ("data", "hit", True), ("absent", "", None))
 
 
+def test_a_copy_dated_before_a_small_step_back_is_not_taken_for_one_of_after_it(tmp_path):
+    """All clocks go back 5 s; a parent's copy of 3 s before looks like one of 2 s after."""
+
+    async def scene(p):
+        p.host("p-1", "parent", int(p.channel.hosts["s-0"]["dial"].split(":")[1]))
+        p.channel.list("p-1")
+        while "p-1" not in p.box.servers:
+            await asyncio.sleep(0.01)
+        p.step_s = -5.0
+        while not any(event == "clock stepped back" for event, _ in p.lines):
+            await asyncio.sleep(0.01)
+        p.origin.now = lambda: time.time() - 5.0 - 0.2
+        return await p.ask(parent="p-1", sort="lasting"), await p.ask(sort="lasting"), await p.ask()
+
+    told = played(scene, tmp_path, tracks={"page": (2.0, 1.0)})
+    assert told == (("data", "filled", True), ("data", "hit", True), ("absent", "", None))
+
+
 def test_what_was_purged_before_all_clocks_were_set_back_is_served_again(tmp_path):
     """For an hour every new copy is dated before that purge."""
 
