Boxes believe no source's stamp for as long after a step back as the step was

Cause: after a step back of 5 s a parent's copy dated 3 s before it looks like one of 2 s after it. Change: for as long as the step was, 60 s at most, a fill that is not the origin's own is as old as it was allowed to be.

--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -17,6 +17,8 @@
 MB = 1024 * 1024
 SOCKETS, MULTIPLEX = 256, 64
 FIGURES_S, SWEEP_S = 10.0, 0.05
+UNSURE_S = 60.0  # at most, after a clock was set back, stamps of before pass for later ones
+BOUND_MARGIN_S = 0.001  # what was asked to be younger than a purge is not taken for as old as it
 STEP_S = 0.25  # of a clock set back: less is the clock being kept in time
 
 
@@ -42,7 +44,7 @@
         self.stand, self.say, self.clock, self.start_at, self.steady = stand, say, now, now(), steady
         self.tracks = {name.encode(): j.Track(*ages) for name, ages in stand.tracks.items()}
         self.kinds, self.reports = (stand.parent_kind, stand.origin_kind), stand.reports
-        self.steady_start = steady()
+        self.steady_start, self.unsure_until = steady(), 0.0
         self.apart = now() - steady()  # of the two clocks: it falls when the one that people set steps back
         tier = stand.store
         disk = (
@@ -130,6 +132,7 @@
         apart = self.clock() - self.steady()
         if apart < self.apart - STEP_S:
             self.say("clock stepped back", by_s=round(self.apart - apart, 3))
+            self.unsure_until = self.now() + min(self.apart - apart, UNSURE_S)
             self.store.aside_all()
             self.store.bound_purges(self.clock())
         self.apart = apart
@@ -387,16 +390,17 @@
         return self.store.renew(*fill.key, fill.held, max(when, fill.held.dated))
 
     def date_of(self, fill, when):
-        """The moment from which a copy's age counts here. A stamp of the future is that of another setting of the clocks: the
-        copy is then as old as it may be: from the origin as the fill, from others as the fill allowed, which may be any age."""
+        """The moment from which a copy's age counts here. A stamp of the future is that of another setting of the clocks, and so
+        may be any for a while after a step back: the copy is then as old as it may be, from the origin as the fill, from others
+        as the fill allowed, which may be any age."""
         now = self.clock()
         if when is None:
             return now
-        if rules.stamp_is_plausible(now, when):
+        if rules.stamp_is_plausible(now, when) and (fill.origin or self.now() >= self.unsure_until):
             return when
         if fill.origin:
             return now - (self.now() - fill.began)
-        return now - fill.bound_s if fill.bound_s else 0.0
+        return now - fill.bound_s + BOUND_MARGIN_S if fill.bound_s else 0.0
 
     def brought(self, fill, body, when, tag, lot):
         """New bytes from the source; kept unless the query said otherwise."""
