--- a/benchmarks/soak/client.py
+++ b/benchmarks/soak/client.py
@@ -104,11 +104,16 @@
         )  # fmt: skip
 
     def cancel(self, number):
-        request = self.out.pop(number, None)
-        if request is None or self.ended:
-            return
-        self.writer.write(forget_call(number))
-        self.record("cancel", ref=request.ref)
+        asyncio.ensure_future(self.forget(number))
+
+    async def forget(self, number):
+        """Once what is being written in pieces is whole."""
+        async with self.writing:
+            request = self.out.pop(number, None)
+            if request is None or self.ended:
+                return
+            self.writer.write(forget_call(number))
+            self.record("cancel", ref=request.ref)
 
     def leave(self, reset):
         """Closes with whatever is open."""
