--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -3,7 +3,7 @@
 import pytest
 
 from brookhinge import rules
-from tests.helpers import Bench, Desk
+from tests.helpers import Bench, Desk, configuration
 
 HOUR_S = 3600.0
 
@@ -65,3 +65,16 @@
     assert rules.event_time(100.0, 100.0 - late_s) == 100.0 - late_s
     assert rules.event_time(100.0, 100.0 - late_s - 1.0) == 100.0
     assert rules.event_time(100.0, 100.5) == 100.0
+
+
+def test_a_purge_known_at_the_start_binds_also_if_the_router_started_with_its_clock_ahead(tmp_path):
+    """The newest event that is known cannot be later than now; by how much earlier it was, a clock that is ahead cannot tell."""
+    values = configuration()["settings"]
+    values["Specifics"]["GoneEverywhereNs"] = 5e9
+    desk, asked = Desk(tmp_path, settings=values), []
+    real = desk.reducer.push
+    desk.reducer.push = lambda *values: (asked.append(values[5]), real(*values))
+    desk.reducer.begun = False
+    desk.hear(("purged", (4, 0, desk.now - 7.5, "aa")))  # 2.5 s ago by its sender's clock
+    desk.ask()
+    assert 0.0 < asked[0] <= 2.6
