--- a/tests/box/test_clock.py
+++ b/tests/box/test_clock.py
@@ -8,14 +8,22 @@
 HOUR_S = 3600.0
 
 
-async def step_back(p, all_machines):
-    p.step_s = -HOUR_S
+async def step_back(p, all_machines, by_s=HOUR_S):
+    p.step_s = -by_s
     if all_machines:
-        p.origin.now = lambda: time.time() - HOUR_S
+        p.origin.now = lambda: time.time() - by_s
     while not any(event == "clock stepped back" for event, _ in p.lines):
         await asyncio.sleep(0.01)
 
 
+async def list_parent(p):
+    """A parent at the origin's address: what it gives out may be of any age."""
+    p.host("p-1", "parent", int(p.channel.hosts["s-0"]["dial"].split(":")[1]))
+    p.channel.list("p-1")
+    while "p-1" not in p.box.servers:
+        await asyncio.sleep(0.01)
+
+
 def test_a_copy_dated_in_the_future_ages_all_the_same(tmp_path):
     """The box's clock is set back, that of its source is not."""
 
@@ -51,10 +59,7 @@
     """A parent still holds what it dated before the clocks were set back; a class without ages fills from it."""
 
     async def scene(p):
-        p.host("p-1", "parent", int(p.channel.hosts["s-0"]["dial"].split(":")[1]))
-        p.channel.list("p-1")
-        while "p-1" not in p.box.servers:
-            await asyncio.sleep(0.01)
+        await list_parent(p)
         await step_back(p, False)
         return await p.ask(parent="p-1", sort="lasting"), await p.ask(sort="lasting"), await p.ask()
 
@@ -66,13 +71,8 @@
     """All clocks go back 5 s; a parent's copy of 3 s before looks like one of 2 s after."""
 
     async def scene(p):
-        p.host("p-1", "parent", int(p.channel.hosts["s-0"]["dial"].split(":")[1]))
-        p.channel.list("p-1")
-        while "p-1" not in p.box.servers:
-            await asyncio.sleep(0.01)
-        p.step_s = -5.0
-        while not any(event == "clock stepped back" for event, _ in p.lines):
-            await asyncio.sleep(0.01)
+        await list_parent(p)
+        await step_back(p, False, 5.0)
         p.origin.now = lambda: time.time() - 5.0 - 0.2
         return await p.ask(parent="p-1", sort="lasting"), await p.ask(sort="lasting"), await p.ask()
 
--- a/tests/crossings/test_rare.py
+++ b/tests/crossings/test_rare.py
@@ -101,31 +101,41 @@
     assert played(scene, tmp_path, machines=caches(delay=front.FRAME_S + 0.4)) == ((1, "satisfied 19"), None)
 
 
+async def reads_nothing(t):
+    """A client whose first query is out at a server that is silent, and that reads none of many large answers."""
+    key = "cd" * 8
+    for machine in t.machines.values():
+        machine.act = lambda line: "silent" if key in line[2] else "data"
+        machine.body = b"x" * 200_000
+    raw = Raw(t.address)
+    raw.asks(1, lookup=key).send()
+    await until(t.pulled)
+    client = list(t.service.front.clients.values())[-1]
+    for number in range(2, 32):
+        raw.asks(number, lookup=f"{number:016x}").send()
+        await asyncio.sleep(0.01)
+    await until(lambda: client.unread > thrift.LONGEST)
+    return raw, client
+
+
+async def pulls_of_the_first_once_its_server_fails(t, raw):
+    for machine in t.machines.values():
+        for writer in machine.writers:
+            writer.transport.abort()
+    await asyncio.sleep(0.3)
+    raw.close(reset=True)
+    return [line for line in t.pulled() if f"PULL {1:016x}" in line]
+
+
 def test_a_cancel_does_not_wait_behind_answers_that_are_not_read(tmp_path):
     """A client reads nothing, cancels a query, then the server of that query ends its connection."""
-    key = "cd" * 8
 
     async def scene(t):
-        for machine in t.machines.values():
-            machine.act = lambda line: "silent" if key in line[2] else "data"
-            machine.body = b"x" * 200_000
-        raw = Raw(t.address)
-        raw.asks(1, lookup=key).send()
-        await until(t.pulled)
-        client = list(t.service.front.clients.values())[-1]
-        for number in range(2, 32):
-            raw.asks(number, lookup=f"{number:016x}").send()
-            await asyncio.sleep(0.01)
-        await until(lambda: client.unread > thrift.LONGEST)
+        raw, client = await reads_nothing(t)
         raw.call.forget(1)
         raw.send()
         await asyncio.sleep(0.3)
-        for machine in t.machines.values():
-            for writer in machine.writers:
-                writer.transport.abort()
-        await asyncio.sleep(0.3)
-        raw.close(reset=True)
-        return [line for line in t.pulled() if f"PULL {1:016x}" in line]
+        return await pulls_of_the_first_once_its_server_fails(t, raw)
 
     assert len(played(scene, tmp_path)) == 1
 
@@ -346,20 +356,9 @@
 
 def test_the_end_of_a_client_is_seen_though_nothing_is_read_of_it(tmp_path):
     """It reads nothing and has more waiting than is read of a client; it shuts its side, then a server fails."""
-    key = "cd" * 8
 
     async def scene(t):
-        for machine in t.machines.values():
-            machine.act = lambda line: "silent" if key in line[2] else "data"
-            machine.body = b"x" * 200_000
-        raw = Raw(t.address)
-        raw.asks(1, lookup=key).send()
-        await until(t.pulled)
-        client = list(t.service.front.clients.values())[-1]
-        for number in range(2, 32):
-            raw.asks(number, lookup=f"{number:016x}").send()
-            await asyncio.sleep(0.01)
-        await until(lambda: client.unread > thrift.LONGEST)
+        raw, client = await reads_nothing(t)
         body = thrift.INT.pack(200_000) + b"x" * 200_000
         for _ in range(2):
             raw.call.call(
@@ -373,12 +372,7 @@
         await until(lambda: client.queued > thrift.LONGEST)
         raw.socket.shutdown(socket.SHUT_WR)
         await asyncio.sleep(0.2)
-        for machine in t.machines.values():
-            for writer in machine.writers:
-                writer.transport.abort()
-        await asyncio.sleep(0.3)
-        raw.close(reset=True)
-        return [line for line in t.pulled() if f"PULL {1:016x}" in line]
+        return await pulls_of_the_first_once_its_server_fails(t, raw)
 
     assert len(played(scene, tmp_path)) == 1
 
