--- a/tests/crossings/test_rare.py
+++ b/tests/crossings/test_rare.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import errno
+import gc
 import itertools
 import socket
 import time
+import tracemalloc
 
 import pytest
 
@@ -389,3 +391,28 @@
         return t.service.phases.now
 
     assert played(scene, tmp_path) == "ended"
+
+
+def test_a_connection_that_was_reset_keeps_no_buffer(tmp_path):
+    """The error that ends a stream holds the frames that it came through, and the stream holds its error: what stands in
+    those frames stays until the collector comes by."""
+
+    async def scene(t):
+        count = 100
+        for number in range(2 * count):
+            if number == count:
+                before = tracemalloc.get_traced_memory()[0]
+            raw = Raw(t.address).asks(number + 1).send()
+            await asyncio.sleep(0.005)
+            raw.close(reset=True)
+        await until(lambda: len(t.service.front.clients) == 1)
+        return (tracemalloc.get_traced_memory()[0] - before) / count
+
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        assert played(scene, tmp_path, machines=caches()) < 32_000
+    finally:
+        tracemalloc.stop()
+        gc.enable()
