--- a/benchmarks/soak/client.py
+++ b/benchmarks/soak/client.py
@@ -14,6 +14,7 @@
 READ = 1 << 16
 OPEN_MOST = 24  # requests on one connection; 32 are allowed
 IDLE_CLOSE_S = 4.0
+FOR_ONE = 0.08  # of the requests come on a connection of their own
 CROSSED_S = 0.05  # a request that crosses a close by so much is sent again, once
 BAD_BYTES = (
     b"\xff" * 64,
@@ -67,7 +68,7 @@
         self.client, self.router, self.number = client, router, number
         self.record, self.chance = client.record, client.chance
         self.out, self.serial, self.used_at, self.ended = {}, 0, time.monotonic(), False
-        self.writing = asyncio.Lock()
+        self.writing, self.for_one = asyncio.Lock(), False  # whether it is closed after its one request
 
     async def open(self, port):
         self.reader, self.writer = await asyncio.open_connection(world.HOST, port)
@@ -159,6 +160,8 @@
             "answer", at, ref=request.ref, kind=kind, same=same, right=right, version=made and made[2],
             made=made and made[3],
         )  # fmt: skip
+        if self.for_one and not self.out:
+            self.leave(False)
         if kind == "refused" and self.chance.random() < self.client.retry_rate:
             self.client.retry(request)
 
@@ -303,10 +306,13 @@
 
     async def connection(self, router):
         usable = [c for c in self.connections[router] if not c.ended and len(c.out) < OPEN_MOST]
-        if usable and (len(usable) >= 6 or self.chance.random() < 0.85):
+        usable = [c for c in usable if not c.for_one]
+        for_one = self.chance.random() < FOR_ONE
+        if usable and not for_one and (len(usable) >= 3 or self.chance.random() < 0.9):
             return self.chance.choice(usable)
         self.serial += 1
         made = Connection(self, router, self.serial)
+        made.for_one = for_one
         await asyncio.wait_for(made.open(self.ports[router]), 2.0)
         self.connections[router].append(made)
         return made
