--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -301,7 +301,7 @@
 def missing_answer(history, request, due):
     if history.was_killed(request.router, request.sent_at - WIRE_S, due + WIRE_S):
         return []
-    if request.ended_at is not None:
+    if request.ended_at is not None and request.ended_at <= due:
         if request.sent_at >= request.ended_at - CROSSED_S or after_stop(history, request):
             return []
         detail = f"the router closed {request.ended_at - request.sent_at:.3f} s after it"
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -98,7 +98,10 @@
     assert story(9.2).broken() == []
 
 
-@pytest.mark.parametrize("ended_at, broken", [(10.3, [Invariant.CLOSED_UNANSWERED]), (10.04, [])])
+@pytest.mark.parametrize(
+    "ended_at, broken",
+    [(10.3, [Invariant.CLOSED_UNANSWERED]), (10.04, []), (20.0, [Invariant.ANSWER_MISSING])],
+)
 def test_a_connection_closed_over_a_request(ended_at, broken):
     story = Story().sent()
     story.add(ended_at, "client0", "ended", connection=1, router="r0", refs=[REF], crossed=[])
