--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -95,6 +95,7 @@
         self.served, self.copies = {}, {}  # bodies that came in this pass, and those the decisions keep
         self.serial, self.cursor, self.now, self.closed = 0, 0, 0.0, False
         self.begun = False  # the first pass, with what was known at the start, is over
+        self.newest_purge = float("-inf")  # of those known at the start
         self.effects, self.inbox, self.current = [], [], None
         self.facts = []  # what was told in this pass: the decisions hear of it before all queries and ends of it
         self.counts = dict.fromkeys(
@@ -117,6 +118,9 @@
         """One pass: the events, then the pushes whose time is over, then one round."""
         self.now, self.effects, self.inbox, self.shut, self.served = now, [], [], set(), {}
         self.facts = []
+        if not self.begun:
+            moments = [values[2] for method, values in events if method == "purged"]
+            self.newest_purge = max(moments, default=self.newest_purge)
         for self.current in events:
             try:
                 getattr(self, self.current[0])(*self.current[1])
@@ -407,9 +411,9 @@
         self.facts.append(("purged", (group, age, key)))
 
     def purge_age(self, stamped):
-        """Seconds since a purge, by its stamp. Of those known at the start nothing else is known."""
+        """Seconds since a purge, by its stamp. Of those known at the start nothing but their stamps is known."""
         if not self.begun:
-            return max(0.0, self.now - stamped)
+            return self.now - rules.known_event_time(self.now, stamped, self.newest_purge)
         return self.now - rules.event_time(self.now, stamped)
 
     def notice(self, kind, values):
--- a/brookhinge/roster.py
+++ b/brookhinge/roster.py
@@ -1,6 +1,6 @@
 """The table of servers as the command channel last listed them. It decides nothing; no I/O, no clock."""
 
-from brookhinge.rules import event_time
+from brookhinge.rules import event_time, known_event_time
 
 # Seconds after which nothing sent to a server that is gone can still be in flight: its index may be given to another.
 REUSE_AFTER_S = 30.0
@@ -28,6 +28,7 @@
         (self.parent_kind, self.origin_kind), self.here, self.index = kinds, here, {}
         self.ids, self.role, self.state, self.weight, self.born, self.cold_from = [], [], [], [], [], []
         self.first_at = None  # when the first list came: starts before it were not watched
+        self.newest_born = float("-inf")  # the latest start of those that it tells of
         self.zone, self.cell, self.inflight, self.forgot_at = [], [], [], []
         self.own, self.parents, self.origins, self.fresh = [], [], [], []
 
@@ -69,6 +70,8 @@
         'full' or 'saved') leaves out is gone."""
         self.fresh = []
         self.first_at = now if self.first_at is None else self.first_at
+        if now == self.first_at:
+            self.newest_born = max([self.newest_born, *(row[3] for row in rows if row[3] is not None)])
         listed = {self.take_row(now, *row) for row in rows}
         if kind in ("full", "saved"):
             for c in range(len(self.ids)):
@@ -90,10 +93,12 @@
 
     def start_of(self, now, born):
         """Since when a server counts as started that was listed just now. Of those in the first list nothing but their
-        stamp is known; a later one was not there before."""
+        stamps is known, beside one another; a later one was not there before."""
         if born is None:
             return None
-        return min(born, now) if now == self.first_at else event_time(now, born)
+        if now == self.first_at:
+            return known_event_time(now, born, self.newest_born)
+        return event_time(now, born)
 
     def group_by_role(self):
         """Lists the indices of each role anew, in the order of the ids."""
--- a/brookhinge/rules.py
+++ b/brookhinge/rules.py
@@ -124,6 +124,12 @@
     return stamped if now - PLAUSIBLE_DELAY_S <= stamped <= now else now
 
 
+def known_event_time(now, stamped, newest):
+    """When an event took place that was known at the start, by its sender's stamp. The newest one of its kind cannot be later
+    than now; by how much earlier it was a clock that is ahead cannot tell, so all count from it. That tightens every rule."""
+    return max(min(stamped, now), now - (newest - stamped))
+
+
 def stamp_is_plausible(now, stamped):
     """Whether a copy's age can be told by its stamp: one of the future would make it younger than it is."""
     return stamped <= now + STAMP_SLACK_S
