--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from brookhinge.client import Client, returns
+from brookhinge.rules import CloseReason
 from helpers import Machine, Town
 
 X = "ab" * 8
@@ -75,7 +76,7 @@
             asking = asyncio.ensure_future(client.fetch(X))
             await asyncio.sleep(0.05)
             for client in list(t.service.front.clients.values()):
-                t.service.front.drop(client)
+                t.service.front.drop(client, CloseReason.STOPPING)
             return left, (await asking).kind
 
     assert played(scene, tmp_path, boxes(act="silent")) == (1, "gone")
