--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -19,6 +19,7 @@
 from benchmarks.soak.records import read_records
 
 SHORT_S, LONG_S = 60.0, 200.0
+TRACED = 60  # violations of which the way of the request is put together: each is a pass over all that was written down
 SHOWN = 12  # violations printed; all of them stand in the folder
 
 
@@ -67,11 +68,11 @@
 def evidence(folder, violations):
     """Each violation with the way of its request, from all that was written down."""
     with open(Path(folder) / "violations.txt", "w") as out:
-        for violation in violations:
+        for number, violation in enumerate(violations):
             out.write(
                 f"{violation.invariant} at {violation.at:.3f}: {violation.ref or '-'}: {violation.detail}\n"
             )
-            if violation.ref:
+            if violation.ref and number < TRACED:
                 for line in way_of(folder, violation.ref):
                     out.write(f"    {line}\n")
 
