Purges known at a start count from the newest stamp of those that came with or after them

Cause: after all clocks were set back, a purge of before the step has the newest stamp of all that are known, and those after it were taken for an hour old. Ruled out: the router's own clock, which was right in the case. Change: of each purge known at the start only stamps of its number or a later one count (newest_stamps); a notice in the first pass counts from itself. Measured: tests/test_clocks.py, test_reducer.py, test_rules.py, 44 passed.

--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -70,6 +70,16 @@
         )  # what the decisions are told of it; the query whose answer it waits for
 
 
+def newest_stamps(purges):
+    """{number: the newest stamp of the purges with that number or a later one}. purges: values of `purged`, in the order of
+    their numbers. A purge with an older stamp than one before it came after all clocks were set back: the stamps of those
+    before the step say nothing of when it was."""
+    newest, stamps = float("-inf"), {}
+    for number, _, moment, _ in reversed(purges):
+        newest = stamps[number] = max(newest, moment)
+    return stamps
+
+
 class Reducer:
     def __init__(self, router, tracks, zones, lineage=None, tight=None, scores=None, traced=False):
         """traced: each step of each query comes out as an effect `trace`."""
@@ -95,7 +105,7 @@
         self.served, self.copies = {}, {}  # bodies that came in this pass, and those the decisions keep
         self.serial, self.cursor, self.now, self.closed = 0, 0, 0.0, False
         self.begun = False  # the first pass, with what was known at the start, is over
-        self.newest_purge = float("-inf")  # of those known at the start
+        self.newest_known = {}  # of each purge known at the start, by number: the newest stamp from it on
         self.effects, self.inbox, self.current = [], [], None
         self.facts = []  # what was told in this pass: the decisions hear of it before all queries and ends of it
         self.counts = dict.fromkeys(
@@ -119,8 +129,7 @@
         self.now, self.effects, self.inbox, self.shut, self.served = now, [], [], set(), {}
         self.facts = []
         if not self.begun:
-            moments = [values[2] for method, values in events if method == "purged"]
-            self.newest_purge = max(moments, default=self.newest_purge)
+            self.newest_known = newest_stamps([values for method, values in events if method == "purged"])
         for self.current in events:
             try:
                 getattr(self, self.current[0])(*self.current[1])
@@ -403,17 +412,18 @@
                 self.effects.append(("spread", ("purge", group, key, stamp)))
                 if not self.tight.purge_is_new(group, key, stamp):
                     return
-            self.take_purge(group, self.purge_age(moment), key)
+            self.take_purge(group, self.purge_age(moment, self.newest_known.get(number, moment)), key)
 
     def take_purge(self, group, age, key):
         """A purge of so many seconds ago is known from now on."""
         self.invariants.purges.add(self.now, group, key, self.now - age)
         self.facts.append(("purged", (group, age, key)))
 
-    def purge_age(self, stamped):
-        """Seconds since a purge, by its stamp. Of those known at the start nothing but their stamps is known."""
+    def purge_age(self, stamped, newest):
+        """Seconds since a purge, by its stamp. Of those known at the start nothing but their stamps and order is known.
+        newest: the newest stamp of those that came with or after it."""
         if not self.begun:
-            return self.now - rules.known_event_time(self.now, stamped, self.newest_purge)
+            return self.now - rules.known_event_time(self.now, stamped, newest)
         return self.now - rules.event_time(self.now, stamped)
 
     def notice(self, kind, values):
@@ -421,8 +431,8 @@
         if kind == "purge":
             group, key, stamp = values
             if self.tight.purge_is_new(group, key, stamp):
-                age = self.purge_age(stamp / 1000.0 - self.tight.start)
-                self.take_purge(group, age, key)
+                moment = stamp / 1000.0 - self.tight.start
+                self.take_purge(group, self.purge_age(moment, moment), key)
             return
         row = self.tight.receive_notice((kind, *values))
         if row is not None:
