Log and figures tell of stalls of the loop, of withdrawn queries, and when an attempt is written

What was missed in the users' report: whether a router stood still and whether it was busy meanwhile, how clients left, and when an attempt was written beside when it was decided. Change: engine/loop_watch.py notices stalls (it takes over from net/arrivals.py, which uses it); log line stalled, stalls and stalled_s in figures and totals, withdrawals by reason, trace step 'attempt written'. No decision changes. Measured: tests/test_service.py, tests/engine, tests/crossings, tests/test_reducer.py pass.

--- /dev/null
+++ b/brookhinge/engine/loop_watch.py
@@ -0,0 +1,47 @@
+"""Notices that the event loop stood still: the process was stopped, had no processor, or was busy for too long.
+
+While it stands still, calls, cancels, answers and events of the command channel lie unread in the system, and deadlines run."""
+
+import time
+from typing import NamedTuple
+
+STALL_S = (
+    0.15  # between two known turns of the loop, past which it stood still; it is known to turn each 0.05 s
+)
+
+
+class Stall(NamedTuple):
+    """A time during which the loop stood still, in seconds of the caller's clock."""
+
+    began_at: float
+    ended_at: float
+    processor_s: (
+        float  # used by this process meanwhile: about as much as the stall lasted if it was busy itself
+    )
+
+
+class LoopWatch:
+    """now(): seconds of a steady clock; processor_s(): seconds of processor time that this process has used.
+
+    `tick` is called every few hundredths of a second by a timer, `turned` by whoever is about to rely on the present."""
+
+    def __init__(self, now, processor_s=time.process_time):
+        self.now, self.processor_s = now, processor_s
+        self.turned_at, self.used_s = now(), processor_s()
+        self.stalls, self.stalled_s = 0, 0.0  # since the start: how many, and their seconds
+        self.last = None  # the latest Stall
+        self.listeners = []  # called with each Stall as it is noticed
+
+    def tick(self):
+        self.turned()
+        self.used_s = self.processor_s()
+
+    def turned(self):
+        """The loop turns now; a stall that ends with this is noticed."""
+        before, self.turned_at = self.turned_at, self.now()
+        if self.turned_at - before > STALL_S:
+            self.stalls += 1
+            self.stalled_s += self.turned_at - before
+            self.last = Stall(before, self.turned_at, self.processor_s() - self.used_s)
+            for listener in self.listeners:
+                listener(self.last)
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -16,7 +16,7 @@
 
 from brookhinge import rules
 from brookhinge.engine.invariants import Attempt, Invariant, Invariants, RuleBroken
-from brookhinge.rules import Ran, Refusal
+from brookhinge.rules import Ran, Refusal, Withdrawal
 
 OPEN = 32  # queries on one connection, by the protocol
 WAIT_END_S = 0.02  # who waits beside a query is told that nothing came so long before its time is over
@@ -86,6 +86,7 @@
         self.scores, self.traced = scores, traced
         self.invariants = Invariants(router.purge_gone_s + PURGES_KEPT_S, router.slow_start_bound)
         self.refusals, self.retries = collections.Counter(), collections.Counter()  # by reason
+        self.withdrawals = collections.Counter()
         self.router, self.lineage, self.tight = router, lineage, tight
         self.addresses, self.waiting, self.ends = (
             {},
@@ -299,14 +300,14 @@
     def forgotten(self, client, number):
         query = self.clients.get(client, {}).get(number)
         if query is not None:
-            self.leave(query)
+            self.leave(query, Withdrawal.CANCELLED)
             times = self.withdrawn[client] = self.withdrawn.get(client, 0) + 1
             if times > OPEN and client not in self.clients:  # in mass, and nothing that it would cost
                 self.close(client, f"{times} queries withdrawn and none satisfied")
 
     def client_gone(self, client):
         for query in list(self.clients.get(client, {}).values()):
-            self.leave(query)
+            self.leave(query, Withdrawal.CLIENT_GONE)
         self.numbers.pop(client, None)
         self.withdrawn.pop(client, None)
         address = self.addresses.pop(client, None)
@@ -541,7 +542,7 @@
         ]
         return True
 
-    def leave(self, query):
+    def leave(self, query, reason):
         """No answer is owed: what is out is given up, the decisions are told. What they were to hear of it in
         this very pass is taken back or ends it, or they would send for a query that is over."""
         at = next(
@@ -559,7 +560,8 @@
         else:
             self.end_out(query)
         self.counts["left"] += 1
-        self.trace("left", self.queries[query])
+        self.withdrawals[reason] += 1
+        self.trace("left", self.queries[query], reason=reason)
         self.settle(query, "forgotten")
 
     def settle(self, query, how=None):
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -100,6 +100,8 @@
             line.waiting[name] = query, push, wire, since
             return
         line.out[name] = query, push, self.now()
+        if self.trace is not None:
+            self.trace("attempt written", name.decode(), server=line.server[0], attempt=push)
         self.write(line, wire)
 
     def put_late(self, line, query, push, name, wire, since):
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -71,18 +71,18 @@
 
 class Front:
     """post(method, values) takes the events; well() tells whether the router takes queries, busy(client) whether
-    one has queries open; longest: of each kind of query the patience; violated(invariant, detail): counts a rule broken;
+    one has queries open; watch: the LoopWatch of the loop; longest: of each kind of query the patience; violated(invariant, detail): counts a rule broken;
     trace(step, **values): takes each step of each connection, or None."""
 
     def __init__(
-        self, post, say, well, busy, now, longest, sockets, held, gate=None, violated=None, trace=None
+        self, post, say, well, busy, watch, longest, sockets, held, gate=None, violated=None, trace=None
     ):
-        self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, now
+        self.post, self.say, self.well, self.busy, self.now = post, say, well, busy, watch.now
         self.longest, self.sockets, self.most_held = longest, sockets, held
         self.clients, self.serial, self.unread, self.held = {}, 0, 0, 0
         self.violated, self.trace = violated or (lambda invariant, detail: None), trace
         self.closes = collections.Counter()  # by reason
-        self.arrivals = Arrivals(now)
+        self.arrivals = Arrivals(watch)
         self.leaving = {}  # connections whose writing side is shut
         self.gate = gate  # storm/gate.py, where it is on: how many to take, and whose
         pass_of = {} if gate is None else {"in_a_pass": gate.in_a_pass}
@@ -134,7 +134,6 @@
     def sweep(self):
         """Closes who brings no whole frame in time, and who has nothing open long past usual clients' own close."""
         now = self.now()
-        self.arrivals.loop_turned()
         for client in list(self.clients.values()):
             if client.part_at is not None:
                 if now - client.part_at > FRAME_S:
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -9,6 +9,7 @@
 from brookhinge.decide import Router
 from brookhinge.engine.commands import read_commands
 from brookhinge.engine.log import Log
+from brookhinge.engine.loop_watch import LoopWatch
 from brookhinge.engine.phases import Phases
 from brookhinge.engine.reducer import Reducer
 from brookhinge.engine.rounds import Rounds
@@ -43,6 +44,8 @@
             scores = Scores(site.decisions["tracks"], site.decisions["supply"].flow_kb_s)
         self.site, self.log = site, log or Log(site.name)
         self.start, self.steady_start = time.time(), time.monotonic()
+        self.watch = LoopWatch(self.now)
+        self.watch.listeners.append(self.stalled)
         self.phases = Phases(self.log)
         kinds, lineage = [], None  # what goes before Router where limits or verdicts are shared
         returns = self.gate = self.talk = self.purge_log = tight = None
@@ -94,7 +97,7 @@
             self.log,
             lambda: self.phases.well,
             self.busy,
-            self.now,
+            self.watch,
             {t.name.encode(): t.patience_s for t in site.decisions["tracks"]},
             sockets,
             bounds.memory_mb * 1024 * 1024 // 4,
@@ -191,6 +194,14 @@
     def say(self, event, values):
         self.log(event, **values)
 
+    def stalled(self, stall):
+        """What was noticed of a time in which nothing could be read or written."""
+        self.log(
+            "stalled",
+            for_s=round(stall.ended_at - stall.began_at, 3),
+            processor_s=round(stall.processor_s, 3),
+        )
+
     def trace(self, step, ref, values):
         self.tracer(step, ref, **values)
 
@@ -244,7 +255,7 @@
             self.purge_log.stop()
         if self.talk is not None:  # its share of what is limited was in use until here
             await self.talk.leave()
-        self.log("totals", **self.reducer.counts, **self.reasons())
+        self.log("totals", **self.counts(), **self.reasons())
         self.phases.step("ended")
 
     def reload(self, site):
@@ -289,6 +300,7 @@
         while True:
             due = self.now() + SWEEP_S
             await asyncio.sleep(SWEEP_S)
+            self.watch.tick()
             self.caches.sweep()
             self.front.sweep()
             if self.gate is not None:
@@ -315,14 +327,14 @@
 
     async def figures(self):
         """What was done since the last line, and by how much the loop lags."""
-        said, reasons_said = dict(self.reducer.counts), self.reasons()
+        said, reasons_said = self.counts(), self.reasons()
         while True:
             due = self.now() + FIGURES_S
             await asyncio.sleep(FIGURES_S)
-            counts, reasons = dict(self.reducer.counts), self.reasons()
+            counts, reasons = self.counts(), self.reasons()
             self.log(
                 "figures",
-                **{name: counts[name] - said[name] for name in counts},
+                **{name: round(counts[name] - said[name], 3) for name in counts},
                 open=len(self.reducer.queries),
                 clients=len(self.front.clients),
                 caches=len(self.caches.all),
@@ -332,11 +344,20 @@
             )
             said, reasons_said = counts, reasons
 
+    def counts(self):
+        """Totals since the start: of queries, and of the times in which the loop stood still."""
+        return {
+            **self.reducer.counts,
+            "stalls": self.watch.stalls,
+            "stalled_s": round(self.watch.stalled_s, 3),
+        }
+
     def reasons(self):
-        """Totals by reason: what was refused, asked again and closed, and which rules were about to be broken."""
+        """Totals by reason: what was refused, asked again, withdrawn and closed, and which rules were about to be broken."""
         counters = {
             "refusals": self.reducer.refusals,
             "retries": self.reducer.retries,
+            "withdrawals": self.reducer.withdrawals,
             "client_closes": self.front.closes,
             "server_closes": self.caches.closes,
             "violations": self.reducer.invariants.violations,
--- a/brookhinge/rules.py
+++ b/brookhinge/rules.py
@@ -34,6 +34,13 @@
     FAULT = "fault"  # an exception of ours, or a check at run time that failed
 
 
+class Withdrawal(enum.StrEnum):
+    """Why no answer is owed any more to a query that has none."""
+
+    CANCELLED = "cancelled"  # its client said so
+    CLIENT_GONE = "client_gone"  # its connection ended
+
+
 class CloseReason(enum.StrEnum):
     """Why a connection was closed by this process, or that the other side did it."""
 
--- /dev/null
+++ b/tests/engine/test_loop_watch.py
@@ -0,0 +1,39 @@
+"""The watch of the event loop: which gaps count as a stall, and what is known of each."""
+
+import pytest
+
+from brookhinge.engine.loop_watch import STALL_S, LoopWatch, Stall
+
+
+class Clocks:
+    """A steady clock, and the processor time of a process."""
+
+    def __init__(self):
+        self.steady, self.processor = 100.0, 5.0
+        self.watch = LoopWatch(lambda: self.steady, lambda: self.processor)
+        self.noticed = []
+        self.watch.listeners.append(self.noticed.append)
+
+    def passes(self, seconds, processor=0.0):
+        self.steady, self.processor = self.steady + seconds, self.processor + processor
+
+
+@pytest.mark.parametrize("gap_s, stalls", [(STALL_S, 0), (STALL_S + 0.01, 1), (30.0, 1)])
+def test_a_gap_between_turns_is_a_stall(gap_s, stalls):
+    clocks = Clocks()
+    clocks.passes(gap_s)
+    clocks.watch.turned()
+    clocks.watch.turned()
+    assert clocks.watch.stalls == stalls == len(clocks.noticed)
+    assert clocks.watch.stalled_s == pytest.approx(gap_s * stalls)
+
+
+def test_a_stall_tells_when_it_was_and_whether_the_process_was_busy():
+    clocks = Clocks()
+    clocks.passes(0.05, 0.01)
+    clocks.watch.tick()
+    clocks.passes(0.02)
+    clocks.watch.turned()
+    clocks.passes(1.0, 0.25)
+    clocks.watch.turned()
+    assert clocks.noticed == [Stall(pytest.approx(100.07), pytest.approx(101.07), pytest.approx(0.25))]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -631,3 +632,29 @@
         "",
         "brookhinge: BALANCER_CONFIG: missing, expected the path of the configuration\n",
     )
+
+
+def test_the_log_tells_that_the_loop_stood_still(tmp_path):
+    async def scene(t):
+        await asyncio.sleep(0.2)
+        time.sleep(0.4)
+        await until(lambda: any(line.startswith("stalled 0.") for line in t.lines))
+        return t.service.watch.stalls, t.service.counts()["stalls"]
+
+    stalls, counted = played(scene, tmp_path)
+    assert stalls == counted >= 1
+
+
+def test_the_figures_tell_how_queries_were_withdrawn(tmp_path):
+    async def scene(t):
+        other = await Caller.connect(t.address)
+        number = t.caller.ask(1)
+        other.ask(2, lookup="cd" * 8)
+        await until(lambda: len(t.pulled()) == 2)
+        t.caller.forget(number)
+        other.writer.transport.abort()
+        await until(lambda: not t.service.reducer.queries)
+        return t.service.reasons()["withdrawals"]
+
+    machines = caches(act="silent")
+    assert played(scene, tmp_path, machines=machines) == {"cancelled": 1, "client_gone": 1}
