--- a/tests/engine/test_invariants.py
+++ b/tests/engine/test_invariants.py
@@ -194,8 +194,10 @@
     assert way == [
         ("taken", None),
         ("attempt", None),
+        ("attempt written", None),
         ("attempt ended", "miss"),
         ("attempt", "miss"),
+        ("attempt written", None),
         ("attempt ended", "satisfied"),
         ("served", None),
     ]
