Attempts are written only after one more look at the client; nothing is decided behind a stall

Cause: an attempt followed from a server's answer that had been handed over before the process stood still, and its round ran before the client's end, which lay in the system, was read. Passes of the loop were counted to guess when all had been read; nothing looked at the client, or at the command channel, where the attempt was written. Change: Caches.put asks for each attempt why it may not be written now (HeldBack); the front looks into the client's socket unless it was read empty a moment ago, the channel into its own; unread: again in 2 ms; gone: taken back. What is told to a server is what is left as it is written. After a stall no round runs and nothing is judged by its time until what lay there has been read and the channel has answered; time-outs that run out in a stall look once more (net/timeouts.py).

--- a/brookhinge/box/service.py
+++ b/brookhinge/box/service.py
@@ -349,7 +349,7 @@
             pull.sort,
             pull.object,
             b"%d" % pull.part,
-            min(pull.patience_s, self.stand.fill_s),
+            self.caches.now() + min(pull.patience_s, self.stand.fill_s),
             beyond,
             pull.rank,
             bound,
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -16,7 +16,7 @@
 
 from brookhinge import rules
 from brookhinge.engine.invariants import Attempt, Invariant, Invariants, RuleBroken
-from brookhinge.rules import Ran, Refusal, Withdrawal
+from brookhinge.rules import HeldBack, Ran, Refusal, Withdrawal
 
 OPEN = 32  # queries on one connection, by the protocol
 WAIT_END_S = 0.02  # who waits beside a query is told that nothing came so long before its time is over
@@ -627,7 +627,7 @@
                     q.kind,
                     q.key,
                     q.part,
-                    until - self.now,
+                    until,
                     source if source != cache else None,
                     rank,
                     age_s,
@@ -642,15 +642,20 @@
             )
         )
 
-    def may_write(self, query, push):
-        """Whether a push that waited for its connection may still be written: what was told meanwhile counts."""
+    def held_back(self, query, push):
+        """Why an attempt that was decided may not be written now, by what was received since; None: it may."""
         q = self.queries.get(query)
-        return (
-            self.is_out(query, push)
-            and not self.closed
-            and self.invariants.may_send_to(q.server)
-            and self.invariants.may_send_to(q.source)
-        )
+        if not self.is_out(query, push):
+            return HeldBack.CLIENT_GONE
+        purge = self.invariants.purges.last(q.group, q.text_key)
+        is_purged = purge is not None and purge[1] > q.sent_at
+        may_send = self.invariants.may_send_to(q.server) and self.invariants.may_send_to(q.source)
+        return HeldBack.CHANGED if self.closed or is_purged or not may_send else None
+
+    def asker(self, query):
+        """(client, number) of an open query."""
+        q = self.queries[query]
+        return q.client, q.number
 
     def owed(self, query):
         """The record of a query that is owed its final answer."""
--- a/brookhinge/engine/rounds.py
+++ b/brookhinge/engine/rounds.py
@@ -6,17 +6,24 @@
 PASSES = 3  # of the loop, until what can be read now has been handed on: select, read, wake the reader
 # Events that waited so long for their round: the loop stood still, and more may have come meanwhile.
 LATE_S = 0.02
+# After a stall: how long nothing is decided at most while it is not known what others told meanwhile, and between two looks.
+CURRENT_S, LOOK_S = 0.1, 0.003
 # After a decision so old an effect that is late by then is not carried out as decided: the process was stopped meanwhile.
 STALE_S = 0.1
 
 
 class Rounds:
-    """reducer: reduce(now, events) -> effects and next_at(); now(): seconds since the start; log(event, **values).
+    """reducer: reduce(now, events) -> effects and next_at(); watch: the LoopWatch of the loop; log(event, **values);
+    is_current(): whether what others told during the last stall is known.
 
-    What was posted during one pass of the loop is one round. Before `open()` events are kept for the first one."""
+    What was posted during one pass of the loop is one round. Before `open()` events are kept for the first one. After a stall
+    nothing is decided until what lay unread has been read: an answer that is read first is not the last word."""
 
-    def __init__(self, reducer, now, log):
-        self.reducer, self.now, self.log = reducer, now, log
+    def __init__(self, reducer, watch, log, is_current=lambda: True):
+        self.reducer, self.watch, self.log, self.is_current = reducer, watch, log, is_current
+        self.now = watch.now
+        self.behind_since = None  # since when the loop goes on after a stall, until all is read
+        watch.listeners.append(self.stalled)
         self.events, self.takers, self.due, self.timer, self.timer_at, self.opened = (
             [],
             {},
@@ -52,16 +59,53 @@
 
     def look(self):
         """Nothing is sent on what was known before the loop stood still: a client may have gone, a list changed."""
+        self.watch.turned()
         if self.now() - self.posted_at > LATE_S:
             self.after(PASSES)
         else:
-            self.round()
+            self.round_unless_behind()
 
     def after(self, passes):
         """A round, once what has come by now on any socket is read: that takes its reader so many passes."""
         if passes:
             asyncio.get_running_loop().call_soon(self.after, passes - 1)
         else:
+            self.watch.turned()
+            self.round_unless_behind()
+
+    def round_unless_behind(self):
+        if self.behind_since is None:
+            self.round()
+
+    def is_behind(self):
+        """Whether the loop stood still and not all that lay there has been read: no time that is over says anything yet."""
+        self.watch.turned()
+        return self.behind_since is not None
+
+    def stalled(self, stall):
+        """Told by the watch."""
+        was_behind, self.behind_since = self.behind_since is not None, stall.ended_at
+        if not was_behind:
+            self.catch_up(PASSES, stall.ended_at)
+
+    def catch_up(self, passes, since):
+        """Waits until what lay unread at `since` has been read, and from the start if the loop stood still once more."""
+        self.watch.turned()
+        loop = asyncio.get_running_loop()
+        if since != self.behind_since:
+            self.catch_up(PASSES, self.behind_since)
+        elif passes:
+            loop.call_soon(self.catch_up, passes - 1, since)
+        elif not self.is_current() and self.now() - since < CURRENT_S:
+            loop.call_later(LOOK_S, self.catch_up, 0, since)
+        else:
+            self.behind_since = None
+            if self.due:
+                self.round()
+
+    def finish(self):
+        """At the end: what was posted and waits for its round has it now."""
+        if self.due:
             self.round()
 
     def round(self):
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -5,20 +5,40 @@
 import math
 import socket
 
+from typing import NamedTuple
+
 from tornado.iostream import StreamClosedError
 
 from brookhinge.net import cachewire
 from brookhinge.net.stream import Stream
-from brookhinge.rules import CloseReason
+from brookhinge.net.timeouts import within
+from brookhinge.rules import UNREAD, CloseReason, HeldBack
 
 PIECE = 64 * 1024
 BUFFER = 4 * 1024 * 1024
 CONNECTIONS = 8  # to one server at most, as far as the share of descriptors reaches
 ECHO = b"echo"  # no query's id: those are hex digits
 SPENT = 200  # ids that a connection must not carry again, after which it takes no more at all
+LOOK_AGAIN_S = 0.002  # between two looks at an attempt that is held back until something has been read
 LOOKS = 3  # sweeps at least between an ECHO and the end of a connection: our own lag is not silence
 
 
+class Decided(NamedTuple):
+    """An attempt that was decided and is not written yet. Times are seconds of the caller's clock."""
+
+    query: int
+    push: int
+    server: tuple  # id, address, start
+    name: bytes
+    until: float  # when its answer is wanted no more
+    since: float  # when it came here
+    before: tuple  # arguments of cachewire.pull before the time left, and
+    after: tuple  # those after it
+
+    def wire(self, now):
+        return cachewire.pull(self.name, *self.before, self.until - now, *self.after)
+
+
 class Line:
     """One connection: what is out on it, and the ids that it must not carry again."""
 
@@ -55,13 +75,16 @@
         multiplex,
         sockets,
         late_s=math.inf,
-        may_write=lambda query, push: True,
+        held_back=lambda decided: None,
         trace=None,
+        watch=None,
     ):
         """late_s: a push that waited longer for its connection is not written but ends as unsent, to be decided anew: what
-        was known when it was decided, drains, purges and what is cold, may hold no more. may_write(query, push): whether one
-        that waited may still be written; trace(step, **values): takes each step of each connection, or None."""
-        self.may_write, self.trace, self.closes = may_write, trace, collections.Counter()
+        was known when it was decided, drains, purges and what is cold, may hold no more. held_back(decided): why one may
+        not be written now (a HeldBack), or None; trace(step, **values): takes each step of each connection, or None; watch:
+        the LoopWatch of the loop, or None."""
+        self.held_back, self.trace, self.watch = held_back, trace, watch
+        self.closes, self.holds = collections.Counter(), collections.Counter()  # by reason
         self.post, self.say, self.now, self.start, self.columns = post, say, now, start, columns
         self.connect_s, self.idle_s, self.multiplex, self.sockets = (
             connect_s,
@@ -73,13 +96,14 @@
 
     # effects
 
-    def pull(self, query, push, server, name, *request):
-        """Writes a push, on a connection that has not carried its id before, or opens one for it."""
-        wire = cachewire.pull(name, *request)
+    def pull(self, query, push, server, name, kind, key, part, until, *request):
+        """Writes a push, on a connection that has not carried its id before, or opens one for it. until: when its answer is
+        wanted no more, by now()."""
         line = self.choose(server, name)
         if line is None:  # no descriptor left for one more: nothing was sent
             return self.end(query, push, "unreachable")
-        self.put(line, query, push, name, wire, self.now())
+        decided = Decided(query, push, server, name, until, self.now(), (kind, key, part), request)
+        self.put(line, decided)
 
     def stale(self, effect, values):
         """A push that comes long after its decision is decided anew: what was known then may hold no more."""
@@ -93,24 +117,51 @@
         if effect == "pull":
             self.end(values[0], values[1], "broken")
 
-    def put(self, line, query, push, name, wire, since):
-        self.where[query, push] = line, name
-        line.used_at = self.now()
+    def put(self, line, decided):
+        """Writes a push, if nothing forbids it at this moment. Between the decision and this line the process may have
+        stood still: what clients and the command channel sent meanwhile counts."""
+        self.where[decided.query, decided.push] = line, decided.name
+        line.used_at = now = self.now()
         if not line.up:
-            line.waiting[name] = query, push, wire, since
+            line.waiting[decided.name] = decided
             return
-        line.out[name] = query, push, self.now()
+        reason = self.reason_against(decided, now)
+        if reason is None:
+            self.write_push(line, decided, now)
+        elif reason in UNREAD:
+            self.note_hold(decided, reason)
+            line.waiting[decided.name] = decided
+            asyncio.get_running_loop().call_later(LOOK_AGAIN_S, self.look_again, line, decided.name)
+        else:
+            self.take_back(decided, reason)
+
+    def reason_against(self, decided, now):
+        """Why a push may not be written now, or None."""
+        return HeldBack.LATE if now - decided.since > self.late_s else self.held_back(decided)
+
+    def write_push(self, line, decided, now):
+        line.out[decided.name] = decided.query, decided.push, now
         if self.trace is not None:
-            self.trace("attempt written", name.decode(), server=line.server[0], attempt=push)
-        self.write(line, wire)
+            self.trace("attempt written", decided.name.decode(), server=line.server[0], attempt=decided.push)
+        self.write(line, decided.wire(now))
+
+    def look_again(self, line, name):
+        """What was unread has been read meanwhile, or its time is over."""
+        decided = line.waiting.pop(name, None)
+        if decided is not None:  # else it was given up, or went to another connection
+            self.put(line, decided)
+            self.settle(line)
 
-    def put_late(self, line, query, push, name, wire, since):
-        """The same for a push that waited."""
-        if self.now() - since > self.late_s or not self.may_write(query, push):
-            del self.where[query, push]
-            self.end(query, push, "unsent")
-        else:
-            self.put(line, query, push, name, wire, since)
+    def take_back(self, decided, reason):
+        """Nothing was sent: it is decided anew, if it is still wanted."""
+        self.note_hold(decided, reason)
+        del self.where[decided.query, decided.push]
+        self.end(decided.query, decided.push, "unsent")
+
+    def note_hold(self, decided, reason):
+        self.holds[reason] += 1
+        if self.trace is not None:
+            self.trace("attempt held back", decided.name.decode(), attempt=decided.push, reason=reason)
 
     def kill(self, query, push):
         """Gives a push up. Its id is not used again on its connection: an answer may be under way and must not
@@ -198,11 +249,11 @@
         """From the connect to the end of one connection."""
         why, reason = None, CloseReason.PEER
         try:
-            await asyncio.wait_for(line.stream.connect(line.server[1]), self.connect_s)
+            await within(line.stream.connect(line.server[1]), self.connect_s, self.watch)
             line.up, line.heard_at = True, self.now()
             waiting, line.waiting = line.waiting, {}
-            for name, (query, push, wire, since) in waiting.items():
-                self.put_late(line, query, push, name, wire, since)
+            for decided in waiting.values():
+                self.put(line, decided)
             while True:
                 data = await line.stream.read_bytes(PIECE, partial=True)
                 came = line.heard_at = self.now()
@@ -281,13 +332,13 @@
             del self.where[query, push]
             self.end(query, push, "broken")
         peers = self.lines.get(line.server, ())
-        for name, (query, push, wire, since) in line.waiting.items():
-            other = next((n for n in peers if n.up and self.takes(n, name)), None)
+        for decided in line.waiting.values():
+            other = next((n for n in peers if n.up and self.takes(n, decided.name)), None)
             if other is None:
-                del self.where[query, push]
-                self.end(query, push, "unreachable")
+                del self.where[decided.query, decided.push]
+                self.end(decided.query, decided.push, "unreachable")
             else:
-                self.put_late(other, query, push, name, wire, since)
+                self.put(other, decided)
         line.out, line.waiting = {}, {}
 
     def end(self, query, push, result):
--- a/brookhinge/net/channel.py
+++ b/brookhinge/net/channel.py
@@ -4,22 +4,34 @@
 import contextlib
 import random
 import socket
+import time
 
 from tornado.iostream import StreamClosedError
 
 from brookhinge.engine.commands import NoCommands, read_commands
 from brookhinge.net import http
-from brookhinge.net.stream import Stream
+from brookhinge.net.stream import Stream, Unread, unread
+from brookhinge.net.timeouts import within
 
 BLOCK_S, SLACK_S = 1.0, 0.5  # a poll waits so long; past the slack as well the connection is taken for dead
 FIRST_S, LONGEST_S = 0.05, 1.0  # pauses after failures
+KNOWN_FOR_S = 0.1  # after a look that found nothing unread, the next one; events bind after half a second
 
 
 class Channel:
-    def __init__(self, post, say, address, cursor, start, block_s=BLOCK_S, slack_s=SLACK_S):
+    def __init__(self, post, say, address, cursor, start, block_s=BLOCK_S, slack_s=SLACK_S, watch=None):
+        """watch: the LoopWatch of the loop, or None."""
         self.post, self.say, self.address, self.cursor = post, say, address, cursor
-        self.block_s, self.slack_s = block_s, slack_s
+        self.block_s, self.slack_s, self.watch = block_s, slack_s, watch
+        self.now = time.monotonic if watch is None else watch.now
         self.start, self.stream, self.moved = start, None, asyncio.Event()
+        self.received = None  # what the read that is under way comes to
+        self.asked_at = None  # when the poll that is out was sent, or None
+        self.known_until = float(
+            "-inf"
+        )  # all events up to then are known: the last poll that was answered was sent then
+        self.empty_at = float("-inf")  # the last look that found nothing unread
+        self.fails = False  # the last poll failed
 
     def move(self, address):
         """From now on another address tells, from the event after the last; what waits on the old one ends."""
@@ -32,13 +44,13 @@
         while True:
             self.moved.clear()
             try:
-                status, body, kept = await asyncio.wait_for(self.ask(), self.block_s + self.slack_s)
+                status, body, kept = await within(self.ask(), self.block_s + self.slack_s, self.watch)
                 if status != 200:
                     raise http.Unreadable(f"status {status}")
                 cursor, commands = read_commands(body, self.start)
                 if not kept:
                     self.close()
-                pause = FIRST_S
+                pause, self.fails = FIRST_S, False
                 self.take(cursor, commands)
                 continue
             except (StreamClosedError, OSError, asyncio.TimeoutError) as fault:
@@ -48,6 +60,7 @@
             except Exception as fault:
                 why = f"{type(fault).__name__}: {fault}"
             self.close()
+            self.fails = True
             if not self.moved.is_set():
                 self.say("command channel", why=why, again_s=round(pause, 2))
                 with contextlib.suppress(asyncio.TimeoutError):
@@ -62,21 +75,58 @@
             self.stream.set_nodelay(True)
             await self.stream.connect(self.address)
         stream, answer = self.stream, http.Answer()
-        await stream.write(http.request("%s:%d" % self.address, self.cursor, int(self.block_s * 1000)))
+        block_s = 0.0 if self.is_behind() else self.block_s
+        asked_at = self.asked_at = self.now()
+        await stream.write(http.request("%s:%d" % self.address, self.cursor, int(block_s * 1000)))
         while True:
+            self.received = stream.read_bytes(65536, partial=True)
             try:
-                done = answer.feed(await stream.read_bytes(65536, partial=True))
+                done = answer.feed(await self.received)
             except StreamClosedError:
                 done = answer.ended()
             if done is not None:
+                self.known_until, self.asked_at = asked_at, None
                 return done
 
+    def is_behind(self):
+        """Whether the loop has stood still since the last poll that was answered: events may have come after that answer."""
+        return (
+            self.watch is not None
+            and self.watch.last is not None
+            and self.watch.last.ended_at > self.known_until
+        )
+
+    def is_current(self):
+        """Whether all events are known that came while the loop stood still, as far as the channel can tell."""
+        if not self.is_behind() or self.fails:
+            return True
+        return self.is_waiting() and not self.has_unread()
+
+    def is_waiting(self):
+        """Whether a poll is out that the channel answers only with an event: its time to wait is not over."""
+        return self.asked_at is not None and self.now() < self.asked_at + self.block_s
+
+    def has_unread(self):
+        """Whether something of the channel lies unread, by a look a moment ago at most."""
+        now = self.now()
+        if self.asked_at is None or now - self.empty_at <= KNOWN_FOR_S:
+            return False
+        if (
+            self.received is not None
+            and self.received.done()
+            or unread(self.stream.socket) is not Unread.NOTHING
+        ):
+            return True
+        self.empty_at = now
+        return False
+
     def take(self, cursor, commands):
         for method, values in commands:
             self.post(method, values)
         self.cursor = max(self.cursor, cursor)
 
     def close(self):
+        self.asked_at = self.received = None
         if self.stream is not None:
             self.stream.close()
             self.stream = None
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -14,7 +14,7 @@
 from brookhinge.net.calls import read_query
 from brookhinge.net.listener import Listener
 from brookhinge.net.stream import Stream
-from brookhinge.rules import CloseReason
+from brookhinge.rules import CloseReason, HeldBack
 
 PIECE = 64 * 1024
 WANTED = {b"serve": {1: thrift.MAP, 2: thrift.STRING}, b"forget": {1: thrift.I32}, b"isWell": {}}
@@ -27,6 +27,9 @@
 LINGERING = 8  # of those at most where others need descriptors
 REJECTS = 8  # calls on a connection that can't be taken, after which it is closed; and a pause after each:
 REJECTED_S = 0.05  # who asks the same again at once waits for so long
+FRESH_S = (
+    0.03  # what a client sent since its connection was last read empty counts as not sent yet for so long
+)
 CANCELLED = 64  # numbers of cancelled queries remembered of a client: their answers may cross the cancel
 
 
@@ -40,6 +43,7 @@
         self.broken = (
             None  # why nothing more is taken of it: what was taken before is answered, then it is closed
         )
+        self.emptied_at = now  # all that came until then has been read
         self.owed = set()  # numbers of its queries that have no final answer yet
         self.accepted_from = None  # since when it may have waited to be accepted; None once it has been read
         self.cancelled = collections.deque(
@@ -59,14 +63,12 @@
 
     def silent(self):
         """Nothing lies unread in the system: a call that crosses a close would be lost."""
-        try:
-            return not self.stream.socket.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, AttributeError):  # nothing there, or closed by us
-            return True
-        except (
-            OSError
-        ) as fault:  # a shortage says nothing of what lies there, all else is the connection's end
-            return fault.errno not in stream.SHORTAGES
+        return stream.unread(self.stream.socket) in (stream.Unread.NOTHING, stream.Unread.END)
+
+    def has_unread(self):
+        """Whether something of it has come, its end included, that was not taken: it may be a cancel."""
+        has_read = self.coming is None or self.coming.done()
+        return has_read or stream.unread(self.stream.socket) is not stream.Unread.NOTHING
 
 
 class Front:
@@ -136,7 +138,7 @@
         now = self.now()
         for client in list(self.clients.values()):
             if client.part_at is not None:
-                if now - client.part_at > FRAME_S:
+                if now - client.part_at > FRAME_S and not client.has_unread():
                     self.end_slow(client)
             elif now - client.used_at > (IDLE_S if client.asked else FRAME_S):
                 if client.idle() and not self.busy(client.number):
@@ -162,11 +164,11 @@
             client.coming = stream.read_bytes(PIECE, partial=True)
             while True:
                 data = await client.coming
-                client.coming = stream.read_bytes(PIECE, partial=True)
+                self.read_on(client)
                 # what stands behind is read first: the client's end there ends all, no call of it is taken
                 while client.coming.done() and len(data) < thrift.LONGEST:
                     data += client.coming.result()
-                    client.coming = stream.read_bytes(PIECE, partial=True)
+                    self.read_on(client)
                 if client.number in self.clients and not client.broken:  # else nothing more is taken of it
                     came, client.accepted_from = self.arrivals.of_read(client.accepted_from), None
                     calls = frames.feed(data)
@@ -194,6 +196,25 @@
                 self.say("client connection", why=why)
             self.drop(client, CloseReason.FAILED if why else CloseReason.PEER)
 
+    def read_on(self, client):
+        """Begins the next read; where that finds nothing, all that came is read."""
+        looked_at = self.now()
+        client.coming = client.stream.read_bytes(PIECE, partial=True)
+        if not client.coming.done():
+            client.emptied_at = looked_at
+
+    def held_back(self, client, number):
+        """Why no attempt may be made now for a query, by what its client did (a HeldBack), or None."""
+        client, now = self.clients.get(client), self.now()
+        if client is None or number not in client.owed:
+            return HeldBack.CLIENT_GONE
+        if now - client.emptied_at <= FRESH_S:
+            return None
+        if client.has_unread():
+            return HeldBack.CLIENT_UNREAD
+        client.emptied_at = now
+        return None
+
     def hold(self, client, size):
         self.held += size - client.held
         client.held = size
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -16,6 +16,7 @@
 from brookhinge.net.caches import Caches
 from brookhinge.net.channel import Channel
 from brookhinge.net.front import LINGER_S, Front
+from brookhinge.rules import HeldBack
 
 LEAVE_S = 0.7  # after the word to end, new connections and queries are taken for so long
 LONGEST_S = (
@@ -25,6 +26,7 @@
 FIGURES_S = 10.0  # between two lines of figures
 SPARE = 24  # descriptors that neither clients nor cache servers take
 LATE_S = 0.05  # a push that waited longer for its connection is decided anew
+LEAST_S = 0.002  # a push with less time than that is not written
 SWEEP_S = 0.05  # between two looks for idle and silent connections
 
 
@@ -85,7 +87,7 @@
             scores,
             trace is not None,
         )
-        self.rounds = Rounds(self.reducer, self.now, self.log)
+        self.rounds = Rounds(self.reducer, self.watch, self.log, lambda: self.channel.is_current())
         self.post = self.rounds.post
         bounds, lines = site.bounds, site.lines
         third = bounds.sockets // 3
@@ -116,11 +118,12 @@
             lines.multiplex,
             third,
             LATE_S,
-            self.reducer.may_write,
+            self.held_back,
             trace,
+            self.watch,
         )
         cursor, commands = read_commands(site.known, self.start)
-        self.channel = Channel(self.post, self.log, site.channel, cursor, self.start)
+        self.channel = Channel(self.post, self.log, site.channel, cursor, self.start, watch=self.watch)
         self.rounds.join(self.front, "satisfy", "nack", "error", "reject", "shut")
         self.rounds.join(self.caches, "pull", "kill", "retire")
         self.rounds.join(self, "say", "trace")
@@ -191,6 +194,17 @@
             method == "query" and values[0] == client for method, values in self.rounds.events
         )
 
+    def held_back(self, decided):
+        """Why an attempt may not be written at this very moment (a HeldBack), or None.
+
+        It was decided on what had been read by then. The process may have stood still since, or may have been handed a server's
+        answer before its client's end: so the client's connection and the command channel are looked at once more."""
+        if decided.until - self.now() < LEAST_S:
+            return HeldBack.NO_TIME
+        reason = self.reducer.held_back(decided.query, decided.push)
+        reason = reason or self.front.held_back(*self.reducer.asker(decided.query))
+        return reason or (HeldBack.LIST_UNREAD if self.channel.has_unread() else None)
+
     def say(self, event, values):
         self.log(event, **values)
 
@@ -248,6 +262,7 @@
         for task in tasks:
             task.cancel()
         self.channel.close()
+        self.rounds.finish()
         self.front.listener.close()
         await self.front.end(self.last_at())
         self.caches.end_all()
@@ -301,8 +316,9 @@
             due = self.now() + SWEEP_S
             await asyncio.sleep(SWEEP_S)
             self.watch.tick()
-            self.caches.sweep()
-            self.front.sweep()
+            if not self.rounds.is_behind():  # else what is late may lie there unread
+                self.caches.sweep()
+                self.front.sweep()
             if self.gate is not None:
                 counts, now = self.reducer.counts, self.now()
                 told = self.gate.look(now, now - due, counts["queries"], counts["again"] + counts["beside"])
@@ -358,6 +374,7 @@
             "refusals": self.reducer.refusals,
             "retries": self.reducer.retries,
             "withdrawals": self.reducer.withdrawals,
+            "held_back": self.caches.holds,
             "client_closes": self.front.closes,
             "server_closes": self.caches.closes,
             "violations": self.reducer.invariants.violations,
--- a/brookhinge/net/stream.py
+++ b/brookhinge/net/stream.py
@@ -1,6 +1,8 @@
 """Tornado's IOStream, but for failures that pass by themselves."""
 
+import enum
 import errno
+import socket
 
 from tornado.iostream import IOStream
 
@@ -8,6 +10,27 @@
 SHORTAGES = frozenset((errno.ENOMEM, errno.ENOBUFS))
 
 
+class Unread(enum.Enum):
+    """What lies in the system of a connection, not read by this process."""
+
+    NOTHING = "nothing"
+    BYTES = "bytes"
+    END = "end"  # the other side closed or reset it, or it is closed here
+    UNKNOWN = "unknown"  # a shortage: nobody can tell
+
+
+def unread(made):
+    """What lies unread on a socket that does not block, or on none."""
+    try:
+        return Unread.BYTES if made.recv(1, socket.MSG_PEEK) else Unread.END
+    except BlockingIOError:
+        return Unread.NOTHING
+    except AttributeError:
+        return Unread.END
+    except OSError as fault:
+        return Unread.UNKNOWN if fault.errno in SHORTAGES else Unread.END
+
+
 class Stream(IOStream):
     """A connection that a shortage of the system does not end: what was to be read or written is tried again. Tornado's
     own stream closes on every failure but 'would block', with all that is open on it."""
--- a/brookhinge/rules.py
+++ b/brookhinge/rules.py
@@ -41,6 +41,21 @@
     CLIENT_GONE = "client_gone"  # its connection ended
 
 
+class HeldBack(enum.StrEnum):
+    """Why an attempt was not written when and as it was decided."""
+
+    CLIENT_GONE = "client_gone"  # its client has cancelled it or left
+    CLIENT_UNREAD = "client_unread"  # bytes of its client were not read yet: they may be a cancel
+    LIST_UNREAD = "list_unread"  # so were bytes of the command channel: they may be a drain or a purge
+    CHANGED = "changed"  # a drain, a purge or the end of the process came between
+    LATE = "late"  # it waited too long, for its connection or for one of these
+    NO_TIME = "no_time"  # its time was over by then
+
+
+# Reasons that pass as soon as what lies in the system has been read.
+UNREAD = frozenset((HeldBack.CLIENT_UNREAD, HeldBack.LIST_UNREAD))
+
+
 class CloseReason(enum.StrEnum):
     """Why a connection was closed by this process, or that the other side did it."""
 
--- a/tests/engine/test_invariants.py
+++ b/tests/engine/test_invariants.py
@@ -8,7 +8,7 @@
 from brookhinge.engine.log import Log
 from brookhinge.engine.trace import Trace
 from brookhinge.interface import ColdStart
-from brookhinge.rules import CloseReason, Ran, Refusal
+from brookhinge.rules import CloseReason, HeldBack, Ran, Refusal
 from tests.helpers import Desk, track
 from tests.test_service import caches, played, until
 
@@ -128,9 +128,9 @@
 def test_a_push_that_waited_is_not_written_to_a_server_told_to_drain(desk):
     desk.ask()
     q = desk.reducer.queries[0]
-    assert desk.reducer.may_write(0, 1)
+    assert desk.reducer.held_back(0, 1) is None
     desk.reducer.invariants.listed(q.server, "draining", 1, 0)
-    assert not desk.reducer.may_write(0, 1)
+    assert desk.reducer.held_back(0, 1) is HeldBack.CHANGED
 
 
 @pytest.mark.parametrize("group, window_s", [("all", 0.2), ("zone", 9.0), ("cell", 9.0)])
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -253,10 +253,10 @@
             ("ended", (query, push, result, 2, 0.0, None, body, same, self.now, *copy.values())), at=at
         )
 
-    @staticmethod
-    def printed(method, values):
+    def printed(self, method, values):
         if method == "pull":
-            query, push, server, name, kind, key, part, left, source, rank = values[:10]
+            query, push, server, name, kind, key, part, until, source, rank = values[:10]
+            left = until - self.now
             return (
                 f"pull q{query}.{push} {name.decode()} {server[0]} from {source} rank {rank} for {left:.3f}"
             )
