--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -202,8 +202,9 @@
         if decided.until - self.now() < LEAST_S:
             return HeldBack.NO_TIME
         reason = self.reducer.held_back(decided.query, decided.push)
-        reason = reason or self.front.held_back(*self.reducer.asker(decided.query))
-        return reason or (HeldBack.LIST_UNREAD if self.channel.has_unread() else None)
+        if reason is None and self.channel.has_unread():
+            reason = HeldBack.LIST_UNREAD
+        return reason or self.front.held_back(*self.reducer.asker(decided.query))
 
     def say(self, event, values):
         self.log(event, **values)
