--- a/tests/standstill/program.py
+++ b/tests/standstill/program.py
@@ -17,12 +17,12 @@
 
 class Program:
     """For `async with`. Cache servers keep their answer to the first attempt until `answer` is set, then say that they have
-    nothing; every further attempt, and each while it warms up, is satisfied. `attempts` holds (moment, request id) of each that came."""
+    nothing; every further attempt, and each while it warms up, is satisfied. `attempts` holds (moment, request id) of each that came, `fields` the fields of each under its request id."""
 
     def __init__(self, folder, **other):
         self.folder, self.other = Path(folder), other
         self.stop_file = self.folder / "stops"
-        self.attempts, self.answer, self.lines = [], asyncio.Event(), []
+        self.attempts, self.fields, self.answer, self.lines = [], {}, asyncio.Event(), []
 
     async def __aenter__(self):
         self.machines = {server: Machine() for server in SERVERS}
@@ -76,6 +76,7 @@
             name = line[1]
             first = self.held_back(name) and not any(name == other for _, other in self.attempts)
             self.attempts.append((asyncio.get_running_loop().time(), name))
+            self.fields.setdefault(name, []).append(dict(word.split("=") for word in line[2].split(",")))
             if first:
                 await self.answer.wait()
                 writer.write(f"{name} absent - 0\r\n\r\n".encode())
@@ -93,8 +94,15 @@
     def attempts_for(self, number):
         return [at for at, name in self.attempts if name == f"{number:016x}"]
 
+    def fields_for(self, number):
+        return self.fields.get(f"{number:016x}", [])
+
     # stops
 
+    async def stop_now(self):
+        self.process.send_signal(signal.SIGSTOP)
+        await self.until_stopped()
+
     def stop_next_at(self, *points):
         self.stop_file.write_text(" ".join(points))
 
--- a/tests/standstill/stoppable.py
+++ b/tests/standstill/stoppable.py
@@ -55,9 +55,11 @@
     """Whether a descriptor is a connection to a cache server."""
     try:
         with socket.socket(fileno=os.dup(key.fd)) as made:
-            return made.getpeername()[1] in {int(port) for port in os.environ["STOP_PORT"].split(",")}
+            peer = made.getpeername()
     except OSError:
         return False
+    ports = {int(port) for port in os.environ["STOP_PORT"].split(",")}
+    return isinstance(peer, tuple) and peer[1] in ports
 
 
 @point("selected")
