An attempt decided before a stall waits until the channel was asked anew; the end reads what lies there

Cause, each the same: a judgement by time, or a decision, on what was read first after a stall. An attempt held back over unread bytes was written as soon as those were read, though a drain may have come behind them; a poll out with no time to wait passed for one that would be answered at an event; the loop's watch lacked stalled_since, so a poll whose time ran out in a stall failed; a process that went on after its end closed over calls that lay there. Change: HeldBack.STALLED until the rounds have caught up; Channel.waits_until; LoopWatch.stalled_since; Service.last_at leaves 30 ms to read at the least, and nothing waits for the channel as the process ends.

--- a/brookhinge/engine/loop_watch.py
+++ b/brookhinge/engine/loop_watch.py
@@ -45,3 +45,8 @@
             self.last = Stall(before, self.turned_at, self.processor_s() - self.used_s)
             for listener in self.listeners:
                 listener(self.last)
+
+    def stalled_since(self, at):
+        """Whether the loop stood still at some time after that."""
+        self.turned()
+        return self.last is not None and self.last.ended_at > at
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -19,6 +19,7 @@
 CONNECTIONS = 8  # to one server at most, as far as the share of descriptors reaches
 ECHO = b"echo"  # no query's id: those are hex digits
 SPENT = 200  # ids that a connection must not carry again, after which it takes no more at all
+HOLD_S = 0.25  # an attempt that is held back so long, what was to be read having been read meanwhile, is decided anew
 LOOK_AGAIN_S = 0.002  # between two looks at an attempt that is held back until something has been read
 LOOKS = 3  # sweeps at least between an ECHO and the end of a connection: our own lag is not silence
 
@@ -117,15 +118,16 @@
         if effect == "pull":
             self.end(values[0], values[1], "broken")
 
-    def put(self, line, decided):
+    def put(self, line, decided, most_s=None):
         """Writes a push, if nothing forbids it at this moment. Between the decision and this line the process may have
-        stood still: what clients and the command channel sent meanwhile counts."""
+        stood still: what clients and the command channel sent meanwhile counts. most_s: how long it may have waited."""
         self.where[decided.query, decided.push] = line, decided.name
         line.used_at = now = self.now()
         if not line.up:
             line.waiting[decided.name] = decided
             return
-        reason = self.reason_against(decided, now)
+        is_late = now - decided.since > (self.late_s if most_s is None else most_s)
+        reason = HeldBack.LATE if is_late else self.held_back(decided)
         if reason is None:
             self.write_push(line, decided, now)
         elif reason in UNREAD:
@@ -135,10 +137,6 @@
         else:
             self.take_back(decided, reason)
 
-    def reason_against(self, decided, now):
-        """Why a push may not be written now, or None."""
-        return HeldBack.LATE if now - decided.since > self.late_s else self.held_back(decided)
-
     def write_push(self, line, decided, now):
         line.out[decided.name] = decided.query, decided.push, now
         if self.trace is not None:
@@ -149,7 +147,7 @@
         """What was unread has been read meanwhile, or its time is over."""
         decided = line.waiting.pop(name, None)
         if decided is not None:  # else it was given up, or went to another connection
-            self.put(line, decided)
+            self.put(line, decided, HOLD_S)
             self.settle(line)
 
     def take_back(self, decided, reason):
--- a/brookhinge/net/channel.py
+++ b/brookhinge/net/channel.py
@@ -26,7 +26,9 @@
         self.now = time.monotonic if watch is None else watch.now
         self.start, self.stream, self.moved = start, None, asyncio.Event()
         self.received = None  # what the read that is under way comes to
-        self.asked_at = None  # when the poll that is out was sent, or None
+        self.waits_until = (
+            None  # when the channel answers the poll that is out though nothing came; None: none is out
+        )
         self.known_until = float(
             "-inf"
         )  # all events up to then are known: the last poll that was answered was sent then
@@ -76,7 +78,8 @@
             await self.stream.connect(self.address)
         stream, answer = self.stream, http.Answer()
         block_s = 0.0 if self.is_behind() else self.block_s
-        asked_at = self.asked_at = self.now()
+        asked_at = self.now()
+        self.waits_until = asked_at + block_s
         await stream.write(http.request("%s:%d" % self.address, self.cursor, int(block_s * 1000)))
         while True:
             self.received = stream.read_bytes(65536, partial=True)
@@ -85,7 +88,7 @@
             except StreamClosedError:
                 done = answer.ended()
             if done is not None:
-                self.known_until, self.asked_at = asked_at, None
+                self.known_until, self.waits_until = asked_at, None
                 return done
 
     def is_behind(self):
@@ -104,12 +107,12 @@
 
     def is_waiting(self):
         """Whether a poll is out that the channel answers only with an event: its time to wait is not over."""
-        return self.asked_at is not None and self.now() < self.asked_at + self.block_s
+        return self.waits_until is not None and self.now() < self.waits_until
 
     def has_unread(self):
         """Whether something of the channel lies unread, by a look a moment ago at most."""
         now = self.now()
-        if self.asked_at is None or now - self.empty_at <= KNOWN_FOR_S:
+        if self.waits_until is None or now - self.empty_at <= KNOWN_FOR_S:
             return False
         if (
             self.received is not None
@@ -126,7 +129,7 @@
         self.cursor = max(self.cursor, cursor)
 
     def close(self):
-        self.asked_at = self.received = None
+        self.waits_until = self.received = None
         if self.stream is not None:
             self.stream.close()
             self.stream = None
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -26,6 +26,7 @@
 FIGURES_S = 10.0  # between two lines of figures
 SPARE = 24  # descriptors that neither clients nor cache servers take
 LATE_S = 0.05  # a push that waited longer for its connection is decided anew
+LAST_READ_S = 0.03  # at the end: what lies there is read for so long at least
 LEAST_S = 0.002  # a push with less time than that is not written
 SWEEP_S = 0.05  # between two looks for idle and silent connections
 
@@ -87,7 +88,7 @@
             scores,
             trace is not None,
         )
-        self.rounds = Rounds(self.reducer, self.watch, self.log, lambda: self.channel.is_current())
+        self.rounds = Rounds(self.reducer, self.watch, self.log, self.is_current)
         self.post = self.rounds.post
         bounds, lines = site.bounds, site.lines
         third = bounds.sockets // 3
@@ -194,6 +195,10 @@
             method == "query" and values[0] == client for method, values in self.rounds.events
         )
 
+    def is_current(self):
+        """Whether what the command channel told during the last stall is known; as the process ends nothing is sent any more."""
+        return self.reducer.closed or self.channel.is_current()
+
     def held_back(self, decided):
         """Why an attempt may not be written at this very moment (a HeldBack), or None.
 
@@ -202,7 +207,9 @@
         if decided.until - self.now() < LEAST_S:
             return HeldBack.NO_TIME
         reason = self.reducer.held_back(decided.query, decided.push)
-        if reason is None and self.channel.has_unread():
+        if reason is None and self.rounds.is_behind():
+            reason = HeldBack.STALLED
+        elif reason is None and self.channel.has_unread():
             reason = HeldBack.LIST_UNREAD
         return reason or self.front.held_back(*self.reducer.asker(decided.query))
 
@@ -305,9 +312,12 @@
             self.ended.set()
 
     def last_at(self):
-        """Until when connections that the clients don't close are read on."""
+        """Until when connections that the clients don't close are read on. After a stall the time of the end may be over: what came
+        meanwhile is read and refused all the same."""
         at = self.now() + LINGER_S
-        return at if self.phases.now != "finishing" else max(self.now(), min(at, self.until + END_S - 0.02))
+        if self.phases.now != "finishing":
+            return at
+        return max(self.now() + LAST_READ_S, min(at, self.until + END_S - 0.02))
 
     def faulted(self, loop, context):
         self.log("fault", where=context.get("message"), why=repr(context.get("exception")))
--- a/brookhinge/rules.py
+++ b/brookhinge/rules.py
@@ -47,13 +47,14 @@
     CLIENT_GONE = "client_gone"  # its client has cancelled it or left
     CLIENT_UNREAD = "client_unread"  # bytes of its client were not read yet: they may be a cancel
     LIST_UNREAD = "list_unread"  # so were bytes of the command channel: they may be a drain or a purge
+    STALLED = "stalled"  # the loop stood still since, and not all that lay there has been read
     CHANGED = "changed"  # a drain, a purge or the end of the process came between
     LATE = "late"  # it waited too long, for its connection or for one of these
     NO_TIME = "no_time"  # its time was over by then
 
 
 # Reasons that pass as soon as what lies in the system has been read.
-UNREAD = frozenset((HeldBack.CLIENT_UNREAD, HeldBack.LIST_UNREAD))
+UNREAD = frozenset((HeldBack.CLIENT_UNREAD, HeldBack.LIST_UNREAD, HeldBack.STALLED))
 
 
 class CloseReason(enum.StrEnum):
--- a/tests/engine/test_loop_watch.py
+++ b/tests/engine/test_loop_watch.py
@@ -37,3 +37,12 @@
     clocks.passes(1.0, 0.25)
     clocks.watch.turned()
     assert clocks.noticed == [Stall(pytest.approx(100.07), pytest.approx(101.07), pytest.approx(0.25))]
+
+
+def test_it_knows_whether_there_was_a_stall_since_a_moment():
+    clocks = Clocks()
+    before = clocks.steady
+    clocks.passes(0.05)
+    assert not clocks.watch.stalled_since(before)
+    clocks.passes(1.0)
+    assert clocks.watch.stalled_since(before) and not clocks.watch.stalled_since(clocks.steady)
--- a/tests/standstill/test_every_point.py
+++ b/tests/standstill/test_every_point.py
@@ -4,6 +4,7 @@
 Only what lies between the last look at the client and the system call itself cannot be helped; that way is kept short."""
 
 import asyncio
+import itertools
 import sys
 import time
 
@@ -14,7 +15,7 @@
 from tests.helpers import Town
 from tests.test_service import caches, until
 
-STOOD_STILL_S = 0.3
+STOOD_STILL_S = (0.14, 0.3)  # one that no watch of the loop notices, and one that it does
 MOST_STEPS_TO_SEND = 100  # calls and returns, of functions of Python and C, after the last look
 EVERY = 3  # of the steps is tried: all of them in a minute, by EVERY = 1
 
@@ -56,8 +57,8 @@
         real, self.ahead_s = time.monotonic, 0.0
         monkeypatch.setattr(time, "monotonic", lambda: real() + self.ahead_s)
 
-    def leap(self):
-        self.ahead_s += STOOD_STILL_S
+    def leap(self, seconds):
+        self.ahead_s += seconds
 
 
 class Scene:
@@ -77,7 +78,7 @@
         self.steps.begin()
         return "absent"
 
-    async def play(self, at):
+    async def play(self, at, seconds):
         """(the steps, how many attempts came after the client's end)."""
         town, clients = self.town, self.town.service.front.clients
         town.service.reducer.router.retries = 10.0
@@ -88,7 +89,7 @@
 
         def leave():
             self.leave(raw)
-            self.clock.leap()
+            self.clock.leap(seconds)
 
         self.steps = Steps(at, leave)
         raw.asks(self.asked).send()
@@ -116,12 +117,12 @@
 
     async def scene(t):
         await warm(t)
-        own_scene, found = Scene(t, clock, how), []
-        steps, attempts = await own_scene.play(0)  # nobody leaves
+        own_scene, found, spans = Scene(t, clock, how), [], itertools.cycle(STOOD_STILL_S)
+        steps, attempts = await own_scene.play(0, 0.0)  # nobody leaves
         assert attempts == 1
         assert steps.sent_at - steps.looked_at <= MOST_STEPS_TO_SEND
         for at in range(1, steps.looked_at, every):
-            own, attempts = await own_scene.play(at)
+            own, attempts = await own_scene.play(at, next(spans))
             is_after_look = own.looked_at is not None and at >= own.looked_at
             if attempts and not is_after_look:
                 found.append(at)
--- a/tests/standstill/test_other_inputs.py
+++ b/tests/standstill/test_other_inputs.py
@@ -25,12 +25,13 @@
 
 async def sent_to_draining(program, point, *answers_before):
     """How many attempts a router makes that was stopped as its servers were told to drain, with a request open."""
-    await asks(program)
+    raw = await asks(program)
     await stopped(program, point)
     program.commands.answers += [*answers_before, drains(program)]
     await asyncio.sleep(BEYOND_GRACE_S)
     await program.go_on()
     await asyncio.sleep(0.4)
+    raw.close()
     return len(program.attempts_for(ASKED)) - 1
 
 
@@ -48,13 +49,14 @@
 
 def test_an_attempt_after_a_stop_asks_for_no_copy_from_before_a_purge_told_meanwhile(tmp_path):
     async def oldest_copy(program, point):
-        await asks(program)
+        raw = await asks(program)
         await stopped(program, point)
         drop = {"cursor": 4, "drop": {"id": "ab" * 8, "when": int(time.time() * 1000)}}
         program.commands.answers.append(Commands.reply(4, drop))
         await asyncio.sleep(BEYOND_GRACE_S)
         await program.go_on()
         await until(lambda: len(program.fields_for(ASKED)) > 1)
+        raw.close()
         accepted_ms = int(program.fields_for(ASKED)[1].get("accept", 0))
         return 0 < accepted_ms < 1000 * (BEYOND_GRACE_S + 0.4)
 
