What is read came after its connection was last seen empty: deadlines count from there

Cause: calls read within four passes of a stall counted as come at its beginning, later ones as come just now; connections that wait to be accepted take more passes. Change: the loop's watch remembers gaps; a connection that is accepted may have waited since the backlog was last seen empty, what is read since the first gap after all that lay there was read.

--- a/brookhinge/engine/loop_watch.py
+++ b/brookhinge/engine/loop_watch.py
@@ -2,6 +2,7 @@
 
 While it stands still, calls, cancels, answers and events of the command channel lie unread in the system, and deadlines run."""
 
+import collections
 import time
 from typing import NamedTuple
 
@@ -10,6 +11,10 @@
 )
 
 
+BLIND_S = 0.08  # the same for what may have come meanwhile: shorter gaps matter to nobody's deadline
+REMEMBERED = 64  # gaps
+
+
 class Stall(NamedTuple):
     """A time during which the loop stood still, in seconds of the caller's clock."""
 
@@ -30,7 +35,15 @@
         self.turned_at, self.used_s = now(), processor_s()
         self.stalls, self.stalled_s = 0, 0.0  # since the start: how many, and their seconds
         self.last = None  # the latest Stall
+        self.gaps = collections.deque(
+            maxlen=REMEMBERED
+        )  # (beginning, end) of the latest ones that count for arrivals
         self.listeners = []  # called with each Stall as it is noticed
+        self.gap_listeners = []  # called with the end of each gap
+
+    def begin(self):
+        """The loop turns from now on: the time before, of the start, was no stall."""
+        self.turned_at, self.used_s = self.now(), self.processor_s()
 
     def tick(self):
         self.turned()
@@ -39,6 +52,10 @@
     def turned(self):
         """The loop turns now; a stall that ends with this is noticed."""
         before, self.turned_at = self.turned_at, self.now()
+        if self.turned_at - before > BLIND_S:
+            self.gaps.append((before, self.turned_at))
+            for listener in self.gap_listeners:
+                listener(self.turned_at)
         if self.turned_at - before > STALL_S:
             self.stalls += 1
             self.stalled_s += self.turned_at - before
@@ -50,3 +67,13 @@
         """Whether the loop stood still at some time after that."""
         self.turned()
         return self.last is not None and self.last.ended_at > at
+
+    def blind_from(self, at):
+        """Since when something may have come that is read now, and was not there `at` that moment. None: just now."""
+        self.turned()
+        since = None
+        for began, ended in reversed(self.gaps):
+            if ended <= at:
+                break
+            since = max(at, began)
+        return since
--- a/brookhinge/net/front.py
+++ b/brookhinge/net/front.py
@@ -45,7 +45,7 @@
         )
         self.emptied_at = now  # all that came until then has been read
         self.owed = set()  # numbers of its queries that have no final answer yet
-        self.accepted_from = None  # since when it may have waited to be accepted; None once it has been read
+        self.accepted_from = None  # since when it may have waited to be accepted; None once it was seen empty
         self.cancelled = collections.deque(
             maxlen=CANCELLED
         )  # the last ones that it gave up before their answer
@@ -113,7 +113,7 @@
         connection = Stream(made, max_buffer_size=2 * thrift.LONGEST, read_chunk_size=PIECE)
         self.serial += 1
         client = self.clients[self.serial] = Client(self.serial, connection, self.now())
-        client.accepted_from = self.arrivals.paused_at
+        client.accepted_from = self.arrivals.of_accept()
         if self.trace is not None:
             self.trace("client connected", client=client.number)
         if network is not None:
@@ -159,18 +159,18 @@
     # reading
 
     async def run(self, client):
-        stream, frames, why = client.stream, thrift.Frames(), None
+        frames, why = thrift.Frames(), None
         try:
-            client.coming = stream.read_bytes(PIECE, partial=True)
+            self.read_on(client)
             while True:
                 data = await client.coming
+                came = self.arrivals.of_read(client.emptied_at, client.accepted_from)
                 self.read_on(client)
                 # what stands behind is read first: the client's end there ends all, no call of it is taken
                 while client.coming.done() and len(data) < thrift.LONGEST:
                     data += client.coming.result()
                     self.read_on(client)
                 if client.number in self.clients and not client.broken:  # else nothing more is taken of it
-                    came, client.accepted_from = self.arrivals.of_read(client.accepted_from), None
                     calls = frames.feed(data)
                     client.calls.extend((frame, came) for frame in calls)
                     client.queued += sum(map(len, calls))
@@ -201,7 +201,7 @@
         looked_at = self.now()
         client.coming = client.stream.read_bytes(PIECE, partial=True)
         if not client.coming.done():
-            client.emptied_at = looked_at
+            client.emptied_at, client.accepted_from = looked_at, None
 
     def held_back(self, client, number):
         """Why no attempt may be made now for a query, by what its client did (a HeldBack), or None."""
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -250,6 +250,7 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self.faulted)
         self.ended = asyncio.Event()
+        self.watch.begin()
         self.rounds.open()  # what is known at the start comes before the first query
         address = self.front.listen(*self.site.listen, self.handed)
         if self.talk is not None and self.handed is None:
--- a/tests/engine/test_loop_watch.py
+++ b/tests/engine/test_loop_watch.py
@@ -46,3 +46,16 @@
     assert not clocks.watch.stalled_since(before)
     clocks.passes(1.0)
     assert clocks.watch.stalled_since(before) and not clocks.watch.stalled_since(clocks.steady)
+
+
+def test_what_is_read_may_have_come_since_the_first_gap_after_its_connection_was_empty():
+    clocks = Clocks()
+    assert clocks.watch.blind_from(clocks.steady) is None
+    for gap_s in (1.0, 0.01, 0.5, 0.01):  # in series
+        clocks.passes(gap_s)
+        clocks.watch.turned()
+    first = 100.0
+    assert clocks.watch.blind_from(first - 1.0) == first
+    assert clocks.watch.blind_from(first + 0.4) == first + 0.4
+    assert clocks.watch.blind_from(101.0) == pytest.approx(101.01)
+    assert clocks.watch.blind_from(101.6) is None
