Answers that are due go out right after a stall; only what may have been forbidden waits

Cause: after a stall every round waited up to 0.1 s for the channel; a router that was stopped in series, going on for 40 ms at a time, answered nothing in between. Change: rounds wait for the passes that read what lies there; attempts are held back, and copies of its own are no answer, until the channel has answered (Rounds.knows_all). Soak: a witness without processor says since when, a kill is judged by the time that the router was not stopped.

--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -297,6 +297,7 @@
 
 
 def missing_answer(history, request, due):
+    due += history.frozen.overlap(request.router, request.sent_at, history.end_at)
     if history.was_killed(request.router, request.sent_at - WIRE_S, due + WIRE_S):
         return []
     if request.ended_at is not None and request.ended_at <= due:
--- a/benchmarks/soak/witness.py
+++ b/benchmarks/soak/witness.py
@@ -8,9 +8,11 @@
 
 from benchmarks.soak import process, world
 from brookhinge.box import wire
+from brookhinge.engine.loop_watch import LoopWatch
 from brookhinge.net import cachewire
 
 READ = 1 << 16
+LAG_S = 0.02  # of this process itself, from which on it counts
 IDLE_CLOSE_S = 0.4  # the time after which idle connections are closed early
 ENDLESS = b"x" * 4096
 WHOLE = ("twice", "unknown")  # ways to spoil an answer in which it comes whole all the same
@@ -102,9 +104,10 @@
             deaf_from = time.monotonic() if self.front.has("deaf") else None
             while self.front.has("deaf"):
                 await asyncio.sleep(0.02)
+            data = await self.reader.read(READ)
+            deaf_from = deaf_from or self.front.witness.lagged_from(self.used_at)
             if deaf_from is not None:
                 self.record("deaf", since=deaf_from, server=self.front.server, connection=self.number)
-            data = await self.reader.read(READ)
             if not data:
                 return
             self.used_at = time.monotonic()
@@ -177,6 +180,7 @@
 
     def __init__(self, spec, record, chance):
         self.record, self.chance, self.serial = record, chance, 0
+        self.watch = LoopWatch(time.monotonic, blind_s=LAG_S)
         self.fronts = {
             server: Front(self, server, port, upstream) for server, (port, upstream) in spec["fronts"].items()
         }
@@ -184,6 +188,22 @@
     async def begin(self):
         for front in self.fronts.values():
             await front.listen()
+        asyncio.ensure_future(self.keep_watch())
+
+    async def keep_watch(self):
+        """This process has no processor at times, too: what it reads then may have come before."""
+        while True:
+            await asyncio.sleep(LAG_S / 2)
+            self.watch.turned()
+
+    def lagged_from(self, at):
+        """Since when this process had no processor, until just now and not before `at`; None: it read at once."""
+        edge, since = time.monotonic() - 2 * LAG_S, None
+        for began, ended in reversed(self.watch.gaps):
+            if ended < edge:
+                break
+            since, edge = max(at, began), began - 2 * LAG_S
+        return since
 
     def trouble(self, server, kind, rate, for_s):
         """A kind of trouble (reset, silent, deaf, spoil, lose, refuse, idle) at one server's address, for so long."""
--- a/brookhinge/decide.py
+++ b/brookhinge/decide.py
@@ -322,6 +322,7 @@
         self.figures = [d for p in parts for d in vars(p).values() if isinstance(d, dict)] + [self.heard_at]
         self.told, self.among = place.weights_told, place.routers_here
         self.retries, self.asked_at, self.next_cycle, self.counted = 1.0, 0.0, CYCLE, 0
+        self.knows_all = True  # False: a purge may have been told that is not known here yet
 
     def round(self, now, inbox, writer):
         self.now, self.writer = now, writer
@@ -584,6 +585,8 @@
         """Answers from memory, if a copy there will do and comes in time."""
         track, name = self.tracks[q.track], (q.track, q.doc.code)
         left = min(q.until - self.now, track.contract_s + q.expect) - 0.02
+        if not self.knows_all:
+            return False
         if not self.copies.sends(name, self.now, self.oldest(q.doc, track, True), left):
             return False
         self.writer.own(query, name)
--- a/brookhinge/engine/loop_watch.py
+++ b/brookhinge/engine/loop_watch.py
@@ -30,8 +30,8 @@
 
     `tick` is called every few hundredths of a second by a timer, `turned` by whoever is about to rely on the present."""
 
-    def __init__(self, now, processor_s=time.process_time):
-        self.now, self.processor_s = now, processor_s
+    def __init__(self, now, processor_s=time.process_time, blind_s=BLIND_S):
+        self.now, self.processor_s, self.blind_s = now, processor_s, blind_s
         self.turned_at, self.used_s = now(), processor_s()
         self.stalls, self.stalled_s = 0, 0.0  # since the start: how many, and their seconds
         self.last = None  # the latest Stall
@@ -52,7 +52,7 @@
     def turned(self):
         """The loop turns now; a stall that ends with this is noticed."""
         before, self.turned_at = self.turned_at, self.now()
-        if self.turned_at - before > BLIND_S:
+        if self.turned_at - before > self.blind_s:
             self.gaps.append((before, self.turned_at))
             for listener in self.gap_listeners:
                 listener(self.turned_at)
--- a/brookhinge/engine/reducer.py
+++ b/brookhinge/engine/reducer.py
@@ -125,8 +125,10 @@
             0,
         )
 
-    def reduce(self, now, events):
-        """One pass: the events, then the pushes whose time is over, then one round."""
+    def reduce(self, now, events, knows_all=True):
+        """One pass: the events, then the pushes whose time is over, then one round. knows_all: whether purges may be taken to
+        be known that were told before this moment; else no copy of the router's own is an answer."""
+        self.router.knows_all = knows_all
         self.now, self.effects, self.inbox, self.shut, self.served = now, [], [], set(), {}
         self.facts = []
         if not self.begun:
--- a/brookhinge/engine/rounds.py
+++ b/brookhinge/engine/rounds.py
@@ -6,8 +6,9 @@
 PASSES = 3  # of the loop, until what can be read now has been handed on: select, read, wake the reader
 # Events that waited so long for their round: the loop stood still, and more may have come meanwhile.
 LATE_S = 0.02
-# After a stall: how long nothing is decided at most while it is not known what others told meanwhile, and between two looks.
-CURRENT_S, LOOK_S = 0.1, 0.003
+CURRENT_S = (
+    0.1  # after a stall: how long nothing is sent on at most while it is not known what was told meanwhile
+)
 # After a decision so old an effect that is late by then is not carried out as decided: the process was stopped meanwhile.
 STALE_S = 0.1
 
@@ -17,7 +18,8 @@
     is_current(): whether what others told during the last stall is known.
 
     What was posted during one pass of the loop is one round. Before `open()` events are kept for the first one. After a stall
-    nothing is decided until what lay unread has been read: an answer that is read first is not the last word."""
+    nothing is decided until what lay unread has been read: an answer that is read first is not the last word. Answers that
+    are due go out then; what needs to know what others told waits for that (`knows_all`)."""
 
     def __init__(self, reducer, watch, log, is_current=lambda: True):
         self.reducer, self.watch, self.log, self.is_current = reducer, watch, log, is_current
@@ -91,18 +93,22 @@
     def catch_up(self, passes, since):
         """Waits until what lay unread at `since` has been read, and from the start if the loop stood still once more."""
         self.watch.turned()
-        loop = asyncio.get_running_loop()
         if since != self.behind_since:
             self.catch_up(PASSES, self.behind_since)
         elif passes:
-            loop.call_soon(self.catch_up, passes - 1, since)
-        elif not self.is_current() and self.now() - since < CURRENT_S:
-            loop.call_later(LOOK_S, self.catch_up, 0, since)
+            asyncio.get_running_loop().call_soon(self.catch_up, passes - 1, since)
         else:
             self.behind_since = None
             if self.due:
                 self.round()
 
+    def knows_all(self):
+        """Whether all that came during the last stall is known, or cannot be waited for any longer."""
+        if self.is_behind():
+            return False
+        stall = self.watch.last
+        return stall is None or self.now() - stall.ended_at >= CURRENT_S or self.is_current()
+
     def finish(self):
         """At the end: what was posted and waits for its round has it now."""
         if self.due:
@@ -114,7 +120,7 @@
         for look in self.before:
             look()
         events, self.events = self.events + events, []
-        effects = self.reducer.reduce(self.now(), events)
+        effects = self.reducer.reduce(self.now(), events, self.knows_all())
         decided_at = self.now()
         for method, values in effects:
             take, failed, stale = self.takers[method]
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -207,7 +207,7 @@
         if decided.until - self.now() < LEAST_S:
             return HeldBack.NO_TIME
         reason = self.reducer.held_back(decided.query, decided.push)
-        if reason is None and self.rounds.is_behind():
+        if reason is None and not self.rounds.knows_all():
             reason = HeldBack.STALLED
         elif reason is None and self.channel.has_unread():
             reason = HeldBack.LIST_UNREAD
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -67,6 +67,20 @@
     assert [fleet.cold_from[fleet.index[server]] for server in (31, 32)] == [10.0, 5.0]
 
 
+@pytest.mark.parametrize("knows_all, answer", [(True, "satisfy"), (False, "nack")])
+def test_a_copy_of_its_own_is_no_answer_while_a_purge_may_have_been_told_unread(tmp_path, knows_all, answer):
+    """After a stall, until the command channel has answered: the copy may be from before a purge of long ago."""
+    desk = Desk(
+        tmp_path, limits={"memory_mb": 192, "sockets": 1024}, flow_bytes_per_s=1e6, link_bytes_per_s=1e7
+    )
+    desk.ask(at=10.0)
+    desk.hear(("ended", (0, 1, "miss", 0, 0.0, None, b"", False, 10.1)), at=10.1)
+    desk.hear(("ended", (0, 2, "satisfied", 2, 0.0, None, b"bytes", False, 10.2, 10.1, b"t", None)), at=10.2)
+    query = (1, 9, b"r9", b"page", b"aa", b"0", 0, 4, 100.0, 0.2, None, b"", 10.3)
+    effects = desk.reducer.reduce(10.3, [("query", query)], knows_all)
+    assert [method for method, _ in effects] == [answer]
+
+
 @pytest.mark.parametrize("dated, kept", [(10.0, True), (10.0 + HOUR_S, False), (12.0, False)])
 def test_a_copy_dated_in_the_future_is_not_kept(tmp_path, dated, kept):
     """Its age could not be told: it would pass for fresh for an hour."""
