--- a/benchmarks/soak/witness.py
+++ b/benchmarks/soak/witness.py
@@ -57,12 +57,14 @@
         front.witness.serial += 1
         self.number, self.up = front.witness.serial, None
         self.commands, self.answers, self.open = wire.Commands(), cachewire.Answers(), {}
-        self.used_at, self.held = time.monotonic(), b""
+        self.used_at, self.held, self.unread_from = time.monotonic(), b"", None
 
     async def run(self):
         self.front.connections.add(self)
         try:
             up_reader, self.up = await asyncio.open_connection(world.HOST, self.front.upstream)
+            if time.monotonic() - self.used_at > LAG_S:  # what came first has lain there
+                self.unread_from = self.used_at
             tasks = [
                 asyncio.ensure_future(way) for way in (self.up_way(), self.down_way(up_reader), self.watch())
             ]
@@ -101,7 +103,9 @@
     async def up_way(self):
         """Router to server."""
         while True:
-            deaf_from = time.monotonic() if self.front.has("deaf") else None
+            deaf_from, self.unread_from = self.unread_from, None
+            if deaf_from is None and self.front.has("deaf"):
+                deaf_from = time.monotonic()
             while self.front.has("deaf"):
                 await asyncio.sleep(0.02)
             data = await self.reader.read(READ)
