--- a/benchmarks/soak/witness.py
+++ b/benchmarks/soak/witness.py
@@ -202,6 +202,7 @@
 
     def lagged_from(self, at):
         """Since when this process had no processor, until just now and not before `at`; None: it read at once."""
+        self.watch.turned()
         edge, since = time.monotonic() - 2 * LAG_S, None
         for began, ended in reversed(self.watch.gaps):
             if ended < edge:
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -31,6 +31,36 @@
 SWEEP_S = 0.05  # between two looks for idle and silent connections
 
 
+def tightening(start):
+    """What peers may tell a router: notices that tighten a rule. Imported only where there are peers."""
+    from brookhinge.membership.tight import Tight
+
+    return Tight(start)
+
+
+def router_class(fleet):
+    """The class of the decisions: Router, behind what shares limits, verdicts, memory or proofs where the block `fleet`
+    turns that on."""
+    kinds = []
+    if fleet is not None and fleet.share_limits:
+        from brookhinge.limits.shared import Sharing
+
+        kinds.append(Sharing)
+    if fleet is not None and fleet.share_verdicts:
+        from brookhinge.verdicts.shared import Judging
+
+        kinds.append(Judging)
+    if fleet is not None and fleet.share_memory:
+        from brookhinge.membership.memory import Remembering
+
+        kinds.append(Remembering)
+    if fleet is not None and fleet.purge_log:
+        from brookhinge.purgelog.copies import ProvenCopies
+
+        kinds.append(ProvenCopies)
+    return type("Router", (*kinds, Router), {}) if kinds else Router
+
+
 class Service:
     """Joins sockets and engine, from start to exit."""
 
@@ -50,35 +80,14 @@
         self.watch = LoopWatch(self.now)
         self.watch.listeners.append(self.stalled)
         self.phases = Phases(self.log)
-        kinds, lineage = [], None  # what goes before Router where limits or verdicts are shared
-        returns = self.gate = self.talk = self.purge_log = tight = None
-        if fleet is not None:
-            from brookhinge.membership.tight import Tight
-
-            tight = Tight(self.start)
-            if fleet.share_limits:
-                from brookhinge.limits.shared import Sharing
-
-                kinds.append(Sharing)
-            if fleet.share_verdicts:
-                from brookhinge.verdicts.shared import Judging
-
-                kinds.append(Judging)
-            if fleet.share_memory:
-                from brookhinge.membership.memory import Memory, Remembering
-
-                kinds.append(Remembering)
-            if fleet.purge_log:
-                from brookhinge.purgelog.copies import ProvenCopies
-
-                kinds.append(ProvenCopies)
+        returns = self.gate = self.talk = self.purge_log = lineage = None
+        tight = tightening(self.start) if fleet is not None else None
         if site.storm:
-            from brookhinge.storm.gate import Gate
             from brookhinge.storm.lineage import Lineage
             from brookhinge.storm.plan import Returns
 
             lineage, returns = Lineage(), Returns(site.decisions["allowed"].max_retry_after_s)
-        router = type("Router", (*kinds, Router), {}) if kinds else Router
+        router = router_class(fleet)
         self.reducer = Reducer(
             router(site.seed, machine=site.bounds, returns=returns, **site.decisions),
             [t.name.encode() for t in site.decisions["tracks"]],
@@ -94,6 +103,8 @@
         third = bounds.sockets // 3
         sockets = max(8, bounds.sockets - third - SPARE)
         if site.storm:
+            from brookhinge.storm.gate import Gate
+
             self.gate = Gate(sockets)
         self.front = Front(
             self.post,
@@ -129,61 +140,67 @@
         self.rounds.join(self.caches, "pull", "kill", "retire")
         self.rounds.join(self, "say", "trace")
         if fleet is not None:
-            from brookhinge.membership.talk import Talk
-
-            place = site.decisions["place"]
-            self.talk = Talk(fleet, site.seed, (place.routers_here, place.routers), self.post, self.log)
-            self.rounds.before.append(self.talk.before)
-            if fleet.share_limits:
-                from brookhinge.limits.limits import Limits
-
-                self.talk.add(
-                    lambda talk, now: Limits(
-                        talk.peer.view,
-                        fleet.name,
-                        fleet.zone,
-                        talk.peer.version,
-                        lambda: talk.counted,
-                        self.reducer.demand,
-                        now,
-                    )
+            self.join_peers(fleet, controls)
+        for event in commands:
+            self.post(*event)
+        self.ended, self.stopped = None, False
+
+    def join_peers(self, fleet, controls):
+        """What a router of a fleet talks about with its peers, as its block `fleet` has it."""
+        from brookhinge.membership.talk import Talk
+
+        place = self.site.decisions["place"]
+        self.talk = Talk(fleet, self.site.seed, (place.routers_here, place.routers), self.post, self.log)
+        self.rounds.before.append(self.talk.before)
+        if fleet.share_limits:
+            from brookhinge.limits.limits import Limits
+
+            self.talk.add(
+                lambda talk, now: Limits(
+                    talk.peer.view,
+                    fleet.name,
+                    fleet.zone,
+                    talk.peer.version,
+                    lambda: talk.counted,
+                    self.reducer.demand,
+                    now,
                 )
-            if fleet.share_memory:
-                self.talk.add(
-                    lambda talk, now: Memory(
-                        talk.peer.view,
-                        fleet.name,
-                        fleet.zone,
-                        talk.peer.version,
-                        self.reducer.router.memory,
-                        now,
-                    )
+            )
+        if fleet.share_memory:
+            from brookhinge.membership.memory import Memory
+
+            self.talk.add(
+                lambda talk, now: Memory(
+                    talk.peer.view,
+                    fleet.name,
+                    fleet.zone,
+                    talk.peer.version,
+                    self.reducer.router.memory,
+                    now,
                 )
-            if fleet.share_verdicts:
-                from brookhinge.verdicts.verdicts import Verdicts
-
-                own = self.reducer.router.fleet
-                self.talk.add(
-                    lambda talk, now: Verdicts(
-                        talk.peer.view,
-                        fleet.name,
-                        fleet.zone,
-                        talk.peer.version,
-                        lambda: talk.counted[0],
-                        self.reducer.seen,
-                        lambda: len(own.own),
-                        now,
-                    )
+            )
+        if fleet.share_verdicts:
+            from brookhinge.verdicts.verdicts import Verdicts
+
+            own = self.reducer.router.fleet
+            self.talk.add(
+                lambda talk, now: Verdicts(
+                    talk.peer.view,
+                    fleet.name,
+                    fleet.zone,
+                    talk.peer.version,
+                    lambda: talk.counted[0],
+                    self.reducer.seen,
+                    lambda: len(own.own),
+                    now,
                 )
-            if fleet.purge_log:
-                from brookhinge.purgelog.client import LogClient
+            )
+        if fleet.purge_log:
+            from brookhinge.purgelog.client import LogClient
 
-                self.purge_log = self.talk.purge_log = LogClient(fleet, controls, self.post, self.log)
-                self.rounds.before.append(self.purge_log.before)
-            self.rounds.join(self, "spread")
-        for event in commands:
-            self.post(*event)
-        self.ended, self.stopped = None, False
+            self.purge_log = self.talk.purge_log = LogClient(fleet, controls, self.post, self.log)
+            self.rounds.before.append(self.purge_log.before)
+        self.rounds.join(self, "spread")
 
     def now(self):
         """Seconds since the start, by a clock that nobody sets; `start` is where they begin in Unix time."""
--- a/tests/soak/test_shim.py
+++ b/tests/soak/test_shim.py
@@ -17,14 +17,15 @@
 ACCEPTS = """
 import socket
 listener = socket.create_server(("127.0.0.1", 0))
-client = socket.create_connection(listener.getsockname())
 failed = 0
-while True:
-    try:
-        made, _ = listener.accept()
-        break
-    except OSError as fault:
-        failed += 1
+for _ in range(20):
+    client = socket.create_connection(listener.getsockname())
+    while True:
+        try:
+            made, _ = listener.accept()
+            break
+        except OSError as fault:
+            failed += 1
 client.sendall(b"x" * 1000)
 print(failed > 0, len(made.recv(1000)) < 20)
 """
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -122,14 +122,19 @@
     assert played(scene, tmp_path) == [(1, "exception no method sing"), None, None, None, (2, "satisfied 19")]
 
 
+async def one_cancels_and_one_leaves(t):
+    """Two clients with a query each at a server that is silent."""
+    other = await Caller.connect(t.address)
+    number = t.caller.ask(1)
+    other.ask(2, lookup="cd" * 8)
+    await until(lambda: len(t.pulled()) == 2)
+    t.caller.forget(number)
+    other.writer.transport.abort()
+
+
 def test_forgotten_and_lost_clients_leave_nothing_out(tmp_path):
     async def scene(t):
-        other = await Caller.connect(t.address)
-        number = t.caller.ask(1)
-        other.ask(2, lookup="cd" * 8)
-        await until(lambda: len(t.pulled()) == 2)
-        t.caller.forget(number)
-        other.writer.transport.abort()
+        await one_cancels_and_one_leaves(t)
         await until(lambda: len(t.pulled()) == 4)
         t.caller.call(b"isWell")
         return await t.caller.hear(), sorted(line[5:9] for line in t.pulled()), t.service.reducer.queries
@@ -647,12 +652,7 @@
 
 def test_the_figures_tell_how_queries_were_withdrawn(tmp_path):
     async def scene(t):
-        other = await Caller.connect(t.address)
-        number = t.caller.ask(1)
-        other.ask(2, lookup="cd" * 8)
-        await until(lambda: len(t.pulled()) == 2)
-        t.caller.forget(number)
-        other.writer.transport.abort()
+        await one_cancels_and_one_leaves(t)
         await until(lambda: not t.service.reducer.queries)
         return t.service.reasons()["withdrawals"]
 
