--- a/brookhinge/engine/loop_watch.py
+++ b/brookhinge/engine/loop_watch.py
@@ -6,12 +6,10 @@
 import time
 from typing import NamedTuple
 
-STALL_S = (
-    0.15  # between two known turns of the loop, past which it stood still; it is known to turn each 0.05 s
-)
-
-
-BLIND_S = 0.08  # the same for what may have come meanwhile: shorter gaps matter to nobody's deadline
+# The loop is known to turn each 0.05 s. Longer than this between two turns, and it stood still.
+STALL_S = 0.15
+# The same for what may have come meanwhile: shorter gaps matter to nobody's deadline.
+BLIND_S = 0.08
 REMEMBERED = 64  # gaps
 
 
@@ -20,9 +18,7 @@
 
     began_at: float
     ended_at: float
-    processor_s: (
-        float  # used by this process meanwhile: about as much as the stall lasted if it was busy itself
-    )
+    processor_s: float  # used by this process meanwhile: about as much as the stall if it was busy itself
 
 
 class LoopWatch:
@@ -37,7 +33,7 @@
         self.last = None  # the latest Stall
         self.gaps = collections.deque(
             maxlen=REMEMBERED
-        )  # (beginning, end) of the latest ones that count for arrivals
+        )  # (beginning, end) of the latest that count for arrivals
         self.listeners = []  # called with each Stall as it is noticed
         self.gap_listeners = []  # called with the end of each gap
 
--- a/brookhinge/engine/rounds.py
+++ b/brookhinge/engine/rounds.py
@@ -6,11 +6,10 @@
 PASSES = 3  # of the loop, until what can be read now has been handed on: select, read, wake the reader
 # Events that waited so long for their round: the loop stood still, and more may have come meanwhile.
 LATE_S = 0.02
-CURRENT_S = (
-    0.1  # after a stall: how long nothing is sent on at most while it is not known what was told meanwhile
-)
 # After a decision so old an effect that is late by then is not carried out as decided: the process was stopped meanwhile.
 STALE_S = 0.1
+# After a stall: how long nothing is sent on at most while it is not known what was told meanwhile.
+CURRENT_S = 0.1
 
 
 class Rounds:
--- a/brookhinge/net/channel.py
+++ b/brookhinge/net/channel.py
@@ -26,12 +26,10 @@
         self.now = time.monotonic if watch is None else watch.now
         self.start, self.stream, self.moved = start, None, asyncio.Event()
         self.received = None  # what the read that is under way comes to
-        self.waits_until = (
-            None  # when the channel answers the poll that is out though nothing came; None: none is out
-        )
-        self.known_until = float(
-            "-inf"
-        )  # all events up to then are known: the last poll that was answered was sent then
+        # When the channel answers the poll that is out, though nothing came; None: none is out.
+        self.waits_until = None
+        # All events up to then are known: the last poll that was answered was sent then.
+        self.known_until = float("-inf")
         self.empty_at = float("-inf")  # the last look that found nothing unread
         self.fails = False  # the last poll failed
 
@@ -62,7 +60,7 @@
             except Exception as fault:
                 why = f"{type(fault).__name__}: {fault}"
             self.close()
-            self.fails = True
+            self.fails = not self.moved.is_set()
             if not self.moved.is_set():
                 self.say("command channel", why=why, again_s=round(pause, 2))
                 with contextlib.suppress(asyncio.TimeoutError):
@@ -93,11 +91,8 @@
 
     def is_behind(self):
         """Whether the loop has stood still since the last poll that was answered: events may have come after that answer."""
-        return (
-            self.watch is not None
-            and self.watch.last is not None
-            and self.watch.last.ended_at > self.known_until
-        )
+        stall = self.watch and self.watch.last
+        return stall is not None and stall.ended_at > self.known_until
 
     def is_current(self):
         """Whether all events are known that came while the loop stood still, as far as the channel can tell."""
@@ -114,11 +109,8 @@
         now = self.now()
         if self.waits_until is None or now - self.empty_at <= KNOWN_FOR_S:
             return False
-        if (
-            self.received is not None
-            and self.received.done()
-            or unread(self.stream.socket) is not Unread.NOTHING
-        ):
+        has_read = self.received is not None and self.received.done()
+        if has_read or unread(self.stream.socket) is not Unread.NOTHING:
             return True
         self.empty_at = now
         return False
