A start waits for a socket; events that wait for their round hold attempts back

Cause: listening had no second try, though the same shortage passes in service. Change: Service.listen tries again for 8 s; a socket that cannot listen is closed. Seen in tests beside load: an attempt went out between the reading of the channel's answer and its round. Change: the channel counts as known once its events are posted, and posted lists and purges hold attempts back until their round. The trace of an attempt is written after its system call. Tests of a router stopped twice waited for a state that passes.

--- a/brookhinge/engine/rounds.py
+++ b/brookhinge/engine/rounds.py
@@ -53,6 +53,10 @@
             self.due, self.posted_at = True, self.now()
             asyncio.get_running_loop().call_soon(self.look)
 
+    def has_posted(self, *methods):
+        """Whether an event of that kind waits for its round."""
+        return any(method in methods for method, _ in self.events)
+
     def open(self):
         """The first round: what is known at the start comes before the first query."""
         self.opened = True
--- a/brookhinge/net/caches.py
+++ b/brookhinge/net/caches.py
@@ -138,10 +138,11 @@
             self.take_back(decided, reason)
 
     def write_push(self, line, decided, now):
+        """Nothing stands between the last look and the system call but what sending takes: the trace comes after it."""
         line.out[decided.name] = decided.query, decided.push, now
+        self.write(line, decided.wire(now))
         if self.trace is not None:
             self.trace("attempt written", decided.name.decode(), server=line.server[0], attempt=decided.push)
-        self.write(line, decided.wire(now))
 
     def look_again(self, line, name):
         """What was unread has been read meanwhile, or its time is over."""
--- a/brookhinge/net/channel.py
+++ b/brookhinge/net/channel.py
@@ -30,6 +30,7 @@
         self.waits_until = None
         # All events up to then are known: the last poll that was answered was sent then.
         self.known_until = float("-inf")
+        self.asked_at = float("-inf")  # when the last poll was sent
         self.empty_at = float("-inf")  # the last look that found nothing unread
         self.fails = False  # the last poll failed
 
@@ -52,6 +53,7 @@
                     self.close()
                 pause, self.fails = FIRST_S, False
                 self.take(cursor, commands)
+                self.known_until = self.asked_at  # not before: until here they were read, but known to nobody
                 continue
             except (StreamClosedError, OSError, asyncio.TimeoutError) as fault:
                 why = type(fault).__name__
@@ -76,8 +78,8 @@
             await self.stream.connect(self.address)
         stream, answer = self.stream, http.Answer()
         block_s = 0.0 if self.is_behind() else self.block_s
-        asked_at = self.now()
-        self.waits_until = asked_at + block_s
+        self.asked_at = self.now()
+        self.waits_until = self.asked_at + block_s
         await stream.write(http.request("%s:%d" % self.address, self.cursor, int(block_s * 1000)))
         while True:
             self.received = stream.read_bytes(65536, partial=True)
@@ -86,7 +88,7 @@
             except StreamClosedError:
                 done = answer.ended()
             if done is not None:
-                self.known_until, self.waits_until = asked_at, None
+                self.waits_until = None
                 return done
 
     def is_behind(self):
--- a/brookhinge/net/listener.py
+++ b/brookhinge/net/listener.py
@@ -22,6 +22,19 @@
     SHORTAGE = "shortage"  # nothing can be taken now
 
 
+def bound(host, port):
+    """A socket that listens; where that fails nothing is left of it."""
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.bind((host, port))
+        made.listen(BACKLOG)
+    except OSError:
+        made.close()
+        raise
+    return made
+
+
 class Listener:
     """take(socket, address) gets each connection; has_room() tells whether one more may be taken; say(event, **values) is the
     log; in_a_pass() tells how many connections one pass may take."""
@@ -37,13 +50,7 @@
 
     def listen(self, host, port, handed=None):
         """The address. handed: the descriptor of a socket that listens already, which outlives this process."""
-        if handed is not None:
-            self.socket = socket.socket(fileno=handed)
-        else:
-            self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.socket.bind((host, port))
-            self.socket.listen(BACKLOG)
+        self.socket = socket.socket(fileno=handed) if handed is not None else bound(host, port)
         self.socket.setblocking(False)
         asyncio.get_running_loop().add_reader(self.socket, self.accept)
         return self.socket.getsockname()
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -16,6 +16,7 @@
 from brookhinge.net.caches import Caches
 from brookhinge.net.channel import Channel
 from brookhinge.net.front import LINGER_S, Front
+from brookhinge.net.listener import PAUSE_S, SHORTAGES
 from brookhinge.rules import HeldBack
 
 LEAVE_S = 0.7  # after the word to end, new connections and queries are taken for so long
@@ -26,6 +27,7 @@
 FIGURES_S = 10.0  # between two lines of figures
 SPARE = 24  # descriptors that neither clients nor cache servers take
 LATE_S = 0.05  # a push that waited longer for its connection is decided anew
+LISTEN_S = 8.0  # a start waits so long for a socket to listen on
 LAST_READ_S = 0.03  # at the end: what lies there is read for so long at least
 LEAST_S = 0.002  # a push with less time than that is not written
 SWEEP_S = 0.05  # between two looks for idle and silent connections
@@ -226,7 +228,7 @@
         reason = self.reducer.held_back(decided.query, decided.push)
         if reason is None and not self.rounds.knows_all():
             reason = HeldBack.STALLED
-        elif reason is None and self.channel.has_unread():
+        elif reason is None and (self.channel.has_unread() or self.rounds.has_posted("listed", "purged")):
             reason = HeldBack.LIST_UNREAD
         return reason or self.front.held_back(*self.reducer.asker(decided.query))
 
@@ -269,7 +271,7 @@
         self.ended = asyncio.Event()
         self.watch.begin()
         self.rounds.open()  # what is known at the start comes before the first query
-        address = self.front.listen(*self.site.listen, self.handed)
+        address = await self.listen()
         if self.talk is not None and self.handed is None:
             await self.join_fleet()
         self.phases.step("ready")
@@ -299,6 +301,18 @@
         self.log("totals", **self.counts(), **self.reasons())
         self.phases.step("ended")
 
+    async def listen(self):
+        """The address on which clients are taken. A shortage of the system is waited for: it ends no start."""
+        until = self.now() + LISTEN_S
+        while True:
+            try:
+                return self.front.listen(*self.site.listen, self.handed)
+            except OSError as fault:
+                if fault.errno not in SHORTAGES or self.now() > until:
+                    raise
+                self.log("not accepting", why=f"no socket: {fault.strerror}")
+            await asyncio.sleep(PAUSE_S)
+
     def reload(self, site):
         """SIGHUP: the command channel of the new file tells from here on; all else is read at a start alone."""
         self.log("configuration", channel="%s:%d" % site.channel)
--- a/tests/crossings/test_rare.py
+++ b/tests/crossings/test_rare.py
@@ -12,7 +12,7 @@
 
 from brookhinge.engine.commands import read_commands
 from brookhinge.engine.reducer import Reducer
-from brookhinge.net import front, thrift
+from brookhinge.net import front, listener, thrift
 from brookhinge.net.calls import LONGEST_BODY
 from brookhinge.net import caches as net_caches
 from brookhinge.storm.lineage import Lineage
@@ -58,14 +58,43 @@
         return getattr(self.listener, name)
 
 
+class FailingSockets:
+    """The module `socket`, whose `socket` fails a few times."""
+
+    def __init__(self, error, times):
+        self.error, self.times = error, times
+
+    def socket(self, *args, **keywords):
+        if self.times:
+            self.times -= 1
+            raise OSError(self.error, "planted")
+        return socket.socket(*args, **keywords)
+
+    def __getattr__(self, name):
+        return getattr(socket, name)
+
+
+@pytest.mark.parametrize("error", [errno.ENOMEM, errno.ENOBUFS, errno.EMFILE, errno.ENFILE])
+def test_a_start_waits_for_a_socket_to_listen_on(tmp_path, monkeypatch, error):
+    """Seen in a soak: a router was started while socket(2) failed with ENOMEM, and ended with 2. The same shortage passes in
+    service."""
+    monkeypatch.setattr(listener, "socket", FailingSockets(error, 3))
+
+    async def scene(t):
+        t.caller.ask(1)
+        return await t.caller.hear()
+
+    assert played(scene, tmp_path) == (1, "satisfied 19")
+
+
 def test_who_came_while_accept_failed_is_answered_as_the_router_ends(tmp_path):
     """SIGTERM comes while no descriptor is to be had: the query lies in the backlog when accepting ends."""
 
     async def scene(t, error):
-        listener = t.service.front.listener.socket = FailingListener(t.service.front.listener.socket, error)
+        failing = t.service.front.listener.socket = FailingListener(t.service.front.listener.socket, error)
         t.service.stop()
         caller = await Raw(t.address).asks(1).send().caller()
-        asyncio.get_running_loop().call_later(0.9, setattr, listener, "fails", False)
+        asyncio.get_running_loop().call_later(0.9, setattr, failing, "fails", False)
         answer = await caller.hear()
         await t.task
         return answer and answer[0]
--- a/tests/standstill/program.py
+++ b/tests/standstill/program.py
@@ -106,21 +106,19 @@
     def stop_next_at(self, *points):
         self.stop_file.write_text(" ".join(points))
 
-    async def until_stopped(self):
-        await self.until_state("T")
-
-    async def go_on(self):
-        self.process.send_signal(signal.SIGCONT)
-        await self.until_state("SR")
-
-    async def until_state(self, states):
+    async def until_stopped(self, left=0):
+        """It is stopped, with so many points to stop at still before it."""
         path = Path(f"/proc/{self.process.pid}/stat")
-        for _ in range(1000):
+        for _ in range(2000):
+            points = self.stop_file.read_text().split() if self.stop_file.exists() else []
             state = path.read_text().rpartition(")")[2].split()[0]
-            if state in states:
+            if len(points) == left and state == "T":
                 return
             await asyncio.sleep(0.005)
-        raise AssertionError(f"the router never came to state {states}")
+        raise AssertionError("the router was never stopped")
+
+    async def go_on(self):
+        self.process.send_signal(signal.SIGCONT)
 
     # clients
 
--- a/tests/standstill/test_client_gone.py
+++ b/tests/standstill/test_client_gone.py
@@ -32,11 +32,11 @@
     """The server answers; the router is stopped at the last of the points when this comes back."""
     program.stop_next_at(*points)
     program.answer.set()
-    await program.until_stopped()
-    for _ in points[1:]:
-        await asyncio.sleep(STOPPED_S)
-        await program.go_on()
-        await program.until_stopped()
+    for left in reversed(range(len(points))):
+        await program.until_stopped(left)
+        if left:
+            await asyncio.sleep(STOPPED_S)
+            await program.go_on()
 
 
 def leave(raw, how):
--- /dev/null
+++ b/tests/standstill/test_held_back.py
@@ -0,0 +1,100 @@
+"""Each reason for which an attempt is not written at the moment at which it could be."""
+
+import asyncio
+import time
+
+from brookhinge.net import caches as net_caches
+from brookhinge.rules import HeldBack
+from tests.crossings.test_sockets import Raw
+from tests.helpers import host
+from tests.test_service import caches, played, until
+
+
+async def one_out(t):
+    """A query that is out at a silent server, its client's socket, and its attempt as it was decided."""
+    raw = Raw(t.address).asks(1).send()
+    await until(lambda: t.service.reducer.queries)
+    (query, q), now = next(iter(t.service.reducer.queries.items())), t.service.now()
+    await asyncio.sleep(0.05)  # its connection was read empty longer ago than a moment
+    t.service.watch.tick()
+    server = q.server, *t.service.reducer.dials[q.server]
+    return raw, net_caches.Decided(query, q.pushes, server, q.name, now + 1.0, now, (), ())
+
+
+def reason_after(tmp_path, change):
+    """The reason once change(t, raw, decided) has come back with the attempt to ask for, and the one before."""
+
+    async def scene(t):
+        raw, decided = await one_out(t)
+        await until(t.service.rounds.knows_all)
+        before = t.service.held_back(decided)
+        t.service.front.clients[2].emptied_at = t.service.channel.empty_at = float("-inf")
+        return before, t.service.held_back(change(t, raw, decided) or decided)
+
+    before, after = played(scene, tmp_path, machines=caches(act="silent"))
+    assert before is None
+    return after
+
+
+def test_its_client_has_sent_more(tmp_path):
+    assert reason_after(tmp_path, lambda t, raw, _: raw.call.forget(1) or raw.send() and None) is (
+        HeldBack.CLIENT_UNREAD
+    )
+
+
+def test_its_client_has_closed(tmp_path):
+    assert reason_after(tmp_path, lambda t, raw, _: raw.close()) is HeldBack.CLIENT_UNREAD
+
+
+def test_its_client_is_known_to_have_cancelled(tmp_path):
+    def cancel(t, raw, decided):
+        t.service.front.cancel(t.service.front.clients[2], 1)
+
+    assert reason_after(tmp_path, cancel) is HeldBack.CLIENT_GONE
+
+
+def test_an_event_of_the_command_channel_waits_for_its_round(tmp_path):
+    def post(t, raw, decided):
+        t.service.post("purged", (9, 0, 0.0, "aa"))
+
+    assert reason_after(tmp_path, post) is HeldBack.LIST_UNREAD
+
+
+def test_the_command_channel_has_sent_something(tmp_path):
+    def answered(t, raw, decided):
+        t.service.channel.received = asyncio.get_running_loop().create_future()
+        t.service.channel.received.set_result(b"")
+
+    assert reason_after(tmp_path, answered) is HeldBack.LIST_UNREAD
+
+
+def test_the_loop_stood_still(tmp_path):
+    assert reason_after(tmp_path, lambda *_: time.sleep(0.3)) is HeldBack.STALLED
+
+
+def test_its_server_drains_by_now(tmp_path):
+    def drain(t, raw, decided):
+        row = host(decided.server[0], health="draining")
+        t.service.reducer.reduce(
+            t.service.now(),
+            [("listed", (9, False, [(row["host"], ("h", 1), "edge-1", "box", 0, "draining", 4.0, None)]))],
+        )
+
+    assert reason_after(tmp_path, drain) is HeldBack.CHANGED
+
+
+def test_its_time_is_over(tmp_path):
+    assert (
+        reason_after(tmp_path, lambda t, raw, decided: decided._replace(until=t.service.now()))
+        is HeldBack.NO_TIME
+    )
+
+
+def test_it_waited_too_long_for_its_connection(tmp_path):
+    async def scene(t):
+        _, decided = await one_out(t)
+        line = next(line for line in t.service.caches.all if line.out)
+        t.service.caches.put(line, decided._replace(since=decided.since - 1.0, name=b"other", push=9))
+        return dict(t.service.caches.holds)
+
+    assert played(scene, tmp_path, machines=caches(act="silent")) == {HeldBack.LATE: 1}
