--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -442,7 +442,8 @@
             continue
         for attempt in attempts:
             for server in {attempt.server, attempt.fields.get("parent", attempt.server)}:
-                late_s = drained_for(history, router, server, attempt.at)
+                moments = attempt.at, attempt.seen_at  # it came between the two
+                late_s = min(drained_for(history, router, server, at) for at in moments)
                 if late_s > world.DRAIN_GRACE_S + WIRE_S:
                     detail = f"{server}, {late_s:.2f} s after {router} was told that it drains or is gone"
                     out.append(Violation(Invariant.SENT_TO_DRAINING, attempt.at, ref, detail))
