Review, case 3 is now an entry: lists of 3,200 servers stop the router

Each event of the list costs a pass over all servers, so a replacement of six in ten stops the loop for seconds.

--- a/review/standins/channel.py
+++ b/review/standins/channel.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from review.standins.record import Record
 
@@ -52,6 +52,18 @@
         """Add an event with rows of the list of servers."""
         return self.tell(nodes={"seq": len(self.events) + 1, "whole": whole, "hosts": rows})
 
+    def tell_changes(self, changes: Iterable[list[dict]]) -> float:
+        """Add events, each with rows that have changed, which are recorded as one."""
+        first = len(self.events) + 1
+        for rows in changes:
+            number = len(self.events) + 1
+            nodes = {"seq": number, "whole": False, "hosts": rows}
+            self.events.append({"cursor": number, "nodes": nodes})
+        at = self._record.add("changes of servers", events=f"{first}-{len(self.events)}")
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return at
+
     def tell_purge(self, name: str, when: float) -> float:
         """Add the purge of an object at a Unix time."""
         return self.tell(drop={"id": name, "when": int(when * 1000)})
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Self
 
@@ -89,6 +89,12 @@
         rows += [parent.row("main-hub", "parent") for parent in self.parents]
         return rows + [box.row("edge-1", "small-box") for box in self.boxes]
 
+    def record_stalls(self) -> None:
+        """Copy what the router's log says of stalls of its event loop into the record."""
+        for line in self.processes.log("n1").splitlines():
+            if '"event":"stalled"' in line:
+                self.record.add("the router's log", line=line)
+
     def drop_copies(self) -> None:
         """Drop all copies at parents and cache servers, as after a purge."""
         for server in self.servers():
@@ -99,11 +105,20 @@
         tracks: list[settings.Track],
         *,
         notice_ms: int = 500,
+        stations: int = 1,
+        others: Sequence[dict[str, object]] = (),
     ) -> tuple[str, int]:
-        """Tell the list of servers, start the router and return its address once it is well."""
-        self.channel.tell_servers(self.rows(), whole=True)
+        """Tell the list of servers, start the router and return its address once it is well.
+
+        Args:
+            tracks: The tracks.
+            notice_ms: Grace of the rule on purges.
+            stations: Number of stations; the router is at the first.
+            others: Rows of the servers of other stations.
+        """
+        self.channel.tell_servers([*self.rows(), *others], whole=True)
         config = settings.router_config(
-            self.channel.address, self.channel.known(), tracks, notice_ms=notice_ms
+            self.channel.address, self.channel.known(), tracks, notice_ms=notice_ms, stations=stations
         )
         return await self.processes.start_router("n1", config)
 
--- a/review/standins/settings.py
+++ b/review/standins/settings.py
@@ -49,9 +49,9 @@
 
 
 def router_config(
-    channel: tuple[str, int], known: dict, tracks: list[Track], *, notice_ms: int
+    channel: tuple[str, int], known: dict, tracks: list[Track], *, notice_ms: int, stations: int = 1
 ) -> dict[str, object]:
-    """Return the configuration of the only router of a station with a few cache servers."""
+    """Return the configuration of the only router of the first of `stations`, with a few cache servers."""
     host, port = channel
     return {
         "seed": "8c1f30d27a5be964",
@@ -62,9 +62,9 @@
         "known": known,
         "settings": {
             "Az": "edge-1",
-            "Zones": ["main-hub", "edge-1"],
+            "Zones": ["main-hub", *(f"edge-{number + 1}" for number in range(stations))],
             "MachineTypes": ["small-box", "parent", "origin"],
-            "Instances": 1,
+            "Instances": stations,
             "MyNumber": 0,
             "Classes": [track.values() for track in tracks],
             "Discovery": "automatic",
@@ -99,7 +99,7 @@
                 "UpperKind": 1,
                 "NoticeTimeNs": notice_ms * MS,
                 "OneFlowKbPerS": 3600.0,
-                "InletKbPerS": [0.0, 34208.0],
+                "InletKbPerS": [0.0, *[34208.0] * stations],
                 "PeersFill": "any",
                 "Says": "all",
                 "SharesFills": True,
@@ -107,7 +107,7 @@
                 "ParentBreaksAt": 2.0,
                 "ParentColdFrom": 0.095,
                 "UpperColdNs": 21 * SECOND,
-                "ZoneBalancers": [0, 1],
+                "ZoneBalancers": [0, *[1] * stations],
             },
             "WeightSource": "nominal",
             "Workload": "edge",
--- a/review/standins/thrift_client.py
+++ b/review/standins/thrift_client.py
@@ -114,6 +114,11 @@
         self._writer: asyncio.StreamWriter | None = None
         self._reading: asyncio.Task | None = None
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that wait for their answer."""
+        return len(self._open)
+
     async def connect(self) -> None:
         """Open the connection.
 
@@ -154,6 +159,7 @@
         self._open[number] = future
         sent_at = await self._write(_message(CALL, method, number, arguments), pieces, every_s)
         if not sent_at:
+            self._open.pop(number, None)
             return Answer("lost")
         try:
             answer = await asyncio.wait_for(future, wait_s)
