--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,10 +9,10 @@
 import time
 from pathlib import Path
 
-from review.standins import settings
-from review.standins.deployment import COULD_NOT_RUN, Deployment, play
-from review.standins.load import Load
-from review.standins.record import Record
+from review import settings
+from review.deployment import COULD_NOT_RUN, Deployment, play
+from review.load import Load
+from review.record import Record
 
 OBJECTS = 24_000  # asked for before the purge, once each
 FILL_RATE = 500.0
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,10 +8,10 @@
 import sys
 from pathlib import Path
 
-from review.standins import settings
-from review.standins.deployment import COULD_NOT_RUN, Deployment, play
-from review.standins.record import Record
-from review.standins.thrift_client import Client
+from review import settings
+from review.deployment import COULD_NOT_RUN, Deployment, play
+from review.record import Record
+from review.thrift_client import Client
 
 SLOW_S = 2.5  # by how much each answer of discovery comes late
 SLOW_FROM_S = 8.0
--- a/review/standins/channel.py
+++ b/review/channel.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Iterable, Sequence
 
-from review.standins.record import Record
+from review.record import Record
 
 
 class Channel:
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -9,11 +9,11 @@
 from pathlib import Path
 from typing import Self
 
-from review.standins import settings
-from review.standins.channel import Channel
-from review.standins.processes import Processes
-from review.standins.record import Record
-from review.standins.servers import CacheServer, Content
+from review import settings
+from review.channel import Channel
+from review.processes import Processes
+from review.record import Record
+from review.servers import CacheServer, Content
 
 COULD_NOT_RUN = 2
 LONGEST_S = 110.0
--- a/review/standins/load.py
+++ b/review/load.py
@@ -5,8 +5,8 @@
 import time
 from collections.abc import Iterable
 
-from review.standins.record import Record
-from review.standins.thrift_client import Client
+from review.record import Record
+from review.thrift_client import Client
 
 MOST_CONNECTIONS = 340  # a third of the router's descriptors
 USUAL_OPEN = 4  # requests on one connection, before another is opened
--- a/review/standins/processes.py
+++ b/review/processes.py
@@ -7,9 +7,9 @@
 import tomllib
 from pathlib import Path
 
-from review.standins.thrift_client import Client
+from review.thrift_client import Client
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 READY_S = 20.0
 
 
--- a/review/standins/servers.py
+++ b/review/servers.py
@@ -8,7 +8,7 @@
 import time
 from typing import NamedTuple
 
-from review.standins.record import Record
+from review.record import Record
 
 LINE_END = b"\r\n"
 
