A command channel that answers late is heard: overdue polls stay open

Cause: a poll was given up 1.5 s after it was sent, its answer thrown away, and the same question asked anew, without end: a slow peer was taken for a dead one. Evidence: the stand-in's record has each poll given up with the same number and no answer written, so the event never left the channel; nothing was lost after it. Change: the next poll still goes out after 1.5 s, but the one before stays open (8 at most) and counts when it is answered; an answer ends those sent before it, one that was overtaken is no gap. The log tells `late response` from no answer. SIGHUP with the same channel no longer restarts its polls. Cache servers and control machines follow the channel by the same class. One test reads the connection in its new place.

--- a/brookhinge/cache_server/command_channel.py
+++ b/brookhinge/cache_server/command_channel.py
@@ -11,7 +11,6 @@
 from brookhinge.engine.commands import Command
 from brookhinge.engine.events import CommandSkipped, ObjectsPurged
 from brookhinge.net.command_channel import CommandChannel
-from brookhinge.net.http import Response
 
 # while a poll cannot acknowledge more, the channel answers it at once
 _UNACKNOWLEDGED_POLL_INTERVAL_S = 0.05
@@ -55,12 +54,11 @@
         self._on_gap = on_gap
         self._on_current = on_current
 
-    async def poll(self) -> Response:
-        """Poll with the highest number up to which all purges are durable."""
+    async def prepare_poll(self) -> None:
+        """Let the next poll acknowledge the highest number up to which all purges are durable."""
         if self._durable_up_to(self.last_applied) < self.last_applied:
             await asyncio.sleep(_UNACKNOWLEDGED_POLL_INTERVAL_S)
         self.cursor = self._durable_up_to(self.last_applied)
-        return await super().poll()
 
     def apply_commands(self, cursor: int, commands: Sequence[Command]) -> None:
         """Post the new commands of an answer, whose last number is `cursor`."""
@@ -77,6 +75,7 @@
         else:
             self.is_synchronized = False
             self.last_applied = 0
+            self.close()  # the response to a poll that is still open would start after the missing commands
             self._on_gap(gap)
 
     def _find_gap(self, cursor: int, commands: Sequence[Command]) -> str | None:
--- a/brookhinge/net/command_channel.py
+++ b/brookhinge/net/command_channel.py
@@ -1,11 +1,14 @@
-"""Follows the command channel with long polls and posts its commands. Makes no routing decisions."""
+"""Follows the command channel with long polls and posts its commands. Makes no routing decisions.
+
+A channel may answer later than it promised without being down. A poll that is not answered in time therefore
+stays open while the next one is sent on a new connection, and its response counts whenever it arrives.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import random
-import socket
 import time
 from collections.abc import Callable, Sequence
 
@@ -13,28 +16,28 @@
 
 from brookhinge.engine.commands import Command, CommandFormatError, read_commands
 from brookhinge.engine.loop_watch import LoopWatch
-from brookhinge.net import http
 from brookhinge.net.errors import UnreadableError
-from brookhinge.net.stream import Stream, Unread, unread
-from brookhinge.net.timeouts import within
+from brookhinge.net.poll_connection import PollConnection
+from brookhinge.net.timeouts import finishes_within
 
-READ_BYTES = 64 * 1024
 POLL_WAIT_S = 1.0  # the channel answers a poll after this time even without a command
-POLL_SLACK_S = 0.5  # after POLL_WAIT_S, until the connection is considered dead
+POLL_SLACK_S = 0.5  # after POLL_WAIT_S, until the next poll is sent without waiting for the response
+MAX_LATE_POLLS = 8  # open without a response besides the current one; each takes a descriptor
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
 EMPTY_CHECK_TTL_S = 0.1  # a check that found nothing unread is valid this long; a command binds after 0.5 s
 HTTP_OK = 200
+NEVER = float("-inf")
 
 
 class CommandChannel:
-    """Follows the commands of one address. Subclasses may override `poll` and `apply_commands`.
+    """Follows the commands of one address. Subclasses may override `prepare_poll` and `apply_commands`.
 
     Attributes:
         post: Called with each command.
         cursor: Number of the last command that was received.
-        stream: The connection, or None.
-        pending_read: Result of the read in progress, or None.
+        known_until: All commands that the channel had at this time of the watch's clock have been received.
+        current: Connection of the current or next poll, or None.
         checked_empty_at: Time of the last check that found nothing unread.
     """
 
@@ -60,9 +63,10 @@
         """
         self.post = post
         self.cursor = cursor
-        self.stream: Stream | None = None
-        self.pending_read: asyncio.Future[bytes] | None = None
-        self.checked_empty_at = float("-inf")
+        self.known_until = NEVER
+        self.current: PollConnection | None = None
+        self.checked_empty_at = NEVER
+        self._late: dict[PollConnection, asyncio.Task] = {}  # polls without a response in time, oldest first
         self._log = log
         self._address = address
         self._started_at = started_at
@@ -71,14 +75,16 @@
         self._address_changed = asyncio.Event()
         self._backoff_s = MIN_BACKOFF_S
         self._has_failed = False  # whether the last poll failed
-        self._polled_at = float("-inf")
-        # Time by which the channel answers the outstanding poll; None if no poll is outstanding.
-        self._response_due_at: float | None = None
-        # Send time of the last poll that was answered: all commands up to then are known.
-        self._known_until = float("-inf")
+        self._responded_at = NEVER  # time of the last response
+        self._newest_cursor = 0  # of the last response that was applied
 
     def change_address(self, address: tuple[str, int]) -> None:
-        """Switch to another address and continue after the last command; a poll of the old one ends."""
+        """Switch to another address and continue after the last command; polls of the old one end.
+
+        The same address changes nothing: restarted polls of a slow channel would never be answered.
+        """
+        if address == self._address:
+            return
         self._address = address
         self._address_changed.set()
         self.close()
@@ -92,19 +98,29 @@
                 await self._back_off(failure)
 
     async def _try_poll(self) -> str | None:
-        """Poll once and post the commands received; return why that failed, or None."""
+        """Poll once and post the commands received; return why there was no response in time, or None."""
+        if self.current is None or self.current.is_closed:
+            self.current = PollConnection(self._address, self._now)
+        connection = self.current
+        poll = asyncio.ensure_future(self._poll(connection))
+        if await finishes_within(poll, POLL_WAIT_S + POLL_SLACK_S, self._watch):
+            return poll.result()
+        self._keep_late(connection, poll)
+        return TimeoutError.__name__
+
+    async def _poll(self, connection: PollConnection) -> str | None:
+        """Poll on a connection and post the commands received; return why that failed, or None."""
         try:
-            response = await within(self.poll(), POLL_WAIT_S + POLL_SLACK_S, self._watch)
+            await self.prepare_poll()
+            wait_s = 0.0 if self._is_behind() else POLL_WAIT_S
+            response = await connection.poll(self.cursor, wait_s)
             if response.status != HTTP_OK:
                 raise UnreadableError(f"unexpected HTTP status {response.status}")
             cursor, commands = read_commands(response.body, self._started_at)
             if not response.keeps_alive:
-                self.close()
-            self._backoff_s = MIN_BACKOFF_S
-            self._has_failed = False
-            self.apply_commands(cursor, commands)
-            self._known_until = self._polled_at  # set last: before, the commands are read but not posted
-        except (TimeoutError, StreamClosedError, OSError) as error:
+                connection.close()
+            self._take_response(connection, cursor, commands)
+        except (StreamClosedError, OSError) as error:
             return type(error).__name__
         except (UnreadableError, CommandFormatError) as error:
             return str(error)
@@ -112,9 +128,42 @@
             return f"{type(error).__name__}: {error}"
         return None
 
+    def _take_response(self, connection: PollConnection, cursor: int, commands: Sequence[Command]) -> None:
+        """Post the commands of a response, and give up the polls sent before its own."""
+        self._backoff_s = MIN_BACKOFF_S
+        self._has_failed = False
+        self._close_late_up_to(connection)
+        # With several polls open, a response may arrive after a newer one that was sent later.
+        is_outdated = connection.polled_at < self._responded_at and cursor < self._newest_cursor
+        self._responded_at = self._now()
+        if not is_outdated:
+            self._newest_cursor = cursor
+            self.apply_commands(cursor, commands)
+        # Set last: before, the commands are read but not posted.
+        self.known_until = max(self.known_until, connection.polled_at)
+
+    def _keep_late(self, connection: PollConnection, poll: asyncio.Task) -> None:
+        """Keep an overdue poll open, and give up the oldest one if there are too many."""
+        if self.current is connection:
+            self.current = None
+        self._late[connection] = poll
+        if len(self._late) > MAX_LATE_POLLS:
+            self._close_late_up_to(next(iter(self._late)))
+
+    def _close_late_up_to(self, connection: PollConnection) -> None:
+        """Give up the overdue polls up to the one of `connection`, or all of them if it is not overdue."""
+        for late in list(self._late):
+            del self._late[late]
+            late.close()
+            if late is connection:
+                self._log(
+                    "command channel", why="late response", took_s=round(self._now() - late.polled_at, 2)
+                )
+                return
+
     async def _back_off(self, failure: str) -> None:
         """Wait before the next poll with exponential backoff; a change of address ends the wait."""
-        self.close()
+        self._close_current()
         self._has_failed = not self._address_changed.is_set()
         if self._has_failed:
             self._log("command channel", why=failure, again_s=round(self._backoff_s, 2))
@@ -126,38 +175,8 @@
         else:
             self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
 
-    async def poll(self) -> http.Response:
-        """Poll for the commands after the cursor and return the response.
-
-        Raises:
-            OSError: The address cannot be reached.
-            StreamClosedError: The connection ended.
-            UnreadableError: The response is not valid HTTP.
-        """
-        if self.stream is None or self.stream.closed():
-            await self._connect()
-        stream = self.stream
-        parser = http.ResponseParser()
-        wait_s = 0.0 if self._is_behind() else POLL_WAIT_S
-        self._polled_at = self._now()
-        self._response_due_at = self._polled_at + wait_s
-        host, port = self._address
-        await stream.write(http.encode_poll(f"{host}:{port}", self.cursor, int(wait_s * 1000)))
-        while True:
-            self.pending_read = stream.read_bytes(READ_BYTES, partial=True)
-            try:
-                response = parser.feed(await self.pending_read)
-            except StreamClosedError:
-                response = parser.end()
-            if response is not None:
-                self._response_due_at = None
-                return response
-
-    async def _connect(self) -> None:
-        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.stream = Stream(connection, max_buffer_size=2 * http.MAX_BODY_BYTES)
-        self.stream.set_nodelay(True)
-        await self.stream.connect(self._address)
+    async def prepare_poll(self) -> None:
+        """Set `cursor` for the next poll."""
 
     def apply_commands(self, cursor: int, commands: Sequence[Command]) -> None:
         """Post the commands of one response."""
@@ -171,33 +190,37 @@
         Commands may have arrived during that stall.
         """
         stall = self._watch and self._watch.last_stall
-        return stall is not None and stall.ended_at > self._known_until
+        return stall is not None and stall.ended_at > self.known_until
 
     def is_current(self) -> bool:
         """Return whether all commands that arrived during the last stall are known, as far as it can tell."""
         if not self._is_behind() or self._has_failed:
             return True
-        return self._has_waiting_poll() and not self.has_unread()
-
-    def _has_waiting_poll(self) -> bool:
-        """Return whether a poll is outstanding that the channel would only answer now if it had a command."""
-        return self._response_due_at is not None and self._now() < self._response_due_at
+        is_waiting = self.current is not None and self.current.has_waiting_poll()
+        return is_waiting and not self.has_unread()
 
     def has_unread(self) -> bool:
         """Return whether the channel has unread bytes; a negative check is reused for a short time."""
         now = self._now()
-        if self._response_due_at is None or now - self.checked_empty_at <= EMPTY_CHECK_TTL_S:
+        if now - self.checked_empty_at <= EMPTY_CHECK_TTL_S:
             return False
-        is_read_done = self.pending_read is not None and self.pending_read.done()
-        if is_read_done or unread(self.stream.socket) is not Unread.NOTHING:
+        if any(connection.has_unread() for connection in self.connections()):
             return True
         self.checked_empty_at = now
         return False
 
+    def connections(self) -> list[PollConnection]:
+        """Return the connections that are in use, the oldest first."""
+        return [*self._late, *([self.current] if self.current is not None else [])]
+
+    def _close_current(self) -> None:
+        if self.current is not None:
+            self.current.close()
+            self.current = None
+
     def close(self) -> None:
-        """Close the connection; the next poll opens a new one."""
-        self._response_due_at = None
-        self.pending_read = None
-        if self.stream is not None:
-            self.stream.close()
-            self.stream = None
+        """Close all connections; the next poll opens a new one."""
+        self._close_current()
+        for connection in self._late:
+            connection.close()
+        self._late.clear()
--- /dev/null
+++ b/brookhinge/net/poll_connection.py
@@ -0,0 +1,98 @@
+"""A connection to the command channel, with at most one outstanding long poll."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from tornado.iostream import StreamClosedError
+
+from brookhinge.net import http
+from brookhinge.net.stream import Stream, Unread, unread
+
+READ_BYTES = 64 * 1024
+
+
+class PollConnection:
+    """Sends polls to one address, one after another. Times are seconds of the caller's clock.
+
+    Attributes:
+        polled_at: Send time of the last poll; `-inf` before the first one.
+        pending_read: Result of the read in progress, or None.
+        is_closed: Whether `close` was called or the channel closed the connection; it is not opened again.
+    """
+
+    def __init__(self, address: tuple[str, int], now: Callable[[], float]) -> None:
+        """Create a connection that the first poll opens.
+
+        Args:
+            address: Host and port of the command channel.
+            now: Returns seconds of a steady clock.
+        """
+        self.polled_at = float("-inf")
+        self.pending_read: asyncio.Future[bytes] | None = None
+        self._address = address
+        self._now = now
+        self._stream: Stream | None = None
+        self._was_closed = False
+        # Time by which the channel answers the outstanding poll; None if no poll is outstanding.
+        self._response_due_at: float | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """See the class."""
+        return self._was_closed or (self._stream is not None and self._stream.closed())
+
+    async def poll(self, cursor: int, wait_s: float) -> http.Response:
+        """Poll for the commands after `cursor`, which the channel waits for up to `wait_s` seconds.
+
+        Raises:
+            OSError: The address cannot be reached.
+            StreamClosedError: The connection ended, or `close` was called.
+            UnreadableError: The response is not valid HTTP.
+        """
+        if self.is_closed:
+            raise StreamClosedError
+        if self._stream is None:
+            await self._connect()
+        stream = self._stream
+        parser = http.ResponseParser()
+        self.polled_at = self._now()
+        self._response_due_at = self.polled_at + wait_s
+        host, port = self._address
+        await stream.write(http.encode_poll(f"{host}:{port}", cursor, int(wait_s * 1000)))
+        while True:
+            self.pending_read = stream.read_bytes(READ_BYTES, partial=True)
+            try:
+                response = parser.feed(await self.pending_read)
+            except StreamClosedError:
+                response = parser.end()
+            if response is not None:
+                self._response_due_at = None
+                return response
+
+    async def _connect(self) -> None:
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._stream = Stream(connection, max_buffer_size=2 * http.MAX_BODY_BYTES)
+        self._stream.set_nodelay(True)
+        await self._stream.connect(self._address)
+
+    def has_waiting_poll(self) -> bool:
+        """Return whether a poll is outstanding that the channel would only answer now if it had a command."""
+        return self._response_due_at is not None and self._now() < self._response_due_at
+
+    def has_unread(self) -> bool:
+        """Return whether a poll is outstanding and its connection has unread bytes or has ended."""
+        if self._response_due_at is None:
+            return False
+        is_read_done = self.pending_read is not None and self.pending_read.done()
+        return is_read_done or unread(self._stream.socket) is not Unread.NOTHING
+
+    def close(self) -> None:
+        """Close the connection; an outstanding poll ends with StreamClosedError."""
+        self._was_closed = True
+        self._response_due_at = None
+        self.pending_read = None
+        if self._stream is not None:
+            self._stream.close()
--- a/brookhinge/net/timeouts.py
+++ b/brookhinge/net/timeouts.py
@@ -27,14 +27,29 @@
     """
     task = asyncio.ensure_future(awaitable)
     try:
-        started_at = watch and watch.now()
-        done, _ = await asyncio.wait({task}, timeout=seconds)
-        if not done and watch is not None and watch.stalled_since(started_at):
-            done, _ = await asyncio.wait({task}, timeout=GRACE_AFTER_STALL_S)
-        if not done:
+        if not await finishes_within(task, seconds, watch):
             raise TimeoutError
         return task.result()
     finally:
         if not task.done():
             task.cancel()
             await asyncio.wait({task})
+
+
+async def finishes_within(
+    task: asyncio.Future[object], seconds: float, watch: LoopWatch | None = None
+) -> bool:
+    """Return whether `task` finishes before the timeout expires; it continues to run if not.
+
+    The timeout is extended after a stall of the event loop, as for `within`.
+
+    Args:
+        task: The task to wait for.
+        seconds: The timeout.
+        watch: Detects stalls of the event loop; None for no grace period.
+    """
+    started_at = watch and watch.now()
+    done, _ = await asyncio.wait({task}, timeout=seconds)
+    if not done and watch is not None and watch.stalled_since(started_at):
+        done, _ = await asyncio.wait({task}, timeout=GRACE_AFTER_STALL_S)
+    return bool(done)
--- a/tests/standstill/test_held_back.py
+++ b/tests/standstill/test_held_back.py
@@ -88,8 +88,9 @@
 
 def test_unread_response_of_the_command_channel_holds_the_attempt(tmp_path):
     def receive_response(t, client, decided):
-        t.service.command_channel.pending_read = asyncio.get_running_loop().create_future()
-        t.service.command_channel.pending_read.set_result(b"")
+        connection = t.service.command_channel.current
+        connection.pending_read = asyncio.get_running_loop().create_future()
+        connection.pending_read.set_result(b"")
 
     assert hold_reason_after(tmp_path, receive_response) is HeldBack.LIST_UNREAD
 
