Own copies are bounded in age while the command channel is silent

A purge counts as told after 7 s, arrived or not. Cause: own copies were held back behind a stall only; a failed poll counted as nothing more to be known, for however long. Change: the channel tells the decisions up to when it knows all commands; once that is over 7 s ago, a copy of the router's own may be 7 s old at most. Measured: test_old_own_copies_are_not_used_while_the_command_channel_is_silent fails on the text before ('own' at 9.1 s) and passes now.

--- a/brookhinge/decisions/final_responses.py
+++ b/brookhinge/decisions/final_responses.py
@@ -1,5 +1,7 @@
 """Final responses that the router sends without a server: rejections, errors and copies from its memory."""
 
+import math
+
 from brookhinge.decisions import rules
 from brookhinge.decisions.mechanisms import RouterMechanisms
 from brookhinge.decisions.request_state import RequestState
@@ -32,6 +34,9 @@
         name = request.class_index, request.object.code
         time_left_s = min(request.deadline - self.now, request_class.latency_objective_s + request.transfer_s)
         max_age_s = self.purges.max_age_s(request.object, request_class, self.now, accept_stale=True)
+        if self.now - self.purges_known_until > rules.TOLD_WITHIN_S:
+            # Any older copy may have been purged so long ago that the purge counts as known.
+            max_age_s = min(max_age_s or math.inf, rules.TOLD_WITHIN_S)
         if not self.local_cache.reserve(name, self.now, max_age_s, time_left_s - COPY_MARGIN_S):
             return False
         self.sink.respond_from_copy(request.request_id, name)
--- a/brookhinge/decisions/mechanisms.py
+++ b/brookhinge/decisions/mechanisms.py
@@ -1,5 +1,6 @@
 """The mechanisms of one router, and the queries that need several of them."""
 
+import math
 from collections.abc import Sequence
 from random import Random
 
@@ -43,6 +44,7 @@
         requests: Requests without a final response, by request id.
         fills_in_flight: Number of attempts whose response is expected to come through the uplink.
         knows_all_purges: Whether every purge sent so far is known; False if one may not have arrived yet.
+        purges_known_until: Time up to which every purge is known, even if the command channel is silent.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.requests: dict[int, RequestState] = {}
         self.fills_in_flight = 0
         self.knows_all_purges = True
+        self.purges_known_until = math.inf
         self.now = 0.0
         self.sink: DecisionSink | None = None
         self.endpoints = EndpointTable(*server_kinds, location.zone)
--- a/brookhinge/decisions/rules.py
+++ b/brookhinge/decisions/rules.py
@@ -21,6 +21,8 @@
 # later than that; the time of receipt is then used instead. It is later than the event and so makes every
 # rule stricter. A wall clock set back by more than this cannot relax a rule.
 PLAUSIBLE_DELAY_S = 1.0
+# An event of the command channel counts as known this long after the channel has it, received or not.
+TOLD_WITHIN_S = 7.0
 STAMP_SLACK_S = 1.0  # allowed clock difference between two machines whose clocks were not set
 SMALL_REQUEST_COUNT = 30  # below this, the slow-start bound allows for more random variation
 
--- a/brookhinge/engine/router_state.py
+++ b/brookhinge/engine/router_state.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import traceback
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import TYPE_CHECKING
@@ -154,7 +155,13 @@
 
     # Rounds.
 
-    def reduce(self, now: float, posted: Sequence[events.Event], is_caught_up: bool = True) -> list[Effect]:
+    def reduce(
+        self,
+        now: float,
+        posted: Sequence[events.Event],
+        is_caught_up: bool = True,
+        commands_known_until: float = math.inf,
+    ) -> list[Effect]:
         """Run one round: apply posted events, then expired timers, then the decisions.
 
         Args:
@@ -162,11 +169,13 @@
             posted: Events since the last round.
             is_caught_up: Whether all purges sent before now can be assumed to be known. If not, the router's
                 own copies are not used as responses.
+            commands_known_until: Time up to which all commands of the command channel are known.
 
         Returns:
             The effects to carry out, in order.
         """
         self.decisions.knows_all_purges = is_caught_up
+        self.decisions.purges_known_until = commands_known_until
         self.context.begin(now)
         self.clients.closed.clear()
         if self.purges.is_first_round:
--- a/brookhinge/engine/scheduler.py
+++ b/brookhinge/engine/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
@@ -25,7 +26,9 @@
 class State(Protocol):
     """The interface of the state that the scheduler drives, as implemented by `RouterState`."""
 
-    def reduce(self, now: float, events: list[Event], is_caught_up: bool) -> list[Effect]:
+    def reduce(
+        self, now: float, events: list[Event], is_caught_up: bool, commands_known_until: float
+    ) -> list[Effect]:
         """Apply events; return the effects to carry out."""
 
     def next_at(self) -> float | None:
@@ -66,6 +69,7 @@
         watch: LoopWatch,
         log: Callable[..., None],
         is_current: Callable[[], bool] = lambda: True,
+        commands_known_until: Callable[[], float] = lambda: math.inf,
     ) -> None:
         """Create a scheduler for a state.
 
@@ -74,11 +78,13 @@
             watch: Detects stalls of the loop.
             log: Called as log(event, **values).
             is_current: Returns whether all notices that others sent during the last stall are known.
+            commands_known_until: Returns the time up to which all commands of the command channel are known.
         """
         self.state = state
         self.watch = watch
         self.log = log
         self.is_current = is_current
+        self.commands_known_until = commands_known_until
         self.now = watch.now
         self.events: list[Event] = []
         self.handlers: dict[type[Effect], EffectHandler] = {}
@@ -204,7 +210,7 @@
             prepare()
         events = self.events + events
         self.events = []
-        effects = self.state.reduce(self.now(), events, self.is_caught_up())
+        effects = self.state.reduce(self.now(), events, self.is_caught_up(), self.commands_known_until())
         decided_at = self.now()
         for effect in effects:
             self.run_effect(effect, decided_at)
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -91,7 +91,13 @@
         self.watch.stall_listeners.append(self._log_stall)
         self.lifecycle = Lifecycle(self.log)
         self.state = self._build_state(fleet)
-        self.scheduler = EventScheduler(self.state, self.watch, self.log, self.is_current)
+        self.scheduler = EventScheduler(
+            self.state,
+            self.watch,
+            self.log,
+            self.is_current,
+            commands_known_until=lambda: self.command_channel.known_until,
+        )
         self.post = self.scheduler.post
         self.ingress = None
         upstream_sockets = site.bounds.sockets // 3
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -416,6 +416,21 @@
     )
 
 
+def test_old_own_copies_are_not_used_while_the_command_channel_is_silent():
+    """Guards against answers from copies of before a purge that the silent channel has not told of."""
+    bench = RouterHarness(machine=Bounds(1, 256, 100_000, 400_000))
+    bench.ask("old")
+    bench.end(1, "miss"), bench.end(1, "satisfied", copy=(0.0, 100))
+    bench.ask("recent", at=6.0)
+    bench.end(2, "miss"), bench.end(2, "satisfied", copy=(6.0, 100))
+    bench.router.purges_known_until = 2.0
+    assert outcomes_when_caches_are_full(bench, "old", 1, at=8.9) == ["own"]
+    assert outcomes_when_caches_are_full(bench, "old", 1, at=9.1) == ["nack"]
+    assert outcomes_when_caches_are_full(bench, "recent", 1, at=9.2) == ["own"]
+    bench.router.purges_known_until = 9.2
+    assert outcomes_when_caches_are_full(bench, "old", 1, at=9.3) == ["own"]
+
+
 def test_concurrency_limit_learned_at_low_load_is_at_least_the_weight():
     """Scenario rate+silent+leave: limits started at 32 with a weight of 59 per cache, and grew too slowly."""
     bench = RouterHarness(caches=(21,), weight=59.0, routers=2)
