The test of TCP_NODELAY reads the stream of the channel's current connection

Done: the stream is an attribute of the connection; the test asserts the same of it. Measured: tests/net and tests/crossings/test_sockets.py pass.

--- a/brookhinge/net/poll_connection.py
+++ b/brookhinge/net/poll_connection.py
@@ -19,6 +19,7 @@
 
     Attributes:
         polled_at: Send time of the last poll; `-inf` before the first one.
+        stream: The connection, or None before the first poll.
         pending_read: Result of the read in progress, or None.
         is_closed: Whether `close` was called or the channel closed the connection; it is not opened again.
     """
@@ -31,10 +32,10 @@
             now: Returns seconds of a steady clock.
         """
         self.polled_at = float("-inf")
+        self.stream: Stream | None = None
         self.pending_read: asyncio.Future[bytes] | None = None
         self._address = address
         self._now = now
-        self._stream: Stream | None = None
         self._was_closed = False
         # Time by which the channel answers the outstanding poll; None if no poll is outstanding.
         self._response_due_at: float | None = None
@@ -42,7 +43,7 @@
     @property
     def is_closed(self) -> bool:
         """See the class."""
-        return self._was_closed or (self._stream is not None and self._stream.closed())
+        return self._was_closed or (self.stream is not None and self.stream.closed())
 
     async def poll(self, cursor: int, wait_s: float) -> http.Response:
         """Poll for the commands after `cursor`, which the channel waits for up to `wait_s` seconds.
@@ -54,9 +55,9 @@
         """
         if self.is_closed:
             raise StreamClosedError
-        if self._stream is None:
+        if self.stream is None:
             await self._connect()
-        stream = self._stream
+        stream = self.stream
         parser = http.ResponseParser()
         self.polled_at = self._now()
         self._response_due_at = self.polled_at + wait_s
@@ -74,9 +75,9 @@
 
     async def _connect(self) -> None:
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._stream = Stream(connection, max_buffer_size=2 * http.MAX_BODY_BYTES)
-        self._stream.set_nodelay(True)
-        await self._stream.connect(self._address)
+        self.stream = Stream(connection, max_buffer_size=2 * http.MAX_BODY_BYTES)
+        self.stream.set_nodelay(True)
+        await self.stream.connect(self._address)
 
     def has_waiting_poll(self) -> bool:
         """Return whether a poll is outstanding that the channel would only answer now if it had a command."""
@@ -87,12 +88,12 @@
         if self._response_due_at is None:
             return False
         is_read_done = self.pending_read is not None and self.pending_read.done()
-        return is_read_done or unread(self._stream.socket) is not Unread.NOTHING
+        return is_read_done or unread(self.stream.socket) is not Unread.NOTHING
 
     def close(self) -> None:
         """Close the connection; an outstanding poll ends with StreamClosedError."""
         self._was_closed = True
         self._response_due_at = None
         self.pending_read = None
-        if self._stream is not None:
-            self._stream.close()
+        if self.stream is not None:
+            self.stream.close()
--- a/tests/crossings/test_sockets.py
+++ b/tests/crossings/test_sockets.py
@@ -498,10 +498,11 @@
     async def scene(t):
         t.client.ask(1)
         await t.client.receive()
-        await until(lambda: t.service.command_channel.stream is not None)
+        channel = t.service.command_channel
+        await until(lambda: channel.current is not None and channel.current.stream is not None)
         streams = (
             [c.stream for c in t.service.client_connections.clients.values()]
-            + [t.service.command_channel.stream]
+            + [channel.current.stream]
             + [n.stream for n in t.service.upstream_connections.pool.connections]
         )
         return {s.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) != 0 for s in streams}, len(
