Beacon rings are made when they are next used, not at each change of a cache server

Change: rings are made at their next use, once for all changes of a round; a server's others when it is first asked as home. A ring whose points are the same again after several changes of one round keeps its sub-ranges.

--- a/brookhinge/decisions/beacon_rings.py
+++ b/brookhinge/decisions/beacon_rings.py
@@ -23,39 +23,61 @@
     """The beacon rings over the location's sorted cache servers."""
 
     def __init__(self) -> None:
-        self.rings: list[BeaconRing] = []
-        self._others: dict[int, list[int]] = {}  # by cache server: all others in ring order
+        self._rings: list[BeaconRing] = []
+        self._unassigned: list[int] | None = None  # the cache servers that the next use assigns to rings
+        self._in_order: list[int] = []  # all cache servers in ring order
+        self._others: dict[int, list[int]] = {}  # by cache server: all others, once they were needed
 
     def assign(self, caches: list[int]) -> None:
         """Pair the cache servers into rings; a ring with the same points keeps its sub-ranges.
 
-        With an odd number of cache servers, the last ring has three; a single one makes a ring by itself.
+        With an odd number of cache servers, the last ring has three; a single one makes a ring by itself. The
+        rings are made when they are next used, so that many changes in a row cost one assignment.
         """
-        previous = {tuple(ring.points): ring for ring in self.rings}
+        self._unassigned = caches
+
+    @property
+    def rings(self) -> list[BeaconRing]:
+        """The rings of the cache servers that were assigned last."""
+        if self._unassigned is not None:
+            self._make_rings(self._unassigned)
+            self._unassigned = None
+        return self._rings
+
+    def _make_rings(self, caches: list[int]) -> None:
+        previous = {tuple(ring.points): ring for ring in self._rings}
         count = max(1, len(caches) // 2)
-        self.rings = []
+        self._rings = []
         for k in range(count if caches else 0):
             points = caches[2 * k :] if k == count - 1 else caches[2 * k : 2 * k + 2]
             ends = [IRH_VALUES * (i + 1) // len(points) for i in range(len(points))]
-            self.rings.append(previous.get(tuple(points)) or BeaconRing(points, ends, [0.0] * IRH_VALUES))
-        in_order = [server for ring in self.rings for server in ring.points]
-        self._others = {home: [server for server in in_order if server != home] for home in in_order}
+            self._rings.append(previous.get(tuple(points)) or BeaconRing(points, ends, [0.0] * IRH_VALUES))
+        self._in_order = [server for ring in self._rings for server in ring.points]
+        self._others = {}
 
     def beacon_order(self, code: int) -> list[int]:
         """Return the home of an object, followed by the other cache servers in the order of failover."""
-        if not self.rings:
+        rings = self.rings
+        if not rings:
             return []
         irh = code % IRH_VALUES
-        points, ends, _ = self.rings[code % len(self.rings)]
+        points, ends, _ = rings[code % len(rings)]
         home = next(server for server, end in zip(points, ends, strict=True) if irh < end)
-        others = self._others[home]
+        others = self._others_of(home)
         start = irh % max(1, len(others))  # spreads the objects of an ejected home over all others
         return [home, *others[start:], *others[:start]]
 
+    def _others_of(self, home: int) -> list[int]:
+        others = self._others.get(home)
+        if others is None:
+            others = self._others[home] = [server for server in self._in_order if server != home]
+        return others
+
     def record_load(self, code: int, load: float) -> None:
         """Add the load of a request for an object; 0 adds none."""
-        if self.rings:
-            self.rings[code % len(self.rings)].loads[code % IRH_VALUES] += load
+        rings = self.rings
+        if rings:
+            rings[code % len(rings)].loads[code % IRH_VALUES] += load
 
     def rebalance(self, capability: Callable[[int], float]) -> None:
         """Move the end of each sub-range until its load is close to its share of the ring's load.
--- a/brookhinge/decisions/router.py
+++ b/brookhinge/decisions/router.py
@@ -111,7 +111,7 @@
                 self.fault_attribution,
             ):
                 mechanism.forget(server)
-        if endpoints.local_caches != local_caches or not self.rings.rings:
+        if endpoints.local_caches != local_caches:
             self.rings.assign(endpoints.local_caches)
 
     def on_request(self, message: RequestArrived) -> None:
--- a/tests/test_work_per_event.py
+++ b/tests/test_work_per_event.py
@@ -128,6 +128,20 @@
     assert_work_does_not_grow(build, event)
 
 
+def test_changes_of_own_cache_servers_in_one_round_assign_the_rings_once():
+    """Guards against a stop of seconds: each change made the rings of all own cache servers anew."""
+
+    def work(number, changes):
+        bench = RouterHarness(caches=range(100, 100 + number))
+        lists = [EndpointsListed(False, [bench.row(100 + n, "gone", born=None)]) for n in range(changes)]
+        count = count_instructions(partial(bench.router.process, bench.now + 1.0, lists, bench.trace))
+        assert [*bench.router.rings.rings[0].points] == sorted(bench.router.endpoints.local_caches)[:2]
+        return count
+
+    few, many = (work(number, 40) - work(number, 20) for number in (FEW, MANY))
+    assert many <= ALLOWED_GROWTH * few, (few, many)
+
+
 def test_complete_list_costs_a_pass_over_its_rows():
     """A complete list once passed over all rows for each of its rows."""
 
