An overdue poll that ends without an answer is dropped at once

A poll given up for their number was logged as `late response`, and one that ended in the very moment of its time-out stayed as overdue. Change: a poll leaves the list when it ends, whatever its end; the log line stands where an answer is taken; a task counts as finished by its own state.

--- a/brookhinge/net/command_channel.py
+++ b/brookhinge/net/command_channel.py
@@ -130,12 +130,15 @@
 
     def _take_response(self, connection: PollConnection, cursor: int, commands: Sequence[Command]) -> None:
         """Post the commands of a response, and give up the polls sent before its own."""
+        now = self._now()
+        if connection in self._late:
+            self._log("command channel", why="late response", took_s=round(now - connection.polled_at, 2))
+        self._give_up_polls_before(connection)
         self._backoff_s = MIN_BACKOFF_S
         self._has_failed = False
-        self._close_late_up_to(connection)
         # With several polls open, a response may arrive after a newer one that was sent later.
         is_outdated = connection.polled_at < self._responded_at and cursor < self._newest_cursor
-        self._responded_at = self._now()
+        self._responded_at = now
         if not is_outdated:
             self._newest_cursor = cursor
             self.apply_commands(cursor, commands)
@@ -143,23 +146,24 @@
         self.known_until = max(self.known_until, connection.polled_at)
 
     def _keep_late(self, connection: PollConnection, poll: asyncio.Task) -> None:
-        """Keep an overdue poll open, and give up the oldest one if there are too many."""
+        """Keep an overdue poll open until it ends, and give up the oldest one if there are too many."""
         if self.current is connection:
             self.current = None
         self._late[connection] = poll
+        poll.add_done_callback(lambda _: self._drop_late(connection))
         if len(self._late) > MAX_LATE_POLLS:
-            self._close_late_up_to(next(iter(self._late)))
+            self._drop_late(next(iter(self._late)))
 
-    def _close_late_up_to(self, connection: PollConnection) -> None:
-        """Give up the overdue polls up to the one of `connection`, or all of them if it is not overdue."""
+    def _give_up_polls_before(self, connection: PollConnection) -> None:
+        """Give up the overdue polls that are older than the one of `connection`."""
         for late in list(self._late):
-            del self._late[late]
-            late.close()
             if late is connection:
-                self._log(
-                    "command channel", why="late response", took_s=round(self._now() - late.polled_at, 2)
-                )
                 return
+            self._drop_late(late)
+
+    def _drop_late(self, connection: PollConnection) -> None:
+        connection.close()
+        self._late.pop(connection, None)
 
     async def _back_off(self, failure: str) -> None:
         """Wait before the next poll with exponential backoff; a change of address ends the wait."""
@@ -202,9 +206,10 @@
     def has_unread(self) -> bool:
         """Return whether the channel has unread bytes; a negative check is reused for a short time."""
         now = self._now()
-        if now - self.checked_empty_at <= EMPTY_CHECK_TTL_S:
+        polling = [connection for connection in self.connections() if connection.is_polling()]
+        if not polling or now - self.checked_empty_at <= EMPTY_CHECK_TTL_S:
             return False
-        if any(connection.has_unread() for connection in self.connections()):
+        if any(connection.has_unread() for connection in polling):
             return True
         self.checked_empty_at = now
         return False
@@ -221,6 +226,5 @@
     def close(self) -> None:
         """Close all connections; the next poll opens a new one."""
         self._close_current()
-        for connection in self._late:
-            connection.close()
-        self._late.clear()
+        for connection in list(self._late):
+            self._drop_late(connection)
--- a/brookhinge/net/poll_connection.py
+++ b/brookhinge/net/poll_connection.py
@@ -79,14 +79,16 @@
         self.stream.set_nodelay(True)
         await self.stream.connect(self._address)
 
+    def is_polling(self) -> bool:
+        """Return whether a poll is outstanding."""
+        return self._response_due_at is not None
+
     def has_waiting_poll(self) -> bool:
         """Return whether a poll is outstanding that the channel would only answer now if it had a command."""
-        return self._response_due_at is not None and self._now() < self._response_due_at
+        return self.is_polling() and self._now() < self._response_due_at
 
     def has_unread(self) -> bool:
-        """Return whether a poll is outstanding and its connection has unread bytes or has ended."""
-        if self._response_due_at is None:
-            return False
+        """Return whether the connection of the outstanding poll has unread bytes or has ended."""
         is_read_done = self.pending_read is not None and self.pending_read.done()
         return is_read_done or unread(self.stream.socket) is not Unread.NOTHING
 
--- a/brookhinge/net/timeouts.py
+++ b/brookhinge/net/timeouts.py
@@ -49,7 +49,7 @@
         watch: Detects stalls of the event loop; None for no grace period.
     """
     started_at = watch and watch.now()
-    done, _ = await asyncio.wait({task}, timeout=seconds)
-    if not done and watch is not None and watch.stalled_since(started_at):
-        done, _ = await asyncio.wait({task}, timeout=GRACE_AFTER_STALL_S)
-    return bool(done)
+    await asyncio.wait({task}, timeout=seconds)
+    if not task.done() and watch is not None and watch.stalled_since(started_at):
+        await asyncio.wait({task}, timeout=GRACE_AFTER_STALL_S)
+    return task.done()
--- a/tests/net/test_slow_command_channel.py
+++ b/tests/net/test_slow_command_channel.py
@@ -133,8 +133,24 @@
             most_open = max(most_open, len(channel.connections()))
         return most_open
 
-    most_open, _ = run_with_channel(scenario, late_s=60.0, cursor=0, started_at=0.0)
+    most_open, log = run_with_channel(scenario, late_s=60.0, cursor=0, started_at=0.0)
     assert most_open == command_channel.MAX_LATE_POLLS + 1
+    assert {values["why"] for _, values in log} == {"TimeoutError"}
+
+
+def test_overdue_poll_that_is_reset_leaves_nothing_unread():
+    """Guards against attempts that are held back for unread bytes of a connection that has ended."""
+
+    async def scenario(server, channel, posted):
+        await until(lambda: len(channel.connections()) >= 3)
+        for writer in list(server.writers):
+            writer.transport.abort()
+        await asyncio.sleep(0.05)
+        channel.checked_empty_at = float("-inf")
+        return channel.has_unread()
+
+    has_unread, _ = run_with_channel(scenario, late_s=60.0, cursor=0, started_at=0.0)
+    assert not has_unread
 
 
 def test_commands_known_until_is_the_send_time_of_the_answered_poll():
