--- a/brookhinge/decisions/purge_index.py
+++ b/brookhinge/decisions/purge_index.py
@@ -14,12 +14,20 @@
 
     def __init__(self) -> None:
         """Create an empty index."""
-        self._by_key: dict[str, list[Item]] = {}
+        # Most objects have one item, which takes less memory without a container. Items are in the order in
+        # which they were added.
+        self._by_key: dict[str, Item | dict[Item, None]] = {}
         self._by_group: dict[int, dict[Item, None]] = {}
 
     def add(self, key: str, group: int, item: Item) -> None:
         """Add an item of an object; it must not be in the index yet."""
-        self._by_key.setdefault(key, []).append(item)
+        of_key = self._by_key.get(key)
+        if of_key is None:
+            self._by_key[key] = item
+        elif isinstance(of_key, dict):
+            of_key[item] = None
+        else:
+            self._by_key[key] = {of_key: None, item: None}
         self._by_group.setdefault(group, {})[item] = None
 
     def remove(self, key: str, group: int, item: Item) -> None:
@@ -29,8 +37,9 @@
             KeyError: The item is not in the index.
         """
         of_key = self._by_key[key]
-        of_key.remove(item)
-        if not of_key:
+        if isinstance(of_key, dict):
+            del of_key[item]
+        if not isinstance(of_key, dict) or not of_key:
             del self._by_key[key]
         of_group = self._by_group[group]
         del of_group[item]
@@ -39,4 +48,9 @@
 
     def covered(self, key: str, group: int) -> list[Item]:
         """Return the items that a purge of an object covers, or of a group if `key` is empty."""
-        return list(self._by_key.get(key, ()) if key else self._by_group.get(group, ()))
+        if not key:
+            return list(self._by_group.get(group, ()))
+        of_key = self._by_key.get(key)
+        if of_key is None:
+            return []
+        return list(of_key) if isinstance(of_key, dict) else [of_key]
