After clocks were set forward, a copy of the router's own looks no younger than it is

Cause: `dated` was read by the wall clock as it stood at the router's start. All clocks were set 1.5 s forward before the copy was made; the answer was read by a process that had been stopped, when the stamp no longer lay in the future, and was believed. Change: a stamp is read by the clock of the start and by that of now; the earlier counts. Cache servers keep dates as Unix times and convert as before.

--- a/brookhinge/cache_server/fills.py
+++ b/brookhinge/cache_server/fills.py
@@ -111,7 +111,7 @@
             post=self._on_attempt_ended,
             log=log_event,
             now=clocks.now,
-            started_at=clocks.started_at,
+            since_start=lambda stamp: stamp - clocks.started_at,
             settings=UpstreamSettings(settings.connect_s, settings.idle_s, _REQUESTS_PER_CONNECTION),
             max_connections=_MAX_CONNECTIONS,
         )
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -38,6 +38,7 @@
 from brookhinge.net.graceful_shutdown import GracefulShutdown
 from brookhinge.net.listener import RETRY_ACCEPT_S, SHORTAGES
 from brookhinge.net.metrics_report import MetricsReport
+from brookhinge.net.stamp_clock import StampClock
 from brookhinge.net.upstream_connections import UpstreamConnections
 from brookhinge.net.write_guard import WriteGuard
 from brookhinge.startup import Site
@@ -177,7 +178,7 @@
             post=self.post,
             log=self.log,
             now=self.now,
-            started_at=self.started_at,
+            since_start=StampClock(self.started_at, self.now).since_start,
             settings=self.site.upstream,
             max_connections=sockets,
             load_columns=self.site.load_columns,
--- a/brookhinge/net/upstream_connections.py
+++ b/brookhinge/net/upstream_connections.py
@@ -55,7 +55,7 @@
         post: Callable[[Event], None],
         log: Callable[..., None],
         now: Callable[[], float],
-        started_at: float,
+        since_start: Callable[[float], float],
         settings: UpstreamSettings,
         max_connections: int,
         load_columns: Sequence[bytes] = (),
@@ -70,7 +70,7 @@
             post: Called with each event.
             log: Called as log(event, **values).
             now: Returns the router's time in seconds.
-            started_at: Unix time at which `now` was 0.
+            since_start: Converts a Unix time that a server sent to seconds since the start.
             settings: Timeouts and limits of the connections.
             max_connections: Maximum number of open connections.
             load_columns: Names of the values in a load report.
@@ -104,7 +104,7 @@
             close=self.close,
         )
         self._post = post
-        self._started_at = started_at
+        self._since_start = since_start
         self._settings = settings
         self._load_columns = load_columns
         self._max_wait_s = max_wait_s
@@ -323,7 +323,7 @@
             body=answer.body,
             is_unchanged=answer.status == cachewire.UNCHANGED,
             received_at=received_at,
-            dated_at=None if result.dated_at is None else result.dated_at - self._started_at,
+            dated_at=None if result.dated_at is None else self._since_start(result.dated_at),
             version=result.version,
             purge_group=result.purge_group,
         )
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -8,6 +8,7 @@
 from brookhinge.decisions import rules
 from brookhinge.decisions.messages import EndpointsListed
 from brookhinge.engine.events import AttemptEnded, ObjectsPurged, RequestReceived
+from brookhinge.net.stamp_clock import StampClock
 from tests.helpers import EFFECT_WORDS, RouterHarness, StateHarness, configuration
 
 HOUR_S = 3600.0
@@ -130,3 +131,19 @@
     desk.process(*[ObjectsPurged(4 + n, 0, purged_at, key) for n, (purged_at, key) in enumerate(purges)])
     desk.ask(key=b"aa")
     assert 0.0 < max_ages_s[0] <= 2.6
+
+
+@pytest.mark.parametrize("set_by_s", [1.5, 0.5, -1.5, HOUR_S, -HOUR_S])
+@pytest.mark.parametrize("is_copy_made_after", [False, True])
+def test_copy_looks_no_younger_after_all_wall_clocks_were_set(set_by_s, is_copy_made_after):
+    """Guards against own copies served over their age: soak seed 71, all clocks set forward by 1.5 s."""
+    started_at, made_at, set_at, received_at = 1000.0, 5.0, 4.0 if is_copy_made_after else 6.0, 7.0
+    stamp = started_at + made_at + (set_by_s if is_copy_made_after else 0.0)
+    assert set_at < received_at
+    clock = StampClock(started_at, lambda: received_at, lambda: started_at + received_at + set_by_s)
+    assert clock.since_start(stamp) <= made_at
+
+
+def test_stamp_is_read_exactly_by_a_clock_that_was_not_set():
+    clock = StampClock(1000.0, lambda: 7.0, lambda: 1007.0)
+    assert clock.since_start(1005.0) == 5.0
