The test of reset polls waits until the server has accepted every connection

It ends all that the server has accepted, and expected each connection of the channel to go. One that the server had not accepted yet was not reset, and went only as the oldest of nine. The assertion tells it: nothing unread, and polls until the limit of open ones. Done: the connections are taken once the server has accepted them all; bounds stay.

--- a/tests/net/test_slow_command_channel.py
+++ b/tests/net/test_slow_command_channel.py
@@ -145,7 +145,8 @@
     """Guards against attempts that are held back for unread bytes of a connection that has ended."""
 
     async def scenario(server, channel, posted):
-        await until(lambda: len(channel.connections()) >= 3)
+        # A connection that the server has not accepted yet can't be reset by it.
+        await until(lambda: 3 <= len(channel.connections()) == len(server.writers))
         ended = channel.connections()
         polls_before = len(server.resumes)
         for writer in list(server.writers):
