--- a/tests/crowd/bad_clients.py
+++ b/tests/crowd/bad_clients.py
@@ -27,7 +27,9 @@
 
 
 def frame(method, number, arguments, kind=CALL):
-    return text(struct.pack(">I", VERSION | kind) + text(method) + struct.pack(">i", number) + arguments + b"\0")
+    return text(
+        struct.pack(">I", VERSION | kind) + text(method) + struct.pack(">i", number) + arguments + b"\0"
+    )
 
 
 def fields_argument(fields):
--- a/tests/crowd/deployment.py
+++ b/tests/crowd/deployment.py
@@ -145,7 +145,13 @@
         name = f"{chance.randrange(OBJECTS):016x}"
         asked_at = time.monotonic()
         answer = await client.serve(
-            TIMEOUT_S, service="guide-items", lookup=name, piece=0, lot=chance.randrange(256), room=75, **options
+            TIMEOUT_S,
+            service="guide-items",
+            lookup=name,
+            piece=0,
+            lot=chance.randrange(256),
+            room=75,
+            **options,
         )
         took_s = time.monotonic() - asked_at
         self.waits.append(took_s)
