A call asks for a bounded number of values, whatever its size

Cause: thrift.Reader read and skipped as many values as fit into 256 KB, so one call took 10 to 20 ms of the event loop, and the method's name, up to the whole frame, was repeated in the reply.

Change: a message may have 256 values in maps and skipped arguments (no call of the protocol has 64); more is refused under its number without being read further. A method's name of over 256 bytes is unreadable.

--- a/brookhinge/net/thrift.py
+++ b/brookhinge/net/thrift.py
@@ -7,7 +7,9 @@
 from brookhinge.net.errors import InvalidCallError, UnreadableError
 
 MAX_FRAME_BYTES = 256 * 1024
+MAX_METHOD_BYTES = 256  # replies repeat the name of the method
 MAX_DEPTH = 8  # nesting of values inside an argument that is skipped
+MAX_VALUES = 256  # per message, in maps and in arguments that are skipped; no call of the protocol has 64
 TRUNCATED = "frame is truncated"
 VERSION_1 = 0x8001  # upper 16 bits of the first word of a strict message
 
@@ -88,6 +90,8 @@
 class Reader:
     """Reads the values of one frame in order.
 
+    The work for one frame is bounded by the number of its values, whatever its size.
+
     Attributes:
         frame: The bytes of the frame.
         position: Index of the next byte to read.
@@ -96,6 +100,17 @@
     def __init__(self, frame: bytes) -> None:
         self.frame = frame
         self.position = 0
+        self._values_left = MAX_VALUES
+
+    def _count_values(self, count: int) -> None:
+        """Count values before they are read.
+
+        Raises:
+            InvalidCallError: The message has more than MAX_VALUES.
+        """
+        self._values_left -= count
+        if self._values_left < 0:
+            raise InvalidCallError(PROTOCOL_ERROR, f"message has more than {MAX_VALUES} values")
 
     def read_bytes(self, count: int) -> bytes:
         """Read `count` bytes.
@@ -138,10 +153,12 @@
         """Skip a value of any type.
 
         Raises:
+            InvalidCallError: The message has too many values.
             UnreadableError: The type is unknown, or the value is nested too deeply.
         """
         if depth > MAX_DEPTH:
             raise UnreadableError("values are nested too deeply")
+        self._count_values(1)
         if value_type in SIZES:
             self.read_bytes(SIZES[value_type])
         elif value_type == STRING:
@@ -169,21 +186,27 @@
         return count
 
     def read_fields(self) -> Iterator[tuple[int, int]]:
-        """Yield the type and number of each field of a struct; the caller must read or skip the value."""
+        """Yield the type and number of each field of a struct; the caller must read or skip the value.
+
+        Raises:
+            InvalidCallError: The message has too many values.
+        """
         while True:
             field_type = self.read_bytes(1)[0]
             if field_type == STOP:
                 return
+            self._count_values(1)
             yield field_type, INT16.unpack(self.read_bytes(INT16.size))[0]
 
     def read_string_map(self) -> dict[bytes, bytes]:
         """Read a map from strings to strings.
 
         Raises:
-            InvalidCallError: The keys or values have another type.
+            InvalidCallError: The keys or values have another type, or there are too many.
         """
         key_type, value_type = self.read_bytes(2)
         count = self.read_count()
+        self._count_values(2 * count)
         if count and (key_type, value_type) != (STRING, STRING):
             raise InvalidCallError(PROTOCOL_ERROR, "fields: expected a map of strings")
         return {self.read_string(): self.read_string() for _ in range(count)}
@@ -198,12 +221,16 @@
     """Read the header of a message.
 
     Raises:
-        UnreadableError: The message is truncated or not in the strict binary protocol.
+        UnreadableError: The message is truncated, not in the strict binary protocol, or its method's name is
+            too long.
     """
     first_word = reader.read_int32() & 0xFFFFFFFF
     if first_word >> 16 != VERSION_1:
         raise UnreadableError("message is not strict binary protocol")
-    return MessageHeader(reader.read_string(), first_word & 0xFF, reader.read_int32())
+    method = reader.read_string()
+    if len(method) > MAX_METHOD_BYTES:
+        raise UnreadableError(f"method name has more than {MAX_METHOD_BYTES} bytes")
+    return MessageHeader(method, first_word & 0xFF, reader.read_int32())
 
 
 def read_arguments(reader: Reader, types: Mapping[int, int]) -> dict[int, object]:
@@ -214,7 +241,7 @@
         types: The expected type of each argument by field number; other fields are skipped.
 
     Raises:
-        InvalidCallError: An argument has the wrong type.
+        InvalidCallError: An argument has the wrong type, or the call has too many values.
         UnreadableError: The frame cannot be decoded.
     """
     arguments: dict[int, object] = {}
--- a/tests/crowd/__main__.py
+++ b/tests/crowd/__main__.py
@@ -1,4 +1,4 @@
-"""Prints what a router holds beside crowds: python -m tests.crowd [--memory 32 --sockets 1024 --seconds 5] KIND:COUNT ..."""
+"""Prints what a router holds beside crowds: python -m tests.crowd [--memory 32 --sockets 1024] KIND:COUNT."""
 
 import argparse
 import asyncio
@@ -26,7 +26,8 @@
                 f"{kind}:{count} {options.memory:g} MB {options.sockets}: ready {at_ready:.1f} "
                 f"peak {site.memory():.1f} now {site.memory('VmRSS'):.1f} MB, usual p99 {site.p99():.2f} "
                 f"max {max(site.waits):.2f} s lost {site.lost} of {len(site.waits)} {site.kinds}, "
-                f"stalls {len(stalls)} longest {max((s['for_s'] for s in stalls), default=0)}, running {is_running}, {report}",
+                f"stalls {len(stalls)} longest {max((s['for_s'] for s in stalls), default=0)}, "
+                f"running {is_running}, {report}",
                 flush=True,
             )
 
--- a/tests/crowd/bad_clients.py
+++ b/tests/crowd/bad_clients.py
@@ -1,7 +1,7 @@
-"""A crowd of bad clients of one router, as a process of its own: python -m tests.crowd.bad_clients KIND PORT COUNT SECONDS.
+"""A crowd of bad clients of one router: python -m tests.crowd.bad_clients KIND PORT COUNT SECONDS.
 
-Each client sends what its kind says and reads what it gets. When its connection ends it comes again at once. The
-last line of the output is one JSON object with what the crowd met.
+Each client sends what its kind says and reads what it gets. When its connection ends it comes again at once.
+The last line of the output is one JSON object with what the crowd met.
 """
 
 import json
--- a/tests/crowd/deployment.py
+++ b/tests/crowd/deployment.py
@@ -119,7 +119,7 @@
         return lines
 
     def memory(self, name="VmHWM"):
-        """Return a memory figure of the router, in MB of 1e6 bytes; VmHWM is its peak, VmRSS what it has now."""
+        """Return a memory figure of the router, in MB of 1e6 bytes: VmHWM the peak, VmRSS the present."""
         status = Path(f"/proc/{self.router.pid}/status").read_text()
         return int(status.partition(f"{name}:")[2].split()[0]) * 1024 / 1e6
 
@@ -184,7 +184,7 @@
         return json.loads(output.splitlines()[-1])
 
     async def play(self, kind, count, seconds):
-        """Run a crowd beside usual clients, which begin before it and end after it; return the crowd's report."""
+        """Run a crowd beside usual clients, who begin before and end after it; return its report."""
         asking = asyncio.create_task(self.ask(seconds + 1.0))
         await asyncio.sleep(0.5)
         report = await self.crowd(kind, count, seconds)
--- a/tests/crowd/test_memory.py
+++ b/tests/crowd/test_memory.py
@@ -25,7 +25,7 @@
     return asyncio.run(run())
 
 
-# A crowd that stops in the middle of large calls, and comes again after each close, takes the process past its memory.
+# A crowd that stops in the middle of large calls, and comes again at once, takes the process past its memory.
 @pytest.mark.parametrize(
     ("count", "memory_mb", "sockets"), [(340, 32, 1024), (640, 32, 1024), (85, 32, 256), (340, 64, 1024)]
 )
--- a/tests/crowd/test_turns.py
+++ b/tests/crowd/test_turns.py
@@ -9,7 +9,7 @@
 CROWD_S = 4.0
 
 
-# One connection that sends without pause made the event loop do thousands of calls in one turn; all others waited.
+# One connection that sends without pause made the event loop do thousands of calls in one turn.
 @pytest.mark.parametrize(
     ("kind", "count"),
     [
