Servers' answers are read within the memory for them and released when passed on

Seen by callers: 200 clients that do not read answers of 200 KB took a router of 32 MB to 36.9 MB; ordinary traffic with such objects alone took it from 20 to 27.

Cause: nothing counted answers. The coroutine of each connection referred to the last answer (local variables of a suspended frame), 200 KB for each of some 24 connections; incomplete answers and answers posted but not passed on had no bound, copies and object states took a share of the whole limit, not of what the program leaves.

Change: an incomplete answer needs its size from the memory for answers, else its connection is not read (first come, first served; the wait is no silence of the server); it is released after the round that passes the answer on.

--- a/brookhinge/__main__.py
+++ b/brookhinge/__main__.py
@@ -3,6 +3,7 @@
 Neither imports modules of the other, because the platform gives a router little memory.
 """
 
+import os
 import signal
 import sys
 
@@ -15,8 +16,10 @@
         return command_line()
     # SIGHUP would end a router that has not read its configuration yet.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Keeps tornado from importing curses for colored logs, which takes half a megabyte of little memory.
-    sys.modules["curses"] = None
+    if "BROOKHINGE_FLEET" not in os.environ:  # routers of a fleet serve metrics by a library that needs it
+        # asyncio and hashlib import OpenSSL if it is there; this router has no use for it and little memory.
+        sys.modules["ssl"] = None
+        sys.modules["_hashlib"] = None
     from brookhinge.net.program import main as router
 
     return router()
--- a/brookhinge/cache_server/fills.py
+++ b/brookhinge/cache_server/fills.py
@@ -13,10 +13,12 @@
 from brookhinge.cache_server.protocol import Request
 from brookhinge.cache_server.server_list import ServerList, instance_of
 from brookhinge.decisions import rules
+from brookhinge.decisions.memory_limits import MemoryLimits
 from brookhinge.decisions.rules import AttemptResult
 from brookhinge.engine.effects import CancelAttempt, RetireServer, SendAttempt
 from brookhinge.engine.endpoints import ListedEndpoint, ServerInstance
 from brookhinge.engine.events import AttemptEnded
+from brookhinge.net.memory_use import MemoryUse
 from brookhinge.net.upstream_connections import UpstreamConnections
 from brookhinge.operator.settings import CacheServerSettings
 from brookhinge.startup import UpstreamSettings
@@ -25,6 +27,7 @@
 from brookhinge.store.purge_ledger import NEVER, Purge, PurgeKind
 
 _MAX_CONNECTIONS = 256
+_MAX_ANSWER_BYTES = 32 * 1024 * 1024  # answers that are incomplete, of all sources together
 _REQUESTS_PER_CONNECTION = 64
 _ONLY_ATTEMPT = 1
 # keeps a copy that was requested as younger than a purge from counting as exactly as old as the purge
@@ -114,6 +117,7 @@
             since_start=lambda stamp: stamp - clocks.started_at,
             settings=UpstreamSettings(settings.connect_s, settings.idle_s, _REQUESTS_PER_CONNECTION),
             max_connections=_MAX_CONNECTIONS,
+            memory=MemoryUse(MemoryLimits(0, 0, 0, answer_bytes=_MAX_ANSWER_BYTES)),
         )
 
     # Starting and joining fills
@@ -215,6 +219,7 @@
     # Ends of fills
 
     def _on_attempt_ended(self, event: AttemptEnded) -> None:
+        self._upstream.release_posted()
         if event.request_id in self._fills:
             self._finish(event)
 
--- a/brookhinge/decisions/local_cache.py
+++ b/brookhinge/decisions/local_cache.py
@@ -7,13 +7,12 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from brookhinge.decisions import memory_limits
 from brookhinge.decisions.messages import StoredCopy
 from brookhinge.decisions.object_state import ObjectState
 from brookhinge.decisions.purge_index import PurgeIndex
 from brookhinge.decisions.sink import DecisionSink
 
-MEMORY_SHARE = 0.12  # of the router's memory that copies may use
-BYTES_PER_MB = 1e6
 AGE_MARGIN_S = 0.1
 
 CopyName = tuple[int, int]  # (index of the request class, code of the object)
@@ -35,7 +34,7 @@
 
         `flow_bytes_s` is the rate of a single transfer, `link_bytes_s` that of the router's link.
         """
-        self.capacity_bytes = memory_mb * MEMORY_SHARE * BYTES_PER_MB
+        self.capacity_bytes = memory_limits.max_copy_bytes(memory_mb)
         self.flow_bytes_s = flow_bytes_s
         self.link_bytes_s = link_bytes_s
         self.copies: dict[CopyName, LocalCopy] = {}
--- a/brookhinge/decisions/object_state.py
+++ b/brookhinge/decisions/object_state.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Iterable
 from hashlib import md5
 
+from brookhinge.decisions import memory_limits
 from brookhinge.decisions.purge_index import PurgeIndex
 from brookhinge.decisions.rules import NEVER
 
 MAX_OBJECTS = 30000
-OBJECTS_PER_MB = 150  # of the router's memory, if its size is known
 MEAN_COUNT_REFRESH_S = 1.0
 
 
@@ -89,7 +89,7 @@
         """
         self.max_objects = MAX_OBJECTS
         if memory_mb is not None:
-            self.max_objects = min(MAX_OBJECTS, int(OBJECTS_PER_MB * memory_mb))
+            self.max_objects = min(MAX_OBJECTS, memory_limits.max_objects(memory_mb))
         self.states: dict[tuple[str, int], ObjectState] = {}
         self._states_in_use = states_in_use
         self._purge_index: PurgeIndex[ObjectState] = PurgeIndex()
--- a/brookhinge/engine/scheduler.py
+++ b/brookhinge/engine/scheduler.py
@@ -55,6 +55,7 @@
         events: Events that wait for their round.
         handlers: {effect class: its handler}.
         before_round: Functions called before each round; the events that they post are applied first.
+        after_round: Functions called after each round, once its effects are carried out.
         catching_up_since: End of the last stall while data from it may be unread, else None.
         is_open: Whether rounds may run.
         round_is_due: Whether a round is scheduled.
@@ -89,6 +90,7 @@
         self.events: list[Event] = []
         self.handlers: dict[type[Effect], EffectHandler] = {}
         self.before_round: list[Callable[[], None]] = []
+        self.after_round: list[Callable[[], None]] = []
         self.catching_up_since: float | None = None
         self.is_open = False
         self.round_is_due = False
@@ -214,6 +216,8 @@
         decided_at = self.now()
         for effect in effects:
             self.run_effect(effect, decided_at)
+        for finish in self.after_round:
+            finish()
         self.set_timer()
 
     def run_effect(self, effect: Effect, decided_at: float) -> None:
--- a/brookhinge/net/cachewire.py
+++ b/brookhinge/net/cachewire.py
@@ -125,6 +125,11 @@
         self.head: tuple | None = None
         self._body_size = 0
 
+    @property
+    def expected_bytes(self) -> int:
+        """Size of the body that is incomplete, 0 if there is none."""
+        return 0 if self.head is None else self._body_size
+
     @staticmethod
     def parse_line(line: bytes) -> tuple[tuple, int | None]:
         """Parse a line into its values and the size of the body that follows, None if no body follows.
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -114,6 +114,7 @@
         self.command_channel = self._build_command_channel(cursor)
         self.write_guard = self._build_write_guard()
         self.upstream_connections = self._build_upstream_connections(upstream_sockets)
+        self.scheduler.after_round.append(self.upstream_connections.release_posted)
         self.metrics = self._build_metrics()
         self.shutdown = self._build_shutdown()
         self._register_effects()
@@ -182,6 +183,7 @@
             since_start=StampClock(self.started_at, self.now).since_start,
             settings=self.site.upstream,
             max_connections=sockets,
+            memory=self.memory,
             load_columns=self.site.load_columns,
             max_wait_s=STALE_ATTEMPT_S,
             hold_reason=self.write_guard.hold_reason,
--- a/brookhinge/net/upstream_connection.py
+++ b/brookhinge/net/upstream_connection.py
@@ -45,6 +45,8 @@
         used_ids: Ids that are not reused because another answer to them may still arrive.
         cancelled_ids: Ids of cancelled attempts, whose late answer is not a protocol error.
         answers: Splits the received bytes into answers.
+        reserved_bytes: Memory reserved for the answer that is incomplete.
+        is_waiting_for_memory: Whether it is not read because no memory is left for that answer.
         stuck_since: Time at which a sweep first found it stuck, or None if it is not stuck.
     """
 
@@ -63,6 +65,8 @@
         self.used_ids: set[bytes] = set()
         self.cancelled_ids: set[bytes] = set()
         self.answers = AnswerSplitter()
+        self.reserved_bytes = 0
+        self.is_waiting_for_memory = False
         self.stuck_since: float | None = None
 
     @property
--- a/brookhinge/net/upstream_connections.py
+++ b/brookhinge/net/upstream_connections.py
@@ -15,6 +15,7 @@
 from brookhinge.engine.loop_watch import LoopWatch
 from brookhinge.net import cachewire
 from brookhinge.net.errors import UnreadableError
+from brookhinge.net.memory_use import MemoryUse
 from brookhinge.net.timeouts import within
 from brookhinge.net.upstream_connection import PendingAttempt, SentAttempt, UpstreamConnection
 from brookhinge.net.upstream_pool import UpstreamPool
@@ -56,6 +57,7 @@
         since_start: Callable[[float], float],
         settings: UpstreamSettings,
         max_connections: int,
+        memory: MemoryUse,
         load_columns: Sequence[bytes] = (),
         max_wait_s: float = math.inf,
         hold_reason: Callable[[SendAttempt], HeldBack | None] = lambda _: None,
@@ -71,6 +73,7 @@
             since_start: Converts a Unix time that a server sent to seconds since the start.
             settings: Timeouts and limits of the connections.
             max_connections: Maximum number of open connections.
+            memory: Bytes held for answers, and their limit.
             load_columns: Names of the values in a load report.
             max_wait_s: Maximum time that an attempt waits for its connection. After a longer wait the attempt
                 ends as unsent and is decided again, because the drains, purges and slow starts that the
@@ -107,6 +110,8 @@
         self._load_columns = load_columns
         self._max_wait_s = max_wait_s
         self._hold_reason = hold_reason
+        self._memory = memory
+        self._posted_bytes = 0  # of bodies in events that are not known to be applied yet
         self._watch = watch
         self._tasks: set[asyncio.Task] = set()
 
@@ -264,10 +269,9 @@
             connection.received_at = self.now()
             self._place_waiting(connection)
             while True:
-                data = await connection.stream.read()
-                received_at = connection.received_at = self.now()
-                for item in connection.answers.feed(data):
-                    self._handle_answer(connection, received_at, cachewire.AnswerLine(*item))
+                # In functions of their own: what this frame refers to stays in memory until the next answer.
+                self._handle_bytes(connection, await connection.stream.read())
+                await self._reserve_memory(connection)
         except TimeoutError:
             failure = None if connection.is_connected else "connect timed out"
         except OSError:
@@ -281,8 +285,32 @@
         finally:
             if failure:
                 self._report(connection.server, failure)
+            self._memory.release_answer(connection.reserved_bytes)
+            connection.reserved_bytes = 0
             self.close(connection, reason if connection.is_connected else CloseReason.NO_CONNECTION)
 
+    def _handle_bytes(self, connection: UpstreamConnection, data: bytes) -> None:
+        connection.received_at = self.now()
+        for item in connection.answers.feed(data):
+            self._handle_answer(connection, connection.received_at, cachewire.AnswerLine(*item))
+
+    async def _reserve_memory(self, connection: UpstreamConnection) -> None:
+        """Wait until there is memory for the answer that is incomplete; until then nothing more is read."""
+        size = connection.answers.expected_bytes
+        if size == connection.reserved_bytes:
+            return
+        self._memory.release_answer(connection.reserved_bytes)
+        connection.reserved_bytes = 0
+        if not size:
+            return
+        connection.is_waiting_for_memory = True
+        try:
+            await self._memory.reserve_answer(size)
+            connection.reserved_bytes = size
+        finally:
+            connection.is_waiting_for_memory = False
+            connection.received_at = self.now()  # the wait is no silence of the server
+
     def _place_waiting(self, connection: UpstreamConnection) -> None:
         waiting = connection.waiting
         connection.waiting = {}
@@ -325,9 +353,17 @@
             version=result.version,
             purge_group=result.purge_group,
         )
+        self._posted_bytes += len(answer.body)
+        self._memory.count_answer(len(answer.body))
         self._post(event)
         self._close_if_unused(connection)
 
+    def release_posted(self) -> None:
+        """Stop counting the bodies of all events that were posted; their receiver has applied them."""
+        size = self._posted_bytes
+        self._posted_bytes = 0
+        self._memory.release_answer(size)
+
     def _report(self, server: ServerInstance, why: str) -> None:
         self.log("cache connection", server=server.server, why=why)
 
--- a/brookhinge/net/upstream_sweeper.py
+++ b/brookhinge/net/upstream_sweeper.py
@@ -77,6 +77,8 @@
             self._close(connection, CloseReason.IDLE)
 
     def _check_silence(self, connection: UpstreamConnection, now: float) -> None:
+        if connection.is_waiting_for_memory:
+            return
         oldest = next(iter(connection.in_flight.values()))
         silence_s = now - max(connection.received_at, connection.echo_sent_at or oldest.sent_at)
         if silence_s <= self._max_silence_s:
--- a/tests/test_policy_imports.py
+++ b/tests/test_policy_imports.py
@@ -70,6 +70,7 @@
         "brookhinge.decisions.request_state",
     },
     "brookhinge.decisions.local_cache": {
+        "brookhinge.decisions.memory_limits",
         "brookhinge.decisions.messages",
         "brookhinge.decisions.object_state",
         "brookhinge.decisions.purge_index",
@@ -101,7 +102,11 @@
     },
     "brookhinge.decisions.messages": {"brookhinge.decisions.rules"},
     "brookhinge.decisions.memory_limits": set(),
-    "brookhinge.decisions.object_state": {"brookhinge.decisions.purge_index", "brookhinge.decisions.rules"},
+    "brookhinge.decisions.object_state": {
+        "brookhinge.decisions.memory_limits",
+        "brookhinge.decisions.purge_index",
+        "brookhinge.decisions.rules",
+    },
     "brookhinge.decisions.origin_breaker": set(),
     "brookhinge.decisions.outliers": {"brookhinge.decisions.rules"},
     "brookhinge.decisions.purge_index": set(),
