What is held and given up is logged; memory goes back to the system after a crowd

Logged and kept: figures.memory (resident, copies, calls, requests, replies, answers in MB), figures.shed, a line 'shed' with client, address and size for each thing given up, refusals.memory; 'client connection' lines have client, peer and open requests. Requests rejected for lack of memory count in queries and nacked.

Seen with them: (1) after a crowd of half calls at 64 MB 25.4 MB stayed of 25.8, with nothing held: the C library keeps what was freed between objects in use. (2) 340 clients with 400 small requests each held four times the limit of calls: buffers of small calls cannot be given up.

--- a/brookhinge/decisions/rules.py
+++ b/brookhinge/decisions/rules.py
@@ -40,6 +40,7 @@
     RETRY_BUDGET = "retry_budget"  # recent requests have not earned another retry
     MAY_HAVE_RUN = "may_have_run"  # a retry could execute the request twice
     EARLY = "early"  # the client retried before its reserved time in the retry schedule
+    MEMORY = "memory"  # too much is held already for clients' calls or open requests
     STOPPING = "stopping"  # received after shutdown began, or still open when the process exits
     FAULT = "fault"  # an exception in the router, or a failed runtime check
 
@@ -77,7 +78,7 @@
     SLOW = "slow"  # a message was started but not completed in time
     UNREADABLE = "unreadable"
     BREACH = "breach"  # the client violated the protocol's sequence numbers, ids or limits
-    MEMORY = "memory"  # the bytes buffered for all clients exceeded their limit
+    MEMORY = "memory"  # a client that does not read, while unread replies exceeded their limit
     UNREAD = "unread"  # the client did not read its last responses
     FAILED = "failed"  # a read or write failed, or the router raised an exception
     STOPPING = "stopping"
--- a/brookhinge/net/call_buffer.py
+++ b/brookhinge/net/call_buffer.py
@@ -14,7 +14,7 @@
 MIN_FRAME_BYTES = 12  # version, an empty method name and the sequence number
 HEADER_BYTES = 64  # kept of a dropped call: enough for the header of every method of the protocol
 MAX_WHOLE_CALLS = 64  # received and not taken yet, until reading pauses; 32 requests may be open
-MAX_WHOLE_BYTES = 16 * 1024  # the same in bytes
+MAX_WHOLE_BYTES = 4096  # the same in bytes; a larger call can be dropped
 MAX_CANCEL_BYTES = 128  # a larger cancel takes effect in its turn, not before the calls that precede it
 
 _LENGTH_BYTES = thrift.INT32.size
@@ -69,9 +69,12 @@
         return self._whole_bytes
 
     @property
-    def is_discarding(self) -> bool:
-        """Whether the bytes that come next belong to a dropped call."""
-        return bool(self._remaining_dropped)
+    def expects_large_call(self) -> bool:
+        """Whether the bytes that come next belong to a call that can be dropped, or is dropped already."""
+        if self._remaining_dropped:
+            return True
+        end = self._call_end(self._whole_bytes)
+        return end is not None and end - self._whole_bytes > MAX_WHOLE_BYTES
 
     @property
     def has_partial_call(self) -> bool:
--- a/brookhinge/net/client_calls.py
+++ b/brookhinge/net/client_calls.py
@@ -16,6 +16,7 @@
 from brookhinge.decisions.rules import CloseReason
 from brookhinge.engine.events import Event, RequestCancelled
 from brookhinge.net import client_protocol
+from brookhinge.net.call_buffer import MAX_WHOLE_BYTES
 from brookhinge.net.client_connection import ClientConnection, CloseCause
 from brookhinge.net.errors import InvalidCallError, RefusedCallError, UnreadableError
 from brookhinge.net.memory_use import MemoryUse, Shed
@@ -26,8 +27,9 @@
 if TYPE_CHECKING:
     from brookhinge.net.client_connections import ClientConnections
 
-READS_PER_TURN = 4  # of one connection, each of READ_BYTES at most
-SHORT_READ_BYTES = 1024  # instead of READ_BYTES while memory is short
+READS_PER_TURN = 4  # of one connection, each of READ_BYTES at most for a large call
+SMALL_READ_BYTES = 2048  # instead of READ_BYTES for calls that are not large
+SCARCE_READ_BYTES = 1024  # the same while memory is short
 CALLS_PER_PASS = 32  # of all clients, in one pass of the event loop
 MAX_INVALID_CALLS = 8  # per connection before it is closed
 INVALID_CALL_PAUSE_S = 0.05  # after each invalid call, to slow down clients that resend it immediately
@@ -45,6 +47,7 @@
         post: Callable[[Event], None],
         log: Callable[..., None],
         is_ready: Callable[[], bool],
+        count_shed: Callable[[], None],
         max_timeout_s: Mapping[bytes, float],
     ) -> None:
         """Prepare to read the connections of `connections`.
@@ -56,6 +59,7 @@
             post: Called with each event for the engine.
             log: Called with (event, **values).
             is_ready: Returns whether the router accepts requests.
+            count_shed: Called for each request that is rejected for lack of memory.
             max_timeout_s: Maximum request timeout by request class.
         """
         self._connections = connections
@@ -64,6 +68,7 @@
         self.post = post
         self._log = log
         self._is_ready = is_ready
+        self._count_shed = count_shed
         self._max_timeout_s = max_timeout_s
         self._queue: collections.deque[ClientConnection] = collections.deque()
         self._is_pass_due = False
@@ -85,7 +90,7 @@
         except OSError:
             self._connections.drop(client, CloseReason.PEER)
         except Exception as error:
-            self._log("client connection", why=f"{type(error).__name__}: {error}")
+            self._connections.log_connection(client, f"{type(error).__name__}: {error}")
             self._connections.drop(client, CloseReason.FAILED)
 
     def _receive(self, client: ClientConnection) -> None:
@@ -96,7 +101,7 @@
         received_at = self._receive_times.received_at(client.last_empty_at, client.waiting_since)
         for _ in range(READS_PER_TURN):
             checked_at = self._connections.now()
-            data = client.stream.receive(SHORT_READ_BYTES if self._reads_short(client) else READ_BYTES)
+            data = client.stream.receive(self._read_size(client))
             if data is None:
                 client.last_empty_at = checked_at
                 client.waiting_since = None
@@ -106,9 +111,11 @@
             if not client.is_reading or client.stream.closed():
                 return
 
-    def _reads_short(self, client: ClientConnection) -> bool:
-        """Return whether to read little: short calls cannot be given up, parts of large ones can."""
-        return self._memory.is_short_for_calls and not client.calls.has_partial_call
+    def _read_size(self, client: ClientConnection) -> int:
+        """Return how much to read at once: small calls cannot be given up, parts of large ones can."""
+        if client.calls.expects_large_call:
+            return READ_BYTES
+        return SCARCE_READ_BYTES if self._memory.is_short_for_calls else SMALL_READ_BYTES
 
     def _take(self, client: ClientConnection, data: memoryview, received_at: float) -> None:
         calls = client.calls
@@ -179,7 +186,7 @@
             client.calls.clear()
             client.count_calls()
         except Exception as error:
-            self._log("client connection", why=f"{type(error).__name__}: {error}")
+            self._connections.log_connection(client, f"{type(error).__name__}: {error}")
             self._connections.drop(client, CloseReason.FAILED)
             return
         self._after_turn(client)
@@ -225,8 +232,8 @@
             return
         size = memory_limits.request_bytes(len(event.body))
         if not self._memory.may_open_request(size, client_has_open=bool(client.unanswered)):
-            self._memory.shed[Shed.REQUEST] += 1
-            self._connections.write(client, client_protocol.rejection(number, 0.0))
+            self._note_shed(client, Shed.REQUEST, size)
+            self._reject(client, number)
             return
         client.open_request(number, size)
         self.post(event)
@@ -283,10 +290,11 @@
         An incomplete call is rejected once its last byte has arrived, a whole one at once.
         """
         calls = client.calls
+        held = len(calls)
         if calls.partial_bytes >= calls.whole_bytes and calls.drop_partial():
-            self._memory.shed[Shed.PARTIAL_CALL] += 1
-        elif calls.whole_calls and calls.whole_bytes > READ_BYTES:
-            self._memory.shed[Shed.WHOLE_CALL] += 1
+            self._note_shed(client, Shed.PARTIAL_CALL, held)
+        elif calls.whole_calls and calls.whole_bytes > MAX_WHOLE_BYTES:
+            self._note_shed(client, Shed.WHOLE_CALL, held)
             self._reject_dropped(client, calls.drop_first())
         else:
             return False
@@ -303,4 +311,13 @@
             )
             return
         client.has_called = True
+        self._reject(client, number)
+
+    def _reject(self, client: ClientConnection, number: int) -> None:
+        """Reject a request that the engine has not seen."""
+        self._count_shed()
         self._connections.write(client, client_protocol.rejection(number, 0.0))
+
+    def _note_shed(self, client: ClientConnection, what: Shed, size: int) -> None:
+        self._memory.shed[what] += 1
+        self._log("shed", what=what, client=client.number, peer=client.peer(), bytes=size)
--- a/brookhinge/net/client_connection.py
+++ b/brookhinge/net/client_connection.py
@@ -159,6 +159,14 @@
 
     # State.
 
+    def peer(self) -> str:
+        """Return the client's address for logs, empty if the connection has ended."""
+        try:
+            host, port = self.stream.socket.getpeername()
+        except (OSError, AttributeError):
+            return ""
+        return f"{host}:{port}"
+
     @property
     def may_process(self) -> bool:
         """Whether the next call may be processed: the client is not paused and reads its replies."""
--- a/brookhinge/net/client_connections.py
+++ b/brookhinge/net/client_connections.py
@@ -62,6 +62,7 @@
         post: Callable[[Event], None],
         log: Callable[..., None],
         is_ready: Callable[[], bool],
+        count_shed: Callable[[], None],
         record_violation: Callable[[Invariant, str], None],
         watch: LoopWatch,
         max_timeout_s: Mapping[bytes, float],
@@ -76,6 +77,7 @@
             post: Called with each event for the engine.
             log: Called with (event, **values).
             is_ready: Returns whether the router accepts requests.
+            count_shed: Called for each request that is rejected for lack of memory.
             record_violation: Called with the violated invariant and the details.
             watch: Detects stalls of the event loop.
             max_timeout_s: Maximum request timeout by request class.
@@ -105,6 +107,7 @@
             post=post,
             log=log,
             is_ready=is_ready,
+            count_shed=count_shed,
             max_timeout_s=max_timeout_s,
         )
         max_accepts = (lambda: MAX_ACCEPTS_PER_PASS) if ingress is None else ingress.max_accepts
@@ -317,9 +320,19 @@
     def close_with_cause(self, client: ClientConnection, cause: CloseCause) -> None:
         """Close a connection even if calls on it are unread, and log the cause."""
         if self.is_open(client):
-            self._log("client connection", why=cause.detail)
+            self.log_connection(client, cause.detail)
             self.close_gracefully(client, cause.reason, is_forced=True)
 
+    def log_connection(self, client: ClientConnection, why: str) -> None:
+        """Log what ends a connection."""
+        self._log(
+            "client connection",
+            why=why,
+            client=client.number,
+            peer=client.peer(),
+            open=len(client.unanswered),
+        )
+
     def close_gracefully(
         self, client: ClientConnection, reason: CloseReason, *, is_forced: bool = False
     ) -> None:
--- a/brookhinge/net/metrics_report.py
+++ b/brookhinge/net/metrics_report.py
@@ -2,16 +2,29 @@
 
 import asyncio
 import collections
+import resource
 from collections.abc import Callable
 
+from brookhinge.decisions.memory_limits import BYTES_PER_MB
 from brookhinge.engine.loop_watch import LoopWatch
 from brookhinge.engine.router_state import RouterState
 from brookhinge.net.client_connections import ClientConnections
+from brookhinge.net.memory_use import MemoryUse
 from brookhinge.net.upstream_connections import UpstreamConnections
 
 REPORT_INTERVAL_S = 10.0
 
 
+def resident_mb() -> float:
+    """Return the memory that this process has now, in MB; 0 if the system does not tell."""
+    try:
+        with open("/proc/self/statm", "rb") as file:
+            pages = int(file.read().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0.0
+    return pages * resource.getpagesize() / BYTES_PER_MB
+
+
 class MetricsReport:
     """Collects the counters of the router and logs their increase at regular intervals."""
 
@@ -24,6 +37,7 @@
         watch: LoopWatch,
         client_connections: ClientConnections,
         upstream_connections: UpstreamConnections,
+        memory: MemoryUse,
     ) -> None:
         self._now = now
         self._log = log
@@ -31,6 +45,7 @@
         self._watch = watch
         self._client_connections = client_connections
         self._upstream_connections = upstream_connections
+        self._memory = memory
 
     def counts(self) -> dict[str, float]:
         """Return request and event loop stall totals since the start."""
@@ -41,7 +56,7 @@
         }
 
     def reasons(self) -> dict[str, collections.Counter[str]]:
-        """Return totals by reason of rejects, retries, withdrawals, holds, closes and violations."""
+        """Return totals by reason: rejects, retries, withdrawals, holds, closes, shedding, violations."""
         counters = {
             "refusals": self._state.totals.refusals,
             "retries": self._state.totals.retries,
@@ -49,6 +64,7 @@
             "held_back": self._upstream_connections.holds,
             "client_closes": self._client_connections.closes,
             "server_closes": self._upstream_connections.closes,
+            "shed": self._memory.shed,
             "violations": self._state.invariants.violations,
         }
         return {
@@ -56,6 +72,19 @@
             for name, counter in counters.items()
         }
 
+    def memory_figures(self) -> dict[str, float]:
+        """Return what the process has in memory, and what it holds by kind, in MB.
+
+        The sum of what is held, the program and copies should be near `resident`.
+        """
+        held = {kind: size / BYTES_PER_MB for kind, size in self._memory.held().items()}
+        figures = {
+            "resident": resident_mb(),
+            "copies": self._state.decisions.local_cache.size_bytes / BYTES_PER_MB,
+            **held,
+        }
+        return {name: round(size, 2) for name, size in figures.items()}
+
     async def run(self) -> None:
         """Log the increase since the previous report and the lag of the event loop, until cancelled."""
         counts_before = self.counts()
@@ -72,6 +101,7 @@
                 clients=len(self._client_connections.clients),
                 caches=len(self._upstream_connections.pool.connections),
                 unread=self._client_connections.memory.reply_bytes,
+                memory=self.memory_figures(),
                 late_s=round(self._now() - due, 4),
                 **{name: dict(counter - reasons_before[name]) for name, counter in reasons.items()},
             )
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from brookhinge.decisions.memory_limits import memory_limits
+from brookhinge.decisions.rules import Refusal
 from brookhinge.engine.commands import read_commands
 from brookhinge.engine.effects import (
     CancelAttempt,
@@ -37,6 +38,7 @@
 from brookhinge.net.command_channel import CommandChannel
 from brookhinge.net.fleet_wiring import FleetLink, router_class, safety_notices
 from brookhinge.net.graceful_shutdown import GracefulShutdown
+from brookhinge.net.heap_trimmer import HeapTrimmer
 from brookhinge.net.listener import RETRY_ACCEPT_S, SHORTAGES
 from brookhinge.net.memory_use import MemoryUse
 from brookhinge.net.metrics_report import MetricsReport
@@ -109,6 +111,7 @@
         if site.detects_overload:
             self.ingress = self._build_ingress(client_sockets)
         self.memory = MemoryUse(memory_limits(site.bounds.memory_mb))
+        self.heap_trimmer = HeapTrimmer(self.memory)
         self.client_connections = self._build_client_connections(client_sockets)
         cursor, known_commands = read_commands(site.initial_commands, self.started_at)
         self.command_channel = self._build_command_channel(cursor)
@@ -163,6 +166,7 @@
             post=self.post,
             log=self.log,
             is_ready=lambda: self.lifecycle.is_ready,
+            count_shed=self._count_shed,
             record_violation=self._record_violation,
             watch=self.watch,
             max_timeout_s={
@@ -213,6 +217,7 @@
             watch=self.watch,
             client_connections=self.client_connections,
             upstream_connections=self.upstream_connections,
+            memory=self.memory,
         )
 
     def _build_shutdown(self) -> GracefulShutdown:
@@ -295,6 +300,12 @@
             processor_s=round(stall.processor_s, 3),
         )
 
+    def _count_shed(self) -> None:
+        totals = self.state.totals
+        totals.counts["queries"] += 1
+        totals.counts["nacked"] += 1
+        totals.refusals[Refusal.MEMORY] += 1
+
     def _record_violation(self, invariant: Invariant, detail: str) -> None:
         self.state.invariants.record_violation(invariant, detail)
         self.log("violation", invariant=invariant, detail=detail)
@@ -346,7 +357,12 @@
             await asyncio.sleep(RETRY_ACCEPT_S)
 
     def _start_tasks(self) -> list[asyncio.Task]:
-        coroutines = [self.command_channel.run(), self.metrics.run(), self._sweep()]
+        coroutines = [
+            self.command_channel.run(),
+            self.metrics.run(),
+            self.heap_trimmer.run(),
+            self._sweep(),
+        ]
         if self._scores_interval_s:
             coroutines.append(self.metrics.log_scores(self._scores_interval_s))
         if self.fleet_link is not None and self._listener_fd is not None:
@@ -359,6 +375,7 @@
             due = self.now() + SWEEP_INTERVAL_S
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.watch.tick()
+            self.heap_trimmer.note_held()
             if not self.scheduler.is_catching_up():  # while catching up, silence may only mean unread input
                 self.upstream_connections.sweep()
                 self.client_connections.sweep()
