An id whose request may have run is refused for as long as memory allows, not 1,024 others

A client leaves while its request runs and its id comes again: after 1,024 other requests, refused ones included, it was sent once more and ran twice.

Cause: RequestTable remembered the last 1,024 ids of any requests; a client with small requests at full speed empties that in a second.

Change: ids of requests that a server may have executed are remembered in a table of their own, whose size follows from limits.memory_mb (2,500 at 32 MB, 42,500 at 192); requests that never ran cannot push them out.

--- a/brookhinge/decisions/memory_limits.py
+++ b/brookhinge/decisions/memory_limits.py
@@ -17,6 +17,7 @@
 ANSWER_SHARE = 0.1
 COPY_SHARE = 0.2
 OBJECT_SHARE = 0.2
+ID_SHARE = 0.04
 
 # Shares of the whole limit that copies and objects take at most.
 MAX_COPY_SHARE = 0.12
@@ -26,6 +27,7 @@
 
 OBJECT_BYTES = 800  # the state of one object with its place in the indexes
 REQUEST_BYTES = 4096  # an open request without its body: records of the engine, the decisions and connections
+REQUEST_ID_BYTES = 160  # the id of an ended request, in a map
 BODY_COPIES = 2  # of the body of an open request: the one kept for retries, and the one being written
 
 
@@ -60,6 +62,11 @@
     return int(min(MAX_OBJECTS_PER_MB * memory_mb, object_mb * BYTES_PER_MB / OBJECT_BYTES))
 
 
+def max_remembered_ids(memory_mb: float) -> int:
+    """Return the number of ended requests whose ids are remembered because they may have been executed."""
+    return int(ID_SHARE * _available_mb(memory_mb) * BYTES_PER_MB / REQUEST_ID_BYTES)
+
+
 def request_bytes(body_bytes: int) -> int:
     """Return what an open request takes, by the size of its body."""
     return REQUEST_BYTES + BODY_COPIES * body_bytes
--- a/brookhinge/engine/client_events.py
+++ b/brookhinge/engine/client_events.py
@@ -71,7 +71,7 @@
             self.close(call.client, protocol_error)
         elif call.client_request_id in self.requests.by_client_request_id:
             self.refuse_repeated(call)
-        elif call.client_request_id in self.requests.finished:
+        elif self.requests.was_used(call.client_request_id):
             self.refuse(call, "ref: used before")
         elif self.context.is_shutting_down:
             self.reject_at_shutdown(call)
--- a/brookhinge/engine/open_requests.py
+++ b/brookhinge/engine/open_requests.py
@@ -6,7 +6,8 @@
 from brookhinge.decisions.rules import AttemptResult, Ran
 from brookhinge.engine.events import RequestReceived
 
-MAX_FINISHED_IDS = 1024  # remembered to refuse reused ids: clients must give each request a new one
+MAX_FINISHED_IDS = 1024  # of the latest requests; clients must give each request a new id
+DEFAULT_MAX_RAN_IDS = 4096
 
 
 class Outcome(enum.Enum):
@@ -79,12 +80,17 @@
         open: {request id: open request}.
         by_client_request_id: {client's request id: the router's id of the open request}.
         finished: Clients' ids of recently ended requests, oldest first.
+        ran: Clients' ids of ended requests that a server may have executed, oldest first. They are remembered
+            for longer: such a request must not be executed again when its id comes again.
+        max_ran_ids: Maximum number of ids in `ran`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_ran_ids: int = DEFAULT_MAX_RAN_IDS) -> None:
         self.open: dict[int, OpenRequest] = {}
         self.by_client_request_id: dict[bytes, int] = {}
         self.finished: dict[bytes, None] = {}
+        self.ran: dict[bytes, None] = {}
+        self.max_ran_ids = max_ran_ids
         self.next_id = 0
 
     def add(self, call: RequestReceived, request_class: int) -> OpenRequest:
@@ -97,13 +103,26 @@
 
     def remove(self, request_id: int) -> None:
         """Remove a request that has ended, and remember the id that its client gave it."""
-        client_request_id = self.open.pop(request_id).call.client_request_id
+        request = self.open.pop(request_id)
+        client_request_id = request.call.client_request_id
         del self.by_client_request_id[client_request_id]
-        self.finished[client_request_id] = None
-        if len(self.finished) > MAX_FINISHED_IDS:
-            del self.finished[next(iter(self.finished))]
+        if request.first_ran is None:
+            _remember(self.finished, client_request_id, MAX_FINISHED_IDS)
+        else:
+            _remember(self.ran, client_request_id, self.max_ran_ids)
+
+    def was_used(self, client_request_id: bytes) -> bool:
+        """Return whether an id is that of an ended request that is still remembered."""
+        return client_request_id in self.finished or client_request_id in self.ran
 
     def has_attempt_out(self, request_id: int, attempt: int) -> bool:
         """Return whether an attempt has neither ended nor been canceled."""
         request = self.open.get(request_id)
         return request is not None and request.has_attempt_out and request.attempts == attempt
+
+
+def _remember(ids: dict[bytes, None], client_request_id: bytes, maximum: int) -> None:
+    """Add an id, and forget the oldest one if there are more than `maximum`."""
+    ids[client_request_id] = None
+    if len(ids) > maximum:
+        del ids[next(iter(ids))]
--- a/brookhinge/engine/router_state.py
+++ b/brookhinge/engine/router_state.py
@@ -27,7 +27,7 @@
 from brookhinge.engine.endpoint_list import EndpointList
 from brookhinge.engine.fleet_events import FleetEvents
 from brookhinge.engine.invariants import InvariantError, Invariants
-from brookhinge.engine.open_requests import RequestTable
+from brookhinge.engine.open_requests import DEFAULT_MAX_RAN_IDS, RequestTable
 from brookhinge.engine.purges import PurgeRecorder
 from brookhinge.engine.records import Records
 from brookhinge.engine.responses import FinalResponses
@@ -77,6 +77,7 @@
         safety_notices: SafetyNotices | None = None,
         scores: Scores | None = None,
         is_traced: bool = False,
+        max_ran_ids: int = DEFAULT_MAX_RAN_IDS,
     ) -> None:
         """Create the components.
 
@@ -87,12 +88,13 @@
             lineage: Recognizes clients' retries; None if they are not recognized.
             safety_notices: Notices exchanged with peers; None if there are no peers.
             scores: Counts outcomes by request class, or None.
+            max_ran_ids: Maximum number of remembered ids of requests that may have been executed.
             is_traced: Whether to emit a `WriteTrace` effect for each step of each request.
         """
         self.decisions = decisions
         self.scores = scores
         self.context = RoundContext(is_traced=is_traced)
-        self.requests = RequestTable()
+        self.requests = RequestTable(max_ran_ids)
         self.clients = ClientTable()
         self.totals = Totals()
         purge_retention_s = decisions.purges.settled_s + PURGE_RETENTION_MARGIN_S
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from brookhinge.decisions.memory_limits import memory_limits
+from brookhinge.decisions.memory_limits import max_remembered_ids, memory_limits
 from brookhinge.decisions.rules import Refusal
 from brookhinge.engine.commands import read_commands
 from brookhinge.engine.effects import (
@@ -154,6 +154,7 @@
             safety_notices=safety_notices(self.started_at) if fleet is not None else None,
             scores=scores,
             is_traced=self.tracer is not None,
+            max_ran_ids=max_remembered_ids(self.site.bounds.memory_mb),
         )
 
     def _build_ingress(self, client_sockets: int) -> Ingress:
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -11,6 +11,7 @@
     kinds = sum(memory_limits.memory_limits(memory_mb))
     kinds += memory_limits.max_copy_bytes(memory_mb)
     kinds += memory_limits.max_objects(memory_mb) * memory_limits.OBJECT_BYTES
+    kinds += memory_limits.max_remembered_ids(memory_mb) * memory_limits.REQUEST_ID_BYTES
     assert PROGRAM_MB + kinds / BYTES_PER_MB < memory_mb
 
 
