The soak plays half calls and floods of health checks, at 32 MB too, and judges memory

New crowd test: large calls written at an honest pace beside a crowd are served or refused (3 kinds).

--- a/benchmarks/soak/client.py
+++ b/benchmarks/soak/client.py
@@ -44,6 +44,13 @@
     )
 
 
+HEALTH_CHECK = thrift.encode_message(b"isWell", thrift.CALL, 1, b"\0")
+CHECKS_AT_ONCE = 200
+CHECK_INTERVAL_S = 0.005  # so that the client's own loop goes on
+LARGE_CALL = encode_serve(1, {}, b"x" * 230_000)
+HELD_BACK_BYTES = 3000  # of a large call, never sent
+
+
 def encode_cancel(number):
     """Encode the cancel of a request."""
     head = thrift.FIELD_HEADER.pack(thrift.I32, 1)
@@ -302,6 +309,15 @@
         for _ in range(count):
             asyncio.ensure_future(self.send_noise(router))
 
+    def half_calls(self, router, count, for_s):
+        """Open connections that send most of a large call."""
+        for _ in range(count):
+            asyncio.ensure_future(self.send_and_hold(router, LARGE_CALL[:-HELD_BACK_BYTES], for_s))
+
+    def flood(self, router, for_s):
+        """Send health checks without pause on one connection."""
+        asyncio.ensure_future(self.send_checks(router, for_s))
+
     # traffic
 
     def is_slow(self):
@@ -332,6 +348,30 @@
         except OSError:
             pass
 
+    async def send_and_hold(self, router, data, for_s):
+        """Send data on a new connection and keep it open for a while."""
+        try:
+            _, writer = await asyncio.open_connection(world.HOST, self.ports[router])
+            writer.write(data)
+            await asyncio.sleep(for_s)
+            writer.close()
+        except OSError:
+            pass
+
+    async def send_checks(self, router, for_s):
+        """Send health checks and read the answers, as fast as they come."""
+        until = time.monotonic() + for_s
+        try:
+            reader, writer = await asyncio.open_connection(world.HOST, self.ports[router])
+            while time.monotonic() < until:
+                writer.write(HEALTH_CHECK * CHECKS_AT_ONCE)
+                await reader.read(READ_BYTES)
+                await writer.drain()
+                await asyncio.sleep(CHECK_INTERVAL_S)
+            writer.close()
+        except OSError:
+            pass
+
     async def arrivals(self):
         """Start requests as a Poisson process."""
         while True:
--- a/benchmarks/soak/driver.py
+++ b/benchmarks/soak/driver.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import resource
 import signal
@@ -44,6 +45,7 @@
     Trouble.ANSWERS_LOST: ("lose", 4, 0.2),
 }
 ACCEPT_FAILS_S = 2.0  # upper limit, less than the time that a router has to stop
+MEMORY_CHECK_S = 0.2  # time between two looks at the memory of a router
 SETTLE_S = 5.0  # time at the end in which open requests get their answers
 BOX = """box "{name}" {{
   listen = "{host}:{port}"
@@ -99,6 +101,16 @@
             self.process.stdin.write(json.dumps({"do": do, **values}).encode() + b"\n")
 
 
+def peak_memory_mb(pid):
+    """Return the peak of a process's memory in MB, 0 if it has exited."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0
+    _, found, rest = status.partition("VmHWM:")
+    return int(rest.split()[0]) * 1024 / 1e6 if found else 0.0
+
+
 class Router:
     """One router with its process, configuration and control block."""
 
@@ -130,6 +142,7 @@
             ROUTERS,
             known,
             MAX_DESCRIPTORS,
+            schedule.memory_mb(self.driver.seed),
         )
         self.config_path().write_text(json.dumps(values))
         return cursor
@@ -158,7 +171,16 @@
         await self.until_ready()
 
     async def watch(self, process):
-        """Record the exit of a process."""
+        """Record the exit of a process, and before that if it takes more memory than its limit."""
+        limit_mb = schedule.memory_mb(self.driver.seed)
+        while process.returncode is None:
+            await asyncio.wait({asyncio.ensure_future(process.wait())}, timeout=MEMORY_CHECK_S)
+            peak_mb = peak_memory_mb(process.pid)
+            if peak_mb > limit_mb:
+                self.driver.record(
+                    "router_memory", router=self.name, process=process.pid, peak_mb=peak_mb, limit_mb=limit_mb
+                )
+                limit_mb = math.inf
         code = await process.wait()
         self.driver.record("router_exit", router=self.name, code=code, process=process.pid)
 
@@ -710,6 +732,17 @@
             self.tell_clients("bad", router=router.name, count=4)
             await asyncio.sleep(step.for_s / 4)
 
+    async def clients_half_calls(self, router, step):
+        """Let many clients stop in the middle of a large call to a router."""
+        for _ in range(2):
+            self.tell_clients("half_calls", router=router.name, count=30, for_s=step.for_s)
+            await asyncio.sleep(step.for_s / 2)
+
+    async def clients_flood(self, router, step):
+        """Let some clients send health checks to a router without pause."""
+        self.tell_clients("flood", router=router.name, for_s=step.for_s)
+        await asyncio.sleep(step.for_s)
+
     async def clients_burst(self, _, step):
         """Increase the request rate."""
         self.tell_clients("burst", for_s=step.for_s)
--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -42,6 +42,7 @@
     AGED_COPY = "aged_copy"  # copy older than its class allows
     DEADLINE = "deadline"  # an attempt's deadline is at most that of its client
     CRASH = "crash"  # a router exited unasked, or with a status other than 0
+    MEMORY = "memory"  # a router took more memory than its limit
     NOT_READY = "not_ready"
     STOP_LATE = "stop_late"  # still running after SIGTERM plus the longest deadline plus 0.7 s
 
@@ -640,13 +641,16 @@
 
 
 def processes(history):
-    """Check that routers become ready, stop in time and exit cleanly."""
+    """Check that routers become ready, keep to their memory, stop in time and exit cleanly."""
     out = []
     for r in history.records:
         if r["event"] == "router_not_ready":
             out.append(Violation(Invariant.NOT_READY, r["at"], None, r["router"]))
         elif r["event"] == "router_killed" and r["late"] and not frozen_since_term(history, r):
             out.append(Violation(Invariant.STOP_LATE, r["at"], None, r["router"]))
+        elif r["event"] == "router_memory":
+            detail = f"{r['router']} took {r['peak_mb']:.1f} of {r['limit_mb']} MB"
+            out.append(Violation(Invariant.MEMORY, r["at"], None, detail))
         elif r["event"] == "router_exit":
             out += exit_violations(history, r)
     return out
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -12,6 +12,8 @@
 SPREAD_S = 0.7  # all troubles of a group begin within this time
 SECONDS_PER_HOUR = 3600.0
 SHORT_DEADLINE_SCALE = 0.3  # factor for the default deadlines, in one seed of three
+MEMORY_MB = 96
+LOW_MEMORY_MB = 32  # the least that the platform gives a router, in one seed of four
 CROWD_LOAD_SCALE = 1.6  # factor for the default request rate, in one seed of four
 
 
@@ -49,6 +51,8 @@
     CLIENTS_CANCEL = "clients_cancel"
     CLIENTS_CROWD = "clients_crowd"
     CLIENTS_BAD = "clients_bad"
+    CLIENTS_HALF_CALLS = "clients_half_calls"
+    CLIENTS_FLOOD = "clients_flood"
     CLIENTS_BURST = "clients_burst"
     CLIENTS_RETRY = "clients_retry"
     PURGES = "purges"
@@ -139,6 +143,11 @@
     return CROWD_LOAD_SCALE if seed % 4 == 1 else 1.0
 
 
+def memory_mb(seed):
+    """Return the memory limit of the routers in the run of a seed."""
+    return LOW_MEMORY_MB if seed % 4 == 2 else MEMORY_MB
+
+
 def stop_signals(size):
     """Return the stop signals for a size from 0 to 1."""
     kinds = list(StopSignals)
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -154,14 +154,14 @@
     }
 
 
-def configuration(name, port, channel_port, seed, routers, known, descriptors):
+def configuration(name, port, channel_port, seed, routers, known, descriptors, memory_mb):
     """Return the configuration of a router."""
     return {
         "name": name,
         "listen": f"{HOST}:{port}",
         "seed": f"{seed:x}",
         "channel": f"{HOST}:{channel_port}",
-        "limits": {"cores": 1.0, "memory_mb": 96, "sockets": descriptors},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors},
         "flow_bytes_per_s": 4_000_000,
         "link_bytes_per_s": 40_000_000,
         "known": known,
--- a/tests/crowd/deployment.py
+++ b/tests/crowd/deployment.py
@@ -141,6 +141,21 @@
             await asyncio.sleep(every_s)
         client.close()
 
+    async def write_large_calls(self, seconds, body, pieces, every_s):
+        """Run clients that write calls with a large body in pieces, at an honest pace."""
+        until = time.monotonic() + seconds
+        await asyncio.gather(
+            *(self._write_in_a_loop(i, until, body, pieces, every_s) for i in range(USUAL_CLIENTS))
+        )
+
+    async def _write_in_a_loop(self, number, until, body, pieces, every_s):
+        chance = random.Random(100 + number)
+        while time.monotonic() < until:
+            client = Client(("127.0.0.1", self.port), chance.getrandbits(32))
+            await client.connect()
+            await self._ask_once(client, chance, body=body, pieces=pieces, every_s=every_s)
+            client.close()
+
     async def _ask_once(self, client, chance, **options):
         name = f"{chance.randrange(OBJECTS):016x}"
         asked_at = time.monotonic()
@@ -156,7 +171,8 @@
         took_s = time.monotonic() - asked_at
         self.waits.append(took_s)
         self.kinds[answer.kind] = self.kinds.get(answer.kind, 0) + 1
-        if answer.kind == "lost" or took_s > TIMEOUT_S + LATE_S:
+        writing_s = options.get("pieces", 1) * options.get("every_s", 0.0)
+        if answer.kind == "lost" or took_s - writing_s > TIMEOUT_S + LATE_S:
             self.lost += 1
 
     def p99(self):
--- a/tests/crowd/test_memory.py
+++ b/tests/crowd/test_memory.py
@@ -68,6 +68,23 @@
     assert max(report["longest_wait_s"], report["longest_open_s"]) < CLOSE_WITHIN_S
 
 
+# A usual client that writes a large call at an honest pace is served or refused, never closed for others.
+@pytest.mark.parametrize("kind", ["half_call", "trickled_call", "many_fields"])
+def test_large_calls_written_at_an_honest_pace_are_answered_beside_a_crowd(tmp_path, kind):
+    async def run():
+        async with Deployment(tmp_path, memory_mb=32, sockets=1024) as site:
+            crowd = asyncio.create_task(site.crowd(kind, 300, CROWD_S))
+            await asyncio.sleep(0.3)
+            await site.write_large_calls(CROWD_S, b"b" * 200_000, 20, 0.04)
+            await crowd
+            assert site.memory() < 32
+            return site
+
+    site = asyncio.run(run())
+    assert site.lost == 0, f"{site.lost} of {len(site.waits)} lost, {site.kinds}"
+    assert set(site.kinds) <= {"served", "refused"}
+
+
 # After a crowd has gone the process kept what the crowd had made it take.
 def test_memory_comes_back_after_a_crowd_and_stays(tmp_path):
     async def run():
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -6,12 +6,15 @@
 from benchmarks.soak.judge import Invariant
 from benchmarks.soak.schedule import (
     CROWD_LOAD_SCALE,
+    LOW_MEMORY_MB,
+    MEMORY_MB,
     SHORT_DEADLINE_SCALE,
     StopSignals,
     Trouble,
     deadline_scale,
     freeze_series,
     load_scale,
+    memory_mb,
     series_router_count,
     steps_of,
     stop_signals,
@@ -273,6 +276,13 @@
     ]
 
 
+def test_router_over_its_memory_is_a_violation():
+    history = HistoryBuilder().add(
+        9.0, "driver", "router_memory", router="r0", process=7, peak_mb=33.0, limit_mb=32
+    )
+    assert history.violated() == [Invariant.MEMORY]
+
+
 def test_overlaps_counts_kinds_of_trouble_active_at_the_same_time():
     def trouble(at, kind, begins):
         return {"at": at, "event": "trouble", "kind": kind, "target": "x", "begins": begins}
@@ -293,6 +303,7 @@
 def test_some_seeds_shorten_deadlines_and_some_increase_load():
     assert {deadline_scale(seed) for seed in range(6)} == {1.0, SHORT_DEADLINE_SCALE}
     assert {load_scale(seed) for seed in range(4)} == {1.0, CROWD_LOAD_SCALE}
+    assert {memory_mb(seed) for seed in range(4)} == {LOW_MEMORY_MB, MEMORY_MB}
 
 
 def test_freeze_series_and_stop_signals_cover_all_variants():
