Calls read some turns after a stall count from before it; unread replies have an end

Found while checking the paths beside the new reading of clients, by a test.

Cause: after a gap of the loop ReceiveTimes takes it that four passes read all that waited. Clients are now read in pieces, so bytes of one client may lie unread for longer; its later calls counted as just arrived, with up to the whole stall too much time passed on. A client that reads none of its replies kept its connection and the replies as long as it liked.

Change: a connection that may have had more bytes when it was last read counts from the last check that found it empty; after a turn that ends for another reason one check tells whether it is empty.

--- a/brookhinge/net/client_calls.py
+++ b/brookhinge/net/client_calls.py
@@ -98,22 +98,28 @@
 
         If the client has closed the connection, this raises and its calls are not processed.
         """
-        received_at = self._receive_times.received_at(client.last_empty_at, client.waiting_since)
+        received_at = self._receive_times.received_at(
+            client.last_empty_at, client.waiting_since, had_more=client.has_more
+        )
+        client.has_more = True
         for _ in range(READS_PER_TURN):
             checked_at = self._connections.now()
             data = client.stream.receive(self._read_size(client))
             if data is None:
-                client.last_empty_at = checked_at
-                client.waiting_since = None
+                client.note_empty(checked_at)
                 return
             if self._connections.is_open(client) and client.close_cause is None:
                 self._take(client, data, received_at)
             if not client.is_reading or client.stream.closed():
-                return
+                break
+        checked_at = self._connections.now()
+        if client.has_no_unread_bytes():
+            client.note_empty(checked_at)
 
     def _read_size(self, client: ClientConnection) -> int:
         """Return how much to read at once: small calls cannot be given up, parts of large ones can."""
-        if client.calls.expects_large_call:
+        is_discarded = client.close_cause is not None or not self._connections.is_open(client)
+        if is_discarded or client.calls.expects_large_call:
             return READ_BYTES
         return SCARCE_READ_BYTES if self._memory.is_short_for_calls else SMALL_READ_BYTES
 
--- a/brookhinge/net/client_connection.py
+++ b/brookhinge/net/client_connection.py
@@ -38,6 +38,7 @@
         has_called: Whether the client has made a call.
         partial_since: Time since which a call has been incomplete, or None if there is none.
         last_empty_at: Time of the last check that found no unread bytes.
+        has_more: Whether the kernel may hold more bytes since the connection was last read.
         waiting_since: Earliest time at which the connection may have entered the backlog; None if it did
             not wait or once all bytes received while it waited have been read.
         calls: Received bytes of calls that are not processed yet.
@@ -60,6 +61,7 @@
         "cancelled_early",
         "close_cause",
         "has_called",
+        "has_more",
         "invalid_calls",
         "is_paused",
         "is_queued",
@@ -92,6 +94,7 @@
         self.has_called = False
         self.partial_since: float | None = None
         self.last_empty_at = now
+        self.has_more = False
         self.waiting_since: float | None = None
         self.calls = CallBuffer()
         self.unanswered: dict[int, int] = {}
@@ -172,6 +175,12 @@
         """Whether the next call may be processed: the client is not paused and reads its replies."""
         return not self.is_paused and self.stream.unsent_bytes <= MAX_UNSENT_BYTES
 
+    def note_empty(self, checked_at: float) -> None:
+        """Note that the kernel held no unread bytes; while the connection is not read, more may come."""
+        self.last_empty_at = checked_at
+        self.waiting_since = None
+        self.has_more = not self.is_reading
+
     def is_idle(self) -> bool:
         """Return whether no call is pending and no reply is unsent."""
         return not (self.stream.unsent_bytes or self.calls.whole_calls)
--- a/brookhinge/net/client_connections.py
+++ b/brookhinge/net/client_connections.py
@@ -309,7 +309,8 @@
             return
         if client.is_idle():
             self.close_gracefully(client, CloseReason.IDLE if client.has_called else CloseReason.NO_CALL)
-        elif client.close_cause:  # the client does not read its last replies
+        elif client.close_cause or self.now() - client.moved_at > IDLE_TIMEOUT_S:
+            # The client does not read its replies.
             self.drop(client, CloseReason.UNREAD)
 
     def close_if_finished(self, client: ClientConnection) -> None:
--- a/brookhinge/net/receive_times.py
+++ b/brookhinge/net/receive_times.py
@@ -4,7 +4,7 @@
 
 from brookhinge.engine.loop_watch import LoopWatch
 
-CATCH_UP_PASSES = 4  # event loop passes after a gap until all bytes on open connections have been read
+CATCH_UP_PASSES = 4  # event loop passes after a gap until each open connection with bytes has been read from
 
 
 class ReceiveTimes:
@@ -50,15 +50,20 @@
         """Return since when a connection accepted now may have waited in the backlog; None if it did not."""
         return earliest(self._accept_failing_since, self._watch.earliest_arrival(self._backlog_empty_at))
 
-    def received_at(self, last_empty_at: float, waiting_since: float | None) -> float:
+    def received_at(
+        self, last_empty_at: float, waiting_since: float | None, *, had_more: bool = False
+    ) -> float:
         """Return the earliest time at which bytes that are read now may have been received.
 
         Args:
             last_empty_at: Time of the last check that found their connection empty.
+            had_more: Whether the connection may have had more bytes when it was last read; they may have
+                waited for longer than it takes to read all others.
             waiting_since: `waiting_since()` of the connection if the bytes may have arrived before it was
                 accepted, else None.
         """
-        blind_since = self._watch.earliest_arrival(max(last_empty_at, self._all_read_until))
+        empty_at = last_empty_at if had_more else max(last_empty_at, self._all_read_until)
+        blind_since = self._watch.earliest_arrival(empty_at)
         received_at = earliest(blind_since, waiting_since)
         return self._watch.now() if received_at is None else received_at
 
