--- a/brookhinge/net/client_calls.py
+++ b/brookhinge/net/client_calls.py
@@ -152,7 +152,7 @@
         if client.calls.whole_calls:
             self._enqueue(client)
         else:
-            self._after_turn(client)
+            self._resume_or_finish(client)
 
     def _enqueue(self, client: ClientConnection) -> None:
         if client.is_queued or not client.may_process:
@@ -173,11 +173,11 @@
                 return
             client = self._queue.popleft()
             client.is_queued = False
-            self._take_turn(client)
+            self._process_next_call(client)
         if self._queue:
             self._schedule_pass()
 
-    def _take_turn(self, client: ClientConnection) -> None:
+    def _process_next_call(self, client: ClientConnection) -> None:
         """Process one call of a client."""
         if not (client.may_process and self._connections.is_open(client)):
             return
@@ -195,9 +195,9 @@
             self._connections.log_connection(client, f"{type(error).__name__}: {error}")
             self._connections.drop(client, CloseReason.FAILED)
             return
-        self._after_turn(client)
+        self._resume_or_finish(client)
 
-    def _after_turn(self, client: ClientConnection) -> None:
+    def _resume_or_finish(self, client: ClientConnection) -> None:
         if not self._connections.is_open(client):
             return
         if client.calls.whole_calls:
--- a/brookhinge/net/memory_use.py
+++ b/brookhinge/net/memory_use.py
@@ -72,7 +72,7 @@
 
     async def reserve_answer(self, size: int) -> None:
         """Wait in line for memory for an answer of `size` bytes; `release_answer` releases it."""
-        if self._waiting or not self._has_room_for_answer(size):
+        if self._waiting or not self._can_reserve_answer(size):
             waiting = _WaitingAnswer(size, asyncio.get_running_loop().create_future())
             self._waiting.append(waiting)
             await waiting.granted
@@ -89,12 +89,12 @@
         while self._waiting:
             first = self._waiting[0]
             if not first.granted.cancelled():
-                if not self._has_room_for_answer(first.size):
+                if not self._can_reserve_answer(first.size):
                     return
                 self.answer_bytes += first.size
                 first.granted.set_result(None)
             self._waiting.popleft()
 
-    def _has_room_for_answer(self, size: int) -> bool:
+    def _can_reserve_answer(self, size: int) -> bool:
         """Return whether an answer may be read; one may always be."""
         return not self.answer_bytes or self.answer_bytes + size <= self.limits.answer_bytes
--- a/brookhinge/net/thrift.py
+++ b/brookhinge/net/thrift.py
@@ -100,7 +100,7 @@
     def __init__(self, frame: bytes) -> None:
         self.frame = frame
         self.position = 0
-        self._values_left = MAX_VALUES
+        self._remaining_values = MAX_VALUES
 
     def _count_values(self, count: int) -> None:
         """Count values before they are read.
@@ -108,8 +108,8 @@
         Raises:
             InvalidCallError: The message has more than MAX_VALUES.
         """
-        self._values_left -= count
-        if self._values_left < 0:
+        self._remaining_values -= count
+        if self._remaining_values < 0:
             raise InvalidCallError(PROTOCOL_ERROR, f"message has more than {MAX_VALUES} values")
 
     def read_bytes(self, count: int) -> bytes:
