--- a/brookhinge/cache_server/fills.py
+++ b/brookhinge/cache_server/fills.py
@@ -219,7 +219,7 @@
     # Ends of fills
 
     def _on_attempt_ended(self, event: AttemptEnded) -> None:
-        self._upstream.release_posted()
+        self._upstream.answers.release_posted()
         if event.request_id in self._fills:
             self._finish(event)
 
--- a/brookhinge/net/service.py
+++ b/brookhinge/net/service.py
@@ -117,7 +117,7 @@
         self.command_channel = self._build_command_channel(cursor)
         self.write_guard = self._build_write_guard()
         self.upstream_connections = self._build_upstream_connections(upstream_sockets)
-        self.scheduler.after_round.append(self.upstream_connections.release_posted)
+        self.scheduler.after_round.append(self.upstream_connections.answers.release_posted)
         self.metrics = self._build_metrics()
         self.shutdown = self._build_shutdown()
         self._register_effects()
--- a/brookhinge/net/upstream_connections.py
+++ b/brookhinge/net/upstream_connections.py
@@ -14,12 +14,13 @@
 from brookhinge.engine.events import AttemptEnded, Event
 from brookhinge.engine.loop_watch import LoopWatch
 from brookhinge.net import cachewire
+from brookhinge.net.answer_reader import AnswerReader
 from brookhinge.net.errors import UnreadableError
 from brookhinge.net.memory_use import MemoryUse
 from brookhinge.net.timeouts import within
 from brookhinge.net.upstream_connection import PendingAttempt, SentAttempt, UpstreamConnection
 from brookhinge.net.upstream_pool import UpstreamPool
-from brookhinge.net.upstream_sweeper import ECHO_TAG, UpstreamSweeper
+from brookhinge.net.upstream_sweeper import UpstreamSweeper
 
 if TYPE_CHECKING:
     from brookhinge.startup import UpstreamSettings
@@ -41,6 +42,7 @@
 
     Attributes:
         pool: Pool of the open connections.
+        answers: Reads the connections.
         placements: Placement of each attempt that has not ended, by request id and attempt number.
         closes: Number of closed connections by reason.
         holds: Number of times that an attempt was held back, by reason.
@@ -96,6 +98,9 @@
             on_opened=self._start,
             close_for_capacity=lambda connection: self.close(connection, CloseReason.ROOM),
         )
+        self.answers = AnswerReader(
+            self, memory, post=post, since_start=since_start, load_columns=load_columns
+        )
         self._sweeper = UpstreamSweeper(
             now=now,
             report=self._report,
@@ -105,13 +110,9 @@
             close=self.close,
         )
         self._post = post
-        self._since_start = since_start
         self._settings = settings
-        self._load_columns = load_columns
         self._max_wait_s = max_wait_s
         self._hold_reason = hold_reason
-        self._memory = memory
-        self._posted_bytes = 0  # of bodies in events that are not known to be applied yet
         self._watch = watch
         self._tasks: set[asyncio.Task] = set()
 
@@ -149,7 +150,7 @@
         connection, client_request_id = placement
         if connection.waiting.pop(client_request_id, None) is None:
             self._cancel_written(connection, client_request_id)
-        self._close_if_unused(connection)
+        self.close_if_unused(connection)
 
     def _cancel_written(self, connection: UpstreamConnection, client_request_id: bytes) -> None:
         del connection.in_flight[client_request_id]
@@ -165,7 +166,7 @@
         """Retire the connections to a server that is gone or has been restarted."""
         for connection in self.pool.remove_server(effect.server):
             connection.is_retired = True
-            self._close_if_unused(connection)
+            self.close_if_unused(connection)
 
     # writing
 
@@ -226,7 +227,7 @@
         pending = connection.waiting.pop(client_request_id, None)
         if pending is not None:  # None if it was cancelled or moved to another connection
             self.place(connection, pending, MAX_HOLD_S)
-            self._close_if_unused(connection)
+            self.close_if_unused(connection)
 
     def _end_unsent(self, effect: SendAttempt, reason: HeldBack) -> None:
         """End an attempt before any of it was sent; it is decided again if it is still needed."""
@@ -268,10 +269,7 @@
             connection.is_connected = True
             connection.received_at = self.now()
             self._place_waiting(connection)
-            while True:
-                # In functions of their own: what this frame refers to stays in memory until the next answer.
-                self._handle_bytes(connection, await connection.stream.read())
-                await self._reserve_memory(connection)
+            await self.answers.read(connection)
         except TimeoutError:
             failure = None if connection.is_connected else "connect timed out"
         except OSError:
@@ -285,85 +283,14 @@
         finally:
             if failure:
                 self._report(connection.server, failure)
-            self._memory.release_answer(connection.reserved_bytes)
-            connection.reserved_bytes = 0
             self.close(connection, reason if connection.is_connected else CloseReason.NO_CONNECTION)
 
-    def _handle_bytes(self, connection: UpstreamConnection, data: bytes) -> None:
-        connection.received_at = self.now()
-        for item in connection.answers.feed(data):
-            self._handle_answer(connection, connection.received_at, cachewire.AnswerLine(*item))
-
-    async def _reserve_memory(self, connection: UpstreamConnection) -> None:
-        """Wait until there is memory for the answer that is incomplete; until then nothing more is read."""
-        size = connection.answers.expected_bytes
-        if size == connection.reserved_bytes:
-            return
-        self._memory.release_answer(connection.reserved_bytes)
-        connection.reserved_bytes = 0
-        if not size:
-            return
-        connection.is_waiting_for_memory = True
-        try:
-            await self._memory.reserve_answer(size)
-            connection.reserved_bytes = size
-        finally:
-            connection.is_waiting_for_memory = False
-            connection.received_at = self.now()  # the wait is no silence of the server
-
     def _place_waiting(self, connection: UpstreamConnection) -> None:
         waiting = connection.waiting
         connection.waiting = {}
         for pending in waiting.values():
             self.place(connection, pending)
 
-    def _handle_answer(
-        self, connection: UpstreamConnection, received_at: float, answer: cachewire.AnswerLine
-    ) -> None:
-        client_request_id = answer.request_id
-        if client_request_id == ECHO_TAG:
-            connection.echo_sent_at = None
-            return
-        if client_request_id in connection.cancelled_ids:  # the answer crossed the cancel
-            connection.cancelled_ids.remove(client_request_id)
-            return
-        if client_request_id not in connection.in_flight:
-            # A duplicate or unsolicited answer: the connection is no longer trusted.
-            connection.is_retired = True
-            self._close_if_unused(connection)
-            return
-        result = cachewire.read_result(answer.status, answer.fields, self._load_columns)
-        connection.used_at = received_at
-        sent = connection.in_flight.pop(client_request_id)
-        if result.result is not AttemptResult.SATISFIED:
-            # Another attempt with this id may follow, and so may a duplicate of this answer.
-            connection.retire_id(client_request_id)
-        del self.placements[sent.request_id, sent.attempt]
-        event = AttemptEnded(
-            request_id=sent.request_id,
-            attempt=sent.attempt,
-            result=result.result,
-            note=result.note,
-            source_wait_s=result.source_wait_s,
-            load_report=result.load_report,
-            body=answer.body,
-            is_unchanged=answer.status == cachewire.UNCHANGED,
-            received_at=received_at,
-            dated_at=None if result.dated_at is None else self._since_start(result.dated_at),
-            version=result.version,
-            purge_group=result.purge_group,
-        )
-        self._posted_bytes += len(answer.body)
-        self._memory.count_answer(len(answer.body))
-        self._post(event)
-        self._close_if_unused(connection)
-
-    def release_posted(self) -> None:
-        """Stop counting the bodies of all events that were posted; their receiver has applied them."""
-        size = self._posted_bytes
-        self._posted_bytes = 0
-        self._memory.release_answer(size)
-
     def _report(self, server: ServerInstance, why: str) -> None:
         self.log("cache connection", server=server.server, why=why)
 
@@ -384,7 +311,8 @@
 
     # closing
 
-    def _close_if_unused(self, connection: UpstreamConnection) -> None:
+    def close_if_unused(self, connection: UpstreamConnection) -> None:
+        """Close a retired connection without attempts."""
         if connection.is_retired and not connection.load:
             self.close(connection, CloseReason.RETIRED)
 
