A read that fails for lack of memory, or at once, tells nothing of what is unread

Cause: recv that fails with ENOMEM, ENOBUFS or EAGAIN counted as a check that found the connection empty. A call that had waited in the backlog for 1.2 s lost its waiting time with that and got a deadline as if it had just come.

Change: a failed read is inconclusive; the first read of a connection that is reported readable as well.

--- a/brookhinge/net/client_calls.py
+++ b/brookhinge/net/client_calls.py
@@ -102,11 +102,13 @@
             client.last_empty_at, client.waiting_since, had_more=client.has_more
         )
         client.has_more = True
-        for _ in range(READS_PER_TURN):
+        for turn_reads in range(READS_PER_TURN):
             checked_at = self._connections.now()
             data = client.stream.receive(self._read_size(client))
-            if data is None:
-                client.note_empty(checked_at)
+            if not data:
+                # The first read of a readable connection finds nothing only if it has failed.
+                if data is None and turn_reads:
+                    client.note_empty(checked_at)
                 return
             if self._connections.is_open(client) and client.close_cause is None:
                 self._take(client, data, received_at)
--- a/brookhinge/net/stream.py
+++ b/brookhinge/net/stream.py
@@ -17,6 +17,7 @@
 READ_BYTES = 16 * 1024  # received at a time; all connections share one buffer of this size
 # The kernel is temporarily out of memory: recv(2) and send(2) fail, but the connection stays intact.
 SHORTAGES = frozenset((errno.ENOMEM, errno.ENOBUFS))
+UNKNOWN_COUNT = -1
 _CONNECTING = frozenset((errno.EINPROGRESS, errno.EINTR, errno.EWOULDBLOCK))
 
 _received = memoryview(bytearray(READ_BYTES))
@@ -120,7 +121,9 @@
     # Reading.
 
     def receive_into(self, buffer: memoryview) -> int | None:
-        """Receive into `buffer`; return the number of bytes, 0 at the end, None if nothing can be read now.
+        """Receive into `buffer`; return the number of bytes, 0 at the end, None if there are none now.
+
+        UNKNOWN_COUNT is returned if the kernel is out of memory: there may be bytes.
 
         Raises:
             OSError: The connection has failed.
@@ -132,11 +135,13 @@
         except OSError as error:
             if error.errno not in SHORTAGES:
                 raise
-            return None
+            return UNKNOWN_COUNT
 
     def receive(self, limit: int = READ_BYTES) -> memoryview | None:
         """Return up to `limit` bytes, valid until the next call on any stream; None if there are none now.
 
+        The bytes are empty if the kernel is out of memory: there may be some.
+
         Raises:
             OSError: The connection has failed or is closed.
             StreamClosedError: The peer has closed the connection.
@@ -148,7 +153,7 @@
             return None
         if not count:
             raise StreamClosedError
-        return _received[:count]
+        return _received[: max(0, count)]
 
     async def read(self) -> bytes:
         """Wait for bytes and return them.
@@ -157,7 +162,7 @@
             OSError: The connection has failed.
             StreamClosedError: The peer has closed the connection, or `close` was called.
         """
-        while (data := self.receive()) is None:
+        while not (data := self.receive()):
             self._waiter = asyncio.get_running_loop().create_future()
             self.watch(self._wake)
             try:
--- a/tests/crossings/test_unread_calls.py
+++ b/tests/crossings/test_unread_calls.py
@@ -1,12 +1,15 @@
 """Calls that lie unread for a while count from when they came, and unread replies are not held for good."""
 
 import asyncio
+import errno
 import socket
 import time
 
+import pytest
+
 from brookhinge.decisions.rules import CloseReason
 from brookhinge.net import client_connections, thrift
-from tests.crossings.test_rare import attempt_timeouts_ms, record_attempt_fields
+from tests.crossings.test_rare import FailingListener, attempt_timeouts_ms, record_attempt_fields
 from tests.crossings.test_sockets import RawClient
 from tests.helpers import ThriftClient
 from tests.test_service import caches, run_scenario, until
@@ -43,6 +46,35 @@
     assert max(run_scenario(scene, tmp_path)) <= 2900 - 1000 * STALL_S + 150
 
 
+# A read that failed for lack of memory counted as one that found nothing: what waited looked as if just come.
+@pytest.mark.parametrize("error", [errno.ENOMEM, errno.ENOBUFS, errno.EAGAIN])
+def test_failed_read_does_not_make_a_call_look_younger(tmp_path, error):
+    async def scene(t, patch):
+        record_attempt_fields(t)
+        accepted, original = set(), socket.socket.recv_into
+
+        def fail_first(self, *args):
+            if self.fileno() not in accepted and self.getsockname() == t.address:
+                accepted.add(self.fileno())
+                raise OSError(error, "injected")
+            return original(self, *args)
+
+        listener = FailingListener(t.service.client_connections.listener.socket, errno.ENFILE)
+        t.service.client_connections.listener.socket = listener
+        accepted.update(
+            client.stream.socket.fileno() for client in t.service.client_connections.clients.values()
+        )
+        patch.setattr(socket.socket, "recv_into", fail_first, raising=False)
+        asyncio.get_running_loop().call_later(STALL_S, setattr, listener, "fails", False)
+        client = await RawClient(t.address).add_requests(1).send().to_thrift_client()
+        await client.receive()
+        return attempt_timeouts_ms(t)
+
+    with pytest.MonkeyPatch.context() as patch:
+        timeouts = run_scenario(lambda t: scene(t, patch), tmp_path)
+    assert max(timeouts) <= 2900 - 1000 * STALL_S + 150
+
+
 def test_later_call_of_a_client_that_sent_much_before_a_stall_has_all_its_time(tmp_path):
     """What was read in full before the stall tells nothing of what comes long after it."""
 
