--- a/tests/crowd/test_memory.py
+++ b/tests/crowd/test_memory.py
@@ -1,10 +1,12 @@
 """What a router process holds beside crowds of bad clients: never more than `limits.memory_mb`."""
 
 import asyncio
+import compileall
 
 import pytest
 
-from tests.crowd.deployment import Deployment
+from brookhinge.decisions.memory_limits import PROGRAM_MB
+from tests.crowd.deployment import ROOT, Deployment
 
 CROWD_S = 4.0
 CLOSE_WITHIN_S = 3.0  # a bad client gets a refusal, an error or a close by then
@@ -25,6 +27,16 @@
     return asyncio.run(run())
 
 
+# What the limits divide is what the program leaves; compiling at the start took it past what is set aside.
+def test_program_at_ready_takes_no_more_than_is_set_aside_for_it(tmp_path):
+    async def run():
+        async with Deployment(tmp_path, memory_mb=32, sockets=1024) as site:
+            return site.memory()
+
+    compileall.compile_dir(ROOT / "brookhinge", quiet=1)
+    assert asyncio.run(run()) < PROGRAM_MB
+
+
 # A crowd that stops in the middle of large calls, and comes again at once, takes the process past its memory.
 @pytest.mark.parametrize(
     ("count", "memory_mb", "sockets"), [(340, 32, 1024), (640, 32, 1024), (85, 32, 256), (340, 64, 1024)]
