--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -221,10 +221,25 @@
     Listener.stop = stop
 
 
+def memory():
+    """Keep all that clients send."""
+    from brookhinge.net.call_buffer import CallBuffer
+
+    real = CallBuffer.add
+    kept = []
+
+    def add(self, data, received_at):
+        kept.append(bytes(data))
+        return real(self, data, received_at)
+
+    CallBuffer.add = add
+
+
 FAULTS = {
     plant.__name__: plant
     for plant in (
         answer_missing,
+        memory,
         answer_late,
         answer_twice,
         closed_unanswered,
