Giving up calls costs little while there is nothing to give up

Read, not seen: with many small calls over the limit each read sorted all clients in vain. Only clients with large calls are looked at, and again only once 32 KB more are held. Closing clients that do not read ends when none is left.

--- a/brookhinge/net/client_connections.py
+++ b/brookhinge/net/client_connections.py
@@ -24,6 +24,7 @@
 from brookhinge.engine.invariants import Invariant
 from brookhinge.engine.loop_watch import LoopWatch
 from brookhinge.net import client_protocol
+from brookhinge.net.call_buffer import MAX_WHOLE_BYTES
 from brookhinge.net.client_calls import ClientCalls
 from brookhinge.net.client_connection import ClientConnection, CloseCause
 from brookhinge.net.lingering_closes import LingeringCloses
@@ -38,6 +39,7 @@
 CALL_TIMEOUT_S = 2.2  # from accept to the first call, and from a call's first byte to its last
 IDLE_TIMEOUT_S = 10.0  # after the first call; clients usually close idle connections earlier
 MAX_CLOSED_FOR_CAPACITY = 16  # idle connections closed at a time when the connection limit is reached
+DROP_STEP_BYTES = 32 * 1024  # more must be held than when calls were last given up, until that is tried again
 EMPTY_CHECK_TTL_S = 0.03  # how long a check that found a connection without unread bytes stays valid
 CLOSE_CHECK_INTERVAL_S = 0.005  # polling interval for open connections while the process stops
 
@@ -99,6 +101,7 @@
         self._record_violation = record_violation
         self._ingress = ingress
         self._last_number = 0
+        self._next_drop_bytes = 0
         self._receive_times = ReceiveTimes(watch)
         self.calls = ClientCalls(
             self,
@@ -257,17 +260,20 @@
     def enforce_memory_limits(self) -> None:
         """Give up what is held for clients while it exceeds the limits."""
         memory = self.memory
-        if memory.call_bytes > memory.limits.call_bytes:
+        if memory.call_bytes <= memory.limits.call_bytes:
+            self._next_drop_bytes = 0
+        elif memory.call_bytes > self._next_drop_bytes:
             self._drop_calls()
-        while memory.reply_bytes > memory.limits.reply_bytes:
-            self._close_unread(max(self.clients.values(), key=self._reply_drop_priority))
+            self._next_drop_bytes = memory.call_bytes + DROP_STEP_BYTES
+        if memory.reply_bytes > memory.limits.reply_bytes:
+            self._close_unread_clients()
 
     def _drop_calls(self) -> None:
-        """Give up calls of clients until half of the memory for calls is free."""
+        """Give up large calls of clients until half of the memory for calls is free."""
         now = self.now()
         memory = self.memory
         by_priority = sorted(
-            self.clients.values(),
+            (client for client in self.clients.values() if len(client.calls) > MAX_WHOLE_BYTES),
             key=lambda client: client.drop_priority(len(client.calls), now),
             reverse=True,
         )
@@ -276,6 +282,14 @@
                 return
             self.calls.drop_call(client)
 
+    def _close_unread_clients(self) -> None:
+        """Close connections of clients that do not read until their replies are within the limit."""
+        unread = [client for client in self.clients.values() if client.stream.unsent_bytes]
+        for client in sorted(unread, key=self._reply_drop_priority, reverse=True):
+            if self.memory.reply_bytes <= self.memory.limits.reply_bytes:
+                return
+            self._close_unread(client)
+
     def _reply_drop_priority(self, client: ClientConnection) -> float:
         return client.drop_priority(client.stream.unsent_bytes, self.now())
 
