--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,7 +19,7 @@
 
 
 def pytest_collection_modifyitems(config, items):
-    """Marks the listed tests as xfail. One that passes fails the run, unless it is listed as failing rarely."""
+    """Marks the listed tests as xfail. One that passes fails the run, unless it fails rarely."""
     known = known_red()
     for item in items:
         if item.nodeid in known:
