--- a/brookhinge/net/client_connection.py
+++ b/brookhinge/net/client_connection.py
@@ -13,7 +13,7 @@
 
 # Cancelled sequence numbers kept per connection, since the reply to a request may cross its cancel.
 MAX_REMEMBERED_CANCELS = 64
-STALLED_CALL_S = 0.5  # without a byte of an incomplete call, until its connection may be closed for another
+STALLED_CALL_S = 0.25  # without a byte of an incomplete call, until its connection may be closed for another
 MAX_UNSENT_BYTES = 256 * 1024  # replies unsent to a client before processing its calls pauses
 
 
