Finalizers of a test module's leftovers run at its end, not inside another's ast.parse

The same error had hidden failures of other tests as internal errors of pytest before.

Cause: connections that a module leaves open are collected whenever the collector runs; their finalizers raise (event loop closed), pytest formats the traceback, and CPython 3.11 parses source for that. Inside an ast.parse the nested parse breaks the outer one's depth count.

Change: each module's garbage is collected at its end.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,4 @@
+import gc
 import sys
 from pathlib import Path
 
@@ -18,6 +19,17 @@
     return {line.partition(": ")[0]: line for line in lines}
 
 
+@pytest.fixture(autouse=True, scope="module")
+def finalizers_run_in_their_module():
+    """Collects what a module's tests left in cycles, such as open connections of a closed event loop.
+
+    Their finalizers raise, and CPython 3.11 parses source to show that. Inside an `ast.parse` of another module
+    that makes the outer parse fail with a SystemError (recursion depth mismatch).
+    """
+    yield
+    gc.collect()
+
+
 def pytest_collection_modifyitems(config, items):
     """Marks the listed tests as xfail. One that passes fails the run, unless it fails rarely."""
     known = known_red()
