--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,8 +23,8 @@
 def finalizers_run_in_their_module():
     """Collects what a module's tests left in cycles, such as open connections of a closed event loop.
 
-    Their finalizers raise, and CPython 3.11 parses source to show that. Inside an `ast.parse` of another module
-    that makes the outer parse fail with a SystemError (recursion depth mismatch).
+    Their finalizers raise, and CPython 3.11 parses source to show that. Inside an `ast.parse` elsewhere that
+    makes the outer parse fail with a SystemError (recursion depth mismatch).
     """
     yield
     gc.collect()
