--- a/review/second/lib.py
+++ b/review/second/lib.py
@@ -597,11 +597,12 @@
         if router:
             await self.start_router(env)
 
-    async def start_router(self, env: dict[str, str] | None = None) -> None:
-        """Start the router and wait until it takes requests."""
+    async def start_router(self, env: dict[str, str] | None = None) -> Program:
+        """Start the router, wait until it takes requests and return it."""
         config = router_config("n1", self.router_port, self.channel_port, self.channel.known(), 1)
-        self.case.start_router("router", self.case.write("n1.json", json.dumps(config)), env)
+        router = self.case.start_router("router", self.case.write("n1.json", json.dumps(config)), env)
         await wait_well(self.address)
+        return router
 
     async def ask(self, key: str, allow_ms: int = 2000) -> Answered:
         """Ask the router for an object on a new connection, and note the answer."""
