--- a/review/second/lib.py
+++ b/review/second/lib.py
@@ -71,9 +71,12 @@
     def __init__(self, folder: Path) -> None:
         self._file = (folder / "record.txt").open("w", encoding="utf-8")
         self._began = time.monotonic()
+        self.hidden: dict[str, str] = {str(ROOT): "."}  # paths of this machine, and what stands for them
 
     def note(self, text: str) -> None:
         """Write one line."""
+        for path, name in self.hidden.items():
+            text = text.replace(path, name)
         self._file.write(f"{time.monotonic() - self._began:8.3f}  {text}\n")
         self._file.flush()
 
@@ -112,6 +115,7 @@
     def __init__(self, folder: Path) -> None:
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
+        self.record.hidden[str(self.folder)] = "FOLDER"
         self.programs: list[Program] = []
         self.other_pids: set[int] = set()  # started by programs of the case, for example routers of an agent
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
@@ -201,7 +205,7 @@
         ran.record.note(f"could not run: {type(error).__name__}: {error}")
     finally:
         for program in ran.programs:
-            ran.record.note(f"last lines of {program.name}: {program.text()[-600:]!r}")
+            ran.record.note(f"last lines of {program.name}: {program.text()[-400:]!r}")
         ran.record.note(f"result {code}")
         ran.end()
     sys.exit(code)
